--- /dev/null
+++ b/sprucegate/wire/settings.py
@@ -0,0 +1,114 @@
+"""The wire's settings as a plain map under our names, times in nanoseconds. Unknown ones are skipped."""
+
+from sprucegate.wire.codec import Malformed
+
+
+def _truth(text):
+    if text not in ("true", "false", "1", "0"):
+        raise ValueError(text)
+    return text in ("true", "1")
+
+
+def _ns(text):
+    return int(float(text) * 1000)
+
+
+def _words(table):
+    return lambda text: table.get(text, text)
+
+
+def _listed(read):
+    return lambda text: [read(item) for item in text.split(",")] if text else []
+
+
+EFFECTS = {"pure": "idempotent", "token": "tokened", "side_effect": "non-idempotent"}
+SCOPES = {"zone": "location"}
+SOURCES = {"silent": "none"}
+LOAD_BY = {"piggyback": "answers", "pull": "probe", "silent": "none"}
+DISCOVERY = {"automatic": "push", "subscribe": "ask"}
+
+NAMES = {
+    "allowed.attemptsCap": ("max_forwards", int),
+    "allowed.cancel": ("cancel", _truth),
+    "allowed.connectTimeout": ("connect_timeout", _ns),
+    "allowed.maxRetryAfter": ("max_retry_after", _ns),
+    "allowed.openCap": ("max_open", int),
+    "allowed.peerMessages": ("peer_messages", _truth),
+    "allowed.probing": ("probing", _truth),
+    "allowed.retryAfter": ("retry_after", _truth),
+    "allowed.secondCopies": ("second_copies", _truth),
+    "callers.marksRetry": ("repeats_marked", _truth),
+    "discovery": ("discovery", _words(DISCOVERY)),
+    "guarantees.answerSlack": ("answer_slack", _ns),
+    "guarantees.askEvery": ("ask_every", _ns),
+    "guarantees.coldFrom": ("cold_share", float),
+    "guarantees.drainGrace": ("drain_grace", _ns),
+    "guarantees.fallMultiple": ("fall_multiple", float),
+    "guarantees.overloadFor": ("fall_time", _ns),
+    "guarantees.warmUp": ("warm_time", _ns),
+    "loadInfo.fields": ("load_fields", _listed(str)),
+    "loadInfo.how": ("load_by", _words(LOAD_BY)),
+    "myZone": ("my_location", int),
+    "ordinal": ("my_number", int),
+    "penalties.origin": ("origin_price", float),
+    "penalties.waste": ("waste_price", float),
+    "penalties.probe": ("probe_price", float),
+    "penalties.peer": ("peer_price", float),
+    "siblings": ("fronts", int),
+    "specifics.agedWorth": ("stale_share", _listed(float)),
+    "specifics.classFresh": ("fresh_time", _listed(_ns)),
+    "specifics.clientKbPerS": ("client_kb_per_s", float),
+    "specifics.feedKbPerS": ("link_in_kb_per_s", _listed(float)),
+    "specifics.goesThrough": ("runs_at_origin", _listed(_truth)),
+    "specifics.hubByZone": ("hub_of_location", _listed(int)),
+    "specifics.linkPrice": ("link_price", float),
+    "specifics.mergesFills": ("joins", _truth),
+    "specifics.neighbours": ("siblings", _words(SOURCES)),
+    "specifics.obeyAfter": ("purge_grace", _ns),
+    "specifics.originFallMultiple": ("origin_fall_multiple", float),
+    "specifics.parentFallMultiple": ("parent_fall_multiple", float),
+    "specifics.parentFloor": ("parent_cold_share", float),
+    "specifics.parentRamp": ("parent_warm_time", _ns),
+    "specifics.purgeDone": ("purge_done", _ns),
+    "specifics.rootFall": ("origin_fall_time", _ns),
+    "specifics.says": ("tells", _words(SOURCES)),
+    "specifics.shieldKind": ("parent_kind", int),
+    "specifics.storeKind": ("origin_kind", int),
+    "specifics.straight": ("direct", _truth),
+    "specifics.usableAfter": ("grace_time", _listed(_ns)),
+    "specifics.zoneBalancers": ("fronts_by_location", _listed(int)),
+    "tick": ("tick", _ns),
+    "weightKind": ("weights", _words(SOURCES)),
+}
+# One list a name, an item for each delivery service, in the wire's order; what an item leaves out is None.
+BY_DS = {
+    "aim": ("latency_objective", _ns),
+    "aimStretch": ("objective_stretch", float),
+    "deadline": ("viewer_timeout", _ns),
+    "dedupScope": ("token_group", _words(SCOPES)),
+    "effect": ("effect", _words(EFFECTS)),
+    "lateShare": ("late_share", float),
+    "streamed": ("streamed", _truth),
+    "window": ("token_window", _ns),
+    "worth": ("revenue", float),
+}
+
+
+def settings_from(line):
+    """The map for one `init` line."""
+    fields = line.fields
+
+    def value(path, read):
+        try:
+            return read(fields[path])
+        except ValueError:
+            raise line.fault(f"has a setting that cannot be read: {path}={fields[path][:60]!r}") from None
+
+    settings = {name: value(path, read) for path, (name, read) in NAMES.items() if path in fields}
+    count = value("categories.count", int) if "categories.count" in fields else 0
+    if not 0 <= count <= 10_000:
+        raise Malformed(f"line {line.number}: 'init' counts {count} delivery services")
+    for key, (name, read) in BY_DS.items():
+        paths = [f"categories.{at}.{key}" for at in range(count)]
+        settings[name] = [value(path, read) if path in fields else None for path in paths]
+    return settings
