--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -24,9 +24,10 @@
 MARGIN = 1 * S        # a belief this near its end is rechecked by the next GET
 TABLE = 4096          # objects remembered
 HOT_SHARE = 0.25      # of one cache's part of the work: an object above it is spread
-BOUND = 1.6           # a cache this far above its location's mean load is passed by
+CROWDED = 1.3         # slowness from which a sample tells of the cache's link, not of its own noise
+PROBING = 0.08        # of what looks hopeless is tried all the same, or nothing would show that it has passed
 COLD_SAFETY = 0.5     # of the stated budget: the rest is for what this front can't see
-SAMPLES = 8           # outcomes that a judgement rests on
+SAMPLES = 16          # outcomes that a judgement rests on
 SAMPLE_AGE = 10 * S
 SLOW = 3.0            # times slower than the peers' median: set aside
 REST = 2 * S          # first rest of a cache set aside; doubles while trials fail
@@ -71,7 +72,7 @@
 
 
 class Standing:
-    """Outlier ejection in one role, cache or source, by the last few samples: (time, good, slowness)."""
+    """One role, cache or source, judged by its last few samples: (time, good, slowness, busy then)."""
 
     def __init__(self):
         self.samples = deque(maxlen=SAMPLES)
@@ -84,6 +85,11 @@
         good = [s[2] for s in self.fresh(now) if s[1]]
         return median(good) if len(good) >= 3 else None
 
+    def room(self, now):
+        """Transfers at full pace, from samples of a crowded link that all on it share; None: never crowded."""
+        seen = [s[3] / s[2] for s in self.fresh(now) if s[1] and s[2] > CROWDED and s[3] > 2]
+        return max(1.0, median(seen)) if len(seen) >= 3 else None
+
     def failing(self, now):
         fresh = self.fresh(now)
         return len(fresh) >= 3 and sum(not s[1] for s in fresh) * 2 >= len(fresh)
@@ -96,10 +102,10 @@
     def resting(self, now):
         return self.until > now
 
-    def note(self, now, good, slowness):
+    def note(self, now, good, slowness, busy=0):
         if self.trial and not self.resting(now) and good:
             self.trial, self.rest = False, 0
-        self.samples.append((now, good, slowness))
+        self.samples.append((now, good, slowness, busy))
 
 
 class Memory:
@@ -208,7 +214,9 @@
         self.waits = []                      # (due, order, Get)
         self.order = 0
         self.demand = deque(maxlen=256)      # (time, work) of the last GETs
-        self.sizes, self.spents = {}, {}     # by ds, the last few
+        self.carried = deque(maxlen=256)     # (time, work) of the last that caches returned
+        self.spents = {}                     # by ds, the last few: (busy then, sending time)
+        self.waits_seen = deque(maxlen=12)   # (time, wait) of the last fills
         self.found = deque([Found.FILLED] * 8, maxlen=64)
         self.further = deque(maxlen=100)     # of the last forwards, which were further ones
         self.asks = [Subscribe()] if settings.get("discovery") == "ask" else []
@@ -232,11 +240,24 @@
         rate = self.settings.get("client_kb_per_s", 0)
         if asked.size and rate:
             return int(asked.size / rate * S)
-        return self.mean_work(asked.ds)
+        seen = sorted(self.spents.get(asked.ds, ()))
+        # Without sizes, the calmest third of what was seen tells the size; the rest tells of crowding too.
+        return median(t for _, t in seen[:len(seen) // 3 + 1]) if seen else self.mean_work(asked.ds)
 
     def mean_work(self, ds):
         seen = self.spents.get(ds)
-        return sum(seen) // len(seen) if seen else self.of_ds("latency_objective", ds, 400 * MS)
+        return sum(t for _, t in seen) // len(seen) if seen else self.of_ds("latency_objective", ds, 400 * MS)
+
+    def objective(self, asked):
+        stretch = self.of_ds("objective_stretch", asked.ds, 0)
+        return self.of_ds("latency_objective", asked.ds, NEVER) + int(stretch * self.work(asked))
+
+    def expected(self, asked, node, holds, now):
+        """Time to the answer if sent there now: the link is shared by all it holds, a miss waits first."""
+        room = node.as_cache.room(now)
+        slow = max(1.0, (node.busy(now) + 1) / room) if room else 1.0
+        waits = [w for t, w in self.waits_seen if now - t < 3 * S]
+        return slow * self.work(asked) + (0 if holds or len(waits) < 4 else median(waits))
 
     # --- the list
 
@@ -349,8 +370,7 @@
         work = self.work(asked)
         self.demand.append((now, work))
         if asked.size:
-            self.sizes.setdefault(asked.ds, deque(maxlen=64)).append(asked.size)
-            self.spents.setdefault(asked.ds, deque(maxlen=64)).append(work)
+            self.spents.setdefault(asked.ds, deque(maxlen=64)).append((0, work))
         get = Get(self, asked, now)
         self.order += 1
         heapq.heappush(self.waits, (get.due, self.order, get))
@@ -406,13 +426,15 @@
         if not spent:
             return True
         multiple = get("parent_fall_multiple" if parent else "fall_multiple", 2)
-        if len(self.demand) < 2:
+        if len(self.carried) < 2:
             return False
-        rate = sum(w for _, w in self.demand) / max(S, now - self.demand[0][0])
+        # What was asked for is no guide: under overload repeats swell it past any capacity.
+        rate = sum(w for _, w in self.carried) / max(S, now - self.carried[0][0])
         if parent:
             rate *= sum(f is not Found.HIT for f in self.found) / len(self.found)
-        peers = len(self.serving("parent", here=False) if parent else self.serving("cache"))
-        return spent + self.mean_work(ds) <= COLD_SAFETY * multiple * share * rate / peers * window
+        peers = self.serving("parent", here=False) if parent else self.serving("cache")
+        rate *= node.entry.weight / sum(n.entry.weight for n in peers)
+        return spent + self.mean_work(ds) <= COLD_SAFETY * multiple * share * rate * window
 
     # --- the pick
 
@@ -460,10 +482,14 @@
         order = self.ranked(left, mixed(asked.object.to_bytes(8, "big") + asked.part.to_bytes(4, "big")))
         wide = order[:self.width(asked, memory, order)]
         best = min(wide, key=lambda n: n.busy(now) / n.entry.weight)
-        mean = sum(n.busy(now) for n in order) / sum(n.entry.weight for n in order)
-        if best.busy(now) <= (BOUND * mean) * best.entry.weight + 2:
-            return best
-        return next((n for n in order if n.busy(now) <= (BOUND * mean) * n.entry.weight + 2), best)
+        held = {node.index for _, node in self.holders(asked, memory, now)}
+        times = [(self.expected(asked, n, n.index in held, now), n) for n in [best, *order]]
+        limit = self.objective(asked) - (now - get.at)
+        for time, node in times:
+            if time <= limit:
+                return node
+        # Hopeless everywhere: it would only crowd out what can still be in time.
+        return best if self.chance(asked.id) < PROBING else None
 
     def source(self, get, memory, cache, now):
         """Where a miss is filled: a believed sibling, else a parent by hash, the origin with none up."""
@@ -550,7 +576,7 @@
         if source is not cache:
             source.sent.append((now, work))
         number = len(get.forwards)
-        get.forwards.append([number, cache, source, True, now])
+        get.forwards.append([number, cache, source, True, now, cache.busy(now) + 1])
         get.open += 1
         get.missed = False
         cache.out[(asked.id, number)] = now
@@ -567,7 +593,8 @@
     # --- what outcomes teach
 
     def learn(self, get, forward, outcome, found, spent, waited, load, now):
-        number, cache, source, _, sent_at = forward
+        _, cache, source, _, _, crowd = forward
+        number = forward[0]
         asked = get.asked
         cache.out.pop((asked.id, number), None)
         if load:
@@ -578,13 +605,15 @@
         peers = self.serving("cache")
         if good:
             if not asked.size:
-                self.spents.setdefault(asked.ds, deque(maxlen=64)).append(spent - waited)
+                self.spents.setdefault(asked.ds, deque(maxlen=64)).append((crowd, spent - waited))
             self.found.append(found)
             slow = (spent - waited) / max(20 * MS, self.work(asked))
-            cache.as_cache.note(now, True, slow)
+            cache.as_cache.note(now, True, slow, crowd)
+            self.carried.append((now, self.work(asked)))
             if not self.of_ds("runs_at_origin", asked.ds, False) and self.role(cache) == "cache":
                 self.believe(memory, cache, now)
             if found in (Found.FILLED, Found.FILLED_BY_ORIGIN) and source is not cache:
+                self.waits_seen.append((now, waited))
                 source.as_source.note(now, True, waited / (50 * MS))
                 if self.role(source) == "cache":
                     self.believe(memory, source, now)
@@ -593,6 +622,7 @@
             memory.holders.pop(cache.index, None)
             get.lost_sources.add(source.index)
         elif found in SOURCE_FAULTS:
+            self.waits_seen.append((now, spent))
             memory.holders.pop(cache.index, None)
             get.lost_sources.add(source.index)
             if found is not Found.ORIGIN_FAILED:
