Throttle fills by their success, judge the link in as a place, learn sizes per object

Cause: fills went on to a stalled origin and a full link in, and held the caches' places; without told sizes the crowding estimate was noise. Guards parents, origin and link against storms whatever their cause; can harm when most fills are slow for a short while.

--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -25,6 +25,8 @@
 TABLE = 4096          # objects remembered
 HOT_SHARE = 0.25      # of one cache's part of the work: an object above it is spread
 CROWDED = 1.3         # slowness from which a sample tells of the cache's link, not of its own noise
+THROTTLE = 1.4        # fills tried per fill in time, above which they are shed unsent
+THROTTLE_SPAN = 4 * S
 PROBING = 0.08        # of what looks hopeless is tried all the same, or nothing would show that it has passed
 COLD_SAFETY = 0.5     # of the stated budget: the rest is for what this front can't see
 SAMPLES = 16          # outcomes that a judgement rests on
@@ -82,14 +84,18 @@
         return [s for s in self.samples if now - s[0] < SAMPLE_AGE]
 
     def slowness(self, now):
-        good = [s[2] for s in self.fresh(now) if s[1]]
+        good = [s[2] for s in self.fresh(now) if s[2]]
         return median(good) if len(good) >= 3 else None
 
     def room(self, now):
         """Transfers at full pace, from samples of a crowded link that all on it share; None: never crowded."""
-        seen = [s[3] / s[2] for s in self.fresh(now) if s[1] and s[2] > CROWDED and s[3] > 2]
+        seen = [s[3] / s[2] for s in self.fresh(now) if s[2] > CROWDED and s[3] > 2]
         return max(1.0, median(seen)) if len(seen) >= 3 else None
 
+    def crowding(self, busy, now):
+        room = self.room(now)
+        return max(1.0, busy / room) if room else 1.0
+
     def failing(self, now):
         fresh = self.fresh(now)
         return len(fresh) >= 3 and sum(not s[1] for s in fresh) * 2 >= len(fresh)
@@ -111,10 +117,11 @@
 class Memory:
     """One object: GETs in the running span and the two before, and who is believed to hold it."""
 
-    __slots__ = ("span", "counts", "holders", "failed_at")
+    __slots__ = ("span", "counts", "holders", "failed_at", "spents")
 
     def __init__(self, span):
         self.span, self.counts, self.holders, self.failed_at = span, [0, 0, 0], {}, -NEVER
+        self.spents = deque(maxlen=4)        # its last sending times: the least tells its size
 
     def roll(self, span):
         steps = span - self.span
@@ -207,7 +214,7 @@
     """One front."""
 
     def __init__(self, settings, seed, now):
-        self.settings, self.seed, self.draws, self.began = settings, seed, 0, now
+        self.settings, self.seed, self.draws, self.now = settings, seed, 0, now
         self.nodes, self.index_of = [], {}
         self.table, self.slot_of = [], OrderedDict()
         self.purges = {}                     # ("object", id) or ("group", number) -> time of the purge
@@ -215,8 +222,11 @@
         self.order = 0
         self.demand = deque(maxlen=256)      # (time, work) of the last GETs
         self.carried = deque(maxlen=256)     # (time, work) of the last that caches returned
-        self.spents = {}                     # by ds, the last few: (busy then, sending time)
+        self.spents = {}                     # by ds, the last few sending times
         self.waits_seen = deque(maxlen=12)   # (time, wait) of the last fills
+        self.link = Standing()               # the location's link in, as a place of its own
+        self.filling = 0
+        self.fills = deque(maxlen=256)       # (time, in time) of fills tried, or shed unsent
         self.found = deque([Found.FILLED] * 8, maxlen=64)
         self.further = deque(maxlen=100)     # of the last forwards, which were further ones
         self.asks = [Subscribe()] if settings.get("discovery") == "ask" else []
@@ -240,13 +250,15 @@
         rate = self.settings.get("client_kb_per_s", 0)
         if asked.size and rate:
             return int(asked.size / rate * S)
-        seen = sorted(self.spents.get(asked.ds, ()))
-        # Without sizes, the calmest third of what was seen tells the size; the rest tells of crowding too.
-        return median(t for _, t in seen[:len(seen) // 3 + 1]) if seen else self.mean_work(asked.ds)
+        own = self.memory(asked, self.now).spents
+        if own:
+            return min(own)
+        seen = self.spents.get(asked.ds)
+        return int(median(seen)) if seen else self.mean_work(asked.ds)
 
     def mean_work(self, ds):
         seen = self.spents.get(ds)
-        return sum(t for _, t in seen) // len(seen) if seen else self.of_ds("latency_objective", ds, 400 * MS)
+        return sum(seen) // len(seen) if seen else self.of_ds("latency_objective", ds, 400 * MS)
 
     def objective(self, asked):
         stretch = self.of_ds("objective_stretch", asked.ds, 0)
@@ -254,10 +266,26 @@
 
     def expected(self, asked, node, holds, now):
         """Time to the answer if sent there now: the link is shared by all it holds, a miss waits first."""
-        room = node.as_cache.room(now)
-        slow = max(1.0, (node.busy(now) + 1) / room) if room else 1.0
-        waits = [w for t, w in self.waits_seen if now - t < 3 * S]
-        return slow * self.work(asked) + (0 if holds or len(waits) < 4 else median(waits))
+        slow = node.as_cache.crowding(node.busy(now) + 1, now)
+        wait = 0
+        if not holds:
+            slow = max(slow, self.link.crowding(self.filling + 1, now))
+            waits = [w for t, w in self.waits_seen if now - t < 3 * S]
+            wait = median(waits) if len(waits) >= 4 else 0
+        return slow * self.work(asked) + wait
+
+    def throttled(self, asked, now):
+        """Adaptive throttling: fills are shed unsent once far more are tried than come in time.
+
+        Guards parents and origin against a storm, and cache places against waiting on a stalled source,
+        whatever slowed it. A share goes on, so that the end of the trouble is seen.
+        """
+        recent = [good for t, good in self.fills if now - t < THROTTLE_SPAN]
+        excess = 1 - THROTTLE * (sum(recent) + 2) / (len(recent) + 1)
+        if self.chance(asked.id) >= min(excess, 1 - PROBING):
+            return False
+        self.fills.append((now, False))
+        return True
 
     # --- the list
 
@@ -361,6 +389,7 @@
     # --- taking
 
     def take(self, asked, now):
+        self.now = now
         memory = self.memory(asked, now)
         # Repeats swell counts and stretch beliefs. Where clients don't mark them, a GET soon after this
         # front gave the same object up is taken for one.
@@ -370,7 +399,7 @@
         work = self.work(asked)
         self.demand.append((now, work))
         if asked.size:
-            self.spents.setdefault(asked.ds, deque(maxlen=64)).append((0, work))
+            self.spents.setdefault(asked.ds, deque(maxlen=64)).append(work)
         get = Get(self, asked, now)
         self.order += 1
         heapq.heappush(self.waits, (get.due, self.order, get))
@@ -478,18 +507,18 @@
         left = [n for n in caches if n.index not in get.lost_caches] or caches
         left = [n for n in left if self.cold_room(n, asked.ds, now)]
         if not left:
-            return None
+            return None, False
         order = self.ranked(left, mixed(asked.object.to_bytes(8, "big") + asked.part.to_bytes(4, "big")))
-        wide = order[:self.width(asked, memory, order)]
-        best = min(wide, key=lambda n: n.busy(now) / n.entry.weight)
         held = {node.index for _, node in self.holders(asked, memory, now)}
-        times = [(self.expected(asked, n, n.index in held, now), n) for n in [best, *order]]
+        times = {n: self.expected(asked, n, n.index in held, now) for n in order}
+        wide = order[:self.width(asked, memory, order)]
+        best = min(wide, key=lambda n: (times[n], n.busy(now) / n.entry.weight))
         limit = self.objective(asked) - (now - get.at)
-        for time, node in times:
-            if time <= limit:
-                return node
-        # Hopeless everywhere: it would only crowd out what can still be in time.
-        return best if self.chance(asked.id) < PROBING else None
+        chosen = next((n for n in [best, *order] if times[n] <= limit), None)
+        if chosen is None:
+            # Late everywhere: it would only crowd out what can still be in time.
+            return best, self.chance(asked.id) >= PROBING
+        return chosen, not held and self.throttled(asked, now)
 
     def source(self, get, memory, cache, now):
         """Where a miss is filled: a believed sibling, else a parent by hash, the origin with none up."""
@@ -544,18 +573,19 @@
         asked = get.asked
         memory = self.memory(asked, now)
         write = self.of_ds("runs_at_origin", asked.ds, False)
-        cache = self.pick(get, memory, now)
         held_only = False
         if write:
-            origins = self.serving("origin", here=False)
-            source = origins[0] if origins else self.upper(get, now)
-            if self.settings.get("direct") and origins:
-                cache = origins[0]
-        elif cache is not None:
-            source, held_only = self.source(get, memory, cache, now)
+            source = next(iter(self.serving("origin", here=False)), None) or self.upper(get, now)
+            cache = source if self.settings.get("direct") else self.pick(get, memory, now)[0]
         else:
-            source = self.upper(get, now)
-            cache = source if self.settings.get("direct") else None
+            cache, hopeless = self.pick(get, memory, now)
+            if hopeless:
+                return None
+            if cache is not None:
+                source, held_only = self.source(get, memory, cache, now)
+            elif self.settings.get("direct"):
+                source = next(iter(self.serving("origin", here=False)), None)
+                cache = self.upper(get, now)
         if cache is None:
             return None
         if get.risky is not None and not self.in_group(asked.ds, get.risky[0], cache):
@@ -576,7 +606,9 @@
         if source is not cache:
             source.sent.append((now, work))
         number = len(get.forwards)
-        get.forwards.append([number, cache, source, True, now, cache.busy(now) + 1])
+        fills = all(node is not cache for _, node in self.holders(asked, memory, now))
+        self.filling += fills
+        get.forwards.append([number, cache, source, True, now, cache.busy(now) + 1, self.filling * fills])
         get.open += 1
         get.missed = False
         cache.out[(asked.id, number)] = now
@@ -593,8 +625,8 @@
     # --- what outcomes teach
 
     def learn(self, get, forward, outcome, found, spent, waited, load, now):
-        _, cache, source, _, _, crowd = forward
-        number = forward[0]
+        number, cache, source, _, _, crowd, filling = forward
+        self.filling -= filling > 0
         asked = get.asked
         cache.out.pop((asked.id, number), None)
         if load:
@@ -603,14 +635,23 @@
         memory = self.memory(asked, now)
         good = outcome is Outcome.RETURNED
         peers = self.serving("cache")
+        known = asked.size or memory.spents
+        write = self.of_ds("runs_at_origin", asked.ds, False)
+        if known and not write and (good or outcome is Outcome.TIMED_OUT):
+            slow = (spent - waited) / max(20 * MS, self.work(asked))
+            if not filling or found in (Found.HIT, Found.STALE_HIT):
+                cache.as_cache.note(now, good, slow, crowd)
+            else:
+                self.link.note(now, good, slow, filling)
+        if filling and found not in (Found.HIT, Found.STALE_HIT, Found.SOURCE_LACKS):
+            self.fills.append((now, good and spent <= self.objective(asked)))
+        if good and not asked.size:
+            memory.spents.append(spent - waited)
+            self.spents.setdefault(asked.ds, deque(maxlen=64)).append(spent - waited)
         if good:
-            if not asked.size:
-                self.spents.setdefault(asked.ds, deque(maxlen=64)).append((crowd, spent - waited))
             self.found.append(found)
-            slow = (spent - waited) / max(20 * MS, self.work(asked))
-            cache.as_cache.note(now, True, slow, crowd)
             self.carried.append((now, self.work(asked)))
-            if not self.of_ds("runs_at_origin", asked.ds, False) and self.role(cache) == "cache":
+            if not write and self.role(cache) == "cache":
                 self.believe(memory, cache, now)
             if found in (Found.FILLED, Found.FILLED_BY_ORIGIN) and source is not cache:
                 self.waits_seen.append((now, waited))
@@ -622,7 +663,6 @@
             memory.holders.pop(cache.index, None)
             get.lost_sources.add(source.index)
         elif found in SOURCE_FAULTS:
-            self.waits_seen.append((now, spent))
             memory.holders.pop(cache.index, None)
             get.lost_sources.add(source.index)
             if found is not Found.ORIGIN_FAILED:
