--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -14,8 +14,7 @@
 
 from sprucegate.interface import Cancel, Errored, Forward, Found, Outcome, Shed, State, Subscribe
 
-MS = 1_000_000
-S = 1000 * MS
+MS, S = 1_000_000, 1_000_000_000
 NEVER = -1 << 62
 
 SPAN = 2 * S            # GETs of an object are counted over spans of this length
@@ -33,11 +32,9 @@
 SAMPLES = 16            # outcomes that a judgement rests on
 SAMPLE_AGE = 10 * S
 SLOW = 3.0              # times slower than the peers' median: set aside
-REST = 2 * S            # first rest of a node set aside; doubles while trials fail
-REST_MOST = 16 * S
+REST = 2 * S            # first rest of a node set aside; doubles while trials fail, up to eight times that
 RETRY_SHARE = 0.2       # of the last forwards may be further ones
-ANSWER_MARGIN = 12 * MS
-WINDOW_MARGIN = 50 * MS
+ANSWER_MARGIN = 20 * MS # kept before the end of a viewer's time and of a token's window
 
 SOURCE_FAULTS = (Found.SOURCE_REFUSED, Found.SOURCE_BROKEN, Found.ORIGIN_FAILED)
 HITS = (Found.HIT, Found.STALE_HIT)
@@ -52,7 +49,7 @@
 
 
 def ranked(nodes, key):
-    """Weighted rendezvous hashing over real ids, alike at all fronts."""
+    # Weighted rendezvous hashing over real ids, alike at all fronts.
     return sorted(nodes, key=lambda n: (n.entry.weight / log((mixed(n.label, key) + 0.5) / 2**32), n.id))
 
 
@@ -78,7 +75,7 @@
     def crowding(self, sharing, now):
         """Slowness to expect. A crowded link is divided evenly: sharing over slowness is what it fits."""
         fits = [s[3] / s[2] for s in self.fresh(now) if s[2] > CROWDED and s[3] > 2]
-        return max(1.0, sharing / max(1.0, median(fits))) if len(fits) >= 3 else 1.0
+        return max(1.0, sharing / median(fits)) if len(fits) >= 3 else 1.0
 
     def judge(self, others, now):
         """Outlier ejection: set aside when half its samples failed, or far slower than its peers."""
@@ -87,7 +84,7 @@
         failing = len(fresh) >= 3 and sum(not s[1] for s in fresh) * 2 >= len(fresh)
         outlier = slow is not None and len(rivals) >= 2 and slow > SLOW * max(1.0, median(rivals))
         if self.until <= now and (failing or outlier):
-            self.rest = min(REST_MOST, max(REST, 2 * self.rest))
+            self.rest = min(8 * REST, max(REST, 2 * self.rest))
             self.until, self.trial = now + self.rest, True
             self.samples.clear()
 
@@ -107,6 +104,10 @@
         self.as_cache, self.as_source = Standing(), Standing()
         self.load, self.load_at = {}, NEVER
 
+    def report(self, load, now):
+        if load:
+            self.load, self.load_at = load, now
+
     def busy(self, now):
         return max(self.out, self.load.get("inflight", 0) if now - self.load_at < S else 0)
 
@@ -131,17 +132,16 @@
         A fall within the noise of counting (Poisson: root of the sum) is no trend, and the cap stands.
         """
         _, newer, older = self.counts
-        if older - newer <= sqrt(older + newer):
-            return CAP
-        return int(max(0, min(CAP, (newer - KEEP_COUNT) * SPAN / (older - newer) - TRIP)))
+        falling = older - newer > sqrt(older + newer)
+        return int(max(0, min(CAP, (newer - KEEP_COUNT) * SPAN / (older - newer) - TRIP))) if falling else CAP
 
 
 class Sent:
-    """One forward: where it went and what it shared its way with."""
+    """One forward: where it went, how many it shared the cache and the link with."""
 
-    def __init__(self, cache, source, now):
-        self.cache, self.source, self.at, self.open = cache, source, now, True
-        self.crowd = self.filling = 0
+    def __init__(self, cache, source, now, crowd):
+        self.cache, self.source, self.at, self.crowd, self.filling = cache, source, now, crowd, 0
+        self.open, self.outcome = True, None
         self.fill = None                     # [time, when it is late, came in time], one of Router.fills
 
 
@@ -149,7 +149,7 @@
     """One GET from its taking to its last outcome."""
 
     def __init__(self, router, asked, now):
-        self.router, self.asked, self.at = router, asked, now
+        self.router, self.asked, self.limit = router, asked, now + router.objective(asked)
         self.due = now + asked.ttl - ANSWER_MARGIN
         self.forwards = []
         self.done = self.streaming = self.missed = self.hopeless = False
@@ -176,8 +176,8 @@
         router, ds = self.router, self.asked.ds
         router.memory(self.asked, now).failed_at = now
         effect = router.of_ds("effect", ds, "idempotent")
-        harmless = (effect == "idempotent" or self.risky() is None
-                    or effect == "tokened" and router.of_ds("token_group", ds, "all") == "all")
+        tokened = effect == "tokened" and router.of_ds("token_group", ds, "all") == "all"
+        harmless = effect == "idempotent" or tokened or self.risky() is None
         advice = router.get("max_retry_after", 0) if router.get("retry_after") else 0
         return [Shed(advice) if harmless else Errored(), *self.cancel_open()]
 
@@ -185,8 +185,6 @@
         return [Cancel(n) for n, f in enumerate(self.forwards) if f.open and self.router.get("cancel")]
 
     def ended(self, number, outcome, found, spent, waited, load, finished, now):
-        if not 0 <= number < len(self.forwards) or not self.forwards[number].open:
-            return []
         sent = self.forwards[number]
         sent.open, sent.outcome = False, outcome
         self.router.learn(self, sent, outcome, found, spent, waited, load, now)
@@ -195,15 +193,12 @@
         return [] if any(f.open for f in self.forwards) else self.route(now)
 
     def answering(self, number, now):
-        """The client has the start of the answer: nothing is owed or may be sent any more."""
-        self.streaming = True
+        self.streaming = True                # from here on nothing is owed or may be sent
         return []
 
     def left(self, now):
-        if self.done:
-            return []
-        self.done = True
-        return self.cancel_open()
+        self.done, over = True, self.done
+        return [] if over else self.cancel_open()
 
 
 class Router:
@@ -230,9 +225,8 @@
 
     def chance(self, text):
         self.draws += 1
-        return mixed(f"{self.get('my_number', 0)}/{text}/{self.draws}".encode(), self.seed & 0xFFFFFFFF) / 2**32
-
-    # --- sizes and times
+        word = f"{self.get('my_number', 0)}/{text}/{self.draws}".encode()
+        return mixed(word, self.seed % 2**32) / 2**32
 
     def mean_work(self, ds):
         seen = self.spents.get(ds)
@@ -246,31 +240,24 @@
         return min(own) if own else int(median(self.spents.get(asked.ds) or [self.mean_work(asked.ds)]))
 
     def objective(self, asked):
-        stretch = self.of_ds("objective_stretch", asked.ds, 0)
-        return self.of_ds("latency_objective", asked.ds, 1 << 62) + int(stretch * self.work(asked))
-
-    def hit_time(self, asked, node, now):
-        return node.as_cache.crowding(node.busy(now) + 1, now) * self.work(asked)
+        extra = int(self.of_ds("objective_stretch", asked.ds, 0) * self.work(asked))
+        return self.of_ds("latency_objective", asked.ds, -NEVER) + extra
 
-    def fill_time(self, asked, node, now):
+    def fill_time(self, asked, now):
         waits = [w for t, w in self.waits if now - t < THROTTLE_SPAN]
         linked = self.link.crowding(self.filling + 1, now) * self.work(asked)
-        return max(linked, self.hit_time(asked, node, now)) + (median(waits) if len(waits) >= 4 else 0)
+        return linked + (median(waits) if len(waits) >= 4 else 0)
 
     def throttled(self, asked, now):
         """Adaptive throttling of fills by the share of the last ones that came in time.
 
-        Guards parents, origin and the link in against storms, and the caches' places against waiting on a
-        stalled source, whatever the cause. Could harm where fills are late for a reason that fewer of them
-        don't mend; a share goes on always, so that the end is seen.
+        Guards parents, origin and link against storms, and the caches' places against waiting on a stalled
+        source. Could harm where fills are late for a reason that fewer of them don't mend.
         """
-        results = [good or late > now and good is None for sent, late, good in self.fills
+        results = [bool(good) for sent, late, good in self.fills
                    if now - sent < THROTTLE_SPAN and (good is not None or late <= now)]
-        if len(results) < 4:
-            return False
-        return self.chance(asked.id) >= PROBING + THROTTLE * sum(results) / len(results)
-
-    # --- the list
+        return (len(results) >= 4
+                and self.chance(asked.id) >= PROBING + THROTTLE * sum(results) / len(results))
 
     def listed(self, entries, whole, now):
         seen = set()
@@ -290,13 +277,15 @@
     def list_failed(self, now):
         """A lost subscription is asked for anew, a little later so that a busy discovery can recover."""
         if self.get("discovery") == "ask":
-            self.order += 1
-            heapq.heappush(self.waiting, (now + S, self.order, None))
+            self.remind(now + S, None)
+
+    def remind(self, when, get):
+        self.order += 1
+        heapq.heappush(self.waiting, (when, self.order, get))
 
     def role(self, node):
-        kind = node.entry.kind
-        return ("origin" if kind == self.get("origin_kind", -1)
-                else "parent" if kind == self.get("parent_kind", -1) else "cache")
+        kinds = {self.get("parent_kind", -1): "parent", self.get("origin_kind", -1): "origin"}
+        return kinds.get(node.entry.kind, "cache")
 
     def serving(self, role):
         """What may be named, as cache or as source. Draining and gone ones stop counting at once."""
@@ -304,18 +293,14 @@
         return [n for n in self.nodes if n.entry.state is State.SERVING and self.role(n) == role
                 and (role != "cache" or n.entry.location == here)]
 
-    # --- purges and beliefs
-
     def purged(self, obj, group, age, now):
         # Beliefs from before a purge are void too, and may outlive the old copies by the cap.
-        life = self.get("purge_done", 0) + CAP
-        self.purges = {k: t for k, t in self.purges.items() if now - t <= life}
+        self.purges = {k: t for k, t in self.purges.items() if now - t <= self.get("purge_done", 0) + CAP}
         key = ("object", obj) if obj >= 0 else ("group", group)
         self.purges[key] = max(now - age, self.purges.get(key, NEVER))
 
     def purge_time(self, asked):
-        return max(self.purges.get(("object", asked.object), NEVER),
-                   self.purges.get(("group", asked.group), NEVER))
+        return max(self.purges.get(k, NEVER) for k in (("object", asked.object), ("group", asked.group)))
 
     def oldest(self, asked, stale, now):
         """Oldest copy that will do; 0 is the fresh time. A tick is given away against rounding."""
@@ -354,21 +339,17 @@
                 del memory.holders[at]
         return {node: -expiry for expiry, _, node in sorted(kept, key=lambda k: k[:2])}
 
-    # --- taking and time
-
     def take(self, asked, now):
         self.now = now
         memory = self.memory(asked, now)
         # Repeats swell counts and stretch beliefs. Where clients don't mark them, a GET soon after this
         # front gave the same object up is taken for one.
-        if not asked.repeat and now - memory.failed_at > 2 * S:
-            memory.counts[0] += 1
+        memory.counts[0] += not asked.repeat and now - memory.failed_at > 2 * S
         memory.failed_at = NEVER
         if asked.size:
             self.spents.setdefault(asked.ds, deque(maxlen=64)).append(self.work(asked))
         get = Get(self, asked, now)
-        self.order += 1
-        heapq.heappush(self.waiting, (get.due, self.order, get))
+        self.remind(get.due, get)
         return get
 
     def next_due(self):
@@ -381,75 +362,65 @@
         said, self.asks = [(None, self.asks)], []
         while self.waiting and self.waiting[0][0] <= now:
             get = heapq.heappop(self.waiting)[2]
-            if get is None:
-                said.append((None, [Subscribe()]))
-            elif not get.done and not get.streaming:
-                said.append((get, get.give_up(now)))
+            if get is None or not get.done and not get.streaming:
+                said.append((get, get.give_up(now) if get else [Subscribe()]))
         return said
 
     def told(self, peer, payload, now):
         """Fronts tell each other nothing yet: what a peer says is passed over."""
 
     def probed(self, cache, outcome, spent, load, now):
-        if load and cache in self.index_of:
-            node = self.nodes[self.index_of[cache]]
-            node.load, node.load_at = load, now
+        if cache in self.index_of:
+            self.nodes[self.index_of[cache]].report(load, now)
 
-    # --- cold starts
+    def rate(self, now):
+        """Work that caches return to this front, in sending time over time."""
+        return sum(w for _, w in self.carried) / max(S, now - self.carried[0][0]) if self.carried else 0
 
     def cold_room(self, node, ds, now):
         """May one more forward or fill go there? A cold node has a budget; this front takes its part.
 
-        Its capacity is never told: what the warm ones return to this front is the guide (what is asked is
-        none: under overload repeats swell it past any capacity), with the stated floor and the slowest
-        rise. One forward a window goes always, as a start for a front that has no history.
+        Its capacity is never told: what the warm ones return is the guide (what is asked is none, repeats
+        swell it), with the stated floor and the slowest rise. One forward a window goes always, as a start.
         """
         role = self.role(node)
         kind = "parent_" if role == "parent" else ""
         warm, age = self.get(f"{kind}warm_time", 0), now - node.entry.started
         if role == "origin" or not node.entry.started or age >= warm:
             return True
-        floor = self.get(f"{kind}cold_share", 0.1)
-        window = self.get("fall_time", S)
+        floor, window = self.get(f"{kind}cold_share", 0.1), self.get("fall_time", S)
         spent = sum(w for t, w in node.sent if t > now - window)
-        if not spent or len(self.carried) < 2:
-            return not spent
-        rate = sum(w for _, w in self.carried) / max(S, now - self.carried[0][0])
+        rate = self.rate(now) * node.entry.weight / sum(n.entry.weight for n in self.serving(role))
         if role == "parent":
             rate *= sum(f not in HITS for f in self.found) / len(self.found)
-        rate *= node.entry.weight / sum(n.entry.weight for n in self.serving(role))
         share = floor + (1 - floor) * max(0, age) / warm
         budget = COLD_SAFETY * self.get(f"{kind}fall_multiple", 2) * share * rate * window
-        return spent + self.mean_work(ds) <= budget
-
-    # --- the pick
+        return not spent or spent + self.mean_work(ds) <= budget
 
-    def usable(self, nodes, standing, now):
+    def usable(self, nodes, part, now):
         """Never more than half are set aside, whatever the samples say; a trial is one GET at a time."""
-        aside = [n for n in nodes if standing(n).until > now or standing(n).trial and n.out]
-        barred = sorted(aside, key=lambda n: (-standing(n).until, n.id))[:len(nodes) // 2]
+        parts = [(getattr(n, part), n) for n in nodes]
+        aside = [(-p.until, n.id, n) for p, n in parts if p.until > now or p.trial and n.out]
+        barred = [n for _, _, n in sorted(aside, key=lambda a: a[:2])[:len(nodes) // 2]]
         return [n for n in nodes if n not in barred]
 
     def width(self, asked, memory, caches, now):
         """Two or three caches for an object that alone asks for much of what one cache does."""
-        rate = sum(w for _, w in self.carried) / max(S, now - self.carried[0][0]) if self.carried else 0
         share = sum(memory.counts[:2]) * self.work(asked) / (2 * SPAN) * len(caches)
-        return 1 + (share > HOT_SHARE * rate > 0) + (share > 2 * HOT_SHARE * rate > 0)
+        return 1 + sum(share > times * HOT_SHARE * self.rate(now) > 0 for times in (1, 2))
 
     def pick(self, get, memory, now):
         """The cache by hash, passing by those where the answer would come late; and whether one would do."""
         asked = get.asked
-        caches = self.usable(self.serving("cache"), lambda n: n.as_cache, now)
+        caches = self.usable(self.serving("cache"), "as_cache", now)
         caches = [n for n in caches if n.index not in get.lost] or caches
-        caches = [n for n in caches if self.cold_room(n, asked.ds, now)]
-        if not caches:
+        if not (caches := [n for n in caches if self.cold_room(n, asked.ds, now)]):
             return None, False
         order = ranked(caches, mixed(asked.object.to_bytes(8, "big") + asked.part.to_bytes(4, "big")))
-        times = {n: self.hit_time(asked, n, now) for n in order}
+        times = {n: n.as_cache.crowding(n.busy(now) + 1, now) * self.work(asked) for n in order}
         wide = order[:self.width(asked, memory, order, now)]
         best = min(wide, key=lambda n: (times[n], n.busy(now) / n.entry.weight))
-        limit = get.at + self.objective(asked) - now
-        fit = next((n for n in [best, *order] if times[n] <= limit), None)
+        fit = next((n for n in [best, *order] if times[n] <= get.limit - now), None)
         return fit or best, fit is not None
 
     def sibling(self, get, memory, cache, now):
@@ -465,13 +436,12 @@
 
     def upper(self, get, now):
         """A parent by hash, of the own hub as long as one there will do; the origin with none up."""
-        hubs, here = self.get("hub_of_location") or (), self.get("my_location", 0)
-        parents = self.usable(self.serving("parent"), lambda n: n.as_source, now)
+        hub = dict(enumerate(self.get("hub_of_location") or ())).get(self.get("my_location", 0))
+        parents = self.usable(self.serving("parent"), "as_source", now)
         parents = [n for n in parents if n.index not in get.lost and self.cold_room(n, get.asked.ds, now)]
-        near = [n for n in parents if here < len(hubs) and n.entry.location == hubs[here]] or parents
-        if near:
-            return ranked(near, mixed(get.asked.object.to_bytes(8, "big")))[0]
-        return next(iter(self.serving("origin")), None)
+        near = [n for n in parents if n.entry.location == hub] or parents
+        order = ranked(near, mixed(get.asked.object.to_bytes(8, "big"))) or self.serving("origin")
+        return order[0] if order else None
 
     def may_forward(self, get, now):
         """Effects, the stated most and the retry budget. Further forwards go by revenue."""
@@ -480,7 +450,7 @@
             return False
         effect, risky = self.of_ds("effect", asked.ds, "idempotent"), get.risky()
         if risky is not None and effect != "idempotent":
-            window = self.of_ds("token_window", asked.ds, 0) - WINDOW_MARGIN
+            window = self.of_ds("token_window", asked.ds, 0) - ANSWER_MARGIN
             if effect != "tokened" or now - risky.at >= window:
                 return False
         top = max([r for r in self.get("revenue", ()) if r], default=1)
@@ -507,32 +477,30 @@
             source, held_only = self.sibling(get, memory, cache, now)
             if source is None:
                 source = self.upper(get, now)
-                limit = get.at + self.objective(asked) - now
-                late = self.fill_time(asked, cache, now) > limit and self.chance(asked.id) >= PROBING
+                late = self.fill_time(asked, now) > get.limit - now and self.chance(asked.id) >= PROBING
                 if cache.index not in memory.holders and (late or self.throttled(asked, now)):
                     # Hits go on without a fill: a look costs next to nothing, and a miss is then given up.
                     source, get.hopeless = cache, True
-        risky = get.risky()
-        if cache is None or risky is not None and not self.in_group(asked.ds, risky.cache, cache):
+        if cache is None or not self.in_group(asked.ds, get.risky(), cache):
             return None
         return self.send(get, memory, cache, source or cache, held_only, now)
 
     def in_group(self, ds, first, node):
-        """Caches that drop a repeat of what may have run at the first."""
+        """Would that cache drop a repeat of what may have run at the first?"""
         group = self.of_ds("token_group", ds, "all")
-        if self.of_ds("effect", ds, "idempotent") != "tokened" or group == "all":
+        if first is None or self.of_ds("effect", ds, "idempotent") != "tokened" or group == "all":
             return True
-        same = first.entry.location == node.entry.location
-        return same and (group == "location" or first.entry.cell == node.entry.cell)
+        mine, its = first.cache.entry, node.entry
+        return mine.location == its.location and (group == "location" or mine.cell == its.cell)
 
     def send(self, get, memory, cache, source, held_only, now):
         asked, number, work = get.asked, len(get.forwards), self.mean_work(get.asked.ds)
         write = self.of_ds("runs_at_origin", asked.ds, False)
-        sent = Sent(cache, source, now)
-        for node in {cache.index: cache, source.index: source}.values():
-            node.sent.append((now, work))
+        cache.sent.append((now, work))
+        if source is not cache:
+            source.sent.append((now, work))
         cache.out += 1
-        sent.crowd = cache.busy(now)
+        sent = Sent(cache, source, now, cache.busy(now))
         if self.role(source) != "cache" and cache is not source and cache.index not in memory.holders:
             self.filling += 1
             sent.filling = self.filling
@@ -541,22 +509,18 @@
         get.forwards.append(sent)
         self.further.append(number > 0)
         return Forward(
-            number=number, cache=cache.id, source=source.id,
-            rank=0 if write else 1 if sum(memory.counts) <= 1 else 2,
-            oldest=self.oldest(asked, number > 0 or get.hopeless, now),
-            timeout=max(MS, get.due - now), join=bool(self.get("joins")), held_only=held_only,
-            pass_parent=False, renew=bool(self.of_ds("fresh_time", asked.ds, 0)) and not get.hopeless)
-
-    # --- what outcomes teach
+            number, cache.id, source.id, rank=0 if write else 1 if sum(memory.counts) <= 1 else 2,
+            oldest=self.oldest(asked, number > 0 or get.hopeless, now), timeout=max(MS, get.due - now),
+            join=bool(self.get("joins")), held_only=held_only, pass_parent=False,
+            renew=bool(self.of_ds("fresh_time", asked.ds, 0)) and not get.hopeless)
 
     def learn(self, get, sent, outcome, found, spent, waited, load, now):
         self.now = now
         asked, cache, source = get.asked, sent.cache, sent.source
-        memory, good = self.memory(asked, now), outcome is Outcome.RETURNED
-        write = self.of_ds("runs_at_origin", asked.ds, False)
+        memory, write = self.memory(asked, now), self.of_ds("runs_at_origin", asked.ds, False)
+        good = outcome is Outcome.RETURNED
         cache.out = max(0, cache.out - 1)
-        if load:
-            cache.load, cache.load_at = load, now
+        cache.report(load, now)
         get.missed = outcome is Outcome.MISS
         if sent.fill:
             self.filling -= 1
@@ -575,26 +539,25 @@
                 self.spents.setdefault(asked.ds, deque(maxlen=64)).append(spent - waited)
             if not write and self.role(cache) == "cache":
                 self.believe(memory, cache, now)
-            if found in (Found.FILLED, Found.FILLED_BY_ORIGIN) and source is not cache:
+            if found in (Found.FILLED, Found.FILLED_BY_ORIGIN):
                 self.waits.append((now, waited))
                 source.as_source.note(now, True, waited / (50 * MS))
                 if self.role(source) == "cache":
                     self.believe(memory, source, now)
-        elif outcome is Outcome.MISS or found is Found.SOURCE_LACKS:
-            memory.holders.pop(source.index, None)
-            memory.holders.pop(cache.index, None)
-            get.lost.add(source.index)
-        elif found in SOURCE_FAULTS:
+        elif outcome is Outcome.MISS or found in SOURCE_FAULTS:
+            # Either way the cache itself had no copy.
             memory.holders.pop(cache.index, None)
             get.lost.add(source.index)
-            if found is Found.ORIGIN_FAILED:
+            if outcome is Outcome.MISS:
+                memory.holders.pop(source.index, None)
+            elif found is Found.ORIGIN_FAILED:
                 # Another way to the same origin asks more of it: only an ageing copy is worth a look.
                 get.hopeless = not self.of_ds("grace_time", asked.ds, 0)
             else:
                 source.as_source.note(now, False, 0)
         elif outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
             get.lost.add(cache.index)
-            if outcome in (Outcome.ERROR, Outcome.RESET, Outcome.UNREACHABLE):
+            if outcome not in (Outcome.FULL, Outcome.TIMED_OUT):
                 cache.as_cache.note(now, False, 0)
         cache.as_cache.judge([n.as_cache for n in self.serving("cache")], now)
         if source is not cache and self.role(source) != "origin":
