--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,302 @@
+"""The decisions, each on state built directly and by one call."""
+
+import pytest
+from helpers import CACHES, NOW, ORIGIN, PARENTS, asked, believed, entry, node, router
+
+from sprucegate.interface import Errored, Forward, Found, Outcome, Shed, State
+from sprucegate.rules import (
+    ANSWER_MARGIN,
+    CAP,
+    KEEP_COUNT,
+    MARGIN,
+    MS,
+    SPAN,
+    TRIP,
+    Get,
+    Memory,
+    S,
+    Sent,
+    Standing,
+)
+
+
+def get_with(made, ask, *outcomes, at=NOW, cache=11):
+    """A GET whose forwards ended so; None for one that is still out."""
+    get = Get(made, ask, at)
+    for outcome in outcomes:
+        sent = Sent(node(made, cache), node(made, PARENTS[0]), at, 1)
+        sent.open, sent.outcome = outcome is None, outcome
+        get.forwards.append(sent)
+    return get
+
+
+@pytest.mark.parametrize("older, newer, life", [
+    (9, 9, CAP),                                               # equal
+    (3, 9, CAP),                                               # rising
+    (4, 3, CAP),                                               # falls within the noise of counting
+    (20, 8, int((8 - KEEP_COUNT) * SPAN / 12 - TRIP)),         # the line
+    (9, 0, 0),                                                 # already under the threshold
+    (90, 60, int((60 - KEEP_COUNT) * SPAN / 30 - TRIP)),
+    (90, 76, CAP),                                             # the cap bounds the line
+])
+def test_life_of_a_belief(older, newer, life):
+    memory = Memory(0)
+    memory.counts = [0, newer, older]
+    assert memory.life() == min(CAP, life)
+
+
+def test_counts_roll_into_spans():
+    memory = Memory(10)
+    memory.counts = [5, 4, 3]
+    memory.roll(12)
+    assert memory.counts == [0, 0, 5]
+
+
+@pytest.mark.parametrize("failed_ago, counted", [(None, 1), (S, 0), (3 * S, 1)])
+def test_a_repeat_after_giving_up_is_not_demand(failed_ago, counted):
+    made = router()
+    if failed_ago is not None:
+        made.memory(asked(), NOW).failed_at = NOW - failed_ago
+    made.take(asked(), NOW)
+    assert made.memory(asked(), NOW).counts[0] == counted
+
+
+def finish(outcome, found, source=PARENTS[0], before=()):
+    made = router()
+    memory = believed(made, asked(), *before)
+    get = get_with(made, asked(), None)
+    get.forwards[0].source = node(made, source)
+    made.learn(get, get.forwards[0], outcome, found, 50 * MS, 5 * MS, {}, NOW)
+    return {made.nodes[at].id for at in memory.holders}
+
+
+@pytest.mark.parametrize("outcome, found, source, before, after", [
+    (Outcome.RETURNED, Found.HIT, 21, (), {11}),
+    (Outcome.RETURNED, Found.FILLED, 21, (), {11}),
+    (Outcome.RETURNED, Found.FILLED, 12, (12,), {11, 12}),
+    (Outcome.MISS, Found.SOURCE_LACKS, 12, (12, 13), {13}),
+    (Outcome.ERROR, Found.SOURCE_BROKEN, 21, (11,), set()),
+    (Outcome.TIMED_OUT, Found.UNTOLD, 21, (11,), {11}),
+])
+def test_beliefs_begin_and_end(outcome, found, source, before, after):
+    assert finish(outcome, found, source, before) == after
+
+
+@pytest.mark.parametrize("change", ["restart", "purge", "group purge", "drain", "expiry"])
+def test_beliefs_die(change):
+    made = router()
+    memory = believed(made, asked(), 12, expiry=NOW if change == "expiry" else NOW + S)
+    if change == "restart":
+        made.listed([entry(12, started=NOW)], False, NOW)
+    elif change == "drain":
+        made.listed([entry(12, State.DRAINING)], False, NOW)
+    elif change != "expiry":
+        made.purged(99 if change == "purge" else -1, 5, 0, NOW)
+    assert made.holders(asked(), memory, NOW) == {}
+
+
+@pytest.mark.parametrize("left, recheck", [(MARGIN // 2, True), (MARGIN + S, False)])
+def test_a_belief_near_its_end_is_rechecked(left, recheck):
+    made = router()
+    memory = believed(made, asked(), 12, expiry=NOW + left)
+    assert made.sibling(get_with(made, asked()), memory, node(made, 11), NOW) == (node(made, 12), recheck)
+
+
+@pytest.mark.parametrize("allowed, mine, used", [
+    ("location", True, True), ("location", False, False), ("any", False, True), ("none", True, False)])
+def test_siblings_only_where_allowed(allowed, mine, used):
+    made = router([entry(12)._replace(location=1 if mine else 0)], siblings=allowed)
+    memory = believed(made, asked(), 12)
+    assert (made.sibling(get_with(made, asked()), memory, node(made, 11), NOW)[0] is not None) is used
+
+
+def test_fronts_pick_alike_whatever_the_order_of_their_lists():
+    one, other = router(), router()
+    other.nodes.reverse()
+    for obj in range(50):
+        picked = [made.pick(get_with(made, asked(obj=obj)), made.memory(asked(obj=obj), NOW), NOW)[0].id
+                  for made in (one, other)]
+        assert picked[0] == picked[1]
+
+
+def test_the_pick_spreads_objects_over_the_caches():
+    made = router()
+    picked = [made.pick(get_with(made, asked(obj=obj)), made.memory(asked(obj=obj), NOW), NOW)[0].id
+              for obj in range(400)]
+    assert all(60 < picked.count(cache) < 140 for cache in CACHES)
+
+
+@pytest.mark.parametrize("count, width", [(1, 1), (6, 2), (12, 3)])
+def test_a_hot_object_is_spread(count, width):
+    made = router()
+    made.spents[0] = [100 * MS]
+    made.carried.extend((NOW - 4 * S + i * 100 * MS, 200 * MS) for i in range(40))
+    memory = made.memory(asked(), NOW)
+    memory.counts = [count, 0, 0]
+    assert made.width(asked(), memory, made.serving("cache"), NOW) == width
+
+
+def test_a_crowded_cache_is_passed_by():
+    made = router()
+    first = made.pick(get_with(made, asked()), made.memory(asked(), NOW), NOW)[0]
+    first.as_cache.samples.extend((NOW, True, 6.0, 12) for _ in range(4))
+    first.out = 40
+    second, in_time = made.pick(get_with(made, asked()), made.memory(asked(), NOW), NOW)
+    assert second is not first and in_time
+
+
+def test_what_is_late_everywhere_is_shed_with_a_time_to_come_back():
+    made = router()
+    made.chance = lambda text: 0.99
+    for cache in CACHES:
+        node(made, cache).as_cache.samples.extend((NOW, True, 6.0, 12) for _ in range(4))
+        node(made, cache).out = 40
+    assert get_with(made, asked()).route(NOW) == [Shed(S)]
+
+
+@pytest.mark.parametrize("results, held, looks", [
+    ([False] * 8, False, True), ([True] * 8, False, False), ([False] * 8, True, False)])
+def test_fills_are_throttled_by_their_success(results, held, looks):
+    made = router()
+    made.chance = lambda text: 0.5
+    made.fills.extend([NOW - S, NOW, good] for good in results)
+    believed(made, asked(), *(CACHES if held else ()))
+    sent = made.plan(get_with(made, asked()), NOW)
+    assert (sent.source == sent.cache) is looks
+
+
+def test_a_fill_out_beyond_its_objective_counts_before_it_ends():
+    made = router()
+    made.chance = lambda text: 0.5
+    made.fills.extend([NOW - S, NOW - MS, None] for _ in range(6))
+    assert made.throttled(asked(), NOW)
+
+
+@pytest.mark.parametrize("effect, outcomes, age, answer", [
+    ("idempotent", [Outcome.TIMED_OUT], 0, Forward),
+    ("non-idempotent", [Outcome.MISS], 0, Forward),
+    ("non-idempotent", [Outcome.ERROR], 0, Errored),
+    ("non-idempotent", [None], 0, Errored),
+    ("tokened", [Outcome.ERROR], S, Forward),
+    ("tokened", [Outcome.ERROR], 3 * S, Shed),
+])
+def test_no_effect_twice(effect, outcomes, age, answer):
+    made = router(effect=["idempotent", "idempotent", effect], token_window=[0, 0, 3 * S],
+                  token_group=[None, None, "all"])
+    get = get_with(made, asked(ds=2, ttl=9 * S), *outcomes)
+    assert isinstance(get.route(NOW + age)[0], answer)
+
+
+@pytest.mark.parametrize("group, other, same", [("all", 2, True), ("location", 2, False), ("cell", 1, False)])
+def test_a_tokened_repeat_stays_in_its_group(group, other, same):
+    made = router(effect=["tokened"] * 3, token_group=[group] * 3)
+    first = get_with(made, asked(), Outcome.ERROR).forwards[0]
+    to = node(made, 12)
+    to.entry = to.entry._replace(location=other, cell=9)
+    assert made.in_group(0, first, to) is same
+
+
+@pytest.mark.parametrize("ds, most", [(2, 3), (0, 2), (1, 1)])
+def test_further_forwards_go_by_revenue(ds, most):
+    made = router(effect=["idempotent"] * 3)
+    allowed = [made.may_forward(get_with(made, asked(ds=ds), *[Outcome.FULL] * n), NOW) for n in range(6)]
+    assert allowed == [n <= most for n in range(6)]
+
+
+def test_a_spent_retry_budget_stops_further_forwards():
+    made = router()
+    made.further.extend([True] * 30 + [False] * 70)
+    assert not made.may_forward(get_with(made, asked(), Outcome.FULL), NOW)
+    assert made.may_forward(get_with(made, asked()), NOW)
+
+
+def test_an_answer_is_owed_before_the_viewer_leaves():
+    made = router()
+    get = made.take(asked(ttl=3 * S), NOW)
+    get.forwards = get_with(made, asked(), None).forwards
+    when = made.next_due()
+    assert when == NOW + 3 * S - ANSWER_MARGIN
+    assert isinstance(made.due(when)[-1][1][0], Shed)
+
+
+def test_nothing_follows_the_final_answer():
+    made = router()
+    get = get_with(made, asked(), None)
+    get.done = True
+    assert get.ended(0, Outcome.FULL, Found.UNTOLD, MS, 0, {}, False, NOW) == []
+    assert get.left(NOW) == []
+
+
+@pytest.mark.parametrize("state", [State.DRAINING, State.GONE])
+def test_a_draining_node_is_named_no_more(state):
+    made = router([entry(c, state) for c in (11, 12, 13, 21)])
+    believed(made, asked(), 11, 12, 13)
+    sent = made.plan(get_with(made, asked()), NOW)
+    assert (sent.cache, sent.source) == (14, 22)
+
+
+def test_what_a_whole_list_leaves_out_is_gone():
+    made = router()
+    made.listed([entry(11)], True, NOW)
+    assert [n.id for n in made.serving("cache")] == [11] and not made.serving("parent")
+
+
+@pytest.mark.parametrize("cache, sent, carried, room", [
+    (11, 0, 0, True),              # one a window, even with no history
+    (11, 200, 0, False),
+    (11, 200, 40, True),           # 4 s of work a second carried by four caches
+    (11, 2000, 40, False),
+    (21, 200, 40, False),          # a parent's floor is far lower
+    (31, 9000, 0, True),           # the origin has no cold start
+])
+def test_cold_starts_have_a_budget(cache, sent, carried, room):
+    made = router([entry(c, started=NOW - 3 * S) for c in (11, 21)])
+    made.carried.extend((NOW - 4 * S + i * 100 * MS, 400 * MS) for i in range(carried))
+    if sent:
+        node(made, cache).sent.append((NOW - MS, sent * MS))
+    assert made.cold_room(node(made, cache), 0, NOW) is room
+
+
+@pytest.mark.parametrize("ds, purge_ago, key, oldest", [
+    (0, None, 99, 0), (0, S, 99, S - 2 * MS), (0, S, -1, S - 2 * MS), (0, 0, 99, 1000), (0, S, 98, 0),
+    (1, S, 99, S - 2 * MS),
+])
+def test_copies_from_before_a_purge_will_not_do(ds, purge_ago, key, oldest):
+    made = router()
+    if purge_ago is not None:
+        made.purged(key, 5 if key < 0 else 6, purge_ago, NOW)
+    assert made.oldest(asked(ds=ds), False, NOW) == oldest
+
+
+def test_a_stale_copy_is_taken_only_within_its_grace():
+    made = router(grace_time=[0, 20 * S, 0])
+    assert made.oldest(asked(ds=1), True, NOW) == 28 * S
+    assert made.oldest(asked(ds=0), True, NOW) == 0
+
+
+@pytest.mark.parametrize("mine, others, aside", [
+    ([(True, 1.0)] * 6, 1.0, False),
+    ([(True, 5.0)] * 6, 1.0, True),             # far slower than its peers
+    ([(True, 5.0)] * 6, 4.0, False),            # all are slow: nobody is an outlier
+    ([(False, 0)] * 3, 1.0, True),              # errors
+    ([(True, 1.0)] * 4 + [(False, 0)] * 3, 1.0, False),
+])
+def test_outliers_are_set_aside(mine, others, aside):
+    one, rivals = Standing(), [Standing(), Standing()]
+    one.samples.extend((NOW, good, slow, 1) for good, slow in mine)
+    for rival in rivals:
+        rival.samples.extend((NOW, True, others, 1) for _ in range(4))
+    one.judge([one, *rivals], NOW)
+    assert (one.until > NOW) is aside
+
+
+def test_never_more_than_half_are_set_aside():
+    made = router()
+    for cache in CACHES:
+        node(made, cache).as_cache.until = NOW + S
+    assert len(made.usable(made.serving("cache"), "as_cache", NOW)) == 2
+
+
+def test_the_origin_fills_when_no_parent_is_up():
+    made = router([entry(c, State.GONE) for c in PARENTS])
+    assert made.upper(get_with(made, asked()), NOW).id == ORIGIN
