--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -439,7 +439,7 @@
         hub = dict(enumerate(self.get("hub_of_location") or ())).get(self.get("my_location", 0))
         parents = self.usable(self.serving("parent"), "as_source", now)
         parents = [n for n in parents if n.index not in get.lost and self.cold_room(n, get.asked.ds, now)]
-        near = [n for n in parents if n.entry.location == hub] or parents
+        near = parents
         order = ranked(near, mixed(get.asked.object.to_bytes(8, "big"))) or self.serving("origin")
         return order[0] if order else None
 
