--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -27,6 +27,7 @@
 CROWDED = 1.3           # slowness from which a sample tells of the link, not of its own noise
 THROTTLE = 1.3          # share of fills let through, over the share that came in time
 THROTTLE_SPAN = 3 * S
+WELL = 0.7              # share in time from which a source is not throttled
 PROBING = 0.08          # of what looks hopeless is tried all the same, or nothing would show that it passed
 COLD_SAFETY = 0.5       # of a cold node's budget: the rest is for what this front can't see
 SAMPLES = 16            # outcomes that a judgement rests on
@@ -82,7 +83,7 @@
         fresh, slow = self.fresh(now), self.slowness(now)
         rivals = [r for r in (o.slowness(now) for o in others if o is not self) if r is not None]
         failing = len(fresh) >= 3 and sum(not s[1] for s in fresh) * 2 >= len(fresh)
-        outlier = slow is not None and len(rivals) >= 2 and slow > SLOW * max(1.0, median(rivals))
+        outlier = slow is not None and len(rivals) >= 1 and slow > SLOW * max(1.0, median(rivals))
         if self.until <= now and (failing or outlier):
             self.rest = min(8 * REST, max(REST, 2 * self.rest))
             self.until, self.trial = now + self.rest, True
@@ -102,6 +103,7 @@
         """A restarted process is empty, and what its predecessor did says nothing of it."""
         self.out = 0
         self.as_cache, self.as_source = Standing(), Standing()
+        self.fills = deque(maxlen=64)        # [time, when late, came in time] of fills asked of it
         self.load, self.load_at = {}, NEVER
 
     def report(self, load, now):
@@ -142,7 +144,7 @@
     def __init__(self, cache, source, now, crowd):
         self.cache, self.source, self.at, self.crowd, self.filling = cache, source, now, crowd, 0
         self.open, self.outcome = True, None
-        self.fill = None                     # [time, when it is late, came in time], one of Router.fills
+        self.fill = None                     # its entry among the source's fills
 
 
 class Get:
@@ -214,7 +216,6 @@
         self.spents = {}                     # by delivery service, the last sending times
         self.waits = deque(maxlen=12)        # (time, wait) of the last fills
         self.link, self.filling = Standing(), 0
-        self.fills = deque(maxlen=256)
         self.found = deque([Found.FILLED] * 8, maxlen=64)
         self.further = deque(maxlen=100)     # of the last forwards, which were further ones
         self.asks = [Subscribe()] if self.get("discovery") == "ask" else []
@@ -248,16 +249,11 @@
         linked = self.link.crowding(self.filling + 1, now) * self.work(asked)
         return linked + (median(waits) if len(waits) >= 4 else 0)
 
-    def throttled(self, asked, now):
-        """Adaptive throttling of fills by the share of the last ones that came in time.
-
-        Guards parents, origin and link against storms, and the caches' places against waiting on a stalled
-        source. Could harm where fills are late for a reason that fewer of them don't mend.
-        """
-        results = [bool(good) for sent, late, good in self.fills
+    def in_time(self, source, now):
+        """Share of the fills lately asked of a source that came in time; one still out may be late already."""
+        results = [bool(good) for sent, late, good in source.fills
                    if now - sent < THROTTLE_SPAN and (good is not None or late <= now)]
-        return (len(results) >= 4
-                and self.chance(asked.id) >= PROBING + THROTTLE * sum(results) / len(results))
+        return sum(results) / len(results) if len(results) >= 4 else 1.0
 
     def listed(self, entries, whole, now):
         seen = set()
@@ -435,13 +431,21 @@
         return None, False
 
     def upper(self, get, now):
-        """A parent by hash, of the own hub as long as one there will do; the origin with none up."""
-        hub = dict(enumerate(self.get("hub_of_location") or ())).get(self.get("my_location", 0))
-        parents = self.usable(self.serving("parent"), "as_source", now)
-        parents = [n for n in parents if n.index not in get.lost and self.cold_room(n, get.asked.ds, now)]
-        near = parents
-        order = ranked(near, mixed(get.asked.object.to_bytes(8, "big"))) or self.serving("origin")
-        return order[0] if order else None
+        """A parent by hash, the origin with none up; None where the fill is throttled.
+
+        One that lately failed or came late is passed by while another does well. Where none does, fills are
+        throttled by the share that still comes in time: this guards parents, origin and link against
+        storms, and the caches' places against waiting on a stalled source. It could harm where fills are
+        late for a reason that fewer of them don't mend.
+        """
+        parents = [n for n in self.serving("parent") if n.as_source.until <= now and n.index not in get.lost]
+        parents = [n for n in parents if self.cold_room(n, get.asked.ds, now)]
+        order = ranked(parents, mixed(get.asked.object.to_bytes(8, "big"))) or self.serving("origin")
+        for node in order:
+            if self.in_time(node, now) >= WELL:
+                return node
+        passes = order and self.chance(get.asked.id) < PROBING + THROTTLE * self.in_time(order[0], now)
+        return order[0] if passes else None
 
     def may_forward(self, get, now):
         """Effects, the stated most and the retry budget. Further forwards go by revenue."""
@@ -476,9 +480,9 @@
         else:
             source, held_only = self.sibling(get, memory, cache, now)
             if source is None:
-                source = self.upper(get, now)
+                source = self.upper(get, now) or cache
                 late = self.fill_time(asked, now) > get.limit - now and self.chance(asked.id) >= PROBING
-                if cache.index not in memory.holders and (late or self.throttled(asked, now)):
+                if source is cache or cache.index not in memory.holders and late:
                     # Hits go on without a fill: a look costs next to nothing, and a miss is then given up.
                     source, get.hopeless = cache, True
         if cache is None or not self.in_group(asked.ds, get.risky(), cache):
@@ -505,7 +509,7 @@
             self.filling += 1
             sent.filling = self.filling
             sent.fill = [now, now + self.objective(asked), None]
-            self.fills.append(sent.fill)
+            source.fills.append(sent.fill)
         get.forwards.append(sent)
         self.further.append(number > 0)
         return Forward(
@@ -553,7 +557,7 @@
             elif found is Found.ORIGIN_FAILED:
                 # Another way to the same origin asks more of it: only an ageing copy is worth a look.
                 get.hopeless = not self.of_ds("grace_time", asked.ds, 0)
-            else:
+            elif found is Found.SOURCE_BROKEN and outcome.never_ran:
                 source.as_source.note(now, False, 0)
         elif outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
             get.lost.add(cache.index)
