--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -27,7 +27,8 @@
 CROWDED = 1.3           # slowness from which a sample tells of the link, not of its own noise
 THROTTLE = 1.3          # share of fills let through, over the share that came in time
 THROTTLE_SPAN = 3 * S
-WELL = 0.7              # share in time from which a source is not throttled
+WELL = 0.7              # share in time from which a source is not passed by
+LEAN = 4                # samples that the share of all sources weighs against a source's own
 PROBING = 0.08          # of what looks hopeless is tried all the same, or nothing would show that it passed
 COLD_SAFETY = 0.5       # of a cold node's budget: the rest is for what this front can't see
 SAMPLES = 16            # outcomes that a judgement rests on
@@ -103,7 +104,6 @@
         """A restarted process is empty, and what its predecessor did says nothing of it."""
         self.out = 0
         self.as_cache, self.as_source = Standing(), Standing()
-        self.fills = deque(maxlen=64)        # [time, when late, came in time] of fills asked of it
         self.load, self.load_at = {}, NEVER
 
     def report(self, load, now):
@@ -144,7 +144,7 @@
     def __init__(self, cache, source, now, crowd):
         self.cache, self.source, self.at, self.crowd, self.filling = cache, source, now, crowd, 0
         self.open, self.outcome = True, None
-        self.fill = None                     # its entry among the source's fills
+        self.fill = None                     # its entry in Router.fills
 
 
 class Get:
@@ -216,6 +216,7 @@
         self.spents = {}                     # by delivery service, the last sending times
         self.waits = deque(maxlen=12)        # (time, wait) of the last fills
         self.link, self.filling = Standing(), 0
+        self.fills = deque(maxlen=256)       # [source, time, when late, came in time] of the last fills
         self.found = deque([Found.FILLED] * 8, maxlen=64)
         self.further = deque(maxlen=100)     # of the last forwards, which were further ones
         self.asks = [Subscribe()] if self.get("discovery") == "ask" else []
@@ -250,10 +251,12 @@
         return linked + (median(waits) if len(waits) >= 4 else 0)
 
     def in_time(self, source, now):
-        """Share of the fills lately asked of a source that came in time; one still out may be late already."""
-        results = [bool(good) for sent, late, good in source.fills
-                   if now - sent < THROTTLE_SPAN and (good is not None or late <= now)]
-        return sum(results) / len(results) if len(results) >= 4 else 1.0
+        """Share of a source's last fills that came in time; few samples lean on those of all sources."""
+        ended = [(by, bool(good)) for by, sent, late, good in self.fills
+                 if now - sent < THROTTLE_SPAN and (good is not None or late <= now)]
+        shared = (sum(good for _, good in ended) + 1) / (len(ended) + 1)
+        own = [good for by, good in ended if by is source]
+        return (sum(own) + LEAN * shared) / (len(own) + LEAN)
 
     def listed(self, entries, whole, now):
         seen = set()
@@ -433,19 +436,16 @@
     def upper(self, get, now):
         """A parent by hash, the origin with none up; None where the fill is throttled.
 
-        One that lately failed or came late is passed by while another does well. Where none does, fills are
-        throttled by the share that still comes in time: this guards parents, origin and link against
-        storms, and the caches' places against waiting on a stalled source. It could harm where fills are
-        late for a reason that fewer of them don't mend.
+        One that lately came late is passed by while another does well; where none does, fills are throttled
+        by the share in time. Guards parents, origin and link against storms, and the caches' places against
+        waiting on a stalled source. Could harm where fills are late for a reason that fewer don't mend.
         """
         parents = [n for n in self.serving("parent") if n.as_source.until <= now and n.index not in get.lost]
         parents = [n for n in parents if self.cold_room(n, get.asked.ds, now)]
         order = ranked(parents, mixed(get.asked.object.to_bytes(8, "big"))) or self.serving("origin")
-        for node in order:
-            if self.in_time(node, now) >= WELL:
-                return node
-        passes = order and self.chance(get.asked.id) < PROBING + THROTTLE * self.in_time(order[0], now)
-        return order[0] if passes else None
+        shares = {n: self.in_time(n, now) for n in order}
+        node = next((n for n in order if shares[n] >= WELL), order[0] if order else None)
+        return node if node and self.chance(get.asked.id) < PROBING + THROTTLE * shares[node] else None
 
     def may_forward(self, get, now):
         """Effects, the stated most and the retry budget. Further forwards go by revenue."""
@@ -508,8 +508,8 @@
         if self.role(source) != "cache" and cache is not source and cache.index not in memory.holders:
             self.filling += 1
             sent.filling = self.filling
-            sent.fill = [now, now + self.objective(asked), None]
-            source.fills.append(sent.fill)
+            sent.fill = [source, now, now + self.objective(asked), None]
+            self.fills.append(sent.fill)
         get.forwards.append(sent)
         self.further.append(number > 0)
         return Forward(
@@ -528,7 +528,7 @@
         get.missed = outcome is Outcome.MISS
         if sent.fill:
             self.filling -= 1
-            sent.fill[2] = good and spent <= self.objective(asked)
+            sent.fill[3] = good and spent <= self.objective(asked)
         if not write and (asked.size or memory.spents) and (good or outcome is Outcome.TIMED_OUT):
             slow = (spent - waited) / max(20 * MS, self.work(asked))
             if sent.fill and found not in HITS:
