--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -28,6 +28,8 @@
 THROTTLE = 1.3          # share of fills let through, over the share that came in time
 THROTTLE_SPAN = 3 * S
 WELL = 0.7              # share in time from which a source is not passed by
+LATE = 2                # times the objective after which a fill counts as stuck, not as merely late
+FLOOR = 0.3             # of the fills go on whatever comes of them: late ones still leave copies for others
 LEAN = 4                # samples that the share of all sources weighs against a source's own
 PROBING = 0.08          # of what looks hopeless is tried all the same, or nothing would show that it passed
 COLD_SAFETY = 0.5       # of a cold node's budget: the rest is for what this front can't see
@@ -445,7 +447,7 @@
         order = ranked(parents, mixed(get.asked.object.to_bytes(8, "big"))) or self.serving("origin")
         shares = {n: self.in_time(n, now) for n in order}
         node = next((n for n in order if shares[n] >= WELL), order[0] if order else None)
-        return node if node and self.chance(get.asked.id) < PROBING + THROTTLE * shares[node] else None
+        return node if node and self.chance(get.asked.id) < max(FLOOR, THROTTLE * shares[node]) else None
 
     def may_forward(self, get, now):
         """Effects, the stated most and the retry budget. Further forwards go by revenue."""
@@ -508,7 +510,7 @@
         if self.role(source) != "cache" and cache is not source and cache.index not in memory.holders:
             self.filling += 1
             sent.filling = self.filling
-            sent.fill = [source, now, now + self.objective(asked), None]
+            sent.fill = [source, now, now + LATE * self.objective(asked), None]
             self.fills.append(sent.fill)
         get.forwards.append(sent)
         self.further.append(number > 0)
@@ -528,7 +530,7 @@
         get.missed = outcome is Outcome.MISS
         if sent.fill:
             self.filling -= 1
-            sent.fill[3] = good and spent <= self.objective(asked)
+            sent.fill[3] = good and now <= sent.fill[2]
         if not write and (asked.size or memory.spents) and (good or outcome is Outcome.TIMED_OUT):
             slow = (spent - waited) / max(20 * MS, self.work(asked))
             if sent.fill and found not in HITS:
