--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -28,7 +28,6 @@
 THROTTLE = 1.3          # share of fills let through, over the share that came in time
 THROTTLE_SPAN = 3 * S
 WELL = 0.7              # share in time from which a source is not passed by
-LATE = 2                # times the objective after which a fill counts as stuck, not as merely late
 FLOOR = 0.3             # of the fills go on whatever comes of them: late ones still leave copies for others
 LEAN = 4                # samples that the share of all sources weighs against a source's own
 PROBING = 0.08          # of what looks hopeless is tried all the same, or nothing would show that it passed
@@ -77,9 +76,12 @@
         return median(seen) if len(seen) >= 3 else None
 
     def crowding(self, sharing, now):
-        """Slowness to expect. A crowded link is divided evenly: sharing over slowness is what it fits."""
+        """Slowness to expect. A crowded link is divided evenly: sharing over slowness is what it fits.
+
+        The most it was seen to fit counts: a slow source, or one slow answer, makes a link look thin.
+        """
         fits = [s[3] / s[2] for s in self.fresh(now) if s[2] > CROWDED and s[3] > 2]
-        return max(1.0, sharing / median(fits)) if len(fits) >= 3 else 1.0
+        return max(1.0, sharing / max(fits)) if len(fits) >= 3 else 1.0
 
     def judge(self, others, now):
         """Outlier ejection: set aside when half its samples failed, or far slower than its peers."""
@@ -510,7 +512,7 @@
         if self.role(source) != "cache" and cache is not source and cache.index not in memory.holders:
             self.filling += 1
             sent.filling = self.filling
-            sent.fill = [source, now, now + LATE * self.objective(asked), None]
+            sent.fill = [source, now, now + self.objective(asked), None]
             self.fills.append(sent.fill)
         get.forwards.append(sent)
         self.further.append(number > 0)
