--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -25,6 +25,8 @@
 TABLE = 4096            # objects remembered
 HOT_SHARE = 0.25        # of one cache's part of the work: an object above it is spread
 CROWDED = 1.3           # slowness from which a sample tells of the link, not of its own noise
+CACHE_RANK = 0.4        # which of a cache's samples tells what it fits: the low ones keep its queue short
+LINK_RANK = 1.0         # of the link in the highest, as a slow source makes it look thin
 THROTTLE = 1.3          # share of fills let through, over the share that came in time
 THROTTLE_SPAN = 3 * S
 WELL = 0.7              # share in time from which a source is not passed by
@@ -75,13 +77,10 @@
         seen = [s[2] for s in self.fresh(now) if s[2]]
         return median(seen) if len(seen) >= 3 else None
 
-    def crowding(self, sharing, now):
-        """Slowness to expect. A crowded link is divided evenly: sharing over slowness is what it fits.
-
-        The most it was seen to fit counts: a slow source, or one slow answer, makes a link look thin.
-        """
-        fits = [s[3] / s[2] for s in self.fresh(now) if s[2] > CROWDED and s[3] > 2]
-        return max(1.0, sharing / max(fits)) if len(fits) >= 3 else 1.0
+    def crowding(self, sharing, rank, now):
+        """Slowness to expect. A crowded link is divided evenly: sharing over slowness is what it fits."""
+        fits = sorted(s[3] / s[2] for s in self.fresh(now) if s[2] > CROWDED and s[3] > 2)
+        return max(1.0, sharing / fits[int(rank * (len(fits) - 1))]) if len(fits) >= 3 else 1.0
 
     def judge(self, others, now):
         """Outlier ejection: set aside when half its samples failed, or far slower than its peers."""
@@ -251,7 +250,7 @@
 
     def fill_time(self, asked, now):
         waits = [w for t, w in self.waits if now - t < THROTTLE_SPAN]
-        linked = self.link.crowding(self.filling + 1, now) * self.work(asked)
+        linked = self.link.crowding(self.filling + 1, LINK_RANK, now) * self.work(asked)
         return linked + (median(waits) if len(waits) >= 4 else 0)
 
     def in_time(self, source, now):
@@ -420,7 +419,7 @@
         if not (caches := [n for n in caches if self.cold_room(n, asked.ds, now)]):
             return None, False
         order = ranked(caches, mixed(asked.object.to_bytes(8, "big") + asked.part.to_bytes(4, "big")))
-        times = {n: n.as_cache.crowding(n.busy(now) + 1, now) * self.work(asked) for n in order}
+        times = {n: n.as_cache.crowding(n.busy(now) + 1, CACHE_RANK, now) * self.work(asked) for n in order}
         wide = order[:self.width(asked, memory, order, now)]
         best = min(wide, key=lambda n: (times[n], n.busy(now) / n.entry.weight))
         fit = next((n for n in [best, *order] if times[n] <= get.limit - now), None)
