Judge the link in by fills from a parent's own copy only

Cause: a slow origin's fills made the link look thin, and all fills were then held back. A full link is still seen, by what parents hold.

--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -26,7 +26,7 @@
 HOT_SHARE = 0.25        # of one cache's part of the work: an object above it is spread
 CROWDED = 1.3           # slowness from which a sample tells of the link, not of its own noise
 CACHE_RANK = 0.4        # which of a cache's samples tells what it fits: the low ones keep its queue short
-LINK_RANK = 1.0         # of the link in the highest, as a slow source makes it look thin
+LINK_RANK = 0.5         # of the link's, from copies that parents held: a slow origin makes it look thin
 THROTTLE = 1.3          # share of fills let through, over the share that came in time
 THROTTLE_SPAN = 3 * S
 WELL = 0.7              # share in time from which a source is not passed by
@@ -534,9 +534,9 @@
             sent.fill[3] = good and now <= sent.fill[2]
         if not write and (asked.size or memory.spents) and (good or outcome is Outcome.TIMED_OUT):
             slow = (spent - waited) / max(20 * MS, self.work(asked))
-            if sent.fill and found not in HITS:
+            if sent.fill and found in (Found.FILLED, Found.JOINED):
                 self.link.note(now, good, slow, sent.filling)
-            else:
+            elif not sent.fill or found in HITS:
                 cache.as_cache.note(now, good, slow, sent.crowd)
         if good:
             self.found.append(found)
