Throttled fills ask the parent for what it holds; a parent failing apart from its peers is set aside

Cause: the throttle shed what parents held along with what only the slow origin had; a parent that failed quickly kept its share.

--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -82,11 +82,16 @@
         fits = sorted(s[3] / s[2] for s in self.fresh(now) if s[2] > CROWDED and s[3] > 2)
         return max(1.0, sharing / fits[int(rank * (len(fits) - 1))]) if len(fits) >= 3 else 1.0
 
-    def judge(self, others, now):
-        """Outlier ejection: set aside when half its samples failed, or far slower than its peers."""
-        fresh, slow = self.fresh(now), self.slowness(now)
-        rivals = [r for r in (o.slowness(now) for o in others if o is not self) if r is not None]
-        failing = len(fresh) >= 3 and sum(not s[1] for s in fresh) * 2 >= len(fresh)
+    def failures(self, now):
+        fresh = self.fresh(now)
+        return sum(not s[1] for s in fresh) / len(fresh) if len(fresh) >= 3 else 0
+
+    def judge(self, others, alone, now):
+        """Outlier ejection: far slower than its peers, or half failed (alone, or twice its peers' share)."""
+        others, slow = [o for o in others if o is not self], self.slowness(now)
+        rivals = [r for r in (o.slowness(now) for o in others) if r is not None]
+        usual = 0 if alone else max((o.failures(now) for o in others), default=1)
+        failing = self.failures(now) >= max(0.5, 2 * usual)
         outlier = slow is not None and len(rivals) >= 1 and slow > SLOW * max(1.0, median(rivals))
         if self.until <= now and (failing or outlier):
             self.rest = min(8 * REST, max(REST, 2 * self.rest))
@@ -437,7 +442,7 @@
         return None, False
 
     def upper(self, get, now):
-        """A parent by hash, the origin with none up; None where the fill is throttled.
+        """A parent by hash, the origin with none up; and whether it may fetch what it lacks.
 
         One that lately came late is passed by while another does well; where none does, fills are throttled
         by the share in time. Guards parents, origin and link against storms, and the caches' places against
@@ -448,7 +453,7 @@
         order = ranked(parents, mixed(get.asked.object.to_bytes(8, "big"))) or self.serving("origin")
         shares = {n: self.in_time(n, now) for n in order}
         node = next((n for n in order if shares[n] >= WELL), order[0] if order else None)
-        return node if node and self.chance(get.asked.id) < max(FLOOR, THROTTLE * shares[node]) else None
+        return node, node and self.chance(get.asked.id) < max(FLOOR, THROTTLE * shares[node])
 
     def may_forward(self, get, now):
         """Effects, the stated most and the retry budget. Further forwards go by revenue."""
@@ -473,21 +478,22 @@
         write = self.of_ds("runs_at_origin", asked.ds, False)
         cache, in_time = self.pick(get, memory, now)
         if write:
-            source = next(iter(self.serving("origin")), None) or self.upper(get, now)
+            source = next(iter(self.serving("origin")), None) or self.upper(get, now)[0]
             cache = source if self.get("direct") else cache
         elif cache is None:
-            cache = self.upper(get, now) if self.get("direct") else None
+            cache = self.upper(get, now)[0] if self.get("direct") else None
             source = next(iter(self.serving("origin")), None)
         elif not in_time and self.chance(asked.id) >= PROBING:
             return None                      # it would only crowd out what can still be in time
         else:
             source, held_only = self.sibling(get, memory, cache, now)
             if source is None:
-                source = self.upper(get, now) or cache
+                source, may_fetch = self.upper(get, now)
                 late = self.fill_time(asked, now) > get.limit - now and self.chance(asked.id) >= PROBING
-                if source is cache or cache.index not in memory.holders and late:
-                    # Hits go on without a fill: a look costs next to nothing, and a miss is then given up.
-                    source, get.hopeless = cache, True
+                if source is None or cache.index not in memory.holders and late:
+                    source, may_fetch = cache, False
+                # Hits go on: a look at cache and parent costs next to nothing, and a miss is then given up.
+                held_only = get.hopeless = not may_fetch
         if cache is None or not self.in_group(asked.ds, get.risky(), cache):
             return None
         return self.send(get, memory, cache, source or cache, held_only, now)
@@ -512,7 +518,8 @@
             self.filling += 1
             sent.filling = self.filling
             sent.fill = [source, now, now + self.objective(asked), None]
-            self.fills.append(sent.fill)
+            if not held_only:
+                self.fills.append(sent.fill)
         get.forwards.append(sent)
         self.further.append(number > 0)
         return Forward(
@@ -560,12 +567,14 @@
             elif found is Found.ORIGIN_FAILED:
                 # Another way to the same origin asks more of it: only an ageing copy is worth a look.
                 get.hopeless = not self.of_ds("grace_time", asked.ds, 0)
-            elif found is Found.SOURCE_BROKEN and outcome.never_ran:
+            elif found is Found.SOURCE_BROKEN:
                 source.as_source.note(now, False, 0)
         elif outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
             get.lost.add(cache.index)
             if outcome not in (Outcome.FULL, Outcome.TIMED_OUT):
                 cache.as_cache.note(now, False, 0)
-        cache.as_cache.judge([n.as_cache for n in self.serving("cache")], now)
+        cache.as_cache.judge([n.as_cache for n in self.serving("cache")], True, now)
         if source is not cache and self.role(source) != "origin":
-            source.as_source.judge([n.as_source for n in self.serving(self.role(source))], now)
+            # All parents fail alike where the origin is at fault; one that can't be reached is down alone.
+            source.as_source.judge(
+                [n.as_source for n in self.serving(self.role(source))], outcome.never_ran, now)
