--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -25,12 +25,11 @@
 TABLE = 4096            # objects remembered
 HOT_SHARE = 0.25        # of one cache's part of the work: an object above it is spread
 CROWDED = 1.3           # slowness from which a sample tells of the link, not of its own noise
-CACHE_RANK = 0.4        # which of a cache's samples tells what it fits: the low ones keep its queue short
-LINK_RANK = 0.5         # of the link's, from copies that parents held: a slow origin makes it look thin
+FITS_RANK = 0.4         # which sample tells what a link fits: the lower ones keep its queue short
 THROTTLE = 1.3          # share of fills let through, over the share that came in time
 THROTTLE_SPAN = 3 * S
 WELL = 0.7              # share in time from which a source is not passed by
-FLOOR = 0.12            # of the fills go on whatever comes of them: late ones still leave copies for others
+FLOOR = 0.3             # of the fills go on whatever comes of them: late ones still leave copies for others
 LEAN = 4                # samples that the share of all sources weighs against a source's own
 PROBING = 0.08          # of what looks hopeless is tried all the same, or nothing would show that it passed
 COLD_SAFETY = 0.5       # of a cold node's budget: the rest is for what this front can't see
@@ -77,10 +76,10 @@
         seen = [s[2] for s in self.fresh(now) if s[2]]
         return median(seen) if len(seen) >= 3 else None
 
-    def crowding(self, sharing, rank, now):
+    def crowding(self, sharing, now):
         """Slowness to expect. A crowded link is divided evenly: sharing over slowness is what it fits."""
         fits = sorted(s[3] / s[2] for s in self.fresh(now) if s[2] > CROWDED and s[3] > 2)
-        return max(1.0, sharing / fits[int(rank * (len(fits) - 1))]) if len(fits) >= 3 else 1.0
+        return max(1.0, sharing / fits[int(FITS_RANK * (len(fits) - 1))]) if len(fits) >= 3 else 1.0
 
     def failures(self, now):
         fresh = self.fresh(now)
@@ -89,10 +88,10 @@
     def judge(self, others, alone, now):
         """Outlier ejection: far slower than its peers, or half failed (alone, or twice its peers' share)."""
         others, slow = [o for o in others if o is not self], self.slowness(now)
-        rivals = [r for r in (o.slowness(now) for o in others) if r is not None]
+        rivals = [r for r in (o.slowness(now) for o in others) if r]
         usual = 0 if alone else max((o.failures(now) for o in others), default=1)
         failing = self.failures(now) >= max(0.5, 2 * usual)
-        outlier = slow is not None and len(rivals) >= 1 and slow > SLOW * max(1.0, median(rivals))
+        outlier = slow and rivals and slow > SLOW * max(1.0, median(rivals))
         if self.until <= now and (failing or outlier):
             self.rest = min(8 * REST, max(REST, 2 * self.rest))
             self.until, self.trial = now + self.rest, True
@@ -114,10 +113,6 @@
         self.as_cache, self.as_source = Standing(), Standing()
         self.load, self.load_at = {}, NEVER
 
-    def report(self, load, now):
-        if load:
-            self.load, self.load_at = load, now
-
     def busy(self, now):
         return max(self.out, self.load.get("inflight", 0) if now - self.load_at < S else 0)
 
@@ -137,10 +132,8 @@
             self.span = span
 
     def life(self):
-        """How long a belief that starts now is to hold: the thesis's line, under a fixed cap.
-
-        A fall within the noise of counting (Poisson: root of the sum) is no trend, and the cap stands.
-        """
+        """How long a belief that starts now is to hold: the thesis's line, under a fixed cap."""
+        # A fall within the noise of counting (Poisson: root of the sum) is no trend.
         _, newer, older = self.counts
         falling = older - newer > sqrt(older + newer)
         return int(max(0, min(CAP, (newer - KEEP_COUNT) * SPAN / (older - newer) - TRIP))) if falling else CAP
@@ -151,8 +144,7 @@
 
     def __init__(self, cache, source, now, crowd):
         self.cache, self.source, self.at, self.crowd, self.filling = cache, source, now, crowd, 0
-        self.open, self.outcome = True, None
-        self.fill = None                     # its entry in Router.fills
+        self.open, self.outcome, self.fill = True, None, None
 
 
 class Get:
@@ -165,9 +157,12 @@
         self.done = self.streaming = self.missed = self.hopeless = False
         self.lost = set()                    # indices of nodes that did not serve or fill it
 
+    def open(self):
+        return [n for n, f in enumerate(self.forwards) if f.open]
+
     @property
     def settled(self):
-        return self.done and not any(f.open for f in self.forwards)
+        return self.done and not self.open()
 
     def route(self, now):
         """The next forward, or the final answer."""
@@ -188,11 +183,11 @@
         effect = router.of_ds("effect", ds, "idempotent")
         tokened = effect == "tokened" and router.of_ds("token_group", ds, "all") == "all"
         harmless = effect == "idempotent" or tokened or self.risky() is None
-        advice = router.get("max_retry_after", 0) if router.get("retry_after") else 0
-        return [Shed(advice) if harmless else Errored(), *self.cancel_open()]
+        later = router.get("max_retry_after", 0) * bool(router.get("retry_after"))
+        return [Shed(later) if harmless else Errored(), *self.cancel_open()]
 
     def cancel_open(self):
-        return [Cancel(n) for n, f in enumerate(self.forwards) if f.open and self.router.get("cancel")]
+        return [Cancel(n) for n in self.open() if self.router.get("cancel")]
 
     def ended(self, number, outcome, found, spent, waited, load, finished, now):
         sent = self.forwards[number]
@@ -200,7 +195,7 @@
         self.router.learn(self, sent, outcome, found, spent, waited, load, now)
         if finished or outcome is Outcome.RETURNED:
             return self.left(now)
-        return [] if any(f.open for f in self.forwards) else self.route(now)
+        return [] if self.open() else self.route(now)
 
     def answering(self, number, now):
         self.streaming = True                # from here on nothing is owed or may be sent
@@ -222,7 +217,6 @@
         self.waiting, self.order = [], 0     # (due, order, Get or None for a list to ask for)
         self.carried = deque(maxlen=256)     # (time, work) of the last GETs that caches returned
         self.spents = {}                     # by delivery service, the last sending times
-        self.waits = deque(maxlen=12)        # (time, wait) of the last fills
         self.link, self.filling = Standing(), 0
         self.fills = deque(maxlen=256)       # [source, time, when late, came in time] of the last fills
         self.found = deque([Found.FILLED] * 8, maxlen=64)
@@ -235,8 +229,7 @@
 
     def chance(self, text):
         self.draws += 1
-        word = f"{self.get('my_number', 0)}/{text}/{self.draws}".encode()
-        return mixed(word, self.seed % 2**32) / 2**32
+        return mixed(f"{self.get('my_number', 0)}/{text}/{self.draws}".encode(), self.seed % 2**32) / 2**32
 
     def mean_work(self, ds):
         seen = self.spents.get(ds)
@@ -253,13 +246,8 @@
         extra = int(self.of_ds("objective_stretch", asked.ds, 0) * self.work(asked))
         return self.of_ds("latency_objective", asked.ds, -NEVER) + extra
 
-    def fill_time(self, asked, now):
-        waits = [w for t, w in self.waits if now - t < THROTTLE_SPAN]
-        linked = self.link.crowding(self.filling + 1, LINK_RANK, now) * self.work(asked)
-        return linked + (median(waits) if len(waits) >= 4 else 0)
-
     def in_time(self, source, now):
-        """Share of a source's last fills that came in time; few samples lean on those of all sources."""
+        """Share of a source's last fills that came in time; few of them lean on those of all sources."""
         ended = [(by, bool(good)) for by, sent, late, good in self.fills
                  if now - sent < THROTTLE_SPAN and (good is not None or late <= now)]
         shared = (sum(good for _, good in ended) + 1) / (len(ended) + 1)
@@ -282,9 +270,8 @@
                 node.entry = node.entry._replace(state=State.GONE)
 
     def list_failed(self, now):
-        """A lost subscription is asked for anew, a little later so that a busy discovery can recover."""
         if self.get("discovery") == "ask":
-            self.remind(now + S, None)
+            self.remind(now + S, None)       # later, so that a busy discovery can recover
 
     def remind(self, when, get):
         self.order += 1
@@ -377,8 +364,9 @@
         """Fronts tell each other nothing yet: what a peer says is passed over."""
 
     def probed(self, cache, outcome, spent, load, now):
-        if cache in self.index_of:
-            self.nodes[self.index_of[cache]].report(load, now)
+        if load and cache in self.index_of:
+            node = self.nodes[self.index_of[cache]]
+            node.load, node.load_at = load, now
 
     def rate(self, now):
         """Work that caches return to this front, in sending time over time."""
@@ -404,11 +392,10 @@
         budget = COLD_SAFETY * self.get(f"{kind}fall_multiple", 2) * share * rate * window
         return not spent or spent + self.mean_work(ds) <= budget
 
-    def usable(self, nodes, part, now):
+    def usable(self, nodes, now):
         """Never more than half are set aside, whatever the samples say; a trial is one GET at a time."""
-        parts = [(getattr(n, part), n) for n in nodes]
-        aside = [(-p.until, n.id, n) for p, n in parts if p.until > now or p.trial and n.out]
-        barred = [n for _, _, n in sorted(aside, key=lambda a: a[:2])[:len(nodes) // 2]]
+        aside = [n for n in nodes if n.as_cache.until > now or n.as_cache.trial and n.out]
+        barred = sorted(aside, key=lambda n: (-n.as_cache.until, n.id))[:len(nodes) // 2]
         return [n for n in nodes if n not in barred]
 
     def width(self, asked, memory, caches, now):
@@ -419,12 +406,12 @@
     def pick(self, get, memory, now):
         """The cache by hash, passing by those where the answer would come late; and whether one would do."""
         asked = get.asked
-        caches = self.usable(self.serving("cache"), "as_cache", now)
+        caches = self.usable(self.serving("cache"), now)
         caches = [n for n in caches if n.index not in get.lost] or caches
         if not (caches := [n for n in caches if self.cold_room(n, asked.ds, now)]):
             return None, False
         order = ranked(caches, mixed(asked.object.to_bytes(8, "big") + asked.part.to_bytes(4, "big")))
-        times = {n: n.as_cache.crowding(n.busy(now) + 1, CACHE_RANK, now) * self.work(asked) for n in order}
+        times = {n: n.as_cache.crowding(n.busy(now) + 1, now) * self.work(asked) for n in order}
         wide = order[:self.width(asked, memory, order, now)]
         best = min(wide, key=lambda n: (times[n], n.busy(now) / n.entry.weight))
         fit = next((n for n in [best, *order] if times[n] <= get.limit - now), None)
@@ -444,12 +431,12 @@
     def upper(self, get, now):
         """A parent by hash, the origin with none up; and whether it may fetch what it lacks.
 
-        One that lately came late is passed by while another does well; where none does, fills are throttled
-        by the share in time. Guards parents, origin and link against storms, and the caches' places against
-        waiting on a stalled source. Could harm where fills are late for a reason that fewer don't mend.
+        One that came late is passed by while another does well; else fetches are throttled by the share in
+        time: against storms on the origin and caches' places lost to a stalled source. Could harm where
+        fills are late for a reason that fewer don't mend.
         """
-        parents = [n for n in self.serving("parent") if n.as_source.until <= now and n.index not in get.lost]
-        parents = [n for n in parents if self.cold_room(n, get.asked.ds, now)]
+        parents = [n for n in self.serving("parent") if n.as_source.until <= now and n.index not in get.lost
+                   and self.cold_room(n, get.asked.ds, now)]
         order = ranked(parents, mixed(get.asked.object.to_bytes(8, "big"))) or self.serving("origin")
         shares = {n: self.in_time(n, now) for n in order}
         node = next((n for n in order if shares[n] >= WELL), order[0] if order else None)
@@ -489,7 +476,7 @@
             source, held_only = self.sibling(get, memory, cache, now)
             if source is None:
                 source, may_fetch = self.upper(get, now)
-                late = self.fill_time(asked, now) > get.limit - now and self.chance(asked.id) >= PROBING
+                late = self.link.crowding(self.filling + 1, now) * self.work(asked) > get.limit - now
                 if source is None or cache.index not in memory.holders and late:
                     source, may_fetch = cache, False
                 # Hits go on: a look at cache and parent costs next to nothing, and a miss is then given up.
@@ -507,19 +494,16 @@
         return mine.location == its.location and (group == "location" or mine.cell == its.cell)
 
     def send(self, get, memory, cache, source, held_only, now):
-        asked, number, work = get.asked, len(get.forwards), self.mean_work(get.asked.ds)
-        write = self.of_ds("runs_at_origin", asked.ds, False)
-        cache.sent.append((now, work))
-        if source is not cache:
-            source.sent.append((now, work))
+        asked, number, write = get.asked, len(get.forwards), self.of_ds("runs_at_origin", get.asked.ds, False)
+        for node in [cache, source][:1 + (source is not cache)]:
+            node.sent.append((now, self.mean_work(asked.ds)))
         cache.out += 1
         sent = Sent(cache, source, now, cache.busy(now))
         if self.role(source) != "cache" and cache is not source and cache.index not in memory.holders:
             self.filling += 1
             sent.filling = self.filling
             sent.fill = [source, now, now + self.objective(asked), None]
-            if not held_only:
-                self.fills.append(sent.fill)
+            self.fills.extend([] if held_only else [sent.fill])
         get.forwards.append(sent)
         self.further.append(number > 0)
         return Forward(
@@ -534,7 +518,7 @@
         memory, write = self.memory(asked, now), self.of_ds("runs_at_origin", asked.ds, False)
         good = outcome is Outcome.RETURNED
         cache.out = max(0, cache.out - 1)
-        cache.report(load, now)
+        cache.load, cache.load_at = (load, now) if load else (cache.load, cache.load_at)
         get.missed = outcome is Outcome.MISS
         if sent.fill:
             self.filling -= 1
@@ -554,7 +538,6 @@
             if not write and self.role(cache) == "cache":
                 self.believe(memory, cache, now)
             if found in (Found.FILLED, Found.FILLED_BY_ORIGIN):
-                self.waits.append((now, waited))
                 source.as_source.note(now, True, waited / (50 * MS))
                 if self.role(source) == "cache":
                     self.believe(memory, source, now)
@@ -576,5 +559,5 @@
         cache.as_cache.judge([n.as_cache for n in self.serving("cache")], True, now)
         if source is not cache and self.role(source) != "origin":
             # All parents fail alike where the origin is at fault; one that can't be reached is down alone.
-            source.as_source.judge(
-                [n.as_source for n in self.serving(self.role(source))], outcome.never_ran, now)
+            rivals = [n.as_source for n in self.serving(self.role(source))]
+            source.as_source.judge(rivals, outcome.never_ran, now)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -295,7 +295,7 @@
     made = router()
     for cache in CACHES:
         node(made, cache).as_cache.until = NOW + S
-    assert len(made.usable(made.serving("cache"), "as_cache", NOW)) == 2
+    assert len(made.usable(made.serving("cache"), NOW)) == 2
 
 
 def test_the_origin_fills_when_no_parent_is_up():
