Admit to a crowded cache only what is expected within three quarters of its objective

Cause: overload incidents had a fifth of all GETs late, as more came to share the link after admission.

--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -25,6 +25,7 @@
 TABLE = 4096            # objects remembered
 HOT_SHARE = 0.25        # of one cache's part of the work: an object above it is spread
 CROWDED = 1.3           # slowness from which a sample tells of the link, not of its own noise
+AHEAD = 0.75            # of the time left that an answer may be expected to take: others will come to share
 FITS_RANK = 0.4         # which sample tells what a link fits: the lower ones keep its queue short
 THROTTLE = 1.3          # share of fills let through, over the share that came in time
 THROTTLE_SPAN = 3 * S
@@ -414,7 +415,7 @@
         times = {n: n.as_cache.crowding(n.busy(now) + 1, now) * self.work(asked) for n in order}
         wide = order[:self.width(asked, memory, order, now)]
         best = min(wide, key=lambda n: (times[n], n.busy(now) / n.entry.weight))
-        fit = next((n for n in [best, *order] if times[n] <= get.limit - now), None)
+        fit = next((n for n in [best, *order] if times[n] <= AHEAD * (get.limit - now)), None)
         return fit or best, fit is not None
 
     def sibling(self, get, memory, cache, now):
