--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -79,8 +79,14 @@
 
     def crowding(self, sharing, now):
         """Slowness to expect. A crowded link is divided evenly: sharing over slowness is what it fits."""
-        fits = sorted(s[3] / s[2] for s in self.fresh(now) if s[2] > CROWDED and s[3] > 2)
-        return max(1.0, sharing / fits[int(FITS_RANK * (len(fits) - 1))]) if len(fits) >= 3 else 1.0
+        seen = [(s[2] > CROWDED, s[3] / s[2]) for s in self.fresh(now) if s[2] and s[3] > 2]
+        fits = sorted(f for crowded, f in seen if crowded)
+        if len(fits) < 3:
+            return 1.0
+        # Many that share and are quick show more room: GETs waiting for a fill take none of the link.
+        usual = fits[int(FITS_RANK * (len(fits) - 1))]
+        fits = sorted(fits + [f for crowded, f in seen if not crowded and f > usual])
+        return max(1.0, sharing / fits[int(FITS_RANK * (len(fits) - 1))])
 
     def failures(self, now):
         fresh = self.fresh(now)
