--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -79,14 +79,8 @@
 
     def crowding(self, sharing, now):
         """Slowness to expect. A crowded link is divided evenly: sharing over slowness is what it fits."""
-        seen = [(s[2] > CROWDED, s[3] / s[2]) for s in self.fresh(now) if s[2] and s[3] > 2]
-        fits = sorted(f for crowded, f in seen if crowded)
-        if len(fits) < 3:
-            return 1.0
-        # Many that share and are quick show more room: GETs waiting for a fill take none of the link.
-        usual = fits[int(FITS_RANK * (len(fits) - 1))]
-        fits = sorted(fits + [f for crowded, f in seen if not crowded and f > usual])
-        return max(1.0, sharing / fits[int(FITS_RANK * (len(fits) - 1))])
+        fits = sorted(s[3] / s[2] for s in self.fresh(now) if s[2] > CROWDED and s[3] > 2)
+        return max(1.0, sharing / fits[int(FITS_RANK * (len(fits) - 1))]) if len(fits) >= 3 else 1.0
 
     def failures(self, now):
         fresh = self.fresh(now)
@@ -116,7 +110,7 @@
 
     def renewed(self):
         """A restarted process is empty, and what its predecessor did says nothing of it."""
-        self.out = 0
+        self.out = self.filling = 0          # forwards out there, and those of them that await a fill
         self.as_cache, self.as_source = Standing(), Standing()
         self.load, self.load_at = {}, NEVER
 
@@ -418,7 +412,7 @@
         if not (caches := [n for n in caches if self.cold_room(n, asked.ds, now)]):
             return None, False
         order = ranked(caches, mixed(asked.object.to_bytes(8, "big") + asked.part.to_bytes(4, "big")))
-        times = {n: n.as_cache.crowding(n.busy(now) + 1, now) * self.work(asked) for n in order}
+        times = {n: n.as_cache.crowding(n.out - n.filling + 1, now) * self.work(asked) for n in order}
         wide = order[:self.width(asked, memory, order, now)]
         best = min(wide, key=lambda n: (times[n], n.busy(now) / n.entry.weight))
         fit = next((n for n in [best, *order] if times[n] <= AHEAD * (get.limit - now)), None)
@@ -505,9 +499,10 @@
         for node in [cache, source][:1 + (source is not cache)]:
             node.sent.append((now, self.mean_work(asked.ds)))
         cache.out += 1
-        sent = Sent(cache, source, now, cache.busy(now))
+        sent = Sent(cache, source, now, cache.out - cache.filling)
         if self.role(source) != "cache" and cache is not source and cache.index not in memory.holders:
             self.filling += 1
+            cache.filling += 1
             sent.filling = self.filling
             sent.fill = [source, now, now + self.objective(asked), None]
             self.fills.extend([] if held_only else [sent.fill])
@@ -529,6 +524,7 @@
         get.missed = outcome is Outcome.MISS
         if sent.fill:
             self.filling -= 1
+            cache.filling = max(0, cache.filling - 1)
             sent.fill[3] = good and now <= sent.fill[2]
         if not write and (asked.size or memory.spents) and (good or outcome is Outcome.TIMED_OUT):
             slow = (spent - waited) / max(20 * MS, self.work(asked))
