A cache is judged by hits alone; an uncrowded cache never counts as late

Cause: time-outs of GETs that waited on a stalled origin made caches look crowded, and a first GET of unknown size was shed.

--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -184,7 +184,7 @@
         effect = router.of_ds("effect", ds, "idempotent")
         tokened = effect == "tokened" and router.of_ds("token_group", ds, "all") == "all"
         harmless = effect == "idempotent" or tokened or self.risky() is None
-        later = router.get("max_retry_after", 0) * bool(router.get("retry_after"))
+        later = router.get("max_retry_after", 0) if router.get("retry_after") else 0
         return [Shed(later) if harmless else Errored(), *self.cancel_open()]
 
     def cancel_open(self):
@@ -208,8 +208,6 @@
 
 
 class Router:
-    """One front."""
-
     def __init__(self, settings, seed, now):
         self.get, self.seed, self.draws, self.now = settings.get, seed, 0, now
         self.nodes, self.index_of = [], {}
@@ -412,10 +410,11 @@
         if not (caches := [n for n in caches if self.cold_room(n, asked.ds, now)]):
             return None, False
         order = ranked(caches, mixed(asked.object.to_bytes(8, "big") + asked.part.to_bytes(4, "big")))
-        times = {n: n.as_cache.crowding(n.out - n.filling + 1, now) * self.work(asked) for n in order}
+        slow = {n: n.as_cache.crowding(n.out - n.filling + 1, now) for n in order}
         wide = order[:self.width(asked, memory, order, now)]
-        best = min(wide, key=lambda n: (times[n], n.busy(now) / n.entry.weight))
-        fit = next((n for n in [best, *order] if times[n] <= AHEAD * (get.limit - now)), None)
+        best = min(wide, key=lambda n: (slow[n], n.busy(now) / n.entry.weight))
+        most = AHEAD * (get.limit - now) / max(1, self.work(asked))
+        fit = next((n for n in [best, *order] if slow[n] <= max(1.0, most)), None)
         return fit or best, fit is not None
 
     def sibling(self, get, memory, cache, now):
@@ -491,8 +490,8 @@
         group = self.of_ds("token_group", ds, "all")
         if first is None or self.of_ds("effect", ds, "idempotent") != "tokened" or group == "all":
             return True
-        mine, its = first.cache.entry, node.entry
-        return mine.location == its.location and (group == "location" or mine.cell == its.cell)
+        a, b = first.cache.entry, node.entry
+        return a.location == b.location and (group == "location" or a.cell == b.cell)
 
     def send(self, get, memory, cache, source, held_only, now):
         asked, number, write = get.asked, len(get.forwards), self.of_ds("runs_at_origin", get.asked.ds, False)
@@ -501,9 +500,8 @@
         cache.out += 1
         sent = Sent(cache, source, now, cache.out - cache.filling)
         if self.role(source) != "cache" and cache is not source and cache.index not in memory.holders:
-            self.filling += 1
+            sent.filling = self.filling = self.filling + 1
             cache.filling += 1
-            sent.filling = self.filling
             sent.fill = [source, now, now + self.objective(asked), None]
             self.fills.extend([] if held_only else [sent.fill])
         get.forwards.append(sent)
@@ -518,19 +516,17 @@
         self.now = now
         asked, cache, source = get.asked, sent.cache, sent.source
         memory, write = self.memory(asked, now), self.of_ds("runs_at_origin", asked.ds, False)
-        good = outcome is Outcome.RETURNED
-        cache.out = max(0, cache.out - 1)
+        good, cache.out = outcome is Outcome.RETURNED, max(0, cache.out - 1)
         cache.load, cache.load_at = (load, now) if load else (cache.load, cache.load_at)
         get.missed = outcome is Outcome.MISS
         if sent.fill:
-            self.filling -= 1
-            cache.filling = max(0, cache.filling - 1)
+            self.filling, cache.filling = self.filling - 1, max(0, cache.filling - 1)
             sent.fill[3] = good and now <= sent.fill[2]
-        if not write and (asked.size or memory.spents) and (good or outcome is Outcome.TIMED_OUT):
+        if not write and (asked.size or memory.spents) and good:
             slow = (spent - waited) / max(20 * MS, self.work(asked))
             if sent.fill and found in (Found.FILLED, Found.JOINED):
                 self.link.note(now, good, slow, sent.filling)
-            elif not sent.fill or found in HITS:
+            elif found in (*HITS, Found.UNTOLD):
                 cache.as_cache.note(now, good, slow, sent.crowd)
         if good:
             self.found.append(found)
@@ -557,10 +553,10 @@
                 source.as_source.note(now, False, 0)
         elif outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
             get.lost.add(cache.index)
-            if outcome not in (Outcome.FULL, Outcome.TIMED_OUT):
+            if outcome is not Outcome.FULL and not (sent.fill and outcome is Outcome.TIMED_OUT):
                 cache.as_cache.note(now, False, 0)
         cache.as_cache.judge([n.as_cache for n in self.serving("cache")], True, now)
         if source is not cache and self.role(source) != "origin":
             # All parents fail alike where the origin is at fault; one that can't be reached is down alone.
-            rivals = [n.as_source for n in self.serving(self.role(source))]
-            source.as_source.judge(rivals, outcome.never_ran, now)
+            peers = [n.as_source for n in self.serving(self.role(source))]
+            source.as_source.judge(peers, outcome.never_ran, now)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -301,3 +301,22 @@
 def test_the_origin_fills_when_no_parent_is_up():
     made = router([entry(c, State.GONE) for c in PARENTS])
     assert made.upper(get_with(made, asked()), NOW)[0].id == ORIGIN
+
+
+def test_a_first_get_of_unknown_size_is_not_held_for_late():
+    made = router(objective_stretch=[0.0] * 3)
+    assert made.pick(get_with(made, asked()), made.memory(asked(), NOW), NOW)[1]
+
+
+@pytest.mark.parametrize("filled, outcome, found, samples", [
+    (True, Outcome.RETURNED, Found.HIT, [True]),
+    (True, Outcome.RETURNED, Found.FILLED_BY_ORIGIN, []),      # tells of the origin, not of the cache
+    (True, Outcome.TIMED_OUT, Found.UNTOLD, []),
+    (False, Outcome.TIMED_OUT, Found.UNTOLD, [False]),         # a silent cache
+])
+def test_a_slow_fill_is_not_laid_to_the_cache(filled, outcome, found, samples):
+    made = router()
+    get = get_with(made, asked(size=100), None)
+    get.forwards[0].fill = [node(made, 21), NOW, NOW, None] if filled else None
+    made.learn(get, get.forwards[0], outcome, found, S, 0, {}, NOW)
+    assert [s[1] for s in node(made, 11).as_cache.samples] == samples
