--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -37,7 +37,6 @@
 SAMPLES = 16            # outcomes that a judgement rests on
 SAMPLE_AGE = 10 * S
 SLOW = 3.0              # times slower than the peers' median: set aside
-FULL_FOR = 200 * MS     # a cache that turned a GET away is passed by so long
 REST = 2 * S            # first rest of a node set aside; doubles while trials fail, up to eight times that
 RETRY_SHARE = 0.2       # of the last forwards may be further ones
 ANSWER_MARGIN = 20 * MS # kept before the end of a viewer's time and of a token's window
@@ -113,7 +112,7 @@
         """A restarted process is empty, and what its predecessor did says nothing of it."""
         self.out = self.filling = 0          # forwards out there, and those of them that await a fill
         self.as_cache, self.as_source = Standing(), Standing()
-        self.load, self.load_at, self.full_until = {}, NEVER, 0
+        self.load, self.load_at = {}, NEVER
 
     def busy(self, now):
         return max(self.out, self.load.get("inflight", 0) if now - self.load_at < S else 0)
@@ -407,7 +406,7 @@
         """The cache by hash, passing by those where the answer would come late; and whether one would do."""
         asked = get.asked
         caches = self.usable(self.serving("cache"), now)
-        caches = [n for n in caches if n.index not in get.lost and n.full_until <= now] or caches
+        caches = [n for n in caches if n.index not in get.lost] or caches
         if not (caches := [n for n in caches if self.cold_room(n, asked.ds, now)]):
             return None, False
         order = ranked(caches, mixed(asked.object.to_bytes(8, "big") + asked.part.to_bytes(4, "big")))
@@ -554,7 +553,6 @@
                 source.as_source.note(now, False, 0)
         elif outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
             get.lost.add(cache.index)
-            cache.full_until = now + FULL_FOR if outcome is Outcome.FULL else 0
             if outcome is not Outcome.FULL and not (sent.fill and outcome is Outcome.TIMED_OUT):
                 cache.as_cache.note(now, False, 0)
         cache.as_cache.judge([n.as_cache for n in self.serving("cache")], True, now)
