One reader of truth values on the wire; sending times kept in one way

The codec and the settings read 1/0/true/false by the same check written twice; two places made the same sample queue.

--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -7,7 +7,7 @@
 """
 
 import heapq
-from collections import OrderedDict, deque
+from collections import OrderedDict, defaultdict, deque
 from math import log, sqrt
 from statistics import median
 from zlib import crc32
@@ -215,7 +215,7 @@
         self.purges = {}                     # ("object", id) or ("group", number) -> time of the purge
         self.waiting, self.order = [], 0     # (due, order, Get or None for a list to ask for)
         self.carried = deque(maxlen=256)     # (time, work) of the last GETs that caches returned
-        self.spents = {}                     # by delivery service, the last sending times
+        self.spents = defaultdict(lambda: deque(maxlen=64))    # by delivery service, the last sending times
         self.link, self.filling = Standing(), 0
         self.fills = deque(maxlen=256)       # [source, time, when late, came in time] of the last fills
         self.found = deque([Found.FILLED] * 8, maxlen=64)
@@ -340,7 +340,7 @@
         memory.counts[0] += not asked.repeat and now - memory.failed_at > 2 * S
         memory.failed_at = NEVER
         if asked.size:
-            self.spents.setdefault(asked.ds, deque(maxlen=64)).append(self.work(asked))
+            self.spents[asked.ds].append(self.work(asked))
         get = Get(self, asked, now)
         self.remind(get.due, get)
         return get
@@ -533,7 +533,7 @@
             self.carried.append((now, self.work(asked)))
             if not asked.size and not write:
                 memory.spents.append(spent - waited)
-                self.spents.setdefault(asked.ds, deque(maxlen=64)).append(spent - waited)
+                self.spents[asked.ds].append(spent - waited)
             if not write and self.role(cache) == "cache":
                 self.believe(memory, cache, now)
             if found in (Found.FILLED, Found.FILLED_BY_ORIGIN):
--- a/sprucegate/wire/codec.py
+++ b/sprucegate/wire/codec.py
@@ -90,7 +90,7 @@
         return self._read(name, default, lambda text: int(text) * 1000, "time")
 
     def flag(self, name):
-        return self._read(name, False, _flag, "1 or 0")
+        return self._read(name, False, truth, "1 or 0")
 
     def payload(self, name):
         text = self.need(name)
@@ -133,7 +133,7 @@
         )
 
 
-def _flag(text):
+def truth(text):
     if text not in ("1", "0", "true", "false"):
         raise ValueError(text)
     return text in ("1", "true")
--- a/sprucegate/wire/settings.py
+++ b/sprucegate/wire/settings.py
@@ -1,12 +1,6 @@
 """The wire's settings as a plain map under our names, times in nanoseconds. Unknown ones are skipped."""
 
-from sprucegate.wire.codec import Malformed
-
-
-def _truth(text):
-    if text not in ("true", "false", "1", "0"):
-        raise ValueError(text)
-    return text in ("true", "1")
+from sprucegate.wire.codec import Malformed, truth
 
 
 def _ns(text):
@@ -29,15 +23,15 @@
 
 NAMES = {
     "allowed.attemptsCap": ("max_forwards", int),
-    "allowed.cancel": ("cancel", _truth),
+    "allowed.cancel": ("cancel", truth),
     "allowed.connectTimeout": ("connect_timeout", _ns),
     "allowed.maxRetryAfter": ("max_retry_after", _ns),
     "allowed.openCap": ("max_open", int),
-    "allowed.peerMessages": ("peer_messages", _truth),
-    "allowed.probing": ("probing", _truth),
-    "allowed.retryAfter": ("retry_after", _truth),
-    "allowed.secondCopies": ("second_copies", _truth),
-    "callers.marksRetry": ("repeats_marked", _truth),
+    "allowed.peerMessages": ("peer_messages", truth),
+    "allowed.probing": ("probing", truth),
+    "allowed.retryAfter": ("retry_after", truth),
+    "allowed.secondCopies": ("second_copies", truth),
+    "callers.marksRetry": ("repeats_marked", truth),
     "discovery": ("discovery", _words(DISCOVERY)),
     "guarantees.answerSlack": ("answer_slack", _ns),
     "guarantees.askEvery": ("ask_every", _ns),
@@ -59,10 +53,10 @@
     "specifics.classFresh": ("fresh_time", _listed(_ns)),
     "specifics.clientKbPerS": ("client_kb_per_s", float),
     "specifics.feedKbPerS": ("link_in_kb_per_s", _listed(float)),
-    "specifics.goesThrough": ("runs_at_origin", _listed(_truth)),
+    "specifics.goesThrough": ("runs_at_origin", _listed(truth)),
     "specifics.hubByZone": ("hub_of_location", _listed(int)),
     "specifics.linkPrice": ("link_price", float),
-    "specifics.mergesFills": ("joins", _truth),
+    "specifics.mergesFills": ("joins", truth),
     "specifics.neighbours": ("siblings", _words(SOURCES)),
     "specifics.obeyAfter": ("purge_grace", _ns),
     "specifics.originFallMultiple": ("origin_fall_multiple", float),
@@ -74,7 +68,7 @@
     "specifics.says": ("tells", _words(SOURCES)),
     "specifics.shieldKind": ("parent_kind", int),
     "specifics.storeKind": ("origin_kind", int),
-    "specifics.straight": ("direct", _truth),
+    "specifics.straight": ("direct", truth),
     "specifics.usableAfter": ("grace_time", _listed(_ns)),
     "specifics.zoneBalancers": ("fronts_by_location", _listed(int)),
     "tick": ("tick", _ns),
@@ -88,7 +82,7 @@
     "dedupScope": ("token_group", _words(SCOPES)),
     "effect": ("effect", _words(EFFECTS)),
     "lateShare": ("late_share", float),
-    "streamed": ("streamed", _truth),
+    "streamed": ("streamed", truth),
     "window": ("token_window", _ns),
     "worth": ("revenue", float),
 }
