--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -8,6 +8,7 @@
 
 import heapq
 from collections import OrderedDict, defaultdict, deque
+from itertools import takewhile
 from math import log, sqrt
 from statistics import median
 from zlib import crc32
@@ -88,12 +89,12 @@
 
     def judge(self, others, alone, now):
         """Outlier ejection: far slower than its peers, or half failed (alone, or twice its peers' share)."""
-        others, slow = [o for o in others if o is not self], self.slowness(now)
-        rivals = [r for r in (o.slowness(now) for o in others) if r]
-        usual = 0 if alone else max((o.failures(now) for o in others), default=1)
-        failing = self.failures(now) >= max(0.5, 2 * usual)
-        outlier = slow and rivals and slow > SLOW * max(1.0, median(rivals))
-        if self.until <= now and (failing or outlier):
+        slow, share = self.slowness(now) or 0, self.failures(now)
+        if self.until > now or slow <= SLOW and share < 0.5:
+            return                           # peers are looked at only where it could come to something
+        rivals = [r for o in others if o is not self and (r := o.slowness(now))]
+        usual = 0 if alone else max((o.failures(now) for o in others if o is not self), default=1)
+        if share >= max(0.5, 2 * usual) or rivals and slow > SLOW * max(1.0, median(rivals)):
             self.rest = min(8 * REST, max(REST, 2 * self.rest))
             self.until, self.trial = now + self.rest, True
             self.samples.clear()
@@ -102,8 +103,8 @@
 class Node:
     """A cache, parent or origin as this front sees it."""
 
-    def __init__(self, index, entry):
-        self.index, self.id, self.entry = index, entry.id, entry
+    def __init__(self, index, entry, role):
+        self.index, self.id, self.entry, self.role = index, entry.id, entry, role
         self.label = entry.id.to_bytes(8, "big")
         self.sent = deque(maxlen=256)        # (time, work) of what may reach it
         self.renewed()
@@ -114,6 +115,9 @@
         self.as_cache, self.as_source = Standing(), Standing()
         self.load, self.load_at = {}, NEVER
 
+    def crowding(self, now):
+        return self.as_cache.crowding(self.out - self.filling + 1, now)
+
     def busy(self, now):
         return max(self.out, self.load.get("inflight", 0) if now - self.load_at < S else 0)
 
@@ -210,7 +214,7 @@
 class Router:
     def __init__(self, settings, seed, now):
         self.get, self.seed, self.draws, self.now = settings.get, seed, 0, now
-        self.nodes, self.index_of = [], {}
+        self.nodes, self.index_of, self.groups = [], {}, defaultdict(list)
         self.table, self.slot_of = [], OrderedDict()
         self.purges = {}                     # ("object", id) or ("group", number) -> time of the purge
         self.waiting, self.order = [], 0     # (due, order, Get or None for a list to ask for)
@@ -236,9 +240,10 @@
 
     def work(self, asked):
         """Sending time: by the told size, else the object's quickest, else its delivery service's middle."""
-        rate, own = self.get("client_kb_per_s", 0), self.memory(asked, self.now).spents
+        rate = self.get("client_kb_per_s", 0)
         if asked.size and rate:
             return int(asked.size / rate * S)
+        own = self.memory(asked, self.now).spents
         return min(own) if own else int(median(self.spents.get(asked.ds) or [self.mean_work(asked.ds)]))
 
     def objective(self, asked):
@@ -247,19 +252,20 @@
 
     def in_time(self, source, now):
         """Share of a source's last fills that came in time; few of them lean on those of all sources."""
-        ended = [(by, bool(good)) for by, sent, late, good in self.fills
-                 if now - sent < THROTTLE_SPAN and (good is not None or late <= now)]
+        lately = takewhile(lambda fill: now - fill[1] < THROTTLE_SPAN, reversed(self.fills))
+        ended = [(by, bool(good)) for by, _, late, good in lately if good is not None or late <= now]
         shared = (sum(good for _, good in ended) + 1) / (len(ended) + 1)
         own = [good for by, good in ended if by is source]
         return (sum(own) + LEAN * shared) / (len(own) + LEAN)
 
     def listed(self, entries, whole, now):
         seen = set()
+        roles = {self.get("parent_kind", -1): "parent", self.get("origin_kind", -1): "origin"}
         for entry in entries:
             seen.add(entry.id)
             if entry.id not in self.index_of:
                 self.index_of[entry.id] = len(self.nodes)
-                self.nodes.append(Node(len(self.nodes), entry))
+                self.nodes.append(Node(len(self.nodes), entry, roles.get(entry.kind, "cache")))
             node = self.nodes[self.index_of[entry.id]]
             if entry.started > node.entry.started:
                 node.renewed()
@@ -267,6 +273,12 @@
         for node in self.nodes if whole else ():
             if node.id not in seen:
                 node.entry = node.entry._replace(state=State.GONE)
+        # What may be named, as cache or as source: draining and gone ones stop counting at once. Grouped
+        # once a list, as a walk over the fleet for each GET would be the dearest part of it.
+        here, self.groups = self.get("my_location", 0), defaultdict(list)
+        for node in self.nodes:
+            if node.entry.state is State.SERVING and (node.role != "cache" or node.entry.location == here):
+                self.groups[node.role].append(node)
 
     def list_failed(self, now):
         if self.get("discovery") == "ask":
@@ -276,16 +288,6 @@
         self.order += 1
         heapq.heappush(self.waiting, (when, self.order, get))
 
-    def role(self, node):
-        kinds = {self.get("parent_kind", -1): "parent", self.get("origin_kind", -1): "origin"}
-        return kinds.get(node.entry.kind, "cache")
-
-    def serving(self, role):
-        """What may be named, as cache or as source. Draining and gone ones stop counting at once."""
-        here = self.get("my_location", 0)
-        return [n for n in self.nodes if n.entry.state is State.SERVING and self.role(n) == role
-                and (role != "cache" or n.entry.location == here)]
-
     def purged(self, obj, group, age, now):
         # Beliefs from before a purge are void too, and may outlive the old copies by the cap.
         self.purges = {k: t for k, t in self.purges.items() if now - t <= self.get("purge_done", 0) + CAP}
@@ -338,10 +340,9 @@
         # Repeats swell counts and stretch beliefs. Where clients don't mark them, a GET soon after this
         # front gave the same object up is taken for one.
         memory.counts[0] += not asked.repeat and now - memory.failed_at > 2 * S
-        memory.failed_at = NEVER
         if asked.size:
             self.spents[asked.ds].append(self.work(asked))
-        get = Get(self, asked, now)
+        memory.failed_at, get = NEVER, Get(self, asked, now)
         self.remind(get.due, get)
         return get
 
@@ -377,14 +378,13 @@
         Its capacity is never told: what the warm ones return is the guide (what is asked is none, repeats
         swell it), with the stated floor and the slowest rise. One forward a window goes always, as a start.
         """
-        role = self.role(node)
-        kind = "parent_" if role == "parent" else ""
+        role, kind = node.role, "parent_" if node.role == "parent" else ""
         warm, age = self.get(f"{kind}warm_time", 0), now - node.entry.started
         if role == "origin" or not node.entry.started or age >= warm:
             return True
         floor, window = self.get(f"{kind}cold_share", 0.1), self.get("fall_time", S)
         spent = sum(w for t, w in node.sent if t > now - window)
-        rate = self.rate(now) * node.entry.weight / sum(n.entry.weight for n in self.serving(role))
+        rate = self.rate(now) * node.entry.weight / sum(n.entry.weight for n in self.groups[role])
         if role == "parent":
             rate *= sum(f not in HITS for f in self.found) / len(self.found)
         share = floor + (1 - floor) * max(0, age) / warm
@@ -400,21 +400,21 @@
     def width(self, asked, memory, caches, now):
         """Two or three caches for an object that alone asks for much of what one cache does."""
         share = sum(memory.counts[:2]) * self.work(asked) / (2 * SPAN) * len(caches)
-        return 1 + sum(share > times * HOT_SHARE * self.rate(now) > 0 for times in (1, 2))
+        hot = HOT_SHARE * self.rate(now)
+        return 1 + sum(share > times * hot > 0 for times in (1, 2))
 
     def pick(self, get, memory, now):
         """The cache by hash, passing by those where the answer would come late; and whether one would do."""
         asked = get.asked
-        caches = self.usable(self.serving("cache"), now)
+        caches = self.usable(self.groups["cache"], now)
         caches = [n for n in caches if n.index not in get.lost] or caches
         if not (caches := [n for n in caches if self.cold_room(n, asked.ds, now)]):
             return None, False
         order = ranked(caches, mixed(asked.object.to_bytes(8, "big") + asked.part.to_bytes(4, "big")))
-        slow = {n: n.as_cache.crowding(n.out - n.filling + 1, now) for n in order}
         wide = order[:self.width(asked, memory, order, now)]
-        best = min(wide, key=lambda n: (slow[n], n.busy(now) / n.entry.weight))
+        best = min(wide, key=lambda n: (n.crowding(now), n.busy(now) / n.entry.weight))
         most = AHEAD * (get.limit - now) / max(1, self.work(asked))
-        fit = next((n for n in [best, *order] if slow[n] <= max(1.0, most)), None)
+        fit = next((n for n in [best, *order] if n.crowding(now) <= max(1.0, most)), None)
         return fit or best, fit is not None
 
     def sibling(self, get, memory, cache, now):
@@ -435,12 +435,11 @@
         time: against storms on the origin and caches' places lost to a stalled source. Could harm where
         fills are late for a reason that fewer don't mend.
         """
-        parents = [n for n in self.serving("parent") if n.as_source.until <= now and n.index not in get.lost
+        parents = [n for n in self.groups["parent"] if n.as_source.until <= now and n.index not in get.lost
                    and self.cold_room(n, get.asked.ds, now)]
-        order = ranked(parents, mixed(get.asked.object.to_bytes(8, "big"))) or self.serving("origin")
-        shares = {n: self.in_time(n, now) for n in order}
-        node = next((n for n in order if shares[n] >= WELL), order[0] if order else None)
-        return node, node and self.chance(get.asked.id) < max(FLOOR, THROTTLE * shares[node])
+        order = ranked(parents, mixed(get.asked.object.to_bytes(8, "big"))) or self.groups["origin"]
+        node = next((n for n in order if self.in_time(n, now) >= WELL), order[0] if order else None)
+        return node, node and self.chance(get.asked.id) < max(FLOOR, THROTTLE * self.in_time(node, now))
 
     def may_forward(self, get, now):
         """Effects, the stated most and the retry budget. Further forwards go by revenue."""
@@ -465,11 +464,11 @@
         write = self.of_ds("runs_at_origin", asked.ds, False)
         cache, in_time = self.pick(get, memory, now)
         if write:
-            source = next(iter(self.serving("origin")), None) or self.upper(get, now)[0]
+            source = next(iter(self.groups["origin"]), None) or self.upper(get, now)[0]
             cache = source if self.get("direct") else cache
         elif cache is None:
             cache = self.upper(get, now)[0] if self.get("direct") else None
-            source = next(iter(self.serving("origin")), None)
+            source = next(iter(self.groups["origin"]), None)
         elif not in_time and self.chance(asked.id) >= PROBING:
             return None                      # it would only crowd out what can still be in time
         else:
@@ -499,7 +498,7 @@
             node.sent.append((now, self.mean_work(asked.ds)))
         cache.out += 1
         sent = Sent(cache, source, now, cache.out - cache.filling)
-        if self.role(source) != "cache" and cache is not source and cache.index not in memory.holders:
+        if source.role != "cache" and cache is not source and cache.index not in memory.holders:
             sent.filling = self.filling = self.filling + 1
             cache.filling += 1
             sent.fill = [source, now, now + self.objective(asked), None]
@@ -534,11 +533,11 @@
             if not asked.size and not write:
                 memory.spents.append(spent - waited)
                 self.spents[asked.ds].append(spent - waited)
-            if not write and self.role(cache) == "cache":
+            if not write and cache.role == "cache":
                 self.believe(memory, cache, now)
             if found in (Found.FILLED, Found.FILLED_BY_ORIGIN):
                 source.as_source.note(now, True, waited / (50 * MS))
-                if self.role(source) == "cache":
+                if source.role == "cache":
                     self.believe(memory, source, now)
         elif outcome is Outcome.MISS or found in SOURCE_FAULTS:
             # Either way the cache itself had no copy.
@@ -555,8 +554,8 @@
             get.lost.add(cache.index)
             if outcome is not Outcome.FULL and not (sent.fill and outcome is Outcome.TIMED_OUT):
                 cache.as_cache.note(now, False, 0)
-        cache.as_cache.judge([n.as_cache for n in self.serving("cache")], True, now)
-        if source is not cache and self.role(source) != "origin":
+        cache.as_cache.judge([n.as_cache for n in self.groups["cache"]], True, now)
+        if source is not cache and source.role != "origin":
             # All parents fail alike where the origin is at fault; one that can't be reached is down alone.
-            peers = [n.as_source for n in self.serving(self.role(source))]
+            peers = [n.as_source for n in self.groups[source.role]]
             source.as_source.judge(peers, outcome.never_ran, now)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -112,7 +112,7 @@
 
 def test_fronts_pick_alike_whatever_the_order_of_their_lists():
     one, other = router(), router()
-    other.nodes.reverse()
+    other.groups["cache"].reverse()
     for obj in range(50):
         picked = [made.pick(get_with(made, asked(obj=obj)), made.memory(asked(obj=obj), NOW), NOW)[0].id
                   for made in (one, other)]
@@ -133,7 +133,7 @@
     made.carried.extend((NOW - 4 * S + i * 100 * MS, 200 * MS) for i in range(40))
     memory = made.memory(asked(), NOW)
     memory.counts = [count, 0, 0]
-    assert made.width(asked(), memory, made.serving("cache"), NOW) == width
+    assert made.width(asked(), memory, made.groups["cache"], NOW) == width
 
 
 def test_a_crowded_cache_is_passed_by():
@@ -239,7 +239,7 @@
 def test_what_a_whole_list_leaves_out_is_gone():
     made = router()
     made.listed([entry(11)], True, NOW)
-    assert [n.id for n in made.serving("cache")] == [11] and not made.serving("parent")
+    assert [n.id for n in made.groups["cache"]] == [11] and not made.groups["parent"]
 
 
 @pytest.mark.parametrize("cache, sent, carried, room", [
@@ -295,7 +295,7 @@
     made = router()
     for cache in CACHES:
         node(made, cache).as_cache.until = NOW + S
-    assert len(made.usable(made.serving("cache"), NOW)) == 2
+    assert len(made.usable(made.groups["cache"], NOW)) == 2
 
 
 def test_the_origin_fills_when_no_parent_is_up():
