--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -431,15 +431,15 @@
     def upper(self, get, now):
         """A parent by hash, the origin with none up; and whether it may fetch what it lacks.
 
-        One that came late is passed by while another does well; else fetches are throttled by the share in
-        time: against storms on the origin and caches' places lost to a stalled source. Could harm where
-        fills are late for a reason that fewer don't mend.
+        One that came late or refused is passed by while another does well, all of them while the origin does.
+        Fetches are throttled by the share of the origin's that came in time: against storms on it and caches'
+        places lost to its stall. Could harm where they are late for a reason that fewer don't mend.
         """
         parents = [n for n in self.groups["parent"] if n.as_source.until <= now and n.index not in get.lost
                    and self.cold_room(n, get.asked.ds, now)]
-        order = ranked(parents, mixed(get.asked.object.to_bytes(8, "big"))) or self.groups["origin"]
+        order = [*ranked(parents, mixed(get.asked.object.to_bytes(8, "big"))), *self.groups["origin"]]
         node = next((n for n in order if self.in_time(n, now) >= WELL), order[0] if order else None)
-        return node, node and self.chance(get.asked.id) < max(FLOOR, THROTTLE * self.in_time(node, now))
+        return node, node and self.chance(get.asked.id) < max(FLOOR, THROTTLE * self.in_time(order[-1], now))
 
     def may_forward(self, get, now):
         """Effects, the stated most and the retry budget. Further forwards go by revenue."""
@@ -521,6 +521,12 @@
         if sent.fill:
             self.filling, cache.filling = self.filling - 1, max(0, cache.filling - 1)
             sent.fill[3] = good and now <= sent.fill[2]
+            if found in HITS:
+                sent.fill[2:] = -NEVER, None     # no fill: as one, it would hide that the sources fail
+            elif found in (Found.FILLED_BY_ORIGIN, Found.ORIGIN_FAILED) and self.groups["origin"]:
+                # What was late for the origin's wait speaks against the origin, not against the parent.
+                sent.fill[0] = self.groups["origin"][-1]
+                sent.fill[3] = good and now - spent + waited + self.work(asked) <= sent.fill[2]
         if not write and (asked.size or memory.spents) and good:
             slow = (spent - waited) / max(20 * MS, self.work(asked))
             if sent.fill and found in (Found.FILLED, Found.JOINED):
