The link in is judged by the load that answers tell of it, where they do

Should guard against any slow source taken for a full link; could harm where reports lag a fast crowding link.

--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -220,7 +220,7 @@
         self.waiting, self.order = [], 0     # (due, order, Get or None for a list to ask for)
         self.carried = deque(maxlen=256)     # (time, work) of the last GETs that caches returned
         self.spents = defaultdict(lambda: deque(maxlen=64))    # by delivery service, the last sending times
-        self.link, self.filling = Standing(), 0
+        self.link, self.filling, self.link_use = Standing(), 0, (0, NEVER)
         self.fills = deque(maxlen=256)       # [source, time, when late, came in time] of the last fills
         self.found = deque([Found.FILLED] * 8, maxlen=64)
         self.further = deque(maxlen=100)     # of the last forwards, which were further ones
@@ -475,7 +475,10 @@
             source, held_only = self.sibling(get, memory, cache, now)
             if source is None:
                 source, may_fetch = self.upper(get, now)
-                late = self.link.crowding(self.filling + 1, now) * self.work(asked) > get.limit - now
+                # Where the link's load is told, slow fills prove nothing: they may be their parent's fault.
+                use, told = self.link_use
+                slow = max(1.0, use) if now - told < S else self.link.crowding(self.filling + 1, now)
+                late = slow * self.work(asked) > get.limit - now
                 if source is None or cache.index not in memory.holders and late:
                     source, may_fetch = cache, False
                 # Hits go on: a look at cache and parent costs next to nothing, and a miss is then given up.
@@ -517,6 +520,8 @@
         memory, write = self.memory(asked, now), self.of_ds("runs_at_origin", asked.ds, False)
         good, cache.out = outcome is Outcome.RETURNED, max(0, cache.out - 1)
         cache.load, cache.load_at = (load, now) if load else (cache.load, cache.load_at)
+        if cache.role == "cache" and "link_use" in load:
+            self.link_use = load["link_use"], now
         get.missed = outcome is Outcome.MISS
         if sent.fill:
             self.filling, cache.filling = self.filling - 1, max(0, cache.filling - 1)
