--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -547,7 +547,7 @@
             if not write and cache.role == "cache":
                 self.believe(memory, cache, now)
             if found in (Found.FILLED, Found.FILLED_BY_ORIGIN):
-                source.as_source.note(now, True, waited / (50 * MS))
+                source.as_source.note(now, True, (spent - waited) / max(20 * MS, self.work(asked)))
                 if source.role == "cache":
                     self.believe(memory, source, now)
         elif outcome is Outcome.MISS or found in SOURCE_FAULTS:
@@ -559,7 +559,7 @@
             elif found is Found.ORIGIN_FAILED:
                 # Another way to the same origin asks more of it: only an ageing copy is worth a look.
                 get.hopeless = not self.of_ds("grace_time", asked.ds, 0)
-            elif found is Found.SOURCE_BROKEN:
+            else:
                 source.as_source.note(now, False, 0)
         elif outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
             get.lost.add(cache.index)
@@ -567,6 +567,6 @@
                 cache.as_cache.note(now, False, 0)
         cache.as_cache.judge([n.as_cache for n in self.groups["cache"]], True, now)
         if source is not cache and source.role != "origin":
-            # All parents fail alike where the origin is at fault; one that can't be reached is down alone.
+            # Parents fail alike where the origin or the load is at fault; one out of reach is down alone.
             peers = [n.as_source for n in self.groups[source.role]]
-            source.as_source.judge(peers, outcome.never_ran, now)
+            source.as_source.judge(peers, outcome.never_ran and found is Found.SOURCE_BROKEN, now)
