--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -78,10 +78,10 @@
         seen = [s[2] for s in self.fresh(now) if s[2]]
         return median(seen) if len(seen) >= 3 else None
 
-    def crowding(self, sharing, now, rank=FITS_RANK):
+    def crowding(self, sharing, now):
         """Slowness to expect. A crowded link is divided evenly: sharing over slowness is what it fits."""
         fits = sorted(s[3] / s[2] for s in self.fresh(now) if s[2] > CROWDED and s[3] > 2)
-        return max(1.0, sharing / fits[int(rank * (len(fits) - 1))]) if len(fits) >= 3 else 1.0
+        return max(1.0, sharing / fits[int(FITS_RANK * (len(fits) - 1))]) if len(fits) >= 3 else 1.0
 
     def failures(self, now):
         fresh = self.fresh(now)
@@ -475,9 +475,9 @@
             source, held_only = self.sibling(get, memory, cache, now)
             if source is None:
                 source, may_fetch = self.upper(get, now)
-                # Of a told load the best sample tells what fits: a slow one may be its parent's fault.
+                # Where the link's load is told, slow fills prove nothing: they may be their parent's fault.
                 use, told = self.link_use
-                slow = self.link.crowding(*((use, now, 1) if now - told < S else (self.filling + 1, now)))
+                slow = max(1.0, use) if now - told < S else self.link.crowding(self.filling + 1, now)
                 late = slow * self.work(asked) > get.limit - now
                 if source is None or cache.index not in memory.holders and late:
                     source, may_fetch = cache, False
@@ -502,8 +502,7 @@
         cache.out += 1
         sent = Sent(cache, source, now, cache.out - cache.filling)
         if source.role != "cache" and cache is not source and cache.index not in memory.holders:
-            self.filling += 1
-            sent.filling = self.link_use[0] if now - self.link_use[1] < S else self.filling
+            sent.filling = self.filling = self.filling + 1
             cache.filling += 1
             sent.fill = [source, now, now + self.objective(asked), None]
             self.fills.extend([] if held_only else [sent.fill])
