--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -37,6 +37,7 @@
 COLD_SAFETY = 0.5       # of a cold node's budget: the rest is for what this front can't see
 SAMPLES = 16            # outcomes that a judgement rests on
 SAMPLE_AGE = 10 * S
+LATEST = 6              # of them tell of failing: a place that hangs answers late, and few GETs a front ask it
 SLOW = 3.0              # times slower than the peers' median: set aside
 REST = 2 * S            # first rest of a node set aside; doubles while trials fail, up to eight times that
 RETRY_SHARE = 0.2       # of the last forwards may be further ones
@@ -84,7 +85,7 @@
         return max(1.0, sharing / fits[int(FITS_RANK * (len(fits) - 1))]) if len(fits) >= 3 else 1.0
 
     def failures(self, now):
-        fresh = self.fresh(now)
+        fresh = self.fresh(now)[-LATEST:]
         return sum(not s[1] for s in fresh) / len(fresh) if len(fresh) >= 3 else 0
 
     def judge(self, others, alone, now):
@@ -93,7 +94,7 @@
         if self.until > now or slow <= SLOW and share < 0.5:
             return                           # peers are looked at only where it could come to something
         rivals = [r for o in others if o is not self and (r := o.slowness(now))]
-        usual = 0 if alone else max((o.failures(now) for o in others if o is not self), default=1)
+        usual = 0 if alone else median([o.failures(now) for o in others if o is not self] or [1])
         if share >= max(0.5, 2 * usual) or rivals and slow > SLOW * max(1.0, median(rivals)):
             self.rest = min(8 * REST, max(REST, 2 * self.rest))
             self.until, self.trial = now + self.rest, True
@@ -536,8 +537,9 @@
             slow = (spent - waited) / max(20 * MS, self.work(asked))
             if sent.fill and found in (Found.FILLED, Found.JOINED):
                 self.link.note(now, good, slow, sent.filling)
-            elif found in (*HITS, Found.UNTOLD):
-                cache.as_cache.note(now, good, slow, sent.crowd)
+                cache.as_cache.note(now, good, 0)
+            else:
+                cache.as_cache.note(now, good, slow if found in (*HITS, Found.UNTOLD) else 0, sent.crowd)
         if good:
             self.found.append(found)
             self.carried.append((now, self.work(asked)))
@@ -563,9 +565,11 @@
                 source.as_source.note(now, False, 0)
         elif outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
             get.lost.add(cache.index)
-            if outcome is not Outcome.FULL and not (sent.fill and outcome is Outcome.TIMED_OUT):
+            if found is not Found.NO_FILL_PLACE:
                 cache.as_cache.note(now, False, 0)
-        cache.as_cache.judge([n.as_cache for n in self.groups["cache"]], True, now)
+        # A time-out may be the source's fault and a full cache the load's: only peers that do better tell.
+        alone = outcome not in (Outcome.TIMED_OUT, Outcome.FULL)
+        cache.as_cache.judge([n.as_cache for n in self.groups["cache"]], alone, now)
         if source is not cache and source.role != "origin":
             # Parents fail alike where the origin or the load is at fault; one out of reach is down alone.
             peers = [n.as_source for n in self.groups[source.role]]
