--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -37,6 +37,7 @@
 COLD_SAFETY = 0.5       # of a cold node's budget: the rest is for what this front can't see
 SAMPLES = 16            # outcomes that a judgement rests on
 SAMPLE_AGE = 10 * S
+HANGS = 0.8             # share failing from which what may be another's fault is laid to a place
 LATEST = 6              # of them tell of failing: a place that hangs answers late, and few GETs a front ask it
 SLOW = 3.0              # times slower than the peers' median: set aside
 REST = 2 * S            # first rest of a node set aside; doubles while trials fail, up to eight times that
@@ -95,7 +96,7 @@
             return                           # peers are looked at only where it could come to something
         rivals = [r for o in others if o is not self and (r := o.slowness(now))]
         usual = 0 if alone else median([o.failures(now) for o in others if o is not self] or [1])
-        if share >= max(0.5, 2 * usual) or rivals and slow > SLOW * max(1.0, median(rivals)):
+        if share >= (0.5 if alone else max(HANGS, 2 * usual)) or rivals and slow > SLOW * max(1.0, median(rivals)):
             self.rest = min(8 * REST, max(REST, 2 * self.rest))
             self.until, self.trial = now + self.rest, True
             self.samples.clear()
