--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -441,7 +441,10 @@
                    and self.cold_room(n, get.asked.ds, now)]
         order = [*ranked(parents, mixed(get.asked.object.to_bytes(8, "big"))), *self.groups["origin"]]
         node = next((n for n in order if self.in_time(n, now) >= WELL), order[0] if order else None)
-        return node, node and self.chance(get.asked.id) < max(FLOOR, THROTTLE * self.in_time(order[-1], now))
+        if node and self.chance(get.asked.id) < max(FLOOR, THROTTLE * self.in_time(order[-1], now)):
+            return node, True
+        # The origin holds everything: asking it for what it holds would be the fetch that is to be spared.
+        return node if node and node.role != "origin" else next(iter(parents), None), False
 
     def may_forward(self, get, now):
         """Effects, the stated most and the retry budget. Further forwards go by revenue."""
