--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -440,11 +440,12 @@
         parents = [n for n in self.groups["parent"] if n.as_source.until <= now and n.index not in get.lost
                    and self.cold_room(n, get.asked.ds, now)]
         order = [*ranked(parents, mixed(get.asked.object.to_bytes(8, "big"))), *self.groups["origin"]]
-        node = next((n for n in order if self.in_time(n, now) >= WELL), order[0] if order else None)
+        node = next((n for n in order if self.in_time(n, now) >= WELL), None)
+        node = node or max(order, key=lambda n: self.in_time(n, now), default=None)
         if node and self.chance(get.asked.id) < max(FLOOR, THROTTLE * self.in_time(order[-1], now)):
             return node, True
         # The origin holds everything: asking it for what it holds would be the fetch that is to be spared.
-        return node if node and node.role != "origin" else next(iter(parents), None), False
+        return next((n for n in [node, *order] if n and n.role != "origin"), None), False
 
     def may_forward(self, get, now):
         """Effects, the stated most and the retry budget. Further forwards go by revenue."""
