--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -440,9 +440,12 @@
         parents = [n for n in self.groups["parent"] if n.as_source.until <= now and n.index not in get.lost
                    and self.cold_room(n, get.asked.ds, now)]
         order = [*ranked(parents, mixed(get.asked.object.to_bytes(8, "big"))), *self.groups["origin"]]
-        node = next((n for n in order if self.in_time(n, now) >= WELL), None)
-        node = node or max(order, key=lambda n: self.in_time(n, now), default=None)
-        if node and self.chance(get.asked.id) < max(FLOOR, THROTTLE * self.in_time(order[-1], now)):
+        shares = [self.in_time(n, now) for n in order] or [0]
+        well = next((n for n, share in zip(order, shares, strict=False) if share >= WELL), None)
+        # Where the origin does worst the parents are not at fault: another one would lack the object too.
+        best = order[0 if shares[-1] <= min(shares) else shares.index(max(shares))] if order else None
+        node = well or best
+        if node and self.chance(get.asked.id) < max(FLOOR, THROTTLE * shares[-1]):
             return node, True
         # The origin holds everything: asking it for what it holds would be the fetch that is to be spared.
         return next((n for n in [node, *order] if n and n.role != "origin"), None), False
