--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -37,15 +37,16 @@
 COLD_SAFETY = 0.5       # of a cold node's budget: the rest is for what this front can't see
 SAMPLES = 16            # outcomes that a judgement rests on
 SAMPLE_AGE = 10 * S
-HANGS = 0.8             # share failing from which what may be another's fault is laid to a place
 LATEST = 6              # of them tell of failing: a place that hangs answers late, and few GETs a front ask it
 SLOW = 3.0              # times slower than the peers' median: set aside
+DOWN = 1 * S            # a place out of reach is left alone so long, then tried by one GET
 REST = 2 * S            # first rest of a node set aside; doubles while trials fail, up to eight times that
 RETRY_SHARE = 0.2       # of the last forwards may be further ones
 ANSWER_MARGIN = 20 * MS # kept before the end of a viewer's time and of a token's window
 
 SOURCE_FAULTS = (Found.SOURCE_REFUSED, Found.SOURCE_BROKEN, Found.ORIGIN_FAILED)
 HITS = (Found.HIT, Found.STALE_HIT)
+SOURCES_HEARD = (Found.FILLED, Found.FILLED_BY_ORIGIN, Found.SOURCE_REFUSED, Found.SOURCE_LACKS)
 
 
 def mixed(text, start=0):
@@ -96,7 +97,8 @@
             return                           # peers are looked at only where it could come to something
         rivals = [r for o in others if o is not self and (r := o.slowness(now))]
         usual = 0 if alone else median([o.failures(now) for o in others if o is not self] or [1])
-        if share >= (0.5 if alone else max(HANGS, 2 * usual)) or rivals and slow > SLOW * max(1.0, median(rivals)):
+        failing = share >= 0.5 if alone else share == 1 and usual < 0.5
+        if failing or rivals and slow > SLOW * max(1.0, median(rivals)):
             self.rest = min(8 * REST, max(REST, 2 * self.rest))
             self.until, self.trial = now + self.rest, True
             self.samples.clear()
@@ -107,6 +109,7 @@
 
     def __init__(self, index, entry, role):
         self.index, self.id, self.entry, self.role = index, entry.id, entry, role
+        self.started, self.down = entry.started, 0
         self.label = entry.id.to_bytes(8, "big")
         self.sent = deque(maxlen=256)        # (time, work) of what may reach it
         self.renewed()
@@ -117,6 +120,17 @@
         self.as_cache, self.as_source = Standing(), Standing()
         self.load, self.load_at = {}, NEVER
 
+    def heard(self, reached, now):
+        """Out of reach it is down, whatever the list says; back from there, taken for cold and empty.
+
+        Against crashes and restarts that the list tells late. Harms a cache that only ran out of connections.
+        """
+        if not reached:
+            self.down = now + DOWN
+        elif self.down:
+            self.renewed()
+            self.started, self.down = now, 0
+
     def crowding(self, now):
         return self.as_cache.crowding(self.out - self.filling + 1, now)
 
@@ -269,8 +283,9 @@
                 self.index_of[entry.id] = len(self.nodes)
                 self.nodes.append(Node(len(self.nodes), entry, roles.get(entry.kind, "cache")))
             node = self.nodes[self.index_of[entry.id]]
-            if entry.started > node.entry.started:
+            if entry.started > node.started:
                 node.renewed()
+                node.started = entry.started
             node.entry = entry
         for node in self.nodes if whole else ():
             if node.id not in seen:
@@ -322,14 +337,14 @@
         return self.table[slot]
 
     def believe(self, memory, node, now):
-        memory.holders[node.index] = (now + memory.life(), now, node.entry.started)
+        memory.holders[node.index] = (now + memory.life(), now, node.started)
 
     def holders(self, asked, memory, now):
         """Beliefs in force: {node: expiry}, the longest first. A restart or a purge voids what was before."""
         purge, kept = self.purge_time(asked), []
         for at, (expiry, since, started) in list(memory.holders.items()):
             node = self.nodes[at]
-            if (expiry > now and since > purge and started == node.entry.started
+            if (expiry > now and since > purge and started == node.started
                     and node.entry.state is State.SERVING):
                 kept.append((-expiry, at, node))
             else:
@@ -381,8 +396,8 @@
         swell it), with the stated floor and the slowest rise. One forward a window goes always, as a start.
         """
         role, kind = node.role, "parent_" if node.role == "parent" else ""
-        warm, age = self.get(f"{kind}warm_time", 0), now - node.entry.started
-        if role == "origin" or not node.entry.started or age >= warm:
+        warm, age = self.get(f"{kind}warm_time", 0), now - node.started
+        if role == "origin" or not node.started or age >= warm:
             return True
         floor, window = self.get(f"{kind}cold_share", 0.1), self.get("fall_time", S)
         spent = sum(w for t, w in node.sent if t > now - window)
@@ -395,6 +410,7 @@
 
     def usable(self, nodes, now):
         """Never more than half are set aside, whatever the samples say; a trial is one GET at a time."""
+        nodes = [n for n in nodes if n.down <= now and not (n.down and n.out)]
         aside = [n for n in nodes if n.as_cache.until > now or n.as_cache.trial and n.out]
         barred = sorted(aside, key=lambda n: (-n.as_cache.until, n.id))[:len(nodes) // 2]
         return [n for n in nodes if n not in barred]
@@ -437,7 +453,7 @@
         Fetches are throttled by the share of the origin's that came in time: against storms on it and caches'
         places lost to its stall. Could harm where they are late for a reason that fewer don't mend.
         """
-        parents = [n for n in self.groups["parent"] if n.as_source.until <= now and n.index not in get.lost
+        parents = [n for n in self.groups["parent"] if max(n.as_source.until, n.down) <= now and n.index not in get.lost
                    and self.cold_room(n, get.asked.ds, now)]
         order = [*ranked(parents, mixed(get.asked.object.to_bytes(8, "big"))), *self.groups["origin"]]
         shares = [self.in_time(n, now) for n in order] or [0]
@@ -484,9 +500,9 @@
             source, held_only = self.sibling(get, memory, cache, now)
             if source is None:
                 source, may_fetch = self.upper(get, now)
-                # Where the link's load is told, slow fills prove nothing: they may be their parent's fault.
-                use, told = self.link_use
-                slow = max(1.0, use) if now - told < S else self.link.crowding(self.filling + 1, now)
+                # Slow fills may be their parent's fault: a link told to have room is not held to be full.
+                room = self.link_use[0] < 1 and now - self.link_use[1] < S
+                slow = 1 if room else self.link.crowding(self.filling + 1, now)
                 late = slow * self.work(asked) > get.limit - now
                 if source is None or cache.index not in memory.holders and late:
                     source, may_fetch = cache, False
@@ -528,6 +544,10 @@
         asked, cache, source = get.asked, sent.cache, sent.source
         memory, write = self.memory(asked, now), self.of_ds("runs_at_origin", asked.ds, False)
         good, cache.out = outcome is Outcome.RETURNED, max(0, cache.out - 1)
+        if outcome not in (Outcome.TIMED_OUT, Outcome.CANCELLED, Outcome.NOT_SENT):
+            cache.heard(outcome is not Outcome.UNREACHABLE, now)
+        if found in SOURCES_HEARD or outcome.never_ran and found is Found.SOURCE_BROKEN:
+            source.heard(found is not Found.SOURCE_BROKEN, now)
         cache.load, cache.load_at = (load, now) if load else (cache.load, cache.load_at)
         if cache.role == "cache" and "link_use" in load:
             self.link_use = load["link_use"], now
@@ -573,11 +593,11 @@
                 source.as_source.note(now, False, 0)
         elif outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
             get.lost.add(cache.index)
-            if found is not Found.NO_FILL_PLACE:
+            if outcome is not Outcome.FULL:
                 cache.as_cache.note(now, False, 0)
-        # A time-out may be the source's fault and a full cache the load's: only peers that do better tell.
-        alone = outcome not in (Outcome.TIMED_OUT, Outcome.FULL)
-        cache.as_cache.judge([n.as_cache for n in self.groups["cache"]], alone, now)
+        # A time-out may be the source's fault: it tells of the cache where all end so and its peers' don't.
+        peers = [n.as_cache for n in self.groups["cache"]]
+        cache.as_cache.judge(peers, outcome is not Outcome.TIMED_OUT, now)
         if source is not cache and source.role != "origin":
             # Parents fail alike where the origin or the load is at fault; one out of reach is down alone.
             peers = [n.as_source for n in self.groups[source.role]]
