--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -63,36 +63,35 @@
 
 
 class Standing:
-    """A place judged by its last few samples: (time, good, slowness, how many shared it)."""
+    """A place judged by how its last GETs ended, (time, good), and its speed: (time, slowness, sharing it)."""
 
     def __init__(self):
-        self.samples = deque(maxlen=SAMPLES)
+        self.ends, self.speeds = deque(maxlen=LATEST), deque(maxlen=SAMPLES)
         self.rest, self.until, self.trial = 0, 0, False
 
-    def fresh(self, now):
-        return [s for s in self.samples if now - s[0] < SAMPLE_AGE]
-
     def note(self, now, good, slowness, sharing=0):
         if good and self.until <= now:
             self.trial, self.rest = False, 0
-        self.samples.append((now, good, slowness, sharing))
+        self.ends.append((now, good))
+        if slowness:
+            self.speeds.append((now, slowness, sharing))
 
     def slowness(self, now):
-        seen = [s[2] for s in self.fresh(now) if s[2]]
-        return median(seen) if len(seen) >= 3 else None
+        seen = [s for at, s, _ in self.speeds if now - at < SAMPLE_AGE]
+        return median(seen) if len(seen) >= 3 else 0
 
     def crowding(self, sharing, now):
         """Slowness to expect. A crowded link is divided evenly: sharing over slowness is what it fits."""
-        fits = sorted(s[3] / s[2] for s in self.fresh(now) if s[2] > CROWDED and s[3] > 2)
+        fits = sorted(n / s for at, s, n in self.speeds if s > CROWDED and n > 2 and now - at < SAMPLE_AGE)
         return max(1.0, sharing / fits[int(FITS_RANK * (len(fits) - 1))]) if len(fits) >= 3 else 1.0
 
     def failures(self, now):
-        fresh = self.fresh(now)[-LATEST:]
-        return sum(not s[1] for s in fresh) / len(fresh) if len(fresh) >= 3 else 0
+        fresh = [good for at, good in self.ends if now - at < SAMPLE_AGE]
+        return fresh.count(False) / len(fresh) if len(fresh) >= 3 else 0
 
     def judge(self, others, alone, now):
-        """Outlier ejection: far slower than its peers, or half failed (alone, or twice its peers' share)."""
-        slow, share = self.slowness(now) or 0, self.failures(now)
+        """Outlier ejection: far slower than its peers, or half failed; where it may be another's fault, all."""
+        slow, share = self.slowness(now), self.failures(now)
         if self.until > now or slow <= SLOW and share < 0.5:
             return                           # peers are looked at only where it could come to something
         rivals = [r for o in others if o is not self and (r := o.slowness(now))]
@@ -101,7 +100,8 @@
         if failing or rivals and slow > SLOW * max(1.0, median(rivals)):
             self.rest = min(8 * REST, max(REST, 2 * self.rest))
             self.until, self.trial = now + self.rest, True
-            self.samples.clear()
+            self.ends.clear()
+            self.speeds.clear()
 
 
 class Node:
