--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -10,7 +10,7 @@
 from collections import OrderedDict, defaultdict, deque
 from itertools import takewhile
 from math import log, sqrt
-from statistics import median
+from statistics import median, median_low
 from zlib import crc32
 
 from sprucegate.interface import Cancel, Errored, Forward, Found, Outcome, Shed, State, Subscribe
@@ -236,7 +236,7 @@
         self.waiting, self.order = [], 0     # (due, order, Get or None for a list to ask for)
         self.carried = deque(maxlen=256)     # (time, work) of the last GETs that caches returned
         self.spents = defaultdict(lambda: deque(maxlen=64))    # by delivery service, the last sending times
-        self.link, self.filling, self.link_use = Standing(), 0, (0, NEVER)
+        self.link, self.filling = Standing(), 0
         self.fills = deque(maxlen=256)       # [source, time, when late, came in time] of the last fills
         self.found = deque([Found.FILLED] * 8, maxlen=64)
         self.further = deque(maxlen=100)     # of the last forwards, which were further ones
@@ -500,10 +500,7 @@
             source, held_only = self.sibling(get, memory, cache, now)
             if source is None:
                 source, may_fetch = self.upper(get, now)
-                # Slow fills may be their parent's fault: a link told to have room is not held to be full.
-                room = self.link_use[0] < 1 and now - self.link_use[1] < S
-                slow = 1 if room else self.link.crowding(self.filling + 1, now)
-                late = slow * self.work(asked) > get.limit - now
+                late = self.link.crowding(self.filling + 1, now) * self.work(asked) > get.limit - now
                 if source is None or cache.index not in memory.holders and late:
                     source, may_fetch = cache, False
                 # Hits go on: a look at cache and parent costs next to nothing, and a miss is then given up.
@@ -549,8 +546,6 @@
         if found in SOURCES_HEARD or outcome.never_ran and found is Found.SOURCE_BROKEN:
             source.heard(found is not Found.SOURCE_BROKEN, now)
         cache.load, cache.load_at = (load, now) if load else (cache.load, cache.load_at)
-        if cache.role == "cache" and "link_use" in load:
-            self.link_use = load["link_use"], now
         get.missed = outcome is Outcome.MISS
         if sent.fill:
             self.filling, cache.filling = self.filling - 1, max(0, cache.filling - 1)
@@ -564,7 +559,10 @@
         if not write and (asked.size or memory.spents) and good:
             slow = (spent - waited) / max(20 * MS, self.work(asked))
             if sent.fill and found in (Found.FILLED, Found.JOINED):
-                self.link.note(now, good, slow, sent.filling)
+                # Of the slower parents' fills the link is not to blame: an ageing one would close it.
+                usual = [n.as_source.slowness(now) for n in self.groups["parent"]]
+                if source.as_source.slowness(now) <= median_low([one for one in usual if one] or [0]):
+                    self.link.note(now, good, slow, sent.filling)
                 cache.as_cache.note(now, good, 0)
             else:
                 cache.as_cache.note(now, good, slow if found in (*HITS, Found.UNTOLD) else 0, sent.crowd)
