--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -40,6 +40,7 @@
 LATEST = 6              # of them tell of failing: a place that hangs answers late, and few GETs a front ask it
 SLOW = 3.0              # times slower than the peers' median: set aside
 DOWN = 1 * S            # a place out of reach is left alone so long, then tried by one GET
+UNLIKE = 1.5            # times slower than its peers: what it is slow at is its own fault
 REST = 2 * S            # first rest of a node set aside; doubles while trials fail, up to eight times that
 RETRY_SHARE = 0.2       # of the last forwards may be further ones
 ANSWER_MARGIN = 20 * MS # kept before the end of a viewer's time and of a token's window
@@ -559,9 +560,9 @@
         if not write and (asked.size or memory.spents) and good:
             slow = (spent - waited) / max(20 * MS, self.work(asked))
             if sent.fill and found in (Found.FILLED, Found.JOINED):
-                # Of the slower parents' fills the link is not to blame: an ageing one would close it.
-                usual = [n.as_source.slowness(now) for n in self.groups["parent"]]
-                if source.as_source.slowness(now) <= median_low([one for one in usual if one] or [0]):
+                # An ageing parent's slow fills are not laid to the link, which they would close.
+                usual = median_low([s for n in self.groups["parent"] if (s := n.as_source.slowness(now))] or [9])
+                if source.as_source.slowness(now) <= UNLIKE * usual:
                     self.link.note(now, good, slow, sent.filling)
                 cache.as_cache.note(now, good, 0)
             else:
