--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -3,12 +3,12 @@
 Called: Router(settings, seed, now) once a front; listed, list_failed, purged, told and probed bring news;
 take gives a Get, whose route, ended, answering and left return what is to be done; due(now), called at
 next_due(), returns the rest. Settings are a plain map (sprucegate/wire/settings.py has the names). The
-types that cross are in sprucegate/interface.py. Nothing here reads a clock or draws from `random`.
+types that cross are in sprucegate/interface.py. No clock and no `random` in here.
 """
 
 import heapq
 from collections import OrderedDict, defaultdict, deque
-from itertools import takewhile
+from itertools import count, takewhile
 from math import log, sqrt
 from statistics import median, median_low
 from zlib import crc32
@@ -37,7 +37,7 @@
 COLD_SAFETY = 0.5       # of a cold node's budget: the rest is for what this front can't see
 SAMPLES = 16            # outcomes that a judgement rests on
 SAMPLE_AGE = 10 * S
-LATEST = 6              # of them tell of failing: a place that hangs answers late, and few GETs a front ask it
+LATEST = 6              # ends that tell of failing: a hanging place answers late, and a front asks it little
 SLOW = 3.0              # times slower than the peers' median: set aside
 DOWN = 1 * S            # a place out of reach is left alone so long, then tried by one GET
 UNLIKE = 1.5            # times slower than its peers: what it is slow at is its own fault
@@ -46,8 +46,7 @@
 ANSWER_MARGIN = 20 * MS # kept before the end of a viewer's time and of a token's window
 
 SOURCE_FAULTS = (Found.SOURCE_REFUSED, Found.SOURCE_BROKEN, Found.ORIGIN_FAILED)
-HITS = (Found.HIT, Found.STALE_HIT)
-SOURCES_HEARD = (Found.FILLED, Found.FILLED_BY_ORIGIN, Found.SOURCE_REFUSED, Found.SOURCE_LACKS)
+HITS, FILLS = (Found.HIT, Found.STALE_HIT), (Found.FILLED, Found.FILLED_BY_ORIGIN)
 
 
 def mixed(text, start=0):
@@ -64,7 +63,7 @@
 
 
 class Standing:
-    """A place judged by how its last GETs ended, (time, good), and its speed: (time, slowness, sharing it)."""
+    """A place judged by its last ends, (time, good), and speeds, (time, slowness, how many shared it)."""
 
     def __init__(self):
         self.ends, self.speeds = deque(maxlen=LATEST), deque(maxlen=SAMPLES)
@@ -91,7 +90,7 @@
         return fresh.count(False) / len(fresh) if len(fresh) >= 3 else 0
 
     def judge(self, others, alone, now):
-        """Outlier ejection: far slower than its peers, or half failed; where it may be another's fault, all."""
+        """Outlier ejection: far slower than peers, or half failed; all, where it may be another's fault."""
         slow, share = self.slowness(now), self.failures(now)
         if self.until > now or slow <= SLOW and share < 0.5:
             return                           # peers are looked at only where it could come to something
@@ -106,12 +105,9 @@
 
 
 class Node:
-    """A cache, parent or origin as this front sees it."""
-
     def __init__(self, index, entry, role):
         self.index, self.id, self.entry, self.role = index, entry.id, entry, role
-        self.started, self.down = entry.started, 0
-        self.label = entry.id.to_bytes(8, "big")
+        self.label, self.started, self.down = entry.id.to_bytes(8, "big"), entry.started, 0
         self.sent = deque(maxlen=256)        # (time, work) of what may reach it
         self.renewed()
 
@@ -122,10 +118,8 @@
         self.load, self.load_at = {}, NEVER
 
     def heard(self, reached, now):
-        """Out of reach it is down, whatever the list says; back from there, taken for cold and empty.
-
-        Against crashes and restarts that the list tells late. Harms a cache that only ran out of connections.
-        """
+        # Against crashes and restarts that the list tells late: out of reach it is down, back from there it
+        # is taken for cold and empty. Harms a cache that only ran out of connections.
         if not reached:
             self.down = now + DOWN
         elif self.down:
@@ -140,8 +134,6 @@
 
 
 class Memory:
-    """One object: GETs in the running span and the two before, and who is believed to hold it."""
-
     def __init__(self, span):
         self.span, self.counts, self.failed_at = span, [0, 0, 0], NEVER
         self.holders = {}                    # node index -> (expiry, since, the holder's start)
@@ -162,49 +154,37 @@
 
 
 class Sent:
-    """One forward: where it went, how many it shared the cache and the link with."""
-
     def __init__(self, cache, source, now, crowd):
         self.cache, self.source, self.at, self.crowd, self.filling = cache, source, now, crowd, 0
         self.open, self.outcome, self.fill = True, None, None
 
 
 class Get:
-    """One GET from its taking to its last outcome."""
-
     def __init__(self, router, asked, now):
         self.router, self.asked, self.limit = router, asked, now + router.objective(asked)
-        self.due = now + asked.ttl - ANSWER_MARGIN
-        self.forwards = []
+        self.due, self.forwards = now + asked.ttl - ANSWER_MARGIN, []
         self.done = self.streaming = self.missed = self.hopeless = False
         self.lost = set()                    # indices of nodes that did not serve or fill it
 
     def open(self):
         return [n for n, f in enumerate(self.forwards) if f.open]
 
-    @property
     def settled(self):
         return self.done and not self.open()
 
     def route(self, now):
-        """The next forward, or the final answer."""
         if self.done or self.streaming:
             return []
-        forward = self.router.plan(self, now)
-        return [forward] if forward else self.give_up(now)
+        return [forward] if (forward := self.router.plan(self, now)) else self.give_up(now)
 
     def risky(self):
-        """The first forward that may have run, or may yet."""
         return next((f for f in self.forwards if f.open or not f.outcome.never_ran), None)
 
     def give_up(self, now):
-        """Answer at once: shed where a repeat is harmless, errored otherwise."""
-        self.done = True
-        router, ds = self.router, self.asked.ds
+        self.done, router, ds = True, self.router, self.asked.ds
         router.memory(self.asked, now).failed_at = now
-        effect = router.of_ds("effect", ds, "idempotent")
-        tokened = effect == "tokened" and router.of_ds("token_group", ds, "all") == "all"
-        harmless = effect == "idempotent" or tokened or self.risky() is None
+        effect, group = router.of_ds("effect", ds, "idempotent"), router.of_ds("token_group", ds, "all")
+        harmless = effect == "idempotent" or effect == "tokened" and group == "all" or self.risky() is None
         later = router.get("max_retry_after", 0) if router.get("retry_after") else 0
         return [Shed(later) if harmless else Errored(), *self.cancel_open()]
 
@@ -234,7 +214,7 @@
         self.nodes, self.index_of, self.groups = [], {}, defaultdict(list)
         self.table, self.slot_of = [], OrderedDict()
         self.purges = {}                     # ("object", id) or ("group", number) -> time of the purge
-        self.waiting, self.order = [], 0     # (due, order, Get or None for a list to ask for)
+        self.waiting, self.order = [], count()   # (due, order, Get or None for a list to ask for)
         self.carried = deque(maxlen=256)     # (time, work) of the last GETs that caches returned
         self.spents = defaultdict(lambda: deque(maxlen=64))    # by delivery service, the last sending times
         self.link, self.filling = Standing(), 0
@@ -276,10 +256,9 @@
         return (sum(own) + LEAN * shared) / (len(own) + LEAN)
 
     def listed(self, entries, whole, now):
-        seen = set()
+        seen = {entry.id for entry in entries}
         roles = {self.get("parent_kind", -1): "parent", self.get("origin_kind", -1): "origin"}
         for entry in entries:
-            seen.add(entry.id)
             if entry.id not in self.index_of:
                 self.index_of[entry.id] = len(self.nodes)
                 self.nodes.append(Node(len(self.nodes), entry, roles.get(entry.kind, "cache")))
@@ -291,8 +270,7 @@
         for node in self.nodes if whole else ():
             if node.id not in seen:
                 node.entry = node.entry._replace(state=State.GONE)
-        # What may be named, as cache or as source: draining and gone ones stop counting at once. Grouped
-        # once a list, as a walk over the fleet for each GET would be the dearest part of it.
+        # Grouped once a list: a walk over the fleet for each GET would be the dearest part of it.
         here, self.groups = self.get("my_location", 0), defaultdict(list)
         for node in self.nodes:
             if node.entry.state is State.SERVING and (node.role != "cache" or node.entry.location == here):
@@ -303,8 +281,7 @@
             self.remind(now + S, None)       # later, so that a busy discovery can recover
 
     def remind(self, when, get):
-        self.order += 1
-        heapq.heappush(self.waiting, (when, self.order, get))
+        heapq.heappush(self.waiting, (when, next(self.order), get))
 
     def purged(self, obj, group, age, now):
         # Beliefs from before a purge are void too, and may outlive the old copies by the cap.
@@ -326,14 +303,12 @@
         return limit
 
     def memory(self, asked, now):
-        """The object's place in a bounded table, from which the longest unasked goes first."""
         key = (asked.object, asked.part)
-        slot = self.slot_of.get(key)
+        slot = self.slot_of.pop(key, None)
         if slot is None:
             slot = self.slot_of.popitem(last=False)[1] if len(self.table) >= TABLE else len(self.table)
             self.table[slot:slot + 1] = [Memory(now // SPAN)]
         self.slot_of[key] = slot
-        self.slot_of.move_to_end(key)
         self.table[slot].roll(now // SPAN)
         return self.table[slot]
 
@@ -342,24 +317,18 @@
 
     def holders(self, asked, memory, now):
         """Beliefs in force: {node: expiry}, the longest first. A restart or a purge voids what was before."""
-        purge, kept = self.purge_time(asked), []
-        for at, (expiry, since, started) in list(memory.holders.items()):
-            node = self.nodes[at]
-            if (expiry > now and since > purge and started == node.started
-                    and node.entry.state is State.SERVING):
-                kept.append((-expiry, at, node))
-            else:
-                del memory.holders[at]
-        return {node: -expiry for expiry, _, node in sorted(kept, key=lambda k: k[:2])}
+        purge = self.purge_time(asked)
+        kept = [(-expiry, at) for at, (expiry, since, started) in memory.holders.items()
+                if expiry > now and since > purge and started == self.nodes[at].started
+                and self.nodes[at].entry.state is State.SERVING]
+        memory.holders = {at: memory.holders[at] for _, at in kept}
+        return {self.nodes[at]: -expiry for expiry, at in sorted(kept)}
 
     def take(self, asked, now):
-        self.now = now
-        memory = self.memory(asked, now)
-        # Repeats swell counts and stretch beliefs. Where clients don't mark them, a GET soon after this
-        # front gave the same object up is taken for one.
+        self.now, memory = now, self.memory(asked, now)
+        # Repeats stretch beliefs. Unmarked ones are told by how soon they follow a GET given up here.
         memory.counts[0] += not asked.repeat and now - memory.failed_at > 2 * S
-        if asked.size:
-            self.spents[asked.ds].append(self.work(asked))
+        self.spents[asked.ds].extend([self.work(asked)] if asked.size else [])
         memory.failed_at, get = NEVER, Get(self, asked, now)
         self.remind(get.due, get)
         return get
@@ -370,7 +339,6 @@
         return 0 if self.asks else self.waiting[0][0] if self.waiting else None
 
     def due(self, now):
-        """What time alone decides: GETs whose answer is owed now, and what is asked of the host."""
         said, self.asks = [(None, self.asks)], []
         while self.waiting and self.waiting[0][0] <= now:
             get = heapq.heappop(self.waiting)[2]
@@ -382,20 +350,14 @@
         """Fronts tell each other nothing yet: what a peer says is passed over."""
 
     def probed(self, cache, outcome, spent, load, now):
-        if load and cache in self.index_of:
-            node = self.nodes[self.index_of[cache]]
-            node.load, node.load_at = load, now
+        """Nothing is probed yet, so nothing comes of this."""
 
     def rate(self, now):
-        """Work that caches return to this front, in sending time over time."""
         return sum(w for _, w in self.carried) / max(S, now - self.carried[0][0]) if self.carried else 0
 
     def cold_room(self, node, ds, now):
-        """May one more forward or fill go there? A cold node has a budget; this front takes its part.
-
-        Its capacity is never told: what the warm ones return is the guide (what is asked is none, repeats
-        swell it), with the stated floor and the slowest rise. One forward a window goes always, as a start.
-        """
+        # A cold node's capacity is never told: what warm ones return is the guide (what is asked is none, as
+        # repeats swell it), with the stated floor and the slowest rise. One a window goes always, as a start.
         role, kind = node.role, "parent_" if node.role == "parent" else ""
         warm, age = self.get(f"{kind}warm_time", 0), now - node.started
         if role == "origin" or not node.started or age >= warm:
@@ -403,8 +365,7 @@
         floor, window = self.get(f"{kind}cold_share", 0.1), self.get("fall_time", S)
         spent = sum(w for t, w in node.sent if t > now - window)
         rate = self.rate(now) * node.entry.weight / sum(n.entry.weight for n in self.groups[role])
-        if role == "parent":
-            rate *= sum(f not in HITS for f in self.found) / len(self.found)
+        rate *= sum(f not in HITS for f in self.found) / len(self.found) if role == "parent" else 1
         share = floor + (1 - floor) * max(0, age) / warm
         budget = COLD_SAFETY * self.get(f"{kind}fall_multiple", 2) * share * rate * window
         return not spent or spent + self.mean_work(ds) <= budget
@@ -417,7 +378,6 @@
         return [n for n in nodes if n not in barred]
 
     def width(self, asked, memory, caches, now):
-        """Two or three caches for an object that alone asks for much of what one cache does."""
         share = sum(memory.counts[:2]) * self.work(asked) / (2 * SPAN) * len(caches)
         hot = HOT_SHARE * self.rate(now)
         return 1 + sum(share > times * hot > 0 for times in (1, 2))
@@ -437,11 +397,10 @@
         return fit or best, fit is not None
 
     def sibling(self, get, memory, cache, now):
-        """A believed holder other than the cache itself, and whether its belief is to be rechecked."""
         allowed = self.get("siblings", "none")
         for node, expiry in self.holders(get.asked, memory, now).items():
-            if (node is not cache and node.index not in get.lost and allowed != "none"
-                    and (allowed == "any" or node.entry.location == cache.entry.location)
+            near = allowed == "location" and node.entry.location == cache.entry.location
+            if (node is not cache and node.index not in get.lost and (near or allowed == "any")
                     and max(node.as_source.until, node.as_cache.until) <= now
                     and self.cold_room(node, get.asked.ds, now)):
                 return node, expiry - now <= MARGIN
@@ -450,33 +409,30 @@
     def upper(self, get, now):
         """A parent by hash, the origin with none up; and whether it may fetch what it lacks.
 
-        One that came late or refused is passed by while another does well, all of them while the origin does.
-        Fetches are throttled by the share of the origin's that came in time: against storms on it and caches'
-        places lost to its stall. Could harm where they are late for a reason that fewer don't mend.
+        One that came late or refused is passed by for another that does well, or the origin. Fetches are let
+        through by the share of the origin's in time: against storms on it and places lost to its stall. Could
+        harm where they are late for a reason that fewer don't mend.
         """
-        parents = [n for n in self.groups["parent"] if max(n.as_source.until, n.down) <= now and n.index not in get.lost
-                   and self.cold_room(n, get.asked.ds, now)]
+        parents = [n for n in self.groups["parent"] if max(n.as_source.until, n.down) <= now
+                   and n.index not in get.lost and self.cold_room(n, get.asked.ds, now)]
         order = [*ranked(parents, mixed(get.asked.object.to_bytes(8, "big"))), *self.groups["origin"]]
         shares = [self.in_time(n, now) for n in order] or [0]
-        well = next((n for n, share in zip(order, shares, strict=False) if share >= WELL), None)
+        at = next((at for at, share in enumerate(shares) if share >= WELL), shares.index(max(shares)))
         # Where the origin does worst the parents are not at fault: another one would lack the object too.
-        best = order[0 if shares[-1] <= min(shares) else shares.index(max(shares))] if order else None
-        node = well or best
+        node = order[at if shares[at] >= WELL or shares[-1] > min(shares) else 0] if order else None
         if node and self.chance(get.asked.id) < max(FLOOR, THROTTLE * shares[-1]):
             return node, True
         # The origin holds everything: asking it for what it holds would be the fetch that is to be spared.
         return next((n for n in [node, *order] if n and n.role != "origin"), None), False
 
     def may_forward(self, get, now):
-        """Effects, the stated most and the retry budget. Further forwards go by revenue."""
         asked, sent = get.asked, len(get.forwards)
         if get.hopeless or now >= get.due or sent >= self.get("max_forwards", 1 << 30):
             return False
         effect, risky = self.of_ds("effect", asked.ds, "idempotent"), get.risky()
-        if risky is not None and effect != "idempotent":
-            window = self.of_ds("token_window", asked.ds, 0) - ANSWER_MARGIN
-            if effect != "tokened" or now - risky.at >= window:
-                return False
+        window = self.of_ds("token_window", asked.ds, 0) - ANSWER_MARGIN if effect == "tokened" else 0
+        if risky is not None and effect != "idempotent" and now - risky.at >= window:
+            return False
         top = max([r for r in self.get("revenue", ()) if r], default=1)
         if sent > 1 + int(2 * self.of_ds("revenue", asked.ds, 0) / top):
             return False
@@ -538,16 +494,15 @@
             renew=bool(self.of_ds("fresh_time", asked.ds, 0)) and not get.hopeless)
 
     def learn(self, get, sent, outcome, found, spent, waited, load, now):
-        self.now = now
-        asked, cache, source = get.asked, sent.cache, sent.source
+        self.now, asked, cache, source = now, get.asked, sent.cache, sent.source
         memory, write = self.memory(asked, now), self.of_ds("runs_at_origin", asked.ds, False)
-        good, cache.out = outcome is Outcome.RETURNED, max(0, cache.out - 1)
+        good, get.missed = outcome is Outcome.RETURNED, outcome is Outcome.MISS
+        cache.out = max(0, cache.out - 1)
         if outcome not in (Outcome.TIMED_OUT, Outcome.CANCELLED, Outcome.NOT_SENT):
             cache.heard(outcome is not Outcome.UNREACHABLE, now)
-        if found in SOURCES_HEARD or outcome.never_ran and found is Found.SOURCE_BROKEN:
-            source.heard(found is not Found.SOURCE_BROKEN, now)
+        if found in FILLS or outcome.never_ran and found is Found.SOURCE_BROKEN:
+            source.heard(found in FILLS, now)
         cache.load, cache.load_at = (load, now) if load else (cache.load, cache.load_at)
-        get.missed = outcome is Outcome.MISS
         if sent.fill:
             self.filling, cache.filling = self.filling - 1, max(0, cache.filling - 1)
             sent.fill[3] = good and now <= sent.fill[2]
@@ -557,16 +512,14 @@
                 # What was late for the origin's wait speaks against the origin, not against the parent.
                 sent.fill[0] = self.groups["origin"][-1]
                 sent.fill[3] = good and now - spent + waited + self.work(asked) <= sent.fill[2]
-        if not write and (asked.size or memory.spents) and good:
-            slow = (spent - waited) / max(20 * MS, self.work(asked))
-            if sent.fill and found in (Found.FILLED, Found.JOINED):
-                # An ageing parent's slow fills are not laid to the link, which they would close.
-                usual = median_low([s for n in self.groups["parent"] if (s := n.as_source.slowness(now))] or [9])
-                if source.as_source.slowness(now) <= UNLIKE * usual:
-                    self.link.note(now, good, slow, sent.filling)
-                cache.as_cache.note(now, good, 0)
-            else:
-                cache.as_cache.note(now, good, slow if found in (*HITS, Found.UNTOLD) else 0, sent.crowd)
+        slow = (spent - waited) / max(20 * MS, self.work(asked))
+        if good and not write and (asked.size or memory.spents):
+            cache.as_cache.note(now, good, slow if found in (*HITS, Found.UNTOLD) else 0, sent.crowd)
+            # An ageing parent's slow fills are not laid to the link, which they would close.
+            usual = median_low([s for n in self.groups["parent"] if (s := n.as_source.slowness(now))] or [9])
+            if (sent.fill and found in (Found.FILLED, Found.JOINED)
+                    and source.as_source.slowness(now) <= UNLIKE * usual):
+                self.link.note(now, good, slow, sent.filling)
         if good:
             self.found.append(found)
             self.carried.append((now, self.work(asked)))
@@ -575,7 +528,7 @@
                 self.spents[asked.ds].append(spent - waited)
             if not write and cache.role == "cache":
                 self.believe(memory, cache, now)
-            if found in (Found.FILLED, Found.FILLED_BY_ORIGIN):
+            if found in FILLS:
                 source.as_source.note(now, True, (spent - waited) / max(20 * MS, self.work(asked)))
                 if source.role == "cache":
                     self.believe(memory, source, now)
--- a/sprucegate/wire/host.py
+++ b/sprucegate/wire/host.py
@@ -49,7 +49,7 @@
                 case interface.Subscribe():
                     line = f"track\ti={instance}\ton=1"
             self.out.append(line)
-        if handle is not None and handle.settled:
+        if handle is not None and handle.settled():
             self.gets.pop(key, None)
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -139,7 +139,7 @@
 def test_a_crowded_cache_is_passed_by():
     made = router()
     first = made.pick(get_with(made, asked()), made.memory(asked(), NOW), NOW)[0]
-    first.as_cache.samples.extend((NOW, True, 6.0, 12) for _ in range(4))
+    first.as_cache.speeds.extend((NOW, 6.0, 12) for _ in range(4))
     first.out = 40
     second, in_time = made.pick(get_with(made, asked()), made.memory(asked(), NOW), NOW)
     assert second is not first and in_time
@@ -149,7 +149,7 @@
     made = router()
     made.chance = lambda text: 0.99
     for cache in CACHES:
-        node(made, cache).as_cache.samples.extend((NOW, True, 6.0, 12) for _ in range(4))
+        node(made, cache).as_cache.speeds.extend((NOW, 6.0, 12) for _ in range(4))
         node(made, cache).out = 40
     assert get_with(made, asked()).route(NOW) == [Shed(S)]
 
@@ -159,7 +159,7 @@
 def test_fills_are_throttled_by_their_success(results, held, looks):
     made = router()
     made.chance = lambda text: 0.5
-    for source in PARENTS:
+    for source in (*PARENTS, ORIGIN):
         made.fills.extend([node(made, source), NOW - S, NOW, good] for good in results)
     believed(made, asked(), *(CACHES if held else ()))
     sent = made.plan(get_with(made, asked()), NOW)
@@ -275,19 +275,23 @@
     assert made.oldest(asked(ds=0), True, NOW) == 0
 
 
-@pytest.mark.parametrize("mine, others, aside", [
-    ([(True, 1.0)] * 6, 1.0, False),
-    ([(True, 5.0)] * 6, 1.0, True),             # far slower than its peers
-    ([(True, 5.0)] * 6, 4.0, False),            # all are slow: nobody is an outlier
-    ([(False, 0)] * 3, 1.0, True),              # errors
-    ([(True, 1.0)] * 4 + [(False, 0)] * 3, 1.0, False),
+@pytest.mark.parametrize("ends, speed, peers_good, peers_speed, alone, aside", [
+    ([True] * 6, 1.0, True, 1.0, True, False),
+    ([True] * 6, 5.0, True, 1.0, True, True),               # far slower than its peers
+    ([True] * 6, 5.0, True, 4.0, True, False),              # all are slow: nobody is an outlier
+    ([False] * 3, 0, True, 1.0, True, True),                # errors
+    ([True] * 4 + [False] * 2, 1.0, True, 1.0, True, False),
+    ([True] * 3 + [False] * 3, 0, True, 1.0, False, False),  # time-outs may be the source's fault
+    ([False] * 6, 0, True, 1.0, False, True),               # but not where nothing else comes: it hangs
+    ([False] * 6, 0, False, 1.0, False, False),             # nor where its peers' GETs end so too
 ])
-def test_outliers_are_set_aside(mine, others, aside):
+def test_outliers_are_set_aside(ends, speed, peers_good, peers_speed, alone, aside):
     one, rivals = Standing(), [Standing(), Standing()]
-    one.samples.extend((NOW, good, slow, 1) for good, slow in mine)
-    for rival in rivals:
-        rival.samples.extend((NOW, True, others, 1) for _ in range(4))
-    one.judge([one, *rivals], True, NOW)
+    for good in ends:
+        one.note(NOW, good, speed)
+    for rival in rivals * 4:
+        rival.note(NOW, peers_good, peers_speed)
+    one.judge([one, *rivals], alone, NOW)
     assert (one.until > NOW) is aside
 
 
@@ -308,15 +312,72 @@
     assert made.pick(get_with(made, asked()), made.memory(asked(), NOW), NOW)[1]
 
 
-@pytest.mark.parametrize("filled, outcome, found, samples", [
-    (True, Outcome.RETURNED, Found.HIT, [True]),
-    (True, Outcome.RETURNED, Found.FILLED_BY_ORIGIN, []),      # tells of the origin, not of the cache
-    (True, Outcome.TIMED_OUT, Found.UNTOLD, []),
-    (False, Outcome.TIMED_OUT, Found.UNTOLD, [False]),         # a silent cache
+@pytest.mark.parametrize("outcome, found, ends, speeds", [
+    (Outcome.RETURNED, Found.HIT, [True], 1),
+    (Outcome.RETURNED, Found.FILLED_BY_ORIGIN, [True], 0),     # its speed tells of the origin, not of the cache
+    (Outcome.TIMED_OUT, Found.UNTOLD, [False], 0),
+    (Outcome.FULL, Found.UNTOLD, [], 0),                       # load, not a fault
 ])
-def test_a_slow_fill_is_not_laid_to_the_cache(filled, outcome, found, samples):
+def test_a_slow_fill_is_not_laid_to_the_cache(outcome, found, ends, speeds):
     made = router()
     get = get_with(made, asked(size=100), None)
-    get.forwards[0].fill = [node(made, 21), NOW, NOW, None] if filled else None
+    get.forwards[0].fill = [node(made, 21), NOW, NOW, None]
     made.learn(get, get.forwards[0], outcome, found, S, 0, {}, NOW)
-    assert [s[1] for s in node(made, 11).as_cache.samples] == samples
+    standing = node(made, 11).as_cache
+    assert ([good for _, good in standing.ends], len(standing.speeds)) == (ends, speeds)
+
+
+@pytest.mark.parametrize("slowness, noted", [(1.0, 1), (5.0, 0)])
+def test_an_ageing_parents_fills_say_nothing_of_the_link(slowness, noted):
+    made = router(client_kb_per_s=1000)
+    for parent, slow in zip(PARENTS, (slowness, 1.0), strict=True):
+        node(made, parent).as_source.speeds.extend((NOW, slow, 0) for _ in range(4))
+    get = get_with(made, asked(size=100), None)
+    get.forwards[0].fill = [node(made, 21), NOW, NOW, None]
+    made.learn(get, get.forwards[0], Outcome.RETURNED, Found.FILLED, S, 0, {}, NOW)
+    assert len(made.link.speeds) == noted
+
+
+def test_a_cache_out_of_reach_is_left_alone_then_tried_and_taken_for_cold():
+    made = router()
+    get = get_with(made, asked(), None, None)
+    made.learn(get, get.forwards[0], Outcome.UNREACHABLE, Found.UNTOLD, MS, 0, {}, NOW)
+    assert node(made, 11) not in made.usable(made.groups["cache"], NOW + MS)
+    assert node(made, 11) in made.usable(made.groups["cache"], NOW + 2 * S)
+    believed(made, asked(), 11)
+    made.learn(get, get.forwards[1], Outcome.RETURNED, Found.HIT, MS, 0, {}, NOW + 2 * S)
+    assert node(made, 11).started == NOW + 2 * S
+    assert node(made, 12).started == 0
+
+
+@pytest.mark.parametrize("outcome, found, waited, blamed, good", [
+    (Outcome.RETURNED, Found.HIT, 0, 21, None),                        # no fill at all
+    (Outcome.RETURNED, Found.FILLED, 100 * MS, 21, False),             # the parent's own copy came late
+    (Outcome.RETURNED, Found.FILLED_BY_ORIGIN, 100 * MS, 31, True),    # the parent was slow, its fetch was not
+    (Outcome.RETURNED, Found.FILLED_BY_ORIGIN, S, 31, False),
+    (Outcome.FULL, Found.ORIGIN_FAILED, 0, 31, False),
+    (Outcome.FULL, Found.SOURCE_REFUSED, 0, 21, False),
+])
+def test_a_late_fill_is_laid_to_the_one_who_made_it_late(outcome, found, waited, blamed, good):
+    made = router(client_kb_per_s=1000)
+    get = get_with(made, asked(size=100), None)
+    get.forwards[0].fill = fill = [node(made, 21), NOW - 2 * S, NOW - S, None]
+    made.learn(get, get.forwards[0], outcome, found, 2 * S, waited, {}, NOW)
+    assert (fill[0].id, fill[3]) == (blamed, good)
+    assert good is not None or made.in_time(node(made, 21), NOW) == 1
+
+
+@pytest.mark.parametrize("parents, origin, source", [
+    ([True], [True], 21), ([False], [True], ORIGIN), ([False], [False], 21)])
+def test_the_origin_stands_in_for_failing_parents_while_it_does_well(parents, origin, source):
+    made = router()
+    made.fills.extend([node(made, by), NOW - S, NOW, good] for good in parents * 20 for by in PARENTS)
+    made.fills.extend([node(made, ORIGIN), NOW - S, NOW, good] for good in origin * 20)
+    assert made.upper(get_with(made, asked(obj=3)), NOW)[0].id in (source, 22 if source == 21 else source)
+
+
+def test_a_throttled_get_never_looks_at_the_origin():
+    made = router([entry(c, State.GONE) for c in PARENTS])
+    made.chance = lambda text: 0.99
+    made.fills.extend([node(made, ORIGIN), NOW - S, NOW, False] for _ in range(20))
+    assert made.upper(get_with(made, asked()), NOW) == (None, False)
