--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -34,7 +34,7 @@
 FLOOR = 0.3             # of the fills go on whatever comes of them: late ones still leave copies for others
 LEAN = 4                # samples that the share of all sources weighs against a source's own
 PROBING = 0.08          # of what looks hopeless is tried all the same, or nothing would show that it passed
-COLD_SAFETY = 0.5       # of a cold node's budget, counted up to twice what it can do: more would only wait
+COLD_SAFETY = 0.5       # of a cold node's budget: the rest is for what this front can't see
 SAMPLES = 16            # outcomes that a judgement rests on
 SAMPLE_AGE = 10 * S
 LATEST = 6              # ends that tell of failing: a hanging place answers late, and a front asks it little
@@ -367,7 +367,7 @@
         rate = self.rate(now) * node.entry.weight / sum(n.entry.weight for n in self.groups[role])
         rate *= sum(f not in HITS for f in self.found) / len(self.found) if role == "parent" else 1
         share = floor + (1 - floor) * max(0, age) / warm
-        budget = COLD_SAFETY * min(2, self.get(f"{kind}fall_multiple", 2)) * share * rate * window
+        budget = COLD_SAFETY * self.get(f"{kind}fall_multiple", 2) * share * rate * window
         return not spent or spent + self.mean_work(ds) <= budget
 
     def usable(self, nodes, now):
