--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -217,7 +217,7 @@
         self.waiting, self.order = [], count()   # (due, order, Get or None for a list to ask for)
         self.carried = deque(maxlen=256)     # (time, work) of the last GETs that caches returned
         self.spents = defaultdict(lambda: deque(maxlen=64))    # by delivery service, the last sending times
-        self.link, self.filling = Standing(), 0
+        self.link, self.filling, self.link_use = Standing(), 0, (0, NEVER)
         self.fills = deque(maxlen=256)       # [source, time, when late, came in time] of the last fills
         self.found = deque([Found.FILLED] * 8, maxlen=64)
         self.further = deque(maxlen=100)     # of the last forwards, which were further ones
@@ -457,7 +457,9 @@
             source, held_only = self.sibling(get, memory, cache, now)
             if source is None:
                 source, may_fetch = self.upper(get, now)
-                late = self.link.crowding(self.filling + 1, now) * self.work(asked) > get.limit - now
+                # This front's fills are few of those in the link: a load told of it counts where it is higher.
+                use = self.link_use[0] if now - self.link_use[1] < S else 0
+                late = max(use, self.link.crowding(self.filling + 1, now)) * self.work(asked) > get.limit - now
                 if source is None or cache.index not in memory.holders and late:
                     source, may_fetch = cache, False
                 # Hits go on: a look at cache and parent costs next to nothing, and a miss is then given up.
@@ -503,6 +505,8 @@
         if found in FILLS or outcome.never_ran and found is Found.SOURCE_BROKEN:
             source.heard(found in FILLS, now)
         cache.load, cache.load_at = (load, now) if load else (cache.load, cache.load_at)
+        if cache.role == "cache" and "link_use" in load:
+            self.link_use = load["link_use"], now
         if sent.fill:
             self.filling, cache.filling = self.filling - 1, max(0, cache.filling - 1)
             sent.fill[3] = good and now <= sent.fill[2]
