--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -458,7 +458,7 @@
             if source is None:
                 source, may_fetch = self.upper(get, now)
                 # This front's fills are few of those in the link: a load told of it counts where it is higher.
-                use = self.link_use[0] if now - self.link_use[1] < S else 0
+                use = self.link_use[0] / 2 if now - self.link_use[1] < S else 0
                 late = max(use, self.link.crowding(self.filling + 1, now)) * self.work(asked) > get.limit - now
                 if source is None or cache.index not in memory.holders and late:
                     source, may_fetch = cache, False
