--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -127,11 +127,10 @@
             self.started, self.down = now, 0
 
     def crowding(self, now):
-        return self.as_cache.crowding(self.busy(now), now)
+        return self.as_cache.crowding(self.out - self.filling + 1, now)
 
     def busy(self, now):
-        # Among many fronts a front's own GETs are few of a cache's: a told load counts where it is higher.
-        return max(self.out - self.filling, self.load.get("inflight", 0) if now - self.load_at < S else 0) + 1
+        return max(self.out, self.load.get("inflight", 0) if now - self.load_at < S else 0)
 
 
 class Memory:
@@ -481,7 +480,8 @@
         asked, number, write = get.asked, len(get.forwards), self.of_ds("runs_at_origin", get.asked.ds, False)
         for node in [cache, source][:1 + (source is not cache)]:
             node.sent.append((now, self.mean_work(asked.ds)))
-        sent, cache.out = Sent(cache, source, now, cache.busy(now)), cache.out + 1
+        cache.out += 1
+        sent = Sent(cache, source, now, cache.out - cache.filling)
         if source.role != "cache" and cache is not source and cache.index not in memory.holders:
             sent.filling = self.filling = self.filling + 1
             cache.filling += 1
