--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -37,7 +37,6 @@
 COLD_SAFETY = 0.5       # of a cold node's budget: the rest is for what this front can't see
 SAMPLES = 16            # outcomes that a judgement rests on
 SAMPLE_AGE = 10 * S
-LATELY = 3 * S
 LATEST = 6              # ends that tell of failing: a hanging place answers late, and a front asks it little
 SLOW = 3.0              # times slower than the peers' median: set aside
 DOWN = 1 * S            # a place out of reach is left alone so long, then tried by one GET
@@ -84,10 +83,7 @@
     def crowding(self, sharing, now):
         """Slowness to expect. A crowded link is divided evenly: sharing over slowness is what it fits."""
         fits = sorted(n / s for at, s, n in self.speeds if s > CROWDED and n > 2 and now - at < SAMPLE_AGE)
-        # Among many fronts a front's own GETs are few of a cache's: what the last ones met counts too.
-        lately = [s for at, s, _ in self.speeds if now - at < LATELY][-4:]
-        seen = median(lately) if len(lately) >= 3 else 1.0
-        return max(seen, sharing / fits[int(FITS_RANK * (len(fits) - 1))]) if len(fits) >= 3 else max(1.0, seen)
+        return max(1.0, sharing / fits[int(FITS_RANK * (len(fits) - 1))]) if len(fits) >= 3 else 1.0
 
     def failures(self, now):
         fresh = [good for at, good in self.ends if now - at < SAMPLE_AGE]
