--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -93,11 +93,11 @@
     def judge(self, others, alone, now):
         """Outlier ejection: far slower than peers, or half failed; all, where it may be another's fault."""
         slow, share = self.slowness(now), self.failures(now)
-        if self.until > now or slow <= SLOW and share < 0.5:
+        if self.until > now or slow <= SLOW and share <= 0.5:
             return                           # peers are looked at only where it could come to something
         rivals = [r for o in others if o is not self and (r := o.slowness(now))]
         usual = 0 if alone else median([o.failures(now) for o in others if o is not self] or [1])
-        failing = share >= 0.5 if alone else share == 1 and usual < 0.5
+        failing = share > 0.5 if alone else share == 1 and usual < 0.5
         if failing or rivals and slow > SLOW * max(1.0, median(rivals)):
             self.rest = min(8 * REST, max(REST, 2 * self.rest))
             self.until, self.trial = now + self.rest, True
