--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -15,8 +15,7 @@
 
 from sprucegate.interface import Cancel, Errored, Forward, Found, Outcome, Shed, State, Subscribe
 
-MS, S = 1_000_000, 1_000_000_000
-NEVER = -1 << 62
+MS, S, NEVER = 1_000_000, 1_000_000_000, -1 << 62
 
 SPAN = 2 * S            # GETs of an object are counted over spans of this length
 KEEP_COUNT = 0.5        # GETs a span below which a cache is taken to lose an object
@@ -71,8 +70,7 @@
 
     def note(self, now, good, slowness, sharing=0):
         if good and self.until <= now:
-            # One good end in between does not clear a place that fails half of its GETs.
-            self.trial, self.rest = False, self.rest * 3 // 4
+            self.trial, self.rest = False, self.rest * 3 // 4    # one good end clears no half-failing place
         self.ends.append((now, good))
         if slowness:
             self.speeds.append((now, slowness, sharing))
@@ -147,8 +145,7 @@
             self.span = span
 
     def life(self):
-        """How long a belief that starts now is to hold: the thesis's line, under a fixed cap."""
-        # A fall within the noise of counting (Poisson: root of the sum) is no trend.
+        """The thesis's line, under a fixed cap. A fall within the noise of counting (Poisson) is no trend."""
         _, newer, older = self.counts
         falling = older - newer > sqrt(older + newer)
         return int(max(0, min(CAP, (newer - KEEP_COUNT) * SPAN / (older - newer) - TRIP))) if falling else CAP
@@ -319,9 +316,8 @@
     def holders(self, asked, memory, now):
         """Beliefs in force: {node: expiry}, the longest first. A restart or a purge voids what was before."""
         purge = self.purge_time(asked)
-        kept = [(-expiry, at) for at, (expiry, since, started) in memory.holders.items()
-                if expiry > now and since > purge and started == self.nodes[at].started
-                and self.nodes[at].entry.state is State.SERVING]
+        kept = [(-expiry, at) for at, (expiry, since, started) in memory.holders.items() if expiry > now
+            and since > purge and started == (n := self.nodes[at]).started and n.entry.state is State.SERVING]
         memory.holders = {at: memory.holders[at] for _, at in kept}
         return {self.nodes[at]: -expiry for expiry, at in sorted(kept)}
 
@@ -384,7 +380,6 @@
         return 1 + sum(share > times * hot > 0 for times in (1, 2))
 
     def pick(self, get, memory, now):
-        """The cache by hash, passing by those where the answer would come late; and whether one would do."""
         asked = get.asked
         caches = self.usable(self.groups["cache"], now)
         caches = [n for n in caches if n.index not in get.lost] or caches
@@ -458,10 +453,12 @@
             source, held_only = self.sibling(get, memory, cache, now)
             if source is None:
                 source, may_fetch = self.upper(get, now)
-                # This front's fills are few of those in the link: a load told of it counts where it is higher.
-                use = self.link_use[0] / 2 if now - self.link_use[1] < S else 0
-                late = max(use, self.link.crowding(self.filling + 1, now)) * self.work(asked) > get.limit - now
-                if source is None or cache.index not in memory.holders and late:
+                # Among many fronts its own fills are few of the link's: half a told load counts where higher,
+                # as it is told at a fill's pace. Could harm where reports lag a link that empties.
+                told = self.link_use[0] / 2 if now - self.link_use[1] < S else 0
+                slow = max(told, self.link.crowding(self.filling + 1, now))
+                late = cache.index not in memory.holders and slow * self.work(asked) > get.limit - now
+                if source is None or late:
                     source, may_fetch = cache, False
                 # Hits go on: a look at cache and parent costs next to nothing, and a miss is then given up.
                 held_only = get.hopeless = not may_fetch
@@ -470,7 +467,6 @@
         return self.send(get, memory, cache, source or cache, held_only, now)
 
     def in_group(self, ds, first, node):
-        """Would that cache drop a repeat of what may have run at the first?"""
         group = self.of_ds("token_group", ds, "all")
         if first is None or self.of_ds("effect", ds, "idempotent") != "tokened" or group == "all":
             return True
@@ -538,8 +534,7 @@
                 if source.role == "cache":
                     self.believe(memory, source, now)
         elif outcome is Outcome.MISS or found in SOURCE_FAULTS:
-            # Either way the cache itself had no copy.
-            memory.holders.pop(cache.index, None)
+            memory.holders.pop(cache.index, None)    # either way the cache itself had no copy
             get.lost.add(source.index)
             if outcome is Outcome.MISS:
                 memory.holders.pop(source.index, None)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -281,6 +281,7 @@
     ([True] * 6, 5.0, True, 4.0, True, False),              # all are slow: nobody is an outlier
     ([False] * 3, 0, True, 1.0, True, True),                # errors
     ([True] * 4 + [False] * 2, 1.0, True, 1.0, True, False),
+    ([True] * 3 + [False] * 3, 1.0, True, 1.0, True, False),  # half of so few is chance
     ([True] * 3 + [False] * 3, 0, True, 1.0, False, False),  # time-outs may be the source's fault
     ([False] * 6, 0, True, 1.0, False, True),               # but not where nothing else comes: it hangs
     ([False] * 6, 0, False, 1.0, False, False),             # nor where its peers' GETs end so too
@@ -314,7 +315,7 @@
 
 @pytest.mark.parametrize("outcome, found, ends, speeds", [
     (Outcome.RETURNED, Found.HIT, [True], 1),
-    (Outcome.RETURNED, Found.FILLED_BY_ORIGIN, [True], 0),     # its speed tells of the origin, not of the cache
+    (Outcome.RETURNED, Found.FILLED_BY_ORIGIN, [True], 0),     # its speed tells of the origin
     (Outcome.TIMED_OUT, Found.UNTOLD, [False], 0),
     (Outcome.FULL, Found.UNTOLD, [], 0),                       # load, not a fault
 ])
@@ -353,7 +354,7 @@
 @pytest.mark.parametrize("outcome, found, waited, blamed, good", [
     (Outcome.RETURNED, Found.HIT, 0, 21, None),                        # no fill at all
     (Outcome.RETURNED, Found.FILLED, 100 * MS, 21, False),             # the parent's own copy came late
-    (Outcome.RETURNED, Found.FILLED_BY_ORIGIN, 100 * MS, 31, True),    # the parent was slow, its fetch was not
+    (Outcome.RETURNED, Found.FILLED_BY_ORIGIN, 100 * MS, 31, True),    # the parent slow, its fetch not
     (Outcome.RETURNED, Found.FILLED_BY_ORIGIN, S, 31, False),
     (Outcome.FULL, Found.ORIGIN_FAILED, 0, 31, False),
     (Outcome.FULL, Found.SOURCE_REFUSED, 0, 21, False),
@@ -381,3 +382,11 @@
     made.chance = lambda text: 0.99
     made.fills.extend([node(made, ORIGIN), NOW - S, NOW, False] for _ in range(20))
     assert made.upper(get_with(made, asked()), NOW) == (None, False)
+
+
+@pytest.mark.parametrize("use, age, looks", [(20.0, 0, True), (1.0, 0, False), (20.0, 2 * S, False)])
+def test_a_link_told_to_be_jammed_takes_no_new_fills(use, age, looks):
+    made = router(client_kb_per_s=1000)
+    made.link_use = use, NOW - age
+    sent = made.plan(get_with(made, asked(size=500)), NOW)
+    assert sent.held_only is looks and (sent.cache == sent.source) is looks
