--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -518,7 +518,7 @@
             cache.as_cache.note(now, good, slow if found in (*HITS, Found.UNTOLD) else 0, sent.crowd)
             # An ageing parent's slow fills are not laid to the link, which they would close.
             usual = median_low([s for n in self.groups["parent"] if (s := n.as_source.slowness(now))] or [9])
-            if (sent.filling > 2 and found in (Found.FILLED, Found.JOINED)
+            if (sent.fill and found in (Found.FILLED, Found.JOINED)
                     and source.as_source.slowness(now) <= UNLIKE * usual):
                 self.link.note(now, good, slow, sent.filling)
         if good:
