--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -82,10 +82,7 @@
     def crowding(self, sharing, now):
         """Slowness to expect. A crowded link is divided evenly: sharing over slowness is what it fits."""
         fits = sorted(n / s for at, s, n in self.speeds if s > CROWDED and n > 2 and now - at < SAMPLE_AGE)
-        few = sorted(s for at, s, n in self.speeds if n <= 2 and now - at < SAMPLE_AGE)
-        # A front among many has one or two GETs there: what slows them is others', and holds for the next.
-        seen = few[int((1 - FITS_RANK) * (len(few) - 1))] if len(few) >= 3 else 1.0
-        return max(1.0, seen, sharing / fits[int(FITS_RANK * (len(fits) - 1))] if len(fits) >= 3 else 1.0)
+        return max(1.0, sharing / fits[int(FITS_RANK * (len(fits) - 1))]) if len(fits) >= 3 else 1.0
 
     def failures(self, now):
         fresh = [good for at, good in self.ends if now - at < SAMPLE_AGE]
