--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -81,8 +81,7 @@
 
     def crowding(self, sharing, now):
         """Slowness to expect. A crowded link is divided evenly: sharing over slowness is what it fits."""
-        fits = sorted(n / s for at, s, n in self.speeds
-                      if s > (CROWDED if n > 2 else SLOW) and now - at < SAMPLE_AGE)
+        fits = sorted(n / s for at, s, n in self.speeds if s > CROWDED and n > 2 and now - at < SAMPLE_AGE)
         return max(1.0, sharing / fits[int(FITS_RANK * (len(fits) - 1))]) if len(fits) >= 3 else 1.0
 
     def failures(self, now):
