--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -81,7 +81,8 @@
 
     def crowding(self, sharing, now):
         """Slowness to expect. A crowded link is divided evenly: sharing over slowness is what it fits."""
-        fits = sorted(n / s for at, s, n in self.speeds if s > CROWDED and n > 2 and now - at < SAMPLE_AGE)
+        fits = sorted(n / s for at, s, n in self.speeds
+                      if s > (CROWDED if n > 2 else SLOW) and now - at < SAMPLE_AGE)
         return max(1.0, sharing / fits[int(FITS_RANK * (len(fits) - 1))]) if len(fits) >= 3 else 1.0
 
     def failures(self, now):
@@ -106,15 +107,15 @@
 class Node:
     def __init__(self, index, entry, role):
         self.index, self.id, self.entry, self.role = index, entry.id, entry, role
-        self.label, self.started, self.down = entry.id.to_bytes(8, "big"), entry.started, 0
+        self.label, self.down = entry.id.to_bytes(8, "big"), 0
         self.sent = deque(maxlen=256)        # (time, work) of what may reach it
-        self.renewed()
+        self.renewed(entry.started)
 
-    def renewed(self):
+    def renewed(self, started):
         """A restarted process is empty, and what its predecessor did says nothing of it."""
         self.out = self.filling = 0          # forwards out there, and those of them that await a fill
         self.as_cache, self.as_source = Standing(), Standing()
-        self.load, self.load_at = {}, NEVER
+        self.load, self.load_at, self.started = {}, NEVER, started
 
     def heard(self, reached, now):
         # Against crashes and restarts that the list tells late: out of reach it is down, back from there it
@@ -122,8 +123,8 @@
         if not reached:
             self.down = now + DOWN
         elif self.down:
-            self.renewed()
-            self.started, self.down = now, 0
+            self.renewed(now)
+            self.down = 0
 
     def crowding(self, now):
         return self.as_cache.crowding(self.out - self.filling + 1, now)
@@ -262,8 +263,7 @@
                 self.nodes.append(Node(len(self.nodes), entry, roles.get(entry.kind, "cache")))
             node = self.nodes[self.index_of[entry.id]]
             if entry.started > node.started:
-                node.renewed()
-                node.started = entry.started
+                node.renewed(entry.started)
             node.entry = entry
         for node in self.nodes if whole else ():
             if node.id not in seen:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -390,3 +390,10 @@
     made.link_use = use, NOW - age
     sent = made.plan(get_with(made, asked(size=500)), NOW)
     assert sent.held_only is looks and (sent.cache == sent.source) is looks
+
+
+@pytest.mark.parametrize("slow, seen", [(5.0, 5.0), (2.0, 1.0)])
+def test_a_front_with_one_get_at_a_time_still_sees_a_jam(slow, seen):
+    one = Standing()
+    one.speeds.extend((NOW, slow, 1) for _ in range(4))
+    assert one.crowding(1, NOW) == seen
