--- /dev/null
+++ b/sprucegate/front/driver.py
@@ -0,0 +1,159 @@
+"""The driver: what happens becomes calls on the Router, what it decides becomes deeds."""
+
+import asyncio
+import heapq
+import time
+import traceback
+from itertools import count
+
+from sprucegate.front.protocol.bus import Hosts
+from sprucegate.front.protocol.http import Refusal, answer, refusal
+from sprucegate.front.stages.admit import LIVE, admit
+from sprucegate.front.stages.book import Book
+from sprucegate.front.stages.relay import Relay
+from sprucegate.front.stages.route import route
+from sprucegate.front.stages.send import Send
+from sprucegate.interface import Cancel, Errored, Forward, Found, Outcome, Shed
+from sprucegate.rules import Router
+
+MS = 1_000_000
+
+
+class Driver:
+    def __init__(self, wanted, pool, log, clock=time.time_ns):
+        self.wanted, self.log, self.clock, self.loop = wanted, log, clock, asyncio.get_running_loop()
+        self.router = Router(wanted.settings, wanted.seed, clock())
+        self.relay, self.book, self.ready = Relay(self), Book(), False
+        self.send = Send(self, pool, wanted.settings, wanted.descriptors // 3)
+        self.most = wanted.settings.get("max_open", 1 << 30)
+        self.open, self.limits, self.order = {}, [], count()
+        self.timer, self.armed = None, None
+
+    # What happens.
+
+    def request(self, client, request):
+        now = self.clock()
+        if request.target == LIVE:
+            self.relay.write(client, answer(200 if self.ready else 503, b"\n", close=not request.keep_alive),
+                             last=not request.keep_alive)
+            return
+        get = admit(client, request, self.wanted.ds_names, None)
+        if isinstance(get, Refusal):
+            self.book.count("bad_requests")
+            self.relay.write(client, refusal(get, close=True), last=True)
+            return
+        client.get, client.closing = get, not request.keep_alive
+        if len(self.open) >= self.most:
+            self.book.count("shed_over_bound")
+            self.relay.answer(get, 503)
+            return
+        self.open[get] = None
+        self.guarded(get, lambda: self.say(get, route(self.router, get, now), now))
+        self.arm(now)
+
+    def ended(self, out, outcome, found, waited, load):
+        if not out.ended:
+            self.guarded(out.get, self._ended, out, outcome, found, waited, load)
+
+    def _ended(self, out, outcome, found, waited, load):
+        now, get = self.clock(), out.get
+        out.ended = True
+        self.book.count(f"forwards_{outcome.name.lower()}")
+        finished = get.answered or get.client.get is not get
+        decided = get.handle.ended(out.number, outcome, found, now - out.at, waited, load, finished, now)
+        self.say(get, decided, now)
+        self.arm(now)
+
+    def returned(self, out, said, now):
+        """The first answer that a cache returns goes to the client as it is."""
+        if said.word == b"still_good":
+            self.relay.answer(out.get, 304, headers=self._tag(said))
+        else:
+            self.relay.answer(out.get, 200, said.body, self._tag(said))
+        self.book.count("gets_returned")
+
+    @staticmethod
+    def _tag(said):
+        tag = said.fields.get("etag")
+        return b'ETag: "%b"\r\n' % tag.encode() if tag else b""
+
+    def left(self, get):
+        self.book.count("gets_left")
+        now = self.clock()
+        get.answered = True
+        self.say(get, get.handle.left(now), now)
+
+    def told(self, news):
+        """A list or a purge, from the bus or from what was known at the start."""
+        now = self.clock()
+        if isinstance(news, Hosts):
+            self.send.listed(news)
+            self.router.listed(news.entries, news.whole, now)
+        elif news is not None:
+            self.router.purged(news.object, news.group, now - news.at, now)
+        self.arm(now)
+
+    def list_failed(self):
+        self.router.list_failed(self.clock())
+
+    # What is decided.
+
+    def say(self, get, decided, now):
+        for one in decided:
+            match one:
+                case Forward():
+                    out = self.send.forward(get, one, now)
+                    heapq.heappush(self.limits, (out.limit, next(self.order), out))
+                case Shed():
+                    self.book.count("gets_shed")
+                    wait = b"X-Come-Back-Ms: %d\r\n" % (one.retry_after // MS) if one.retry_after else b""
+                    self.relay.answer(get, 503, headers=wait)
+                case Errored():
+                    self.book.count("gets_errored")
+                    self.relay.answer(get, 502)
+                case Cancel():
+                    out = get.forwards[one.number]
+                    self.send.cancel(out)
+                    self.loop.call_soon(self.ended, out, Outcome.CANCELLED, Found.UNTOLD, 0, {})
+        if get.handle.settled():
+            self.open.pop(get, None)
+
+    def arm(self, now):
+        """One timer, for what the module or a forward's time-out is due at first."""
+        while self.limits and self.limits[0][2].ended:
+            heapq.heappop(self.limits)
+        due = self.router.next_due()
+        if self.limits and (due is None or self.limits[0][0] < due):
+            due = self.limits[0][0]
+        if due is None or self.armed is not None and self.armed <= due:
+            return
+        if self.timer is not None:
+            self.timer.cancel()
+        self.armed = due
+        self.timer = self.loop.call_later(max(0, due - now) / 1e9, self._due)
+
+    def _due(self):
+        now, self.armed, self.timer = self.clock(), None, None
+        # Time-outs first: the module is to learn that a forward came to nothing, not that it was cancelled.
+        while self.limits and self.limits[0][0] <= now:
+            out = heapq.heappop(self.limits)[2]
+            if not out.ended:
+                self.send.cancel(out)
+                self.ended(out, Outcome.TIMED_OUT, Found.UNTOLD, 0, {})
+        for handle, decided in self.router.due(now):
+            if handle is not None:
+                get = next((get for get in self.open if get.handle is handle), None)
+                if get is not None:
+                    self.guarded(get, self.say, get, decided, now)
+        self.arm(now)
+
+    def guarded(self, get, deed, *given):
+        """Whatever breaks in a deed, its GET still gets its one answer and the others go on."""
+        try:
+            deed(*given)
+        except Exception as fault:
+            at = traceback.extract_tb(fault.__traceback__)[-1]
+            self.log("fault", error=f"{type(fault).__name__}: {fault}", where=f"{at.name}:{at.lineno}")
+            self.book.count("faults")
+            self.relay.answer(get, 500)
+            self.open.pop(get, None)
--- /dev/null
+++ b/sprucegate/front/lifecycle/configuration.py
@@ -0,0 +1,159 @@
+"""The one place where configuration is read, checked and given defaults."""
+
+import os
+from typing import NamedTuple
+
+import orjson
+
+from sprucegate.front.protocol import bus
+from sprucegate.wire.settings import settings_from
+
+REQUIRED = object()
+
+
+class Faulty(Exception):
+    """A message that names the key at fault."""
+
+
+class Wanted(NamedTuple):
+    """What the operators want of one front."""
+
+    name: str
+    listen: tuple
+    seed: int
+    memory_mb: float
+    descriptors: int
+    bus: tuple
+    flow: float             # bytes a second of one transfer to a client
+    link: float             # bytes a second of all of them
+    offset: int             # last event known at the start
+    known: list             # events up to then, as bus.read gives them
+    ds_names: dict          # delivery service's name -> its index
+    locations: dict
+    kinds: dict
+    settings: dict          # for the module, under its own names
+
+
+def _pick(data, key, kind, default=REQUIRED):
+    at, *rest = key.split(".")
+    value = data.get(at)
+    if rest and isinstance(value, dict):
+        return _pick_under(value, key, rest, kind, default)
+    if value is None or rest:
+        if default is REQUIRED:
+            raise Faulty(f"{key}: is missing")
+        return default
+    return _checked(value, key, kind)
+
+
+def _pick_under(data, key, rest, kind, default):
+    for name in rest[:-1]:
+        data = data.get(name) if isinstance(data, dict) else None
+    value = data.get(rest[-1]) if isinstance(data, dict) else None
+    if value is None:
+        if default is REQUIRED:
+            raise Faulty(f"{key}: is missing")
+        return default
+    return _checked(value, key, kind)
+
+
+def _checked(value, key, kind):
+    if isinstance(value, bool) or not isinstance(value, kind):
+        kinds = kind if isinstance(kind, tuple) else (kind,)
+        wanted = " or ".join({str: "text", dict: "object", list: "list"}.get(k, "number") for k in kinds[:1])
+        raise Faulty(f"{key}: must be a {wanted}, not {type(value).__name__}")
+    return value
+
+
+def _address(text, key):
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 <= int(port) <= 65_535:
+        raise Faulty(f"{key}: must be HOST:PORT, not {text[:60]!r}")
+    return host, int(port)
+
+
+def _above(value, key, least):
+    if not value >= least:
+        raise Faulty(f"{key}: must be at least {least}, not {value}")
+    return value
+
+
+def _flat(value, path, into):
+    """Nested JSON as the wire's paths and texts, which the name table reads."""
+    if isinstance(value, dict):
+        for name, inner in value.items():
+            _flat(inner, f"{path}.{name}" if path else name, into)
+    elif isinstance(value, list) and any(isinstance(item, dict) for item in value):
+        into[f"{path}.count"] = str(len(value))
+        for at, item in enumerate(value):
+            _flat(item, f"{path}.{at}", into)
+    elif isinstance(value, list):
+        into[path] = ",".join(map(_text, value))
+    else:
+        into[path] = _text(value)
+    return into
+
+
+def _text(value):
+    return str(value).lower() if isinstance(value, bool) else str(value)
+
+
+def _names(data, key, field=None):
+    items = _pick(data, key, list)
+    names = [item.get(field) if field and isinstance(item, dict) else item for item in items]
+    for at, name in enumerate(names):
+        if not isinstance(name, str) or not name:
+            raise Faulty(f"{key}[{at}]{'.' + field if field else ''}: must be a name")
+    return {name: at for at, name in enumerate(names)}
+
+
+def read(environ):
+    """What the environment and the file it names ask for; raises Faulty."""
+    path = environ.get("BALANCER_CONFIG")
+    if not path:
+        raise Faulty("BALANCER_CONFIG: is not set; it names the configuration file")
+    try:
+        with open(path, "rb") as file:
+            data = orjson.loads(file.read())
+    except OSError as fault:
+        raise Faulty(f"BALANCER_CONFIG: {path} can't be read: {os.strerror(fault.errno or 0)}") from None
+    except orjson.JSONDecodeError as fault:
+        raise Faulty(f"BALANCER_CONFIG: {path} is not JSON: {fault}") from None
+    if not isinstance(data, dict):
+        raise Faulty(f"BALANCER_CONFIG: {path} holds no object")
+    for key, variable in (("name", "BALANCER_NAME"), ("listen", "BALANCER_LISTEN")):
+        data.setdefault(key, environ.get(variable))
+    return wanted(data)
+
+
+def wanted(data):
+    number = (int, float)
+    locations, kinds = _names(data, "settings.failureDomains"), _names(data, "settings.shapes")
+    known = []
+    for at, event in enumerate(_pick(data, "known.batch", list)):
+        try:
+            known.append(bus.read(event, locations, kinds))
+        except bus.Malformed as fault:
+            raise Faulty(f"known.batch[{at}]: {fault}") from None
+    seed = _pick(data, "seed", str)
+    try:
+        seed = int(seed, 16)
+    except ValueError:
+        raise Faulty(f"seed: must be hex digits, not {seed[:60]!r}") from None
+    return Wanted(
+        name=_pick(data, "name", str),
+        listen=_address(_pick(data, "listen", str), "listen"),
+        seed=seed,
+        memory_mb=_above(_pick(data, "limits.memory_mb", number, 192), "limits.memory_mb", 64),
+        descriptors=int(_above(min(1024, _pick(data, "limits.sockets", number, 1024)), "limits.sockets", 64)),
+        bus=_address(_pick(data, "bus", str), "bus"),
+        flow=_above(_pick(data, "flow_bytes_per_s", number), "flow_bytes_per_s", 1),
+        link=_above(_pick(data, "link_bytes_per_s", number), "link_bytes_per_s", 1),
+        offset=_above(_pick(data, "known.offset", int), "known.offset", 0),
+        known=known,
+        ds_names=_names(data, "settings.categories", "name"),
+        locations=locations,
+        kinds=kinds,
+        settings=settings_from(_flat(_pick(data, "settings", dict), "", {}),
+                               lambda text: Faulty(f"settings: {text}")),
+    )
--- /dev/null
+++ b/sprucegate/front/lifecycle/log.py
@@ -0,0 +1,28 @@
+"""One JSON line an event on standard output. A line that would block is dropped and counted."""
+
+import os
+import time
+
+import orjson
+
+
+class Log:
+    def __init__(self, name, fd=1):
+        self.name, self.fd, self.dropped, self.rest = name, fd, 0, b""
+        os.set_blocking(fd, False)
+
+    def __call__(self, event, **fields):
+        if self.dropped:
+            fields["lines_dropped"] = self.dropped
+        line = orjson.dumps({"at": time.time_ns() // 1_000_000, "front": self.name, "event": event, **fields},
+                            default=str) + b"\n"
+        try:
+            # The end of a line cut before goes first, so that each line stays one.
+            if self.rest:
+                self.rest = self.rest[os.write(self.fd, self.rest):]
+            if self.rest:
+                raise BlockingIOError
+            self.rest = line[os.write(self.fd, line):]
+            self.dropped = 0
+        except OSError:
+            self.dropped += 1
--- /dev/null
+++ b/sprucegate/front/lifecycle/run.py
@@ -0,0 +1,64 @@
+"""Start and stop of one front."""
+
+import asyncio
+import signal
+import socket
+
+from sprucegate.front.driver import Driver
+from sprucegate.front.lifecycle.log import Log
+from sprucegate.front.lifecycle.subscribe import Subscription
+from sprucegate.front.memory.pool import Pool
+from sprucegate.front.stages.take_in import TakeIn
+
+STILL_COMING = 0.7      # seconds after SIGTERM for which clients may still send
+
+
+async def serve(wanted):
+    """Serve until SIGTERM, then answer all that was taken; the exit status."""
+    loop, log, pool = asyncio.get_running_loop(), Log(wanted.name), Pool(wanted.descriptors)
+    driver = Driver(wanted, pool, log)
+    take_in = TakeIn(driver, pool, wanted.descriptors // 2)
+    for _, news in wanted.known:
+        driver.told(news)
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        listener.bind(wanted.listen)
+    except OSError as fault:
+        log("listen_failed", address="{}:{}".format(*wanted.listen), error=str(fault))
+        return 1
+    listener.listen(1024)
+    listener.setblocking(False)
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    now = driver.clock()
+    for place in driver.send.places.values():
+        driver.send.warm(place, now)
+    driver.ready = True
+    tasks = [loop.create_task(take_in.accept(listener)),
+             loop.create_task(Subscription(driver, wanted, pool).run()),
+             loop.create_task(housekeeping(driver, take_in, pool, log))]
+    log("ready", listen="{}:{}".format(*wanted.listen), caches=len(driver.send.places), last=wanted.offset)
+    await stop.wait()
+    log("stopping", gets=len(driver.open))
+    await asyncio.sleep(STILL_COMING)
+    tasks[0].cancel()
+    listener.close()
+    while driver.open or any(client.outgoing for client in take_in.clients):
+        await asyncio.sleep(0.01)
+    for client in list(take_in.clients):
+        client.task.cancel()
+    log("stopped", **driver.book.taken())
+    return 0
+
+
+async def housekeeping(driver, take_in, pool, log):
+    longest = max([t for t in driver.wanted.settings.get("viewer_timeout", ()) if t], default=3_000_000_000)
+    while True:
+        await asyncio.sleep(1)
+        now = driver.clock()
+        take_in.sweep(now, longest)
+        driver.send.sweep(now)
+        log("second", open=len(driver.open), clients=len(take_in.clients), caches=driver.send.connections,
+            buffers=pool.out, **driver.book.taken())
--- /dev/null
+++ b/sprucegate/front/lifecycle/subscribe.py
@@ -0,0 +1,60 @@
+"""Subscribe: the event bus, read to its end and taken up again after the last event seen."""
+
+import asyncio
+import socket
+
+from sprucegate.front.protocol import bus
+
+SILENCE = 3.0       # seconds without a byte: a comment comes each second
+WAITS = (0.1, 0.2, 0.4, 0.8, 1.0)
+
+
+class Subscription:
+    def __init__(self, driver, wanted, pool):
+        self.driver, self.wanted, self.pool, self.last = driver, wanted, pool, wanted.offset
+        self.loop = asyncio.get_running_loop()
+
+    async def run(self):
+        failures = 0
+        while True:
+            seen = self.last
+            error = await self._read()
+            self.driver.log("bus_lost", error=error, last=self.last)
+            self.driver.list_failed()
+            failures = failures + 1 if seen == self.last else 0
+            await asyncio.sleep(WAITS[min(failures, len(WAITS) - 1)])
+
+    async def _read(self):
+        """Reads one stream to its end; the reason of the end."""
+        sock, buffer = socket.socket(socket.AF_INET, socket.SOCK_STREAM), self.pool.take()
+        sock.setblocking(False)
+        try:
+            async with asyncio.timeout(SILENCE):
+                await self.loop.sock_connect(sock, self.wanted.bus)
+                host = "{}:{}".format(*self.wanted.bus)
+                await self.loop.sock_sendall(sock, (
+                    f"GET /bus/read HTTP/1.1\r\nHost: {host}\r\nAccept: text/event-stream\r\n"
+                    f"Last-Event-ID: {self.last}\r\n\r\n").encode())
+            stream = bus.StreamReader()
+            while True:
+                async with asyncio.timeout(SILENCE):
+                    size = await self.loop.sock_recv_into(sock, buffer)
+                if not size:
+                    return "the stream ended"
+                for _, data in stream.feed(bytes(buffer[:size])):
+                    self._event(data)
+        except TimeoutError:
+            return "silent"
+        except (OSError, bus.Malformed) as fault:
+            return str(fault)
+        finally:
+            self.pool.give_back(buffer)
+            sock.close()
+
+    def _event(self, data):
+        offset, news = bus.read(data, self.wanted.locations, self.wanted.kinds)
+        if offset <= self.last:
+            return                       # sent again after a break
+        self.last = offset
+        self.driver.told(news)
+        self.driver.log("told", offset=offset, what=type(news).__name__)
--- /dev/null
+++ b/sprucegate/front/memory/connections.py
@@ -0,0 +1,39 @@
+"""What is kept of each connection: to clients, and to caches by the cache's id."""
+
+from collections import deque
+
+from sprucegate.front.protocol.caches import AnswerReader
+from sprucegate.front.protocol.http import RequestReader
+
+
+class Client:
+    __slots__ = ("sock", "reader", "task", "get", "outgoing", "writer", "closing", "since")
+
+    def __init__(self, sock, now):
+        self.sock, self.reader, self.task = sock, RequestReader(), None
+        self.get, self.outgoing, self.writer = None, deque(), None
+        self.closing, self.since = False, now
+
+    def idle(self):
+        return self.get is None and not self.outgoing and self.writer is None and not self.reader.begun
+
+
+class CacheConnection:
+    """One connection to a place; `open` has the forwards on it that await an answer."""
+
+    __slots__ = ("place", "sock", "reader", "task", "writer", "up", "closed", "queue", "open", "used")
+
+    def __init__(self, place, now):
+        self.place, self.sock, self.reader = place, None, AnswerReader()
+        self.task, self.writer, self.up, self.closed = None, None, False, False
+        self.queue, self.open, self.used = deque(), {}, now
+
+
+class Place:
+    """A cache, parent or origin: by its id, since a new one may take the address of one that has gone."""
+
+    __slots__ = ("id", "name", "address", "connections", "gone")
+
+    def __init__(self, number, name, address):
+        self.id, self.name, self.address = number, name, address
+        self.connections, self.gone = [], False
--- /dev/null
+++ b/sprucegate/front/protocol/bus.py
@@ -0,0 +1,113 @@
+"""The event bus: server-sent events to list entries and purges. Opens no socket, decides nothing."""
+
+import re
+from typing import NamedTuple
+from zlib import crc32
+
+import httptools
+import orjson
+
+from sprucegate.interface import Listed, State
+
+MS = 1_000_000
+EVENT_MOST = 4 << 20    # bytes of one event; the whole list is the largest
+STATES = {"up": State.SERVING, "draining": State.DRAINING, "removed": State.GONE}
+
+
+class Malformed(ValueError):
+    """An event that lacks what it needs."""
+
+
+class Hosts(NamedTuple):
+    """A list, whole or what changed of it, with each entry's name and address."""
+
+    whole: bool
+    entries: list
+    names: dict         # id -> (name, address)
+
+
+class Purge(NamedTuple):
+    object: int
+    group: int
+    at: int             # Unix time, nanoseconds
+
+
+class EventReader:
+    """Events of one stream as (id, data) pairs, fed as the bytes come; any bytes show that it lives."""
+
+    def __init__(self):
+        self.held, self.id, self.data = b"", "", []
+
+    def feed(self, chunk):
+        self.held += chunk
+        if len(self.held) + sum(map(len, self.data)) > EVENT_MOST:
+            raise Malformed("an event longer than its bound")
+        *lines, self.held = re.split(rb"\r\n|\n|\r(?!\Z)", self.held)
+        events = []
+        for line in lines:
+            if not line:
+                if self.data:
+                    events.append((self.id, b"\n".join(self.data)))
+                self.data = []
+                continue
+            name, _, value = line.partition(b":")
+            value = value.removeprefix(b" ")
+            if name == b"id":
+                self.id = value.decode("latin-1")
+            elif name == b"data":
+                self.data.append(value)
+        return events
+
+
+class StreamReader:
+    """The stream's HTTP answer, whole or in chunks, down to its events."""
+
+    def __init__(self):
+        self.parser, self.events, self.found = httptools.HttpResponseParser(self), EventReader(), []
+
+    def on_body(self, body):
+        self.found += self.events.feed(body)
+
+    def feed(self, chunk):
+        try:
+            self.parser.feed_data(chunk)
+        except httptools.HttpParserError as fault:
+            raise Malformed(f"no readable answer: {fault}") from None
+        if self.parser.get_status_code() not in (0, 200):
+            raise Malformed(f"answered {self.parser.get_status_code()}")
+        found, self.found = self.found, []
+        return found
+
+
+def number_of(name):
+    """A cache's id from its name: the same at all fronts, and the number in it where it has one."""
+    if match := re.fullmatch(r"[a-z]+-([0-9a-f]{1,15})", name):
+        return int(match[1], 16)
+    return crc32(name.encode()) << 32 | crc32(name[::-1].encode())
+
+
+def read(data, locations, kinds):
+    """One event as (offset, Hosts or Purge or None); what is not known is passed over with None."""
+    try:
+        event = orjson.loads(data) if isinstance(data, bytes) else data
+        offset = int(event["offset"])
+        if "topology" in event:
+            said = event["topology"]
+            hosts = [(_listed(entry, locations, kinds), entry) for entry in said["hosts"]]
+            names = {listed.id: (entry["host"], entry.get("dial", "")) for listed, entry in hosts}
+            return offset, Hosts(bool(said.get("whole")), [listed for listed, _ in hosts], names)
+        if "ban" in event:
+            said = event["ban"]
+            obj = int(said["url"], 16) if "url" in said else -1
+            return offset, Purge(obj, int(said.get("tag", -1)) if obj < 0 else -1, int(said["ts"]) * MS)
+        return offset, None
+    except (orjson.JSONDecodeError, KeyError, TypeError, ValueError, AttributeError) as fault:
+        raise Malformed(f"event that can't be read ({type(fault).__name__}: {fault})") from None
+
+
+def _listed(entry, locations, kinds):
+    return Listed(
+        id=number_of(entry["host"]), location=locations.get(entry.get("site"), -1),
+        kind=kinds.get(entry.get("class"), -1), cell=int(entry.get("block", 0)),
+        state=STATES[entry["health"]], weight=float(entry.get("share", 1.0)),
+        started=int(entry.get("born_ms", 0)) * MS)
--- /dev/null
+++ b/sprucegate/front/protocol/caches.py
@@ -0,0 +1,122 @@
+"""The lines that caches, parents and the origin speak. Opens no socket, decides nothing."""
+
+from typing import NamedTuple
+
+from sprucegate.interface import Found, Outcome
+
+LINE_MOST = 4096        # bytes of an answer's line
+BODY_MOST = 240_000     # bytes of an object
+MS = 1_000_000
+OUTCOMES = {b"served": Outcome.RETURNED, b"still_good": Outcome.RETURNED, b"not_here": Outcome.MISS,
+            b"overload": Outcome.FULL, b"crashed": Outcome.ERROR, b"nobody": Outcome.NOT_SENT}
+REMARKS = {
+    "cached": Found.HIT, "fetched": Found.FILLED, "fetched_root": Found.FILLED_BY_ORIGIN,
+    "merged": Found.JOINED, "past_fresh": Found.STALE_HIT, "up_refused": Found.SOURCE_REFUSED,
+    "up_lost": Found.SOURCE_BROKEN, "up_empty": Found.SOURCE_LACKS, "fills_full": Found.NO_FILL_PLACE,
+    "root_failed": Found.ORIGIN_FAILED,
+}
+LOADS = {"inflight": "inflight", "queue": "queued", "util": "busy", "latency_ms": "latency_ms",
+         "qps": "per_second", "eps": "errors_per_second", "x0": "hit_share", "x1": "link_use"}
+
+
+class Unreadable(ValueError):
+    """What a cache sent can't be read: nothing after it on that connection can be trusted."""
+
+
+class Answer(NamedTuple):
+    id: bytes
+    word: bytes
+    fields: dict
+    body: bytes
+
+
+def serve(get_id, ds, thing, part, forward, source, have, body):
+    """A forward as a line. A rounded limit must not be wider than the decided one, nor 0, which is none."""
+    fields = f"profile={ds},thing={thing},nth={part},max={max(1, forward.timeout // MS)}"
+    if source:
+        fields += f",src={source}"
+    if forward.rank:
+        fields += f",keep={forward.rank}"
+    if forward.oldest:
+        fields += f",maxage={max(1, forward.oldest // MS)}"
+    flags = [flag for flag, on in (("j", forward.join), ("h", forward.held_only), ("n", forward.pass_parent),
+                                   ("r", forward.renew)) if on]
+    if flags:
+        fields += f",flags={'+'.join(flags)}"
+    if have:
+        fields += f",have={have}"
+    return b"serve %b %b %d\r\n%b\r\n" % (get_id, fields.encode(), len(body), body)
+
+
+def cancel(get_id):
+    return b"cancel %b\r\n" % get_id
+
+
+class AnswerReader:
+    """Answers of one connection, fed as the bytes come, in whatever pieces."""
+
+    def __init__(self):
+        self.held, self.head = bytearray(), None
+
+    def feed(self, data):
+        held, at, whole = self.held, 0, []
+        held += data
+        while True:
+            if self.head is None:
+                end = held.find(b"\r\n", at)
+                if end < 0:
+                    if len(held) - at > LINE_MOST:
+                        raise Unreadable("a line without an end")
+                    break
+                self.head, at = read_head(bytes(held[at:end])), end + 2
+            length = self.head[3]
+            if len(held) - at < length + 2:
+                break
+            if held[at + length:at + length + 2] != b"\r\n":
+                raise Unreadable("a body without its end")
+            whole.append(Answer(*self.head[:3], bytes(held[at:at + length])))
+            self.head, at = None, at + length + 2
+        del held[:at]
+        return whole
+
+
+def read_head(line):
+    words = line.split(b" ")
+    if len(words) != 4 or not words[3].isdigit() or int(words[3]) > BODY_MOST:
+        raise Unreadable(f"no answer: {line[:60]!r}")
+    fields = {}
+    if words[2] != b"-":
+        try:
+            text = words[2].decode()
+        except UnicodeDecodeError:
+            raise Unreadable(f"fields are not text: {line[:60]!r}") from None
+        for pair in text.split(","):
+            name, mark, value = pair.partition("=")
+            if not mark:
+                raise Unreadable(f"a field without '=': {line[:60]!r}")
+            fields[name] = value
+    return words[0], words[1], fields, int(words[3])
+
+
+def found(fields):
+    return REMARKS.get(fields.get("remark"), Found.UNTOLD)
+
+
+def waited(fields):
+    try:
+        return max(0, int(float(fields.get("ttfb", 0)) * MS))
+    except (ValueError, OverflowError):
+        raise Unreadable("ttfb is no number") from None
+
+
+def load(fields):
+    """The load report in the module's names; values under names that are not known are skipped."""
+    report = {}
+    for pair in filter(None, fields.get("report", "").split(";")):
+        name, _, value = pair.partition(":")
+        if name in LOADS:
+            try:
+                report[LOADS[name]] = float(value)
+            except ValueError:
+                raise Unreadable(f"no number in a report: {pair[:60]!r}") from None
+    return report
--- /dev/null
+++ b/sprucegate/front/stages/admit.py
@@ -0,0 +1,56 @@
+"""Admit: a request as the module's `Asked`, or a plain refusal. Nothing of a refused one goes further."""
+
+import math
+import re
+
+from sprucegate.front.memory.gets import OpenGet
+from sprucegate.front.protocol.http import Refusal
+from sprucegate.interface import Asked
+
+MS = 1_000_000
+TARGET = re.compile(rb"/svc/([^/?]+)/([0-9a-f]{1,16})(?:/slice-([0-9]{1,9}))?")
+CALL_ID = re.compile(rb"[0-9a-f]{16}")
+LIVE = b"/status/live"
+
+
+def _number(headers, name, most, default=None):
+    text = headers.get(name.lower())
+    if text is None:
+        return default
+    try:
+        value = float(text)
+    except ValueError:
+        return None
+    return value if math.isfinite(value) and 0 <= value <= most else None
+
+
+def admit(client, request, ds_names, runs_at_origin):
+    """An OpenGet, or a Refusal that names what is wrong."""
+    headers, found = request.headers, TARGET.fullmatch(request.target)
+    if not found:
+        return Refusal(404, "no such path")
+    ds_name, thing, part = found.groups()
+    ds = ds_names.get(ds_name.decode("latin-1"))
+    if ds is None:
+        return Refusal(404, "no such delivery service")
+    if request.method not in (b"GET", b"PUT"):
+        return Refusal(405, "GET and PUT are served here", b"Allow: GET, PUT\r\n")
+    call_id = headers.get(b"x-call-id", b"")
+    if not CALL_ID.fullmatch(call_id):
+        return Refusal(400, "X-Call-Id: 16 hex digits are wanted")
+    patience = _number(headers, b"X-Patience-Ms", 3_600_000)
+    if not patience:
+        return Refusal(400, "X-Patience-Ms: milliseconds above 0 are wanted")
+    group = _number(headers, b"X-Set", 255, -1)
+    if group is None or group != int(group):
+        return Refusal(400, "X-Set: a whole number from 0 to 255 is wanted")
+    size = _number(headers, b"X-Heap-Kb", 1e9, 0.0)
+    if size is None:
+        return Refusal(400, "X-Heap-Kb: a number of KB is wanted")
+    have = headers.get(b"if-none-match", b"").strip()
+    have = re.fullmatch(rb'(?:W/)?"([0-9A-Za-z_.-]{1,64})"', have)
+    asked = Asked(
+        id=call_id.decode(), object=int(thing, 16), part=int(part or 0), group=int(group), ds=ds,
+        size=int(size), write=request.method == b"PUT", repeat=False, ttl=int(patience * MS))
+    return OpenGet(client, call_id, ds_name.decode("latin-1"), thing.decode(), int(part or 0),
+                   have[1].decode() if have else "", request.body, asked)
--- /dev/null
+++ b/sprucegate/front/stages/route.py
@@ -0,0 +1,7 @@
+"""Route: the module takes the GET and says what is to be done first."""
+
+
+def route(router, get, now):
+    get.since = now
+    get.handle = router.take(get.asked, now)
+    return get.handle.route(now)
--- /dev/null
+++ b/sprucegate/front/stages/send.py
@@ -0,0 +1,193 @@
+"""Send: forwards to caches, and what comes back, with how far each forward had come."""
+
+import asyncio
+import socket
+
+from sprucegate.front.memory.connections import CacheConnection, Place
+from sprucegate.front.memory.gets import OpenForward, Progress
+from sprucegate.front.protocol import caches
+from sprucegate.interface import Found, Outcome
+
+NEVER_RAN = {Progress.NOT_SENT: Outcome.UNREACHABLE, Progress.PARTLY: Outcome.UNREACHABLE,
+             Progress.WHOLE: Outcome.RESET, Progress.ANSWERING: Outcome.RESET}
+
+
+class Send:
+    def __init__(self, driver, pool, settings, most):
+        self.driver, self.pool, self.most, self.connections = driver, pool, most, 0
+        self.connect_timeout = settings.get("connect_timeout", 400_000_000)
+        self.streams = settings.get("max_streams", 100)
+        # A request that crosses the close of an idle connection may have run: better an own close before.
+        self.idle = settings.get("keepalive", 15_000_000_000) - self.connect_timeout
+        self.places, self.loop = {}, asyncio.get_running_loop()
+
+    def listed(self, hosts):
+        for entry in hosts.entries:
+            name, address = hosts.names[entry.id]
+            host, _, port = address.rpartition(":")
+            place = self.places.get(entry.id)
+            gone = entry.state.name == "GONE"
+            if place is None:
+                if not gone:
+                    self.places[entry.id] = Place(entry.id, name, (host, int(port)))
+            elif gone:
+                self.remove(place)
+            elif address and place.address != (host, int(port)):
+                place.address = (host, int(port))
+        if hosts.whole:
+            for place in [place for at, place in self.places.items() if at not in hosts.names]:
+                self.remove(place)
+
+    def remove(self, place):
+        # What is still open there may yet be answered: only idle connections go at once.
+        place.gone = True
+        for connection in list(place.connections):
+            if not connection.open:
+                self.close(connection)
+
+    def warm(self, place, now):
+        if not place.connections:
+            self._connect(place, now)
+
+    def forward(self, get, said, now):
+        out = OpenForward(get, said.number, now, now + said.timeout)
+        get.forwards[said.number] = out
+        place = self.places.get(said.cache)
+        connection = place and self._connection(place, get, now)
+        if connection is None:
+            self.loop.call_soon(self.driver.ended, out, Outcome.UNREACHABLE, Found.UNTOLD, 0, {})
+            return out
+        source = self.places.get(said.source) if said.source != said.cache else None
+        line = caches.serve(get.id, get.ds, get.thing, get.part, said, source and source.name, get.have,
+                            get.body)
+        out.connection, connection.used = connection, now
+        connection.open[get.id] = out
+        self._queue(connection, line, out)
+        return out
+
+    def cancel(self, out):
+        """The front's side ends at once; a forward not yet begun is taken back, another is given up."""
+        connection = out.connection
+        if connection is None or connection.open.get(out.get.id) is not out:
+            return
+        del connection.open[out.get.id]
+        out.get.left_on.append(connection)
+        if out.progress is Progress.NOT_SENT:
+            for at, (_, queued) in enumerate(connection.queue):
+                if queued is out:
+                    del connection.queue[at]
+                    return
+        if not connection.closed:
+            self._queue(connection, caches.cancel(out.get.id), None)
+        if connection.place.gone and not connection.open:
+            self.loop.call_soon(self.close, connection)
+
+    def _connection(self, place, get, now):
+        for connection in place.connections:
+            if not connection.open and connection.up and now - connection.used > self.idle:
+                self.close(connection)
+                continue
+            if (not connection.closed and len(connection.open) < self.streams
+                    and get.id not in connection.open and connection not in get.left_on):
+                return connection
+        return self._connect(place, now) if self.connections < self.most else None
+
+    def _connect(self, place, now):
+        connection = CacheConnection(place, now)
+        place.connections.append(connection)
+        self.connections += 1
+        connection.task = self.loop.create_task(self._run(connection))
+        return connection
+
+    def _queue(self, connection, line, out):
+        connection.queue.append((line, out))
+        if connection.up and connection.writer is None:
+            connection.writer = self.loop.create_task(self._write(connection))
+
+    async def _run(self, connection):
+        buffer = None
+        try:
+            sock = connection.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            await asyncio.wait_for(self.loop.sock_connect(sock, connection.place.address),
+                                   self.connect_timeout / 1e9)
+            connection.up, buffer = True, self.pool.take()
+            if connection.queue:
+                connection.writer = self.loop.create_task(self._write(connection))
+            while buffer is not None:
+                size = await self.loop.sock_recv_into(sock, buffer)
+                if not size:
+                    break
+                for answer in connection.reader.feed(buffer[:size]):
+                    self._answered(connection, answer)
+        except (OSError, TimeoutError, asyncio.CancelledError):
+            pass
+        except caches.Unreadable as fault:
+            self.driver.log("cache_unreadable", cache=connection.place.name, error=str(fault))
+        finally:
+            if buffer is not None:
+                self.pool.give_back(buffer)
+            await self._over(connection)
+
+    async def _over(self, connection):
+        was_up = connection.up
+        connection.closed, connection.up = True, False
+        if connection in connection.place.connections:
+            connection.place.connections.remove(connection)
+        if connection.writer is not None:
+            connection.writer.cancel()
+            await asyncio.wait([connection.writer])
+        if connection.sock is not None:
+            connection.sock.close()
+        self.connections -= 1
+        if connection.open or not was_up:
+            self.driver.log("cache_connection_lost" if was_up else "cache_unreachable",
+                            cache=connection.place.name, forwards=len(connection.open))
+        forwards, connection.open = list(connection.open.values()), {}
+        connection.queue.clear()
+        for out in forwards:
+            self.driver.ended(out, NEVER_RAN[out.progress], Found.UNTOLD, 0, {})
+
+    async def _write(self, connection):
+        try:
+            while connection.queue:
+                line, out = connection.queue.popleft()
+                if out is not None:
+                    out.progress = Progress.PARTLY
+                await self.loop.sock_sendall(connection.sock, line)
+                if out is not None and out.progress is Progress.PARTLY:
+                    out.progress = Progress.WHOLE
+        except OSError:
+            connection.task.cancel()
+        finally:
+            connection.writer = None
+
+    def _answered(self, connection, answer):
+        connection.used = now = self.driver.clock()
+        out = connection.open.pop(answer.id, None)
+        if out is None:
+            return                       # late: its forward has ended already
+        outcome = caches.OUTCOMES.get(answer.word)
+        if outcome is None:
+            connection.open[answer.id] = out
+            raise caches.Unreadable(f"an unknown word {answer.word[:30]!r}")
+        found, waited = caches.found(answer.fields), caches.waited(answer.fields)
+        load = caches.load(answer.fields)
+        if outcome is Outcome.RETURNED:
+            self.driver.returned(out, answer, now)
+        self.driver.ended(out, outcome, found, waited, load)
+        if connection.place.gone and not connection.open:
+            self.close(connection)
+
+    def close(self, connection):
+        if not connection.closed:
+            connection.closed = True
+            connection.place.connections.remove(connection)
+            connection.task.cancel()
+
+    def sweep(self, now):
+        for place in self.places.values():
+            for connection in list(place.connections):
+                if connection.up and not connection.open and now - connection.used > self.idle:
+                    self.close(connection)
--- a/sprucegate/wire/host.py
+++ b/sprucegate/wire/host.py
@@ -71,7 +71,8 @@
         for line in lines:
             if line.name == "init":
                 instance = line.integer("i")
-                self.fronts[instance] = Front(instance, settings_from(line), line.integer("entropy"), now)
+                settings = settings_from(line.fields, line.fault)
+                self.fronts[instance] = Front(instance, settings, line.integer("entropy"), now)
             elif line.name in self.calls:
                 instance = line.integer("i")
                 if instance not in self.fronts:
--- a/sprucegate/wire/settings.py
+++ b/sprucegate/wire/settings.py
@@ -1,6 +1,6 @@
 """The wire's settings as a plain map under our names, times in nanoseconds. Unknown ones are skipped."""
 
-from sprucegate.wire.codec import Malformed, truth
+from sprucegate.wire.codec import truth
 
 
 def _ns(text):
@@ -25,7 +25,9 @@
     "allowed.attemptsCap": ("max_forwards", int),
     "allowed.cancel": ("cancel", truth),
     "allowed.connectTimeout": ("connect_timeout", _ns),
+    "allowed.keepalive": ("keepalive", _ns),
     "allowed.maxRetryAfter": ("max_retry_after", _ns),
+    "allowed.maxStreams": ("max_streams", int),
     "allowed.openCap": ("max_open", int),
     "allowed.peerMessages": ("peer_messages", truth),
     "allowed.probing": ("probing", truth),
@@ -88,20 +90,19 @@
 }
 
 
-def settings_from(line):
-    """The map for one `init` line."""
-    fields = line.fields
+def settings_from(fields, fault):
+    """The map for one front: `fields` has the wire's paths and texts, `fault(text)` makes what is raised."""
 
     def value(path, read):
         try:
             return read(fields[path])
         except ValueError:
-            raise line.fault(f"has a setting that cannot be read: {path}={fields[path][:60]!r}") from None
+            raise fault(f"has a setting that cannot be read: {path}={fields[path][:60]!r}") from None
 
     settings = {name: value(path, read) for path, (name, read) in NAMES.items() if path in fields}
     count = value("categories.count", int) if "categories.count" in fields else 0
     if not 0 <= count <= 10_000:
-        raise Malformed(f"line {line.number}: 'init' counts {count} delivery services")
+        raise fault(f"counts {count} delivery services")
     for key, (name, read) in BY_DS.items():
         paths = [f"categories.{at}.{key}" for at in range(count)]
         settings[name] = [value(path, read) if path in fields else None for path in paths]
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -79,6 +79,7 @@
 
 
 def test_settings_are_a_plain_map_in_our_names():
-    settings = settings_from(Line(INIT.splitlines()[0], 1))
+    line = Line(INIT.splitlines()[0], 1)
+    settings = settings_from(line.fields, line.fault)
     assert settings["latency_objective"] == [400_000_000] and settings["effect"] == ["idempotent"]
     assert settings["parent_kind"] == 2 and "new.thing" not in settings
