Readers stay on their sockets, sends go out at once; module's figures every 20 ms

Sampled stacks: half in the module (in_time walks 256 fills four times a GET, rate 256 returns, ranked hashes each place anew), half in the loop (a task a send, a future and two epoll changes a receive).

Changed in rules.py: in_time counts once in REFRESH; what a link fits likewise; ranks are kept till the next list; revenue's top once. Decisions differ only within REFRESH. In the front: sock_recv_into a call is given up for add_reader with recv_into from the same pool, and a first plain send goes before sock_sendall; both stay on uvloop and sockets.

--- a/sprucegate/front/lifecycle/run.py
+++ b/sprucegate/front/lifecycle/run.py
@@ -48,7 +48,7 @@
     while driver.open or any(client.outgoing for client in take_in.clients):
         await asyncio.sleep(0.01)
     for client in list(take_in.clients):
-        client.task.cancel()
+        take_in.close(client)
     log("stopped", **driver.book.taken())
     return 0
 
--- a/sprucegate/front/memory/connections.py
+++ b/sprucegate/front/memory/connections.py
@@ -7,10 +7,10 @@
 
 
 class Client:
-    __slots__ = ("sock", "reader", "task", "get", "outgoing", "writer", "closing", "since")
+    __slots__ = ("sock", "reader", "get", "outgoing", "writer", "closing", "since")
 
     def __init__(self, sock, now):
-        self.sock, self.reader, self.task = sock, RequestReader(), None
+        self.sock, self.reader = sock, RequestReader()
         self.get, self.outgoing, self.writer = None, deque(), None
         self.closing, self.since = False, now
 
--- a/sprucegate/front/stages/relay.py
+++ b/sprucegate/front/stages/relay.py
@@ -19,10 +19,30 @@
         self.write(client, http.answer(status, body, headers, client.closing), last=client.closing)
 
     def write(self, client, data, last=False):
-        client.outgoing.append(data)
+        """At once where the socket takes all of it; the rest by sock_sendall in a task."""
         client.closing = client.closing or last
-        if client.writer is None:
+        if client.writer is not None:
+            client.outgoing.append(data)
+            return
+        try:
+            sent = client.sock.send(data)
+        except BlockingIOError:
+            sent = 0
+        except OSError:
+            return                       # the reader sees its end too
+        if sent < len(data):
+            client.outgoing.append(memoryview(data)[sent:])
             client.writer = self.loop.create_task(self._write(client))
+        elif client.closing:
+            self._finish(client)
+
+    def _finish(self, client):
+        # The client's own close ends the connection; the sweep does where it never comes.
+        client.since = self.driver.clock()
+        try:
+            client.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            pass
 
     async def _write(self, client):
         try:
@@ -30,10 +50,8 @@
                 await self.loop.sock_sendall(client.sock, client.outgoing[0])
                 client.outgoing.popleft()
             if client.closing:
-                # The client's own close ends the connection; the sweep does where it never comes.
-                client.sock.shutdown(socket.SHUT_WR)
+                self._finish(client)
         except OSError:
-            client.task.cancel()
+            client.outgoing.clear()
         finally:
             client.writer = None
-            client.since = self.driver.clock()
--- a/sprucegate/front/stages/send.py
+++ b/sprucegate/front/stages/send.py
@@ -96,51 +96,92 @@
         connection = CacheConnection(place, now)
         place.connections.append(connection)
         self.connections += 1
-        connection.task = self.loop.create_task(self._run(connection))
+        connection.task = self.loop.create_task(self._connect_to(connection))
         return connection
 
     def _queue(self, connection, line, out):
+        if connection.up and connection.writer is None:
+            try:
+                sent = connection.sock.send(line)
+            except BlockingIOError:
+                sent = 0
+            except OSError:
+                sent = 0
+                self.loop.call_soon(self.close, connection)
+            if out is not None:
+                whole = sent == len(line)
+                out.progress = Progress.WHOLE if whole else Progress.PARTLY if sent else Progress.NOT_SENT
+            if sent == len(line):
+                return
+            line = line[sent:]
         connection.queue.append((line, out))
         if connection.up and connection.writer is None:
             connection.writer = self.loop.create_task(self._write(connection))
 
-    async def _run(self, connection):
-        buffer = None
+    async def _connect_to(self, connection):
         try:
             sock = connection.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            await asyncio.wait_for(self.loop.sock_connect(sock, connection.place.address),
-                                   self.connect_timeout / 1e9)
-            connection.up, buffer = True, self.pool.take()
-            if connection.queue:
-                connection.writer = self.loop.create_task(self._write(connection))
-            while buffer is not None:
-                size = await self.loop.sock_recv_into(sock, buffer)
-                if not size:
-                    break
-                for answer in connection.reader.feed(buffer[:size]):
-                    self._answered(connection, answer)
-        except (OSError, TimeoutError, asyncio.CancelledError):
+            async with asyncio.timeout(self.connect_timeout / 1e9):
+                await self.loop.sock_connect(sock, connection.place.address)
+        except OSError:                  # a TimeoutError is one
+            self.close(connection)
+        if connection.closed:
+            return
+        connection.up = True
+        self.loop.add_reader(sock, self._readable, connection)
+        if connection.queue:
+            connection.writer = self.loop.create_task(self._write(connection))
+
+    async def _write(self, connection):
+        try:
+            while connection.queue:
+                line, out = connection.queue.popleft()
+                if out is not None:
+                    out.progress = Progress.PARTLY
+                await self.loop.sock_sendall(connection.sock, line)
+                if out is not None:
+                    out.progress = Progress.WHOLE
+        except OSError:
+            self.loop.call_soon(self.close, connection)
+        finally:
+            connection.writer = None
+
+    def _readable(self, connection):
+        buffer = self.pool.take()
+        try:
+            size = connection.sock.recv_into(buffer)
+            for answer in connection.reader.feed(buffer[:size]):
+                self._answered(connection, answer)
+            if not size:
+                self.close(connection)
+        except BlockingIOError:
             pass
+        except OSError:
+            self.close(connection)
         except caches.Unreadable as fault:
             self.driver.log("cache_unreadable", cache=connection.place.name, error=str(fault))
+            self.close(connection)
         finally:
-            if buffer is not None:
-                self.pool.give_back(buffer)
-            await self._over(connection)
+            self.pool.give_back(buffer)
 
-    async def _over(self, connection):
-        was_up = connection.up
+    def close(self, connection):
+        """Ends a connection; each forward on it is told, by how far it had come."""
+        if connection.closed:
+            return
+        was_up, sock = connection.up, connection.sock
         connection.closed, connection.up = True, False
-        if connection in connection.place.connections:
-            connection.place.connections.remove(connection)
-        if connection.writer is not None:
-            connection.writer.cancel()
-            await asyncio.wait([connection.writer])
-        if connection.sock is not None:
-            connection.sock.close()
+        connection.place.connections.remove(connection)
         self.connections -= 1
+        if was_up:
+            self.loop.remove_reader(sock)
+        pending = connection.writer if connection.writer is not None else connection.task
+        if pending is not None and not pending.done() and pending is not asyncio.current_task():
+            pending.add_done_callback(lambda _: sock.close())
+            pending.cancel()
+        elif sock is not None:
+            sock.close()
         if connection.open or not was_up:
             self.driver.log("cache_connection_lost" if was_up else "cache_unreachable",
                             cache=connection.place.name, forwards=len(connection.open))
@@ -149,20 +190,6 @@
         for out in forwards:
             self.driver.ended(out, NEVER_RAN[out.progress], Found.UNTOLD, 0, {})
 
-    async def _write(self, connection):
-        try:
-            while connection.queue:
-                line, out = connection.queue.popleft()
-                if out is not None:
-                    out.progress = Progress.PARTLY
-                await self.loop.sock_sendall(connection.sock, line)
-                if out is not None and out.progress is Progress.PARTLY:
-                    out.progress = Progress.WHOLE
-        except OSError:
-            connection.task.cancel()
-        finally:
-            connection.writer = None
-
     def _answered(self, connection, answer):
         connection.used = now = self.driver.clock()
         out = connection.open.pop(answer.id, None)
@@ -180,12 +207,6 @@
         if connection.place.gone and not connection.open:
             self.close(connection)
 
-    def close(self, connection):
-        if not connection.closed:
-            connection.closed = True
-            connection.place.connections.remove(connection)
-            connection.task.cancel()
-
     def sweep(self, now):
         for place in self.places.values():
             for connection in list(place.connections):
--- a/sprucegate/front/stages/take_in.py
+++ b/sprucegate/front/stages/take_in.py
@@ -27,40 +27,46 @@
                 continue
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             client = Client(sock, self.driver.clock())
-            client.task = self.loop.create_task(self._converse(client))
             self.clients[client] = None
+            self.loop.add_reader(sock, self._readable, client)
 
     def _make_room(self):
         """The connection that has been idle longest goes: dicts keep the order of arrival."""
         oldest = next((client for client in self.clients if client.idle()), None)
         if oldest is not None:
-            oldest.task.cancel()
-            del self.clients[oldest]
+            self.close(oldest)
         return oldest is not None
 
-    async def _converse(self, client):
+    def _readable(self, client):
         buffer = self.pool.take()
+        if buffer is None:
+            return self.close(client)
         try:
-            while buffer is not None:
-                size = await self.loop.sock_recv_into(client.sock, buffer)
-                if not size:
-                    break
-                if not client.closing:
-                    self._fed(client, buffer[:size])
-        except (OSError, asyncio.CancelledError):
+            if not (size := client.sock.recv_into(buffer)):
+                self.close(client)
+            elif not client.closing:
+                self._fed(client, buffer[:size])
+        except BlockingIOError:
             pass
+        except OSError:
+            self.close(client)
         finally:
-            self.clients.pop(client, None)
-            client.closing = True
-            if buffer is not None:
-                self.pool.give_back(buffer)
-            if client.get is not None:
-                self.driver.guarded(client.get, self.driver.left, client.get)
-            if client.writer is not None:
-                # Closed under a pending write, its number could be another connection's by then.
-                client.writer.cancel()
-                await asyncio.wait([client.writer])
+            self.pool.give_back(buffer)
+
+    def close(self, client):
+        if client not in self.clients:
+            return
+        del self.clients[client]
+        client.closing = True
+        self.loop.remove_reader(client.sock)
+        if client.writer is None:
             client.sock.close()
+        else:
+            # Closed under a pending write, its number could be another connection's by then.
+            client.writer.add_done_callback(lambda _: client.sock.close())
+            client.writer.cancel()
+        if client.get is not None:
+            self.driver.guarded(client.get, self.driver.left, client.get)
 
     def _fed(self, client, data):
         client.since = self.driver.clock()
@@ -80,4 +86,4 @@
         for client in list(self.clients):
             waits = client.closing or client.reader.begun
             if waits and client.get is None and now - client.since > patience:
-                client.task.cancel()
+                self.close(client)
--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -2,13 +2,12 @@
 
 Called: Router(settings, seed, now) once a front; listed, list_failed, purged, told and probed bring news;
 take gives a Get, whose route, ended, answering and left return what is to be done; due(now), called at
-next_due(), returns the rest. Settings are a plain map (sprucegate/wire/settings.py has the names). The
-types that cross are in sprucegate/interface.py. No clock and no `random` in here.
+next_due(), returns the rest. Settings: a plain map (names: wire/settings.py); types that cross: interface.py.
 """
 
 import heapq
-from collections import OrderedDict, defaultdict, deque
-from itertools import count, takewhile
+from collections import Counter, OrderedDict, defaultdict, deque
+from itertools import count
 from math import log, sqrt
 from statistics import median, median_low
 from zlib import crc32
@@ -36,6 +35,7 @@
 COLD_SAFETY = 0.5       # of a cold node's budget: the rest is for what this front can't see
 SAMPLES = 16            # outcomes that a judgement rests on
 SAMPLE_AGE = 10 * S
+REFRESH = 20 * MS       # figures over hundreds of samples are worked out again after this, not for each GET
 LATEST = 6              # ends that tell of failing: a hanging place answers late, and a front asks it little
 SLOW = 3.0              # times slower than the peers' median: set aside
 DOWN = 1 * S            # a place out of reach is left alone so long, then tried by one GET
@@ -56,17 +56,12 @@
     return h ^ (h >> 16)
 
 
-def ranked(nodes, key):
-    # Weighted rendezvous hashing over real ids, alike at all fronts.
-    return sorted(nodes, key=lambda n: (n.entry.weight / log((mixed(n.label, key) + 0.5) / 2**32), n.id))
-
-
 class Standing:
     """A place judged by its last ends, (time, good), and speeds, (time, slowness, how many shared it)."""
 
     def __init__(self):
         self.ends, self.speeds = deque(maxlen=LATEST), deque(maxlen=SAMPLES)
-        self.rest, self.until, self.trial = 0, 0, False
+        self.rest, self.until, self.trial, self.fitted = 0, 0, False, (NEVER, -NEVER)
 
     def note(self, now, good, slowness, sharing=0):
         if good and self.until <= now:
@@ -81,9 +76,11 @@
 
     def crowding(self, sharing, now):
         """Slowness to expect. A crowded link is divided evenly: sharing over slowness is what it fits."""
-        fits = sorted(n / s for at, s, n in self.speeds
-                      if s > (CROWDED if n > 2 else SLOW) and now - at < SAMPLE_AGE)
-        return max(1.0, sharing / fits[int(FITS_RANK * (len(fits) - 1))]) if len(fits) >= 3 else 1.0
+        if now - self.fitted[0] >= REFRESH:
+            fits = sorted([n / s for at, s, n in self.speeds
+                           if s > (CROWDED if n > 2 else SLOW) and now - at < SAMPLE_AGE])
+            self.fitted = now, fits[int(FITS_RANK * (len(fits) - 1))] if len(fits) >= 3 else -NEVER
+        return max(1.0, sharing / self.fitted[1])
 
     def failures(self, now):
         fresh = [good for at, good in self.ends if now - at < SAMPLE_AGE]
@@ -112,19 +109,15 @@
         self.renewed(entry.started)
 
     def renewed(self, started):
-        """A restarted process is empty, and what its predecessor did says nothing of it."""
         self.out = self.filling = 0          # forwards out there, and those of them that await a fill
         self.as_cache, self.as_source = Standing(), Standing()
         self.load, self.load_at, self.started = {}, NEVER, started
 
     def heard(self, reached, now):
-        # Against crashes and restarts that the list tells late: out of reach it is down, back from there it
-        # is taken for cold and empty. Harms a cache that only ran out of connections.
-        if not reached:
-            self.down = now + DOWN
-        elif self.down:
+        # Against restarts that the list tells late: back in reach is cold and empty, or only out of sockets.
+        if reached and self.down:
             self.renewed(now)
-            self.down = 0
+        self.down = 0 if reached else now + DOWN
 
     def crowding(self, now):
         return self.as_cache.crowding(self.out - self.filling + 1, now)
@@ -136,7 +129,7 @@
 class Memory:
     def __init__(self, span):
         self.span, self.counts, self.failed_at = span, [0, 0, 0], NEVER
-        self.holders = {}                    # node index -> (expiry, since, the holder's start)
+        self.holders, self.ranks = {}, {}    # node index -> (expiry, since, the holder's start); by role
         self.spents = deque(maxlen=4)        # its last sending times: the least tells its size
 
     def roll(self, span):
@@ -218,8 +211,10 @@
         self.spents = defaultdict(lambda: deque(maxlen=64))    # by delivery service, the last sending times
         self.link, self.filling, self.link_use = Standing(), 0, (0, NEVER)
         self.fills = deque(maxlen=256)       # [source, time, when late, came in time] of the last fills
+        self.tally = NEVER, Counter(), Counter()
         self.found = deque([Found.FILLED] * 8, maxlen=64)
         self.further = deque(maxlen=100)     # of the last forwards, which were further ones
+        self.top = max([r for r in self.get("revenue", ()) if r], default=1)
         self.asks = [Subscribe()] if self.get("discovery") == "ask" else []
 
     def of_ds(self, name, ds, default):
@@ -248,11 +243,13 @@
 
     def in_time(self, sources, now):
         """Share of each source's last fills that came in time; few of them lean on those of all sources."""
-        lately = takewhile(lambda fill: now - fill[1] < THROTTLE_SPAN, reversed(self.fills))
-        ended = [(by, bool(good)) for by, _, late, good in lately if good is not None or late <= now]
-        shared = (sum(good for _, good in ended) + 1) / (len(ended) + 1)
-        each = [[good for by, good in ended if by is source] for source in sources]
-        return [(sum(own) + LEAN * shared) / (len(own) + LEAN) for own in each]
+        if now - self.tally[0] >= REFRESH:
+            ended = [(by.index, bool(good)) for by, at, late, good in self.fills
+                     if now - at < THROTTLE_SPAN and (good is not None or late <= now)]
+            self.tally = now, Counter(at for at, _ in ended), Counter(at for at, good in ended if good)
+        _, all_of, good_of = self.tally
+        shared = (good_of.total() + 1) / (all_of.total() + 1)
+        return [(good_of[n.index] + LEAN * shared) / (all_of[n.index] + LEAN) for n in sources]
 
     def listed(self, entries, whole, now):
         seen = {entry.id for entry in entries}
@@ -310,6 +307,16 @@
         self.table[slot].roll(now // SPAN)
         return self.table[slot]
 
+    def ranked(self, memory, role, key):
+        """Weighted rendezvous hashing over real ids, alike at all fronts; kept till the next list."""
+        if memory.ranks.get("of") is not self.groups:
+            memory.ranks = {"of": self.groups}
+        if role not in memory.ranks:
+            key, of = mixed(key), self.groups[role]
+            memory.ranks[role] = sorted(
+                of, key=lambda n: (n.entry.weight / log((mixed(n.label, key) + 0.5) / 2**32), n.id))
+        return memory.ranks[role]
+
     def believe(self, memory, node, now):
         memory.holders[node.index] = (now + memory.life(), now, node.started)
 
@@ -343,18 +350,16 @@
                 said.append((get, get.give_up(now) if get else [Subscribe()]))
         return said
 
-    def told(self, peer, payload, now):
-        """Fronts tell each other nothing yet: what a peer says is passed over."""
+    def told(self, *_news):
+        """Fronts tell each other nothing and probe nothing yet: what comes of it is passed over."""
 
-    def probed(self, cache, outcome, spent, load, now):
-        """Nothing is probed yet, so nothing comes of this."""
+    probed = told
 
     def rate(self, now):
-        return sum(w for _, w in self.carried) / max(S, now - self.carried[0][0]) if self.carried else 0
+        return sum([w for _, w in self.carried]) / max(S, now - self.carried[0][0]) if self.carried else 0
 
     def cold_room(self, node, ds, now):
-        # A cold node's capacity is never told: what warm ones return is the guide (what is asked is none, as
-        # repeats swell it), with the stated floor and the slowest rise. One a window goes always, as a start.
+        # Capacity is never told: what warm ones return is the guide, with the stated floor and slowest rise.
         role, kind = node.role, "parent_" if node.role == "parent" else ""
         warm, age = self.get(f"{kind}warm_time", 0), now - node.started
         if role == "origin" or not node.started or age >= warm:
@@ -369,27 +374,27 @@
 
     def usable(self, nodes, now):
         """Never more than half are set aside, whatever the samples say; a trial is one GET at a time."""
-        nodes = [n for n in nodes if n.down <= now and not (n.down and n.out)]
-        aside = [n for n in nodes if n.as_cache.until > now or n.as_cache.trial and n.out]
+        nodes = [n for n in nodes if not n.down or n.down <= now and not n.out]
+        aside = [n for n in nodes if (by := n.as_cache).until > now or by.trial and n.out]
         barred = sorted(aside, key=lambda n: (-n.as_cache.until, n.id))[:len(nodes) // 2]
         return [n for n in nodes if n not in barred]
 
     def width(self, asked, memory, caches, now):
         share = sum(memory.counts[:2]) * self.work(asked) / (2 * SPAN) * len(caches)
-        hot = HOT_SHARE * self.rate(now)
-        return 1 + sum(share > times * hot > 0 for times in (1, 2))
+        hot = HOT_SHARE * self.rate(now) if sum(memory.counts[:2]) > 1 else 0    # once is not often asked
+        return 1 + (share > hot > 0) + (share > 2 * hot > 0)
 
     def pick(self, get, memory, now):
         asked = get.asked
-        caches = self.usable(self.groups["cache"], now)
-        caches = [n for n in caches if n.index not in get.lost] or caches
-        if not (caches := [n for n in caches if self.cold_room(n, asked.ds, now)]):
+        key = asked.object.to_bytes(8, "big") + asked.part.to_bytes(4, "big")
+        caches = self.usable(self.ranked(memory, "cache", key), now)
+        caches = [n for n in caches if n.index not in get.lost] or caches if get.lost else caches
+        if not (order := [n for n in caches if not n.started or self.cold_room(n, asked.ds, now)]):
             return None, False
-        order = ranked(caches, mixed(asked.object.to_bytes(8, "big") + asked.part.to_bytes(4, "big")))
         wide = order[:self.width(asked, memory, order, now)]
         best = min(wide, key=lambda n: (n.crowding(now), n.busy(now) / n.entry.weight))
-        most = AHEAD * (get.limit - now) / max(1, self.work(asked))
-        fit = next((n for n in [best, *order] if n.crowding(now) <= max(1.0, most)), None)
+        most = max(1.0, AHEAD * (get.limit - now) / max(1, self.work(asked)))
+        fit = next((n for n in [best, *order] if n.crowding(now) <= most), None)
         return fit or best, fit is not None
 
     def sibling(self, get, memory, cache, now):
@@ -403,15 +408,11 @@
         return None, False
 
     def upper(self, get, now):
-        """A parent by hash, the origin with none up; and whether it may fetch what it lacks.
-
-        One that came late or refused is passed by for another that does well, or the origin. Fetches are let
-        through by the share of the origin's in time: against storms on it and places lost to its stall. Could
-        harm where they are late for a reason that fewer don't mend.
-        """
-        parents = [n for n in self.groups["parent"] if max(n.as_source.until, n.down) <= now
-                   and n.index not in get.lost and self.cold_room(n, get.asked.ds, now)]
-        order = [*ranked(parents, mixed(get.asked.object.to_bytes(8, "big"))), *self.groups["origin"]]
+        """A parent by hash, the origin with none up; and whether it may fetch what it lacks."""
+        # Late or refusing ones are passed by; fetches pass by the origin's share in time, against its stalls.
+        parents = self.ranked(self.memory(get.asked, now), "parent", get.asked.object.to_bytes(8, "big"))
+        order = [n for n in parents if max(n.as_source.until, n.down) <= now
+                 and n.index not in get.lost and self.cold_room(n, get.asked.ds, now)] + self.groups["origin"]
         shares = self.in_time(order, now) or [0]
         at = next((at for at, share in enumerate(shares) if share >= WELL), shares.index(max(shares)))
         # Where the origin does worst the parents are not at fault: another one would lack the object too.
@@ -427,10 +428,8 @@
             return False
         effect, risky = self.of_ds("effect", asked.ds, "idempotent"), get.risky()
         window = self.of_ds("token_window", asked.ds, 0) - ANSWER_MARGIN if effect == "tokened" else 0
-        if risky is not None and effect != "idempotent" and now - risky.at >= window:
-            return False
-        top = max([r for r in self.get("revenue", ()) if r], default=1)
-        if sent > 1 + int(2 * self.of_ds("revenue", asked.ds, 0) / top):
+        if (risky is not None and effect != "idempotent" and now - risky.at >= window
+                or sent > 1 + int(2 * self.of_ds("revenue", asked.ds, 0) / self.top)):
             return False
         # A plain miss asks nothing of anybody; all else that is sent again may feed a jam.
         return not sent or get.missed or sum(self.further) <= RETRY_SHARE * max(10, len(self.further))
@@ -453,8 +452,7 @@
             source, held_only = self.sibling(get, memory, cache, now)
             if source is None:
                 source, may_fetch = self.upper(get, now)
-                # Among many fronts its own fills are few of the link's: half a told load counts where higher,
-                # as it is told at a fill's pace. Could harm where reports lag a link that empties.
+                # Own fills are few of the link's: half a told load counts where higher, as told at fill pace.
                 told = self.link_use[0] / 2 if now - self.link_use[1] < S else 0
                 late = cache.index not in memory.holders and self.work(asked) * max(
                     told, self.link.crowding(self.filling + 1, now)) > get.limit - now
