Verdicts only after a bad or slow end; one timer armed only for an earlier limit

A good end at a good pace can't bring a verdict nearer, so judge looks no further then; rate is worked out once in REFRESH; the timer is looked at only where a new limit is earlier. A settled GET drops its forwards, so that it goes without the collector; young objects are looked at less often.

--- a/sprucegate/__main__.py
+++ b/sprucegate/__main__.py
@@ -18,6 +18,7 @@
         return 2
     # What the start built stays: the collector need not walk it for the rest of the day.
     gc.freeze()
+    gc.set_threshold(20_000, 20, 100)
     return uvloop.run(serve(wanted))
 
 
--- a/sprucegate/front/driver.py
+++ b/sprucegate/front/driver.py
@@ -37,7 +37,7 @@
             self.relay.write(client, answer(200 if self.ready else 503, b"\n", close=not request.keep_alive),
                              last=not request.keep_alive)
             return
-        get = admit(client, request, self.wanted.ds_names, None)
+        get = admit(client, request, self.wanted.ds_names)
         if isinstance(get, Refusal):
             self.book.count("bad_requests")
             self.relay.write(client, refusal(get, close=True), last=True)
@@ -49,7 +49,6 @@
             return
         self.open[get] = None
         self.guarded(get, lambda: self.say(get, route(self.router, get, now), now))
-        self.arm(now)
 
     def ended(self, out, outcome, found, waited, load):
         if not out.ended:
@@ -61,8 +60,15 @@
         self.book.count(f"forwards_{outcome.name.lower()}")
         finished = get.answered or get.client.get is not get
         decided = get.handle.ended(out.number, outcome, found, now - out.at, waited, load, finished, now)
-        self.say(get, decided, now)
-        self.arm(now)
+        if decided:
+            self.say(get, decided, now)
+        elif get.handle.settled():
+            self.forget(get)
+
+    def forget(self, get):
+        # Get and forwards hold each other: left so, each GET would wait for the collector.
+        if self.open.pop(get, self) is None:
+            get.forwards.clear()
 
     def returned(self, out, said, now):
         """The first answer that a cache returns goes to the client as it is."""
@@ -104,6 +110,8 @@
                 case Forward():
                     out = self.send.forward(get, one, now)
                     heapq.heappush(self.limits, (out.limit, next(self.order), out))
+                    if self.armed is None or out.limit < self.armed:
+                        self.arm(now)
                 case Shed():
                     self.book.count("gets_shed")
                     wait = b"X-Come-Back-Ms: %d\r\n" % (one.retry_after // MS) if one.retry_after else b""
@@ -116,7 +124,7 @@
                     self.send.cancel(out)
                     self.loop.call_soon(self.ended, out, Outcome.CANCELLED, Found.UNTOLD, 0, {})
         if get.handle.settled():
-            self.open.pop(get, None)
+            self.forget(get)
 
     def arm(self, now):
         """One timer, for what the module or a forward's time-out is due at first."""
@@ -156,4 +164,4 @@
             self.log("fault", error=f"{type(fault).__name__}: {fault}", where=f"{at.name}:{at.lineno}")
             self.book.count("faults")
             self.relay.answer(get, 500)
-            self.open.pop(get, None)
+            self.forget(get)
--- a/sprucegate/front/stages/admit.py
+++ b/sprucegate/front/stages/admit.py
@@ -1,6 +1,5 @@
 """Admit: a request as the module's `Asked`, or a plain refusal. Nothing of a refused one goes further."""
 
-import math
 import re
 
 from sprucegate.front.memory.gets import OpenGet
@@ -10,21 +9,22 @@
 MS = 1_000_000
 TARGET = re.compile(rb"/svc/([^/?]+)/([0-9a-f]{1,16})(?:/slice-([0-9]{1,9}))?")
 CALL_ID = re.compile(rb"[0-9a-f]{16}")
+TAG = re.compile(rb'(?:W/)?"([0-9A-Za-z_.-]{1,64})"')
 LIVE = b"/status/live"
 
 
 def _number(headers, name, most, default=None):
-    text = headers.get(name.lower())
+    text = headers.get(name)
     if text is None:
         return default
     try:
         value = float(text)
     except ValueError:
         return None
-    return value if math.isfinite(value) and 0 <= value <= most else None
+    return value if 0 <= value <= most else None    # neither NaN nor infinity is
 
 
-def admit(client, request, ds_names, runs_at_origin):
+def admit(client, request, ds_names):
     """An OpenGet, or a Refusal that names what is wrong."""
     headers, found = request.headers, TARGET.fullmatch(request.target)
     if not found:
@@ -38,19 +38,19 @@
     call_id = headers.get(b"x-call-id", b"")
     if not CALL_ID.fullmatch(call_id):
         return Refusal(400, "X-Call-Id: 16 hex digits are wanted")
-    patience = _number(headers, b"X-Patience-Ms", 3_600_000)
+    patience = _number(headers, b"x-patience-ms", 3_600_000)
     if not patience:
         return Refusal(400, "X-Patience-Ms: milliseconds above 0 are wanted")
-    group = _number(headers, b"X-Set", 255, -1)
+    group = _number(headers, b"x-set", 255, -1)
     if group is None or group != int(group):
         return Refusal(400, "X-Set: a whole number from 0 to 255 is wanted")
-    size = _number(headers, b"X-Heap-Kb", 1e9, 0.0)
+    size = _number(headers, b"x-heap-kb", 1e9, 0.0)
     if size is None:
         return Refusal(400, "X-Heap-Kb: a number of KB is wanted")
-    have = headers.get(b"if-none-match", b"").strip()
-    have = re.fullmatch(rb'(?:W/)?"([0-9A-Za-z_.-]{1,64})"', have)
+    have = headers.get(b"if-none-match")
+    have = have and TAG.fullmatch(have)
     asked = Asked(
         id=call_id.decode(), object=int(thing, 16), part=int(part or 0), group=int(group), ds=ds,
         size=int(size), write=request.method == b"PUT", repeat=False, ttl=int(patience * MS))
-    return OpenGet(client, call_id, ds_name.decode("latin-1"), thing.decode(), int(part or 0),
+    return OpenGet(client, call_id, ds_name.decode(), thing.decode(), int(part or 0),
                    have[1].decode() if have else "", request.body, asked)
--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -88,8 +88,10 @@
 
     def judge(self, others, alone, now):
         """Outlier ejection: far slower than peers, or half failed; all, where it may be another's fault."""
+        if self.until > now or self.ends and self.ends[-1][1] and self.speeds and self.speeds[-1][1] <= SLOW:
+            return                           # a good end at a good pace brings no verdict nearer
         slow, share = self.slowness(now), self.failures(now)
-        if self.until > now or slow <= SLOW and share <= 0.5:
+        if slow <= SLOW and share <= 0.5:
             return                           # peers are looked at only where it could come to something
         rivals = [r for o in others if o is not self and (r := o.slowness(now))]
         usual = 0 if alone else median([o.failures(now) for o in others if o is not self] or [1])
@@ -211,7 +213,7 @@
         self.spents = defaultdict(lambda: deque(maxlen=64))    # by delivery service, the last sending times
         self.link, self.filling, self.link_use = Standing(), 0, (0, NEVER)
         self.fills = deque(maxlen=256)       # [source, time, when late, came in time] of the last fills
-        self.tally = NEVER, Counter(), Counter()
+        self.tally, self.rated = (NEVER, Counter(), Counter()), (NEVER, 0)
         self.found = deque([Found.FILLED] * 8, maxlen=64)
         self.further = deque(maxlen=100)     # of the last forwards, which were further ones
         self.top = max([r for r in self.get("revenue", ()) if r], default=1)
@@ -265,7 +267,6 @@
         for node in self.nodes if whole else ():
             if node.id not in seen:
                 node.entry = node.entry._replace(state=State.GONE)
-        # Grouped once a list: a walk over the fleet for each GET would be the dearest part of it.
         here, self.groups = self.get("my_location", 0), defaultdict(list)
         for node in self.nodes:
             if node.entry.state is State.SERVING and (node.role != "cache" or node.entry.location == here):
@@ -350,13 +351,12 @@
                 said.append((get, get.give_up(now) if get else [Subscribe()]))
         return said
 
-    def told(self, *_news):
-        """Fronts tell each other nothing and probe nothing yet: what comes of it is passed over."""
-
-    probed = told
+    told = probed = lambda self, *_news: None    # fronts tell each other nothing and probe nothing yet
 
     def rate(self, now):
-        return sum([w for _, w in self.carried]) / max(S, now - self.carried[0][0]) if self.carried else 0
+        if now - self.rated[0] >= REFRESH and self.carried:
+            self.rated = now, sum([w for _, w in self.carried]) / max(S, now - self.carried[0][0])
+        return self.rated[1]
 
     def cold_room(self, node, ds, now):
         # Capacity is never told: what warm ones return is the guide, with the stated floor and slowest rise.
@@ -408,8 +408,7 @@
         return None, False
 
     def upper(self, get, now):
-        """A parent by hash, the origin with none up; and whether it may fetch what it lacks."""
-        # Late or refusing ones are passed by; fetches pass by the origin's share in time, against its stalls.
+        """A parent that does well by hash, or the origin; and if it may fetch: the origin's share in time."""
         parents = self.ranked(self.memory(get.asked, now), "parent", get.asked.object.to_bytes(8, "big"))
         order = [n for n in parents if max(n.as_source.until, n.down) <= now
                  and n.index not in get.lost and self.cold_room(n, get.asked.ds, now)] + self.groups["origin"]
