Requests begin three a turn, so that cache answers are read in between

Its caches' answers had waited in the loop behind new requests; spent - waited grew, the module took link and caches for crowded and shed, and the clients repeated the sheds at once. Requests now queue at the door with the time they came (their patience counts from it), three begun between two polls.

--- a/sprucegate/front/driver.py
+++ b/sprucegate/front/driver.py
@@ -31,13 +31,13 @@
 
     # What happens.
 
-    def request(self, client, request):
+    def request(self, client, request, at):
         now = self.clock()
         if request.target == LIVE:
             self.relay.write(client, answer(200 if self.ready else 503, b"\n", close=not request.keep_alive),
                              last=not request.keep_alive)
             return
-        get = admit(client, request, self.wanted.ds_names)
+        get = admit(client, request, self.wanted.ds_names, now - at)
         if isinstance(get, Refusal):
             self.book.count("bad_requests")
             self.relay.write(client, refusal(get, close=True), last=True)
@@ -48,7 +48,10 @@
             self.relay.answer(get, 503)
             return
         self.open[get] = None
-        self.guarded(get, lambda: self.say(get, route(self.router, get, now), now))
+        self.guarded(get, self._taken, get, now)
+
+    def _taken(self, get, now):
+        self.say(get, route(self.router, get, now), now)
 
     def ended(self, out, outcome, found, waited, load):
         if not out.ended:
--- a/sprucegate/front/memory/connections.py
+++ b/sprucegate/front/memory/connections.py
@@ -7,15 +7,15 @@
 
 
 class Client:
-    __slots__ = ("sock", "reader", "get", "outgoing", "writer", "closing", "since")
+    __slots__ = ("sock", "reader", "get", "outgoing", "writer", "closing", "busy", "since")
 
     def __init__(self, sock, now):
         self.sock, self.reader = sock, RequestReader()
         self.get, self.outgoing, self.writer = None, deque(), None
-        self.closing, self.since = False, now
+        self.closing, self.busy, self.since = False, False, now
 
     def idle(self):
-        return self.get is None and not self.outgoing and self.writer is None and not self.reader.begun
+        return not self.busy and not self.outgoing and self.writer is None and not self.reader.begun
 
 
 class CacheConnection:
--- a/sprucegate/front/stages/admit.py
+++ b/sprucegate/front/stages/admit.py
@@ -24,7 +24,7 @@
     return value if 0 <= value <= most else None    # neither NaN nor infinity is
 
 
-def admit(client, request, ds_names):
+def admit(client, request, ds_names, waited):
     """An OpenGet, or a Refusal that names what is wrong."""
     headers, found = request.headers, TARGET.fullmatch(request.target)
     if not found:
@@ -51,6 +51,6 @@
     have = have and TAG.fullmatch(have)
     asked = Asked(
         id=call_id.decode(), object=int(thing, 16), part=int(part or 0), group=int(group), ds=ds,
-        size=int(size), write=request.method == b"PUT", repeat=False, ttl=int(patience * MS))
+        size=int(size), write=request.method == b"PUT", repeat=False, ttl=int(patience * MS) - waited)
     return OpenGet(client, call_id, ds_name.decode(), thing.decode(), int(part or 0),
                    have[1].decode() if have else "", request.body, asked)
--- a/sprucegate/front/stages/relay.py
+++ b/sprucegate/front/stages/relay.py
@@ -20,7 +20,7 @@
 
     def write(self, client, data, last=False):
         """At once where the socket takes all of it; the rest by sock_sendall in a task."""
-        client.closing = client.closing or last
+        client.closing, client.busy = client.closing or last, False
         if client.writer is not None:
             client.outgoing.append(data)
             return
--- a/sprucegate/front/stages/take_in.py
+++ b/sprucegate/front/stages/take_in.py
@@ -2,15 +2,19 @@
 
 import asyncio
 import socket
+from collections import deque
 
 from sprucegate.front.memory.connections import Client
 from sprucegate.front.protocol import http
 
+TURN = 3        # requests begun in one turn of the loop
+
 
 class TakeIn:
     def __init__(self, driver, pool, most):
         self.driver, self.pool, self.most = driver, pool, most
         self.clients, self.loop = {}, asyncio.get_running_loop()
+        self.whole, self.begins = deque(), False
 
     async def accept(self, listener):
         while True:
@@ -69,21 +73,39 @@
             self.driver.guarded(client.get, self.driver.left, client.get)
 
     def _fed(self, client, data):
-        client.since = self.driver.clock()
+        client.since = now = self.driver.clock()
         for request in client.reader.feed(data):
-            if client.get is not None or client.closing:
+            if client.busy or client.closing:
                 # One at a time is agreed; one sent ahead is left unread by the close that follows.
                 client.closing = True
                 return
-            self.driver.request(client, request)
+            client.busy = True
+            self.whole.append((client, request, now))
+        if self.whole and not self.begins:
+            self.begins = True
+            self.loop.call_soon(self._begin)
         if client.reader.fault and not client.closing:
             client.closing = True
-            if client.get is None:
+            if not client.busy:
                 self.driver.relay.write(client, http.refusal(client.reader.fault, close=True), last=True)
 
+    def _begin(self):
+        """A few at a time, so that what caches have answered is read in between.
+
+        Against a jam in the front itself: answers that wait behind new requests look like slow caches, which
+        the module then spares by sheds that the clients repeat.
+        """
+        for _ in range(min(TURN, len(self.whole))):
+            client, request, at = self.whole.popleft()
+            if client in self.clients:
+                self.driver.request(client, request, at)
+        self.begins = bool(self.whole)
+        if self.begins:
+            self.loop.call_soon(self._begin)
+
     def sweep(self, now, patience):
         """A request never finished, or a connection never closed by its client, goes in bounded time."""
         for client in list(self.clients):
             waits = client.closing or client.reader.begun
-            if waits and client.get is None and now - client.since > patience:
+            if waits and not client.busy and now - client.since > patience:
                 self.close(client)
