Tests of the front: codecs at every cut, faults by key, and the program between stand-ins

Found on the way and mended: a wrong type half-way down a key (limits: 5) was taken for its default; answers read well before an unreadable one on the same connection were lost with it; a host listed again after it had gone kept closing its connections; the timer looked for a GET by walking all open ones.

--- a/sprucegate/front/driver.py
+++ b/sprucegate/front/driver.py
@@ -47,11 +47,12 @@
             self.book.count("shed_over_bound")
             self.relay.answer(get, 503)
             return
-        self.open[get] = None
         self.guarded(get, self._taken, get, now)
 
     def _taken(self, get, now):
-        self.say(get, route(self.router, get, now), now)
+        decided = route(self.router, get, now)
+        self.open[get.handle] = get
+        self.say(get, decided, now)
 
     def ended(self, out, outcome, found, waited, load):
         if not out.ended:
@@ -70,10 +71,10 @@
 
     def forget(self, get):
         # Get and forwards hold each other: left so, each GET would wait for the collector.
-        if self.open.pop(get, self) is None:
+        if self.open.pop(get.handle, None) is not None:
             get.forwards.clear()
 
-    def returned(self, out, said, now):
+    def returned(self, out, said):
         """The first answer that a cache returns goes to the client as it is."""
         if said.word == b"still_good":
             self.relay.answer(out.get, 304, headers=self._tag(said))
@@ -152,10 +153,8 @@
                 self.send.cancel(out)
                 self.ended(out, Outcome.TIMED_OUT, Found.UNTOLD, 0, {})
         for handle, decided in self.router.due(now):
-            if handle is not None:
-                get = next((get for get in self.open if get.handle is handle), None)
-                if get is not None:
-                    self.guarded(get, self.say, get, decided, now)
+            if handle in self.open:
+                self.guarded(self.open[handle], self.say, self.open[handle], decided, now)
         self.arm(now)
 
     def guarded(self, get, deed, *given):
--- a/sprucegate/front/lifecycle/configuration.py
+++ b/sprucegate/front/lifecycle/configuration.py
@@ -9,6 +9,7 @@
 from sprucegate.wire.settings import settings_from
 
 REQUIRED = object()
+KINDS = {str: "text", dict: "an object", list: "a list"}
 
 
 class Faulty(Exception):
@@ -35,33 +36,19 @@
 
 
 def _pick(data, key, kind, default=REQUIRED):
-    at, *rest = key.split(".")
-    value = data.get(at)
-    if rest and isinstance(value, dict):
-        return _pick_under(value, key, rest, kind, default)
-    if value is None or rest:
-        if default is REQUIRED:
-            raise Faulty(f"{key}: is missing")
-        return default
-    return _checked(value, key, kind)
-
-
-def _pick_under(data, key, rest, kind, default):
-    for name in rest[:-1]:
-        data = data.get(name) if isinstance(data, dict) else None
-    value = data.get(rest[-1]) if isinstance(data, dict) else None
-    if value is None:
-        if default is REQUIRED:
-            raise Faulty(f"{key}: is missing")
-        return default
-    return _checked(value, key, kind)
+    *path, last = key.split(".")
+    for at, name in enumerate(path):
+        data = _checked(data.get(name, {}), ".".join(path[:at + 1]), dict)
+    if data.get(last) is not None:
+        return _checked(data[last], key, kind)
+    if default is REQUIRED:
+        raise Faulty(f"{key}: is missing")
+    return default
 
 
 def _checked(value, key, kind):
     if isinstance(value, bool) or not isinstance(value, kind):
-        kinds = kind if isinstance(kind, tuple) else (kind,)
-        wanted = " or ".join({str: "text", dict: "object", list: "list"}.get(k, "number") for k in kinds[:1])
-        raise Faulty(f"{key}: must be a {wanted}, not {type(value).__name__}")
+        raise Faulty(f"{key}: must be {KINDS.get(kind, 'a number')}, not {type(value).__name__}")
     return value
 
 
--- a/sprucegate/front/lifecycle/run.py
+++ b/sprucegate/front/lifecycle/run.py
@@ -45,7 +45,7 @@
     await asyncio.sleep(STILL_COMING)
     tasks[0].cancel()
     listener.close()
-    while driver.open or any(client.outgoing for client in take_in.clients):
+    while driver.open or any(client.busy or client.writer for client in take_in.clients):
         await asyncio.sleep(0.01)
     for client in list(take_in.clients):
         take_in.close(client)
--- a/sprucegate/front/protocol/caches.py
+++ b/sprucegate/front/protocol/caches.py
@@ -53,14 +53,23 @@
 
 
 class AnswerReader:
-    """Answers of one connection, fed as the bytes come, in whatever pieces."""
+    """Answers of one connection, fed in whatever pieces they come; `fault` once they can't be read."""
 
     def __init__(self):
-        self.held, self.head = bytearray(), None
+        self.held, self.head, self.fault = bytearray(), None, None
 
     def feed(self, data):
-        held, at, whole = self.held, 0, []
-        held += data
+        """The answers made whole: also those before a fault, which were read well."""
+        whole = []
+        self.held += data
+        try:
+            self._cut(self.held, whole)
+        except Unreadable as fault:
+            self.fault = str(fault)
+        return whole
+
+    def _cut(self, held, whole):
+        at = 0
         while True:
             if self.head is None:
                 end = held.find(b"\r\n", at)
@@ -77,7 +86,6 @@
             whole.append(Answer(*self.head[:3], bytes(held[at:at + length])))
             self.head, at = None, at + length + 2
         del held[:at]
-        return whole
 
 
 def read_head(line):
@@ -98,25 +106,17 @@
     return words[0], words[1], fields, int(words[3])
 
 
-def found(fields):
-    return REMARKS.get(fields.get("remark"), Found.UNTOLD)
-
-
-def waited(fields):
+def meaning(answer):
+    """Outcome, where it was found, time waited for the source and load report, as the module knows them."""
+    fields, outcome, report = answer.fields, OUTCOMES.get(answer.word), {}
+    if outcome is None:
+        raise Unreadable(f"an unknown word {answer.word[:30]!r}")
     try:
-        return max(0, int(float(fields.get("ttfb", 0)) * MS))
-    except (ValueError, OverflowError):
-        raise Unreadable("ttfb is no number") from None
-
-
-def load(fields):
-    """The load report in the module's names; values under names that are not known are skipped."""
-    report = {}
-    for pair in filter(None, fields.get("report", "").split(";")):
-        name, _, value = pair.partition(":")
-        if name in LOADS:
-            try:
+        for pair in filter(None, fields.get("report", "").split(";")):
+            name, _, value = pair.partition(":")
+            if name in LOADS:                # what is not known is skipped
                 report[LOADS[name]] = float(value)
-            except ValueError:
-                raise Unreadable(f"no number in a report: {pair[:60]!r}") from None
-    return report
+        waited = max(0, int(float(fields.get("ttfb", 0)) * MS))
+    except (ValueError, OverflowError):
+        raise Unreadable(f"no number where one belongs: {fields}"[:200]) from None
+    return outcome, REMARKS.get(fields.get("remark"), Found.UNTOLD), waited, report
--- a/sprucegate/front/stages/send.py
+++ b/sprucegate/front/stages/send.py
@@ -6,7 +6,7 @@
 from sprucegate.front.memory.connections import CacheConnection, Place
 from sprucegate.front.memory.gets import OpenForward, Progress
 from sprucegate.front.protocol import caches
-from sprucegate.interface import Found, Outcome
+from sprucegate.interface import Found, Outcome, State
 
 NEVER_RAN = {Progress.NOT_SENT: Outcome.UNREACHABLE, Progress.PARTLY: Outcome.UNREACHABLE,
              Progress.WHOLE: Outcome.RESET, Progress.ANSWERING: Outcome.RESET}
@@ -26,7 +26,9 @@
             name, address = hosts.names[entry.id]
             host, _, port = address.rpartition(":")
             place = self.places.get(entry.id)
-            gone = entry.state.name == "GONE"
+            gone = entry.state is State.GONE
+            if place is not None:
+                place.gone = gone
             if place is None:
                 if not gone:
                     self.places[entry.id] = Place(entry.id, name, (host, int(port)))
@@ -154,15 +156,14 @@
             size = connection.sock.recv_into(buffer)
             for answer in connection.reader.feed(buffer[:size]):
                 self._answered(connection, answer)
-            if not size:
+            if fault := connection.reader.fault:
+                self.driver.log("cache_unreadable", cache=connection.place.name, error=fault)
+            if fault or not size:
                 self.close(connection)
         except BlockingIOError:
             pass
         except OSError:
             self.close(connection)
-        except caches.Unreadable as fault:
-            self.driver.log("cache_unreadable", cache=connection.place.name, error=str(fault))
-            self.close(connection)
         finally:
             self.pool.give_back(buffer)
 
@@ -191,18 +192,18 @@
             self.driver.ended(out, NEVER_RAN[out.progress], Found.UNTOLD, 0, {})
 
     def _answered(self, connection, answer):
-        connection.used = now = self.driver.clock()
-        out = connection.open.pop(answer.id, None)
+        connection.used = self.driver.clock()
+        out = connection.open.get(answer.id)
         if out is None:
             return                       # late: its forward has ended already
-        outcome = caches.OUTCOMES.get(answer.word)
-        if outcome is None:
-            connection.open[answer.id] = out
-            raise caches.Unreadable(f"an unknown word {answer.word[:30]!r}")
-        found, waited = caches.found(answer.fields), caches.waited(answer.fields)
-        load = caches.load(answer.fields)
+        try:
+            outcome, found, waited, load = caches.meaning(answer)
+        except caches.Unreadable as fault:
+            connection.reader.fault = connection.reader.fault or str(fault)
+            return
+        del connection.open[answer.id]
         if outcome is Outcome.RETURNED:
-            self.driver.returned(out, answer, now)
+            self.driver.returned(out, answer)
         self.driver.ended(out, outcome, found, waited, load)
         if connection.place.gone and not connection.open:
             self.close(connection)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,5 +1,14 @@
 """Small builders for the state that a test needs."""
 
+import http.client
+import json
+import os
+import queue
+import socket
+import subprocess
+import sys
+import threading
+
 from sprucegate.interface import Asked, Listed, State
 from sprucegate.rules import MS, Router, S
 
@@ -42,3 +51,145 @@
     for cache in caches:
         memory.holders[made.index_of[cache]] = (expiry, since, node(made, cache).entry.started)
     return memory
+
+
+# Stand-ins for what a front talks to, each in threads of its own on a free loopback port.
+
+REAL = {
+    "flow_bytes_per_s": 1e6, "link_bytes_per_s": 1e7, "seed": "7f", "name": "n0",
+    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+    "settings": {
+        "allowed": {"cancel": True, "connectTimeout": 200_000, "keepalive": 15_000_000, "attemptsCap": 6},
+        "categories": [
+            {"name": "media", "aim": 400_000, "effect": "pure", "worth": 2.0, "deadline": 3_000_000},
+            {"name": "order", "aim": 400_000, "effect": "side_effect", "worth": 3.0}],
+        "failureDomains": ["here"], "shapes": ["std", "parent", "origin"], "myZone": 0,
+        "specifics": {"shieldKind": 1, "storeKind": 2, "goesThrough": [False, True], "straight": True,
+                      "classFresh": [0, 0], "usableAfter": [0, 0], "neighbours": "location"},
+    },
+}
+
+
+def served(call_id, fields, body=b"x" * 5):
+    return b"%b served etag=t1,made=5,remark=cached %d\r\n%b\r\n" % (call_id, len(body), body)
+
+
+class StandIn:
+    """Listens and gives each connection to `talk`, whose end closes it; `heard` has what came in."""
+
+    def __init__(self, talk):
+        self.talk, self.heard = talk, queue.Queue()
+        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.sock.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def stop(self):
+        self.sock.shutdown(socket.SHUT_RDWR)     # closed alone, it would go on in a blocked accept
+        self.sock.close()
+
+    def _accept(self):
+        while True:
+            try:
+                sock, _ = self.sock.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+
+    def _serve(self, sock):
+        with sock:
+            try:
+                self.talk(self, sock)
+            except OSError:
+                pass
+
+
+def cache(reply):
+    """A cache: `reply(id, fields, body)` is sent back; None says nothing, b'' ends the connection."""
+
+    def talk(self, sock):
+        file = sock.makefile("rb")
+        while words := file.readline().split():
+            body = file.read(int(words[3]) + 2)[:-2] if words[0] == b"serve" else b""
+            fields = dict(p.split("=", 1) for p in words[2].decode().split(",")) if len(words) > 2 else {}
+            self.heard.put((words[0], words[1], fields, body))
+            said = reply(words[1], fields, body) if words[0] == b"serve" else None
+            if said == b"":
+                return
+            sock.sendall(said or b"")
+
+    return StandIn(talk)
+
+
+def bus(tells):
+    """An event bus: what stands in the queue `tells` goes out; None there ends the connection."""
+
+    def talk(self, sock):
+        head = b""
+        while b"\r\n\r\n" not in head:
+            head += sock.recv(4096)
+        self.heard.put(head)
+        sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n:\n\n")
+        while (event := tells.get()) is not None:
+            sock.sendall(f"id: {event['offset']}\ndata: {json.dumps(event)}\n\n".encode())
+
+    return StandIn(talk)
+
+
+def host(name, address, kind, health="up"):
+    return {"host": name, "dial": address, "site": "here", "class": kind, "block": 0, "health": health,
+            "share": 1.0, "born_ms": 0}
+
+
+class Front:
+    """The program itself, on its own port, with the given hosts known and a bus of its own."""
+
+    def __init__(self, path, *hosts):
+        self.tells = queue.Queue()
+        self.bus = bus(self.tells)
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            self.address = free.getsockname()
+        known = [{"offset": 1, "topology": {"seq": 1, "whole": True, "hosts": hosts}}]
+        file = path / "config.json"
+        file.write_text(json.dumps({**REAL, "listen": f"127.0.0.1:{self.address[1]}",
+                                    "bus": self.bus.address, "known": {"offset": 1, "batch": known}}))
+        self.process = subprocess.Popen([sys.executable, "-m", "sprucegate"], stdout=subprocess.PIPE,
+                                        env={**os.environ, "BALANCER_CONFIG": str(file)})
+        for line in self.process.stdout:
+            if json.loads(line)["event"] == "ready":
+                break
+        threading.Thread(target=self._read, daemon=True).start()
+        self.log = queue.Queue()
+
+    def _read(self):
+        for line in self.process.stdout:
+            self.log.put(json.loads(line))
+
+    def until(self, event):
+        while (line := self.log.get(timeout=10))["event"] != event:
+            pass
+        return line
+
+    def connect(self):
+        return socket.create_connection(self.address, timeout=10)
+
+    def ask(self, text, sock=None):
+        """Status, headers and body of one answer."""
+        sock = sock or self.connect()
+        sock.sendall(text)
+        answer = http.client.HTTPResponse(sock)
+        answer.begin()
+        return answer.status, answer.headers, answer.read()
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.process.kill()
+        self.process.wait()
+        self.process.stdout.close()
+
+
+def get_text(call_id="9b1f03aa5c7e2d41", ds="media", extra="", method="GET", body=b"", patience=1500):
+    return (f"{method} /svc/{ds}/7f3a9c21e0b4d655/slice-3 HTTP/1.1\r\nHost: a\r\nX-Call-Id: {call_id}\r\n"
+            f"X-Patience-Ms: {patience}\r\nX-Set: 17\r\nX-Heap-Kb: 4.5\r\n"
+            f"Content-Length: {len(body)}\r\n{extra}\r\n").encode() + body
--- /dev/null
+++ b/tests/test_front.py
@@ -0,0 +1,184 @@
+"""The program itself, started and spoken to over loopback, between stand-ins for caches and bus."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+
+import pytest
+from helpers import REAL, Front, cache, get_text, host, served
+
+LIVE = b"GET /status/live HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+def serve(path, reply, origin=served):
+    """A front with one cache and an origin, and both stand-ins."""
+    box, root = cache(reply), cache(origin)
+    front = Front(path, host("s-0b", box.address, "std"), host("s-1f", root.address, "origin"))
+    return front, box, root
+
+
+def test_gets_are_answered_on_one_connection_and_a_tag_passes_through(tmp_path):
+    def reply(call_id, fields, body):
+        same = b"%b still_good etag=t1,made=5 0\r\n\r\n" % call_id
+        return same if "have" in fields else served(call_id, fields)
+
+    front, box, _ = serve(tmp_path, reply)
+    with front:
+        sock = front.connect()
+        assert front.ask(LIVE, sock)[0] == 200
+        status, headers, body = front.ask(get_text(), sock)
+        assert (status, headers["ETag"], body) == (200, '"t1"', b"xxxxx")
+        word, call_id, fields, _ = box.heard.get(timeout=5)
+        assert (word, call_id, fields["profile"], fields["thing"], fields["nth"], fields["src"]) == (
+            b"serve", b"9b1f03aa5c7e2d41", "media", "7f3a9c21e0b4d655", "3", "s-1f")
+        assert front.ask(get_text(extra='If-None-Match: "t1"\r\n'), sock)[::2] == (304, b"")
+        assert box.heard.get(timeout=5)[2]["have"] == "t1"
+        status, headers, _ = front.ask(get_text(extra="Connection: close\r\n"), sock)
+        assert (status, headers["Connection"], sock.recv(9)) == (200, "close", b"")
+
+
+def test_a_write_goes_to_the_origin_with_its_body(tmp_path):
+    front, _, root = serve(tmp_path, served)
+    with front:
+        assert front.ask(get_text(ds="order", method="PUT", body=b"b" * 48_000))[0] == 200
+        assert root.heard.get(timeout=5)[3] == b"b" * 48_000
+
+
+@pytest.mark.parametrize("word, ds, status", [
+    (b"not_here", "media", 503), (b"overload", "media", 503), (b"crashed", "media", 503),
+    (b"nobody", "order", 503), (b"crashed", "order", 502), (b"odd", "order", 502),
+])
+def test_what_may_have_run_is_errored_and_all_else_shed(tmp_path, word, ds, status):
+    def reply(call_id, fields, body):
+        return b"%b %b - 0\r\n\r\n" % (call_id, word)
+
+    front, _, _ = serve(tmp_path, reply, reply)
+    with front:
+        assert front.ask(get_text(ds=ds))[0] == status
+
+
+def test_a_lost_connection_and_a_refused_one_tell_what_may_have_run(tmp_path):
+    front, _, root = serve(tmp_path, served, lambda *_: b"")
+    with front:
+        assert front.ask(get_text(ds="order"))[0] == 502
+        root.stop()
+        front.until("cache_connection_lost")
+        assert front.ask(get_text("9b1f03aa5c7e2d42", ds="order"))[0] == 503
+
+
+def test_a_silent_cache_is_given_up_in_time_and_by_name(tmp_path):
+    front, box, _ = serve(tmp_path, lambda *_: None, lambda *_: None)
+    with front:
+        status, _, _ = front.ask(get_text(patience=300))
+        assert status in (502, 503)
+        assert [box.heard.get(timeout=5)[:2] for _ in range(2)] == [
+            (b"serve", b"9b1f03aa5c7e2d41"), (b"cancel", b"9b1f03aa5c7e2d41")]
+
+
+def test_answers_out_of_order_find_their_clients(tmp_path):
+    both, waiting = threading.Barrier(2, timeout=5), []
+
+    def reply(call_id, fields, body):
+        waiting.append(call_id)
+        return b"".join(served(c, fields, c) for c in reversed(waiting)) if len(waiting) == 2 else None
+
+    front, _, _ = serve(tmp_path, reply)
+    with front:
+        answers = {}
+
+        def ask(call_id):
+            both.wait()
+            answers[call_id] = front.ask(get_text(call_id))[2].decode()
+
+        threads = [threading.Thread(target=ask, args=(c * 16,)) for c in "ab"]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join(10)
+        assert answers == {c * 16: c * 16 for c in "ab"}
+
+
+def test_a_client_that_leaves_has_its_forward_cancelled(tmp_path):
+    front, box, _ = serve(tmp_path, lambda *_: None)
+    with front:
+        sock = front.connect()
+        sock.sendall(get_text())
+        assert box.heard.get(timeout=5)[0] == b"serve"
+        sock.close()
+        assert box.heard.get(timeout=5)[:2] == (b"cancel", b"9b1f03aa5c7e2d41")
+
+
+@pytest.mark.parametrize("text, status", [
+    (b"nonsense\r\n\r\n", 400), (get_text(call_id="x"), 400), (get_text(ds="other"), 404),
+    (get_text(method="DELETE"), 405), (b"PUT / HTTP/1.1\r\nContent-Length: 50000\r\n\r\n", 413),
+    (b"GET / HTTP/1.1\r\nA: " + b"a" * 9000, 431),
+])
+def test_bad_input_is_refused_and_reaches_no_cache(tmp_path, text, status):
+    front, box, _ = serve(tmp_path, served)
+    with front:
+        assert front.ask(text)[0] == status
+        assert front.ask(get_text("c" * 16))[0] == 200
+        assert box.heard.get(timeout=5)[1] == b"c" * 16
+
+
+def test_drains_and_purges_from_the_bus_hold_and_a_break_is_taken_up_again(tmp_path):
+    front, box, root = serve(tmp_path, served)
+    with front:
+        assert b"Last-Event-ID: 1\r\n" in front.bus.heard.get(timeout=5)
+        front.tells.put({"offset": 2, "ban": {"url": "7f3a9c21e0b4d655", "ts": 0}})
+        front.until("told")
+        front.tells.put(None)
+        assert b"Last-Event-ID: 2\r\n" in front.bus.heard.get(timeout=5)
+        front.tells.put({"offset": 2, "ban": {"tag": 1, "ts": 0}})      # sent again: not applied twice
+        front.tells.put({"offset": 3, "topology": {"seq": 2, "whole": False, "hosts": [
+            host("s-0b", box.address, "std", "draining")]}})
+        assert front.until("told")["offset"] == 3
+        assert front.ask(get_text())[0] == 200
+        assert root.heard.get(timeout=5)[0] == b"serve" and box.heard.empty()
+
+
+def test_sigterm_answers_what_is_open_and_what_still_comes_then_ends(tmp_path):
+    go = threading.Event()
+
+    def reply(call_id, fields, body):
+        go.wait(5)
+        return served(call_id, fields)
+
+    front, box, _ = serve(tmp_path, reply)
+    with front:
+        sock, idle = front.connect(), front.connect()
+        sock.sendall(get_text())
+        box.heard.get(timeout=5)
+        front.process.send_signal(signal.SIGTERM)
+        front.until("stopping")
+        threading.Timer(0.1, go.set).start()
+        assert front.ask(get_text("d" * 16))[0] == 200
+        assert sock.recv(4096).startswith(b"HTTP/1.1 200")
+        assert front.process.wait(10) == 0 and idle.recv(9) == b""
+
+
+def test_a_faulty_configuration_is_one_line_and_no_start(tmp_path):
+    file = tmp_path / "config.json"
+    known = {"offset": 0, "batch": []}
+    file.write_text(json.dumps({**REAL, "listen": "127.0.0.1:1", "known": known}))
+    for path, named in ((str(file), "bus: is missing"), (str(tmp_path / "none"), "BALANCER_CONFIG")):
+        done = subprocess.run([sys.executable, "-m", "sprucegate"], capture_output=True, text=True,
+                              timeout=20, env={**os.environ, "BALANCER_CONFIG": path})
+        assert done.returncode == 2 and named in done.stderr and done.stderr.count("\n") == 1
+
+
+def test_a_request_in_many_pieces_and_one_left_unfinished(tmp_path):
+    front, _, _ = serve(tmp_path, served)
+    with front:
+        sock = front.connect()
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        text = get_text()
+        for at in range(len(text) - 1):
+            sock.sendall(text[at:at + 1])
+        assert front.ask(text[-1:], sock)[0] == 200
+        sock.sendall(text[:20])
+        assert sock.recv(9) == b""           # closed in bounded time
--- /dev/null
+++ b/tests/test_front_codecs.py
@@ -0,0 +1,146 @@
+"""What is spoken and configured, without a socket."""
+
+import copy
+import json
+
+import pytest
+from helpers import REAL, get_text, served
+
+from sprucegate.front.lifecycle import configuration
+from sprucegate.front.memory.pool import Pool
+from sprucegate.front.protocol import bus, caches
+from sprucegate.front.protocol.http import HEAD_MOST, RequestReader
+from sprucegate.front.stages.admit import admit
+from sprucegate.interface import Forward, Found, Outcome, State
+
+
+@pytest.mark.parametrize("cut", range(1, len(get_text(body=b"abc")), 7))
+def test_a_request_is_read_however_it_is_cut(cut):
+    text, reader = get_text(method="PUT", body=b"abc"), RequestReader()
+    whole = reader.feed(text[:cut]) + reader.feed(text[cut:])
+    assert [(r.method, r.body, r.headers[b"x-set"]) for r in whole] == [(b"PUT", b"abc", b"17")]
+
+
+@pytest.mark.parametrize("text, status", [
+    (b"\x16\x03\x01 nonsense\r\n\r\n", 400),
+    (b"GET / HTTP/1.1\r\nContent-Length: x\r\n\r\n", 400),
+    (b"GET / HTTP/1.1\r\nX-Call-Id: a\r\nX-Call-Id: b\r\n\r\n", 400),
+    (b"PUT / HTTP/1.1\r\nContent-Length: 48001\r\n\r\n", 413),
+    (b"GET / HTTP/1.1\r\nA: " + b"a" * HEAD_MOST, 431),
+])
+def test_what_is_no_request_is_refused(text, status):
+    reader = RequestReader()
+    assert reader.feed(text) == [] and reader.fault.status == status
+
+
+@pytest.mark.parametrize("old, new, status, named", [
+    (b"9b1f03aa5c7e2d41", b"9b1f", 400, "X-Call-Id"),
+    (b"X-Patience-Ms: 1500", b"X-Patience-Ms: nan", 400, "X-Patience-Ms"),
+    (b"X-Patience-Ms: 1500", b"X-Other: 1", 400, "X-Patience-Ms"),
+    (b"X-Set: 17", b"X-Set: 256", 400, "X-Set"),
+    (b"X-Heap-Kb: 4.5", b"X-Heap-Kb: -1", 400, "X-Heap-Kb"),
+    (b"/svc/media/", b"/svc/other/", 404, "delivery service"),
+    (b"/svc/media/", b"/other/media/", 404, "path"),
+    (b"GET", b"DELETE", 405, "GET"),
+])
+def test_a_request_that_lacks_something_is_told_what(old, new, status, named):
+    request, = RequestReader().feed(get_text().replace(old, new))
+    refused = admit(None, request, {"media": 0}, 0)
+    assert refused.status == status and named in refused.text
+
+
+def test_time_spent_at_the_door_comes_off_the_patience():
+    request, = RequestReader().feed(get_text(extra='If-None-Match: "4be0"\r\n'))
+    get = admit(None, request, {"media": 0}, 30_000_000)
+    assert (get.asked.ttl, get.asked.object, get.asked.part, get.asked.group, get.have) == (
+        1_470_000_000, 0x7f3a9c21e0b4d655, 3, 17, "4be0")
+
+
+MISS = b"bb not_here remark=up_empty,ttfb=1.5,report=inflight:7;util:0.5;new:x 0\r\n\r\n"
+ANSWERS = served(b"aa", {}) + MISS
+
+
+@pytest.mark.parametrize("cut", range(1, len(ANSWERS)))
+def test_answers_are_read_however_they_are_cut(cut):
+    reader = caches.AnswerReader()
+    first, second = reader.feed(ANSWERS[:cut]) + reader.feed(ANSWERS[cut:])
+    assert (first.id, first.body, first.fields["etag"]) == (b"aa", b"xxxxx", "t1")
+    assert caches.meaning(second) == (
+        Outcome.MISS, Found.SOURCE_LACKS, 1_500_000, {"inflight": 7.0, "busy": 0.5})
+
+
+@pytest.mark.parametrize("text", [
+    b"no answer\r\n", b"cc served - 240001\r\n", b"cc served - -1\r\n", b"cc served x 0\r\n",
+    b"cc served - 1\r\nabc", b"cc served \xff=1 0\r\n", b"c" * 5000,
+])
+def test_an_unreadable_answer_is_a_fault_and_those_before_it_count(text):
+    reader = caches.AnswerReader()
+    assert [a.id for a in reader.feed(served(b"aa", {}) + text)] == [b"aa"] and reader.fault
+
+
+@pytest.mark.parametrize("word, fields", [
+    (b"odd", {}), (b"served", {"ttfb": "x"}), (b"served", {"report": "util:x"})])
+def test_an_answer_without_a_meaning_is_unreadable(word, fields):
+    with pytest.raises(caches.Unreadable):
+        caches.meaning(caches.Answer(b"aa", word, fields, b""))
+
+
+@pytest.mark.parametrize("oldest, said", [(0, None), (999_999, "1"), (1_999_999, "1"), (2_000_000, "2")])
+def test_an_age_is_never_rounded_up_nor_to_no_limit_at_all(oldest, said):
+    forward = Forward(0, 1, 1, 2, oldest, 1_500_999_999, False, True, False, True)
+    line = caches.serve(b"aa", "media", "7f", 3, forward, None, "", b"")
+    fields = dict(pair.split("=") for pair in line.split()[2].decode().split(","))
+    assert fields.get("maxage") == said and fields["max"] == "1500" and fields["flags"] == "h+r"
+
+
+EVENTS = b'id: 4\r\ndata: {"offset":4,\r\ndata: "ban":{"tag":17,"ts":5}}\r\n\r\n: x\n\nid: 5\ndata: 6\n\n'
+
+
+@pytest.mark.parametrize("cut", range(1, len(EVENTS)))
+def test_events_are_read_however_they_are_cut(cut):
+    reader = bus.EventReader()
+    got = reader.feed(EVENTS[:cut]) + reader.feed(EVENTS[cut:])
+    assert got == [("4", b'{"offset":4,\n"ban":{"tag":17,"ts":5}}'), ("5", b"6")]
+    assert bus.read(got[0][1], {}, {}) == (4, bus.Purge(-1, 17, 5_000_000))
+
+
+def test_a_list_is_read_with_names_and_addresses():
+    entry = {"host": "s-0c", "dial": "10.0.0.1:9", "site": "e", "class": "std", "block": 2,
+             "health": "draining", "share": 4, "born_ms": 7}
+    data = json.dumps({"offset": 1, "topology": {"whole": True, "hosts": [entry]}}).encode()
+    _, hosts = bus.read(data, {"e": 3}, {"std": 1})
+    assert hosts == (True, [(12, 3, 1, 2, State.DRAINING, 4.0, 7_000_000)], {12: ("s-0c", "10.0.0.1:9")})
+
+
+@pytest.mark.parametrize("data", [b"{", b"[]", b'{"offset":1,"ban":{"url":"xyz","ts":1}}',
+                                  b'{"offset":1,"topology":{"hosts":[{"host":"s-1","health":"odd"}]}}'])
+def test_an_unreadable_event_is_malformed(data):
+    with pytest.raises(bus.Malformed):
+        bus.read(data, {}, {})
+
+
+@pytest.mark.parametrize("path, value, named", [
+    (["listen"], "nowhere", "listen"), (["seed"], "xyz", "seed"), (["bus"], None, "bus"),
+    (["limits", "sockets"], 3, "limits.sockets"), (["flow_bytes_per_s"], "fast", "flow_bytes_per_s"),
+    (["known", "offset"], None, "known.offset"), (["known", "batch"], [{"offset": "x"}], "known.batch[0]"),
+    (["settings", "categories"], [{}], "settings.categories[0].name"),
+    (["settings", "allowed", "keepalive"], "long", "allowed.keepalive"),
+    (["settings", "shapes"], {}, "settings.shapes"), (["limits"], 5, "limits"),
+])
+def test_a_fault_in_the_configuration_names_its_key(path, value, named):
+    known = {"offset": 1, "batch": []}
+    data = copy.deepcopy({**REAL, "listen": "127.0.0.1:1", "bus": "127.0.0.1:2", "known": known})
+    at = data
+    for key in path[:-1]:
+        at = at[key]
+    at[path[-1]] = value
+    with pytest.raises(configuration.Faulty, match=named.replace("[", r"\[")):
+        configuration.wanted(data)
+
+
+def test_the_pool_uses_buffers_again_and_keeps_its_bound():
+    pool = Pool(2)
+    first, second = pool.take(), pool.take()
+    assert pool.take() is None
+    pool.give_back(first)
+    assert pool.take() is first and second is not first and pool.out == 2
