Own copies answer reads while the front's own link has no queue

Change: what caches return is kept (64 MB, objects asked twice, not writes) and answers reads as young as a cache's copy would have to be, unless 5 ms wait on the front's link. Router.owns and Router.keeps decide; purges are now remembered for 30 s past the old copies' end, as long as a copy may live. Guards also against slow fills of hot objects; could harm where the link of fronts is thin: hence the bound on its queue.

--- a/sprucegate/front/driver.py
+++ b/sprucegate/front/driver.py
@@ -6,6 +6,7 @@
 import traceback
 from itertools import count
 
+from sprucegate.front.memory.copies import Copies, Copy
 from sprucegate.front.protocol.bus import Hosts
 from sprucegate.front.protocol.http import Refusal, answer, refusal
 from sprucegate.front.stages.admit import LIVE, admit
@@ -14,7 +15,7 @@
 from sprucegate.front.stages.route import route
 from sprucegate.front.stages.send import Send
 from sprucegate.interface import Cancel, Errored, Forward, Found, Outcome, Shed
-from sprucegate.rules import Router
+from sprucegate.rules import OWN_BYTES, Router
 
 MS = 1_000_000
 
@@ -28,6 +29,7 @@
         self.most = wanted.settings.get("max_open", 1 << 30)
         self.open, self.limits, self.order = {}, [], count()
         self.timer, self.armed = None, None
+        self.copies = Copies(min(OWN_BYTES, int(wanted.memory_mb * 2**20) // 3), wanted.link)
 
     # What happens.
 
@@ -50,10 +52,26 @@
         self.guarded(get, self._taken, get, now)
 
     def _taken(self, get, now):
+        if self._own(get, now):
+            return
         decided = route(self.router, get, now)
         self.open[get.handle] = get
         self.say(get, decided, now)
 
+    def _own(self, get, now):
+        """Answers from a copy of the front's own, where it has one and the module lets it."""
+        key = get.ds, get.thing, get.part
+        copy = self.copies.find(key)
+        if copy is None or get.asked.write or not self.router.owns(
+                get.asked, copy.made, copy.since, self.copies.wait(now), now):
+            return False
+        same = copy.tag and get.have == copy.tag
+        self.copies.sent(key, len(copy.body) // 20 if same else len(copy.body), now)
+        tag = b'ETag: "%b"\r\n' % copy.tag.encode() if copy.tag else b""
+        self.relay.answer(get, 304 if same else 200, b"" if same else copy.body, tag)
+        self.book.count("gets_own")
+        return True
+
     def ended(self, out, outcome, found, waited, load):
         if not out.ended:
             self.guarded(out.get, self._ended, out, outcome, found, waited, load)
@@ -80,6 +98,11 @@
             self.relay.answer(out.get, 304, headers=self._tag(said))
         else:
             self.relay.answer(out.get, 200, said.body, self._tag(said))
+            get, made, now = out.get, said.fields.get("made", ""), self.clock()
+            made = int(made) * MS if made.isdecimal() else 0
+            if made and self.router.keeps(get.asked, made, now):
+                self.copies.put((get.ds, get.thing, get.part),
+                                Copy(said.body, said.fields.get("etag", ""), made, now))
         self.book.count("gets_returned")
 
     @staticmethod
--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -2,7 +2,7 @@
 
 Called: Router(settings, seed, now) once a front; listed, list_failed, purged, told and probed bring news;
 take gives a Get, whose route, ended, answering and left return what is to be done; due(now), called at
-next_due(), returns the rest. Settings: a plain map (names: wire/settings.py); types that cross: interface.py.
+next_due(), returns the rest. Settings: a plain map (names: wire/settings.py); the types: interface.py.
 """
 
 import heapq
@@ -26,15 +26,13 @@
 CROWDED = 1.3           # slowness from which a sample tells of the link, not of its own noise
 AHEAD = 0.75            # of the time left that an answer may be expected to take: others will come to share
 FITS_RANK = 0.25        # which sample tells what a link fits: the lower ones keep its queue short
-THROTTLE = 1.3          # share of fills let through, over the share that came in time
-THROTTLE_SPAN = 3 * S
+THROTTLE, THROTTLE_SPAN = 1.3, 3 * S    # share of fills let through, over the share that came in time
 WELL = 0.7              # share in time from which a source is not passed by
 FLOOR = 0.15            # of the fills go on whatever comes of them: late ones still leave copies for others
 LEAN = 4                # samples that the share of all sources weighs against a source's own
 PROBING = 0.08          # of what looks hopeless is tried all the same, or nothing would show that it passed
 COLD_SAFETY = 0.5       # of a cold node's budget: the rest is for what this front can't see
-SAMPLES = 16            # outcomes that a judgement rests on
-SAMPLE_AGE = 10 * S
+SAMPLES, SAMPLE_AGE = 16, 10 * S        # outcomes that a judgement rests on
 REFRESH = 20 * MS       # figures over hundreds of samples are worked out again after this, not for each GET
 LATEST = 6              # ends that tell of failing: a hanging place answers late, and a front asks it little
 SLOW = 3.0              # times slower than the peers' median: set aside
@@ -42,6 +40,9 @@
 UNLIKE = 1.5            # times slower than its peers: what it is slow at is its own fault
 REST = 2 * S            # first rest of a node set aside; doubles while trials fail, up to eight times that
 RETRY_SHARE = 0.2       # of the last forwards may be further ones
+OWN_BYTES = 64 << 20    # of copies that the front itself keeps
+OWN_AGE = 30 * S        # their longest life, and how much longer than old copies purges are remembered
+OWN_WAIT = 5 * MS       # behind more of the queue on its own link a cache answers sooner
 ANSWER_MARGIN = 20 * MS # kept before the end of a viewer's time and of a token's window
 
 SOURCE_FAULTS = (Found.SOURCE_REFUSED, Found.SOURCE_BROKEN, Found.ORIGIN_FAILED)
@@ -49,8 +50,7 @@
 
 
 def mixed(text, start=0):
-    """A hash all fronts share. CRC is linear: unmixed, two caches' ranks would differ by a constant."""
-    h = crc32(text, start)
+    h = crc32(text, start)    # all fronts share it; CRC is linear: unmixed, ranks would differ by a constant
     h = (h ^ (h >> 16)) * 0x85EBCA6B & 0xFFFFFFFF
     h = (h ^ (h >> 13)) * 0xC2B2AE35 & 0xFFFFFFFF
     return h ^ (h >> 16)
@@ -91,8 +91,6 @@
         if self.until > now or self.ends and self.ends[-1][1] and self.speeds and self.speeds[-1][1] <= SLOW:
             return                           # a good end at a good pace brings no verdict nearer
         slow, share = self.slowness(now), self.failures(now)
-        if slow <= SLOW and share <= 0.5:
-            return                           # peers are looked at only where it could come to something
         rivals = [r for o in others if o is not self and (r := o.slowness(now))]
         usual = 0 if alone else median([o.failures(now) for o in others if o is not self] or [1])
         failing = share > 0.5 if alone else share == 1 and usual < 0.5
@@ -135,10 +133,8 @@
         self.spents = deque(maxlen=4)        # its last sending times: the least tells its size
 
     def roll(self, span):
-        steps = span - self.span
-        if steps > 0:
-            self.counts = ([0] * min(3, steps) + self.counts)[:3]
-            self.span = span
+        if (steps := span - self.span) > 0:
+            self.counts, self.span = ([0] * min(3, steps) + self.counts)[:3], span
 
     def life(self):
         """The thesis's line, under a fixed cap. A fall within the noise of counting (Poisson) is no trend."""
@@ -206,8 +202,7 @@
     def __init__(self, settings, seed, now):
         self.get, self.seed, self.draws, self.now = settings.get, seed, 0, now
         self.nodes, self.index_of, self.groups = [], {}, defaultdict(list)
-        self.table, self.slot_of = [], OrderedDict()
-        self.purges = {}                     # ("object", id) or ("group", number) -> time of the purge
+        self.table, self.slot_of, self.purges = [], OrderedDict(), {}    # purges by ("object" or "group", id)
         self.waiting, self.order = [], count()   # (due, order, Get or None for a list to ask for)
         self.carried = deque(maxlen=256)     # (time, work) of the last GETs that caches returned
         self.spents = defaultdict(lambda: deque(maxlen=64))    # by delivery service, the last sending times
@@ -233,8 +228,7 @@
 
     def work(self, asked):
         """Sending time: by the told size, else the object's quickest, else its delivery service's middle."""
-        rate = self.get("client_kb_per_s", 0)
-        if asked.size and rate:
+        if asked.size and (rate := self.get("client_kb_per_s", 0)):
             return int(asked.size / rate * S)
         own = self.memory(asked, self.now).spents
         return min(own) if own else int(median(self.spents.get(asked.ds) or [self.mean_work(asked.ds)]))
@@ -280,8 +274,8 @@
         heapq.heappush(self.waiting, (when, next(self.order), get))
 
     def purged(self, obj, group, age, now):
-        # Beliefs from before a purge are void too, and may outlive the old copies by the cap.
-        self.purges = {k: t for k, t in self.purges.items() if now - t <= self.get("purge_done", 0) + CAP}
+        # Beliefs and own copies from before a purge are void too, and may outlive the old copies at caches.
+        self.purges = {k: t for k, t in self.purges.items() if now - t <= self.get("purge_done", 0) + OWN_AGE}
         key = ("object", obj) if obj >= 0 else ("group", group)
         self.purges[key] = max(now - age, self.purges.get(key, NEVER))
 
@@ -292,12 +286,20 @@
         """Oldest copy that will do; 0 is the fresh time. A tick is given away against rounding."""
         fresh = self.of_ds("fresh_time", asked.ds, 0)
         limit = fresh + self.of_ds("grace_time", asked.ds, 0) if stale and fresh else 0
-        purge = self.purge_time(asked)
-        if purge > NEVER:
+        if (purge := self.purge_time(asked)) > NEVER:
             young = max(1000, now - purge - self.get("tick", MS))
             limit = min(young, limit or fresh or young)
         return limit
 
+    def owns(self, asked, made, since, wait, now):
+        """May the front's own copy answer? It is to be as young as a cache's, on a link without a queue."""
+        limit = self.oldest(asked, False, now) or self.of_ds("fresh_time", asked.ds, 0)
+        return wait <= OWN_WAIT and now - since < OWN_AGE and (not limit or now - made < limit)
+
+    def keeps(self, asked, made, now):
+        often = sum(self.memory(asked, now).counts) > 1 and not self.of_ds("runs_at_origin", asked.ds, False)
+        return often and self.owns(asked, made, now, 0, now)    # what is wanted once would push out the rest
+
     def memory(self, asked, now):
         key = (asked.object, asked.part)
         slot = self.slot_of.pop(key, None)
@@ -545,8 +547,8 @@
             if outcome is not Outcome.FULL:
                 cache.as_cache.note(now, False, 0)
         # A time-out may be the source's fault: it tells of the cache where all end so and its peers' don't.
-        peers = [n.as_cache for n in self.groups["cache"]]
-        cache.as_cache.judge(peers, outcome is not Outcome.TIMED_OUT, now)
+        timed_out = outcome is Outcome.TIMED_OUT
+        cache.as_cache.judge([n.as_cache for n in self.groups["cache"]], not timed_out, now)
         if source is not cache and source.role != "origin":
             # Parents fail alike where the origin or the load is at fault; one out of reach is down alone.
             peers = [n.as_source for n in self.groups[source.role]]
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 import threading
+import time
 
 import pytest
 from helpers import REAL, Front, cache, get_text, host, served
@@ -182,3 +183,17 @@
         assert front.ask(text[-1:], sock)[0] == 200
         sock.sendall(text[:20])
         assert sock.recv(9) == b""           # closed in bounded time
+
+
+def test_an_own_copy_answers_until_it_is_purged(tmp_path):
+    made = int(time.time() * 1000)
+    reply = b"%%b served etag=t1,made=%d 2\r\nab\r\n" % made
+    front, box, _ = serve(tmp_path, lambda call_id, *_: reply % call_id)
+    with front:
+        answers = [front.ask(get_text(c * 16, extra='If-None-Match: "t1"\r\n' if c == "d" else ""))[::2]
+                   for c in "abcd"]
+        assert answers == [(200, b"ab")] * 3 + [(304, b"")]
+        front.tells.put({"offset": 2, "ban": {"tag": 17, "ts": made + 1}})
+        front.until("told")
+        assert front.ask(get_text("e" * 16))[::2] == (200, b"ab")
+        assert [box.heard.get(timeout=5)[1] for _ in range(3)] == [b"a" * 16, b"b" * 16, b"e" * 16]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -10,6 +10,8 @@
     KEEP_COUNT,
     MARGIN,
     MS,
+    OWN_AGE,
+    OWN_WAIT,
     REFRESH,
     SPAN,
     TRIP,
@@ -399,3 +401,24 @@
     one = Standing()
     one.speeds.extend((NOW, slow, 1) for _ in range(4))
     assert one.crowding(1, NOW) == seen
+
+
+@pytest.mark.parametrize("ds, age, since, wait, purged, may", [
+    (0, 20 * S, 0, 0, None, True),           # good until purged
+    (1, 7 * S, 0, 0, None, True), (1, 8 * S, 0, 0, None, False),
+    (0, 2 * S, 0, 0, 3 * S, True), (0, 2 * S, 0, 0, 2 * S, False), (0, 2 * S, 0, 0, S, False),
+    (0, 20 * S, OWN_AGE, 0, None, False),    # its purge might be forgotten by then
+    (0, 20 * S, 0, OWN_WAIT + 1, None, False),
+])
+def test_an_own_copy_answers_while_young_unpurged_and_without_a_queue(ds, age, since, wait, purged, may):
+    made, ask = router(), asked(ds=ds)
+    if purged is not None:
+        made.purged(ask.object, -1, purged, NOW)
+    assert made.owns(ask, NOW - age, NOW - since, wait, NOW) is may
+
+
+@pytest.mark.parametrize("ds, times, kept", [(0, 1, False), (0, 2, True), (2, 2, False)])
+def test_copies_are_kept_of_what_is_asked_again_and_never_of_writes(ds, times, kept):
+    made, ask = router(), asked(ds=ds)
+    made.memory(ask, NOW).counts[0] = times
+    assert made.keeps(ask, NOW - MS, NOW) is kept
