--- a/sprucegate/front/driver.py
+++ b/sprucegate/front/driver.py
@@ -39,7 +39,11 @@
             self.relay.write(client, answer(200 if self.ready else 503, b"\n", close=not request.keep_alive),
                              last=not request.keep_alive)
             return
-        get = admit(client, request, self.wanted.ds_names, now - at)
+        try:
+            get = admit(client, request, self.wanted.ds_names, now - at)
+        except Exception as fault:
+            self.fault(fault)
+            get = Refusal(500, "this request could not be read")
         if isinstance(get, Refusal):
             self.book.count("bad_requests")
             self.relay.write(client, refusal(get, close=True), last=True)
@@ -185,8 +189,11 @@
         try:
             deed(*given)
         except Exception as fault:
-            at = traceback.extract_tb(fault.__traceback__)[-1]
-            self.log("fault", error=f"{type(fault).__name__}: {fault}", where=f"{at.name}:{at.lineno}")
-            self.book.count("faults")
+            self.fault(fault)
             self.relay.answer(get, 500)
             self.forget(get)
+
+    def fault(self, fault):
+        at = traceback.extract_tb(fault.__traceback__)[-1]
+        self.log("fault", error=f"{type(fault).__name__}: {fault}", where=f"{at.name}:{at.lineno}")
+        self.book.count("faults")
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -1,5 +1,6 @@
 """The program itself, started and spoken to over loopback, between stand-ins for caches and bus."""
 
+import asyncio
 import json
 import os
 import signal
@@ -12,6 +13,12 @@
 import pytest
 from helpers import REAL, Front, cache, get_text, host, served
 
+from sprucegate.front import driver
+from sprucegate.front.lifecycle import configuration
+from sprucegate.front.memory.connections import Client
+from sprucegate.front.memory.pool import Pool
+from sprucegate.front.protocol.http import RequestReader
+
 LIVE = b"GET /status/live HTTP/1.1\r\nHost: a\r\n\r\n"
 
 
@@ -197,3 +204,27 @@
         front.until("told")
         assert front.ask(get_text("e" * 16))[::2] == (200, b"ab")
         assert [box.heard.get(timeout=5)[1] for _ in range(3)] == [b"a" * 16, b"b" * 16, b"e" * 16]
+
+
+@pytest.mark.parametrize("stage", ["route", "admit"])
+def test_a_stage_that_breaks_still_gives_its_get_one_answer(stage, monkeypatch):
+    known = {"offset": 1, "batch": []}
+    wanted = configuration.wanted({**REAL, "listen": "127.0.0.1:1", "bus": "127.0.0.1:2", "known": known})
+    logged = []
+
+    def breaks(*_):
+        raise KeyError("broken")
+
+    async def run():
+        made = driver.Driver(wanted, Pool(4), lambda event, **_: logged.append(event))
+        near, far = socket.socketpair()
+        near.setblocking(False)
+        monkeypatch.setattr(driver, stage, breaks)
+        made.request(Client(near, 0), *RequestReader().feed(get_text()), made.clock())
+        far.settimeout(5)
+        near.close()
+        return b"".join(iter(lambda: far.recv(4096), b"")), len(made.open)
+
+    answer, still_open = asyncio.run(run())
+    assert answer.startswith(b"HTTP/1.1 500 ") and answer.count(b"HTTP/1.1") == 1
+    assert logged == ["fault"] and still_open == 0
