--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -383,7 +383,7 @@
 
     def width(self, asked, memory, caches, now):
         share = sum(memory.counts[:2]) * self.work(asked) / (2 * SPAN) * len(caches)
-        hot = HOT_SHARE * self.rate(now) if sum(memory.counts[:2]) > 1 else 0    # once is not often asked
+        hot = HOT_SHARE * self.rate(now)
         return 1 + (share > hot > 0) + (share > 2 * hot > 0)
 
     def pick(self, get, memory, now):
