--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -42,7 +42,7 @@
 RETRY_SHARE = 0.2       # of the last forwards may be further ones
 OWN_BYTES = 64 << 20    # of copies that the front itself keeps
 OWN_AGE = 30 * S        # their longest life, and how much longer than old copies purges are remembered
-OWN_WAIT = 5 * MS       # behind more of the queue on its own link a cache answers sooner
+OWN_WAIT = 5 * MS * 100 * MS    # queue on the own link times sending: past it a cache answers sooner
 ANSWER_MARGIN = 20 * MS # kept before the end of a viewer's time and of a token's window
 
 SOURCE_FAULTS = (Found.SOURCE_REFUSED, Found.SOURCE_BROKEN, Found.ORIGIN_FAILED)
@@ -292,13 +292,13 @@
         return limit
 
     def owns(self, asked, made, since, wait, now):
-        """May the front's own copy answer? It is to be as young as a cache's, on a link without a queue."""
-        limit = self.oldest(asked, False, now) or self.of_ds("fresh_time", asked.ds, 0)
-        return wait <= OWN_WAIT and now - since < OWN_AGE and (not limit or now - made < limit)
+        """May an own copy answer? As young as a cache's; the link's queue short, more so for large ones."""
+        limit = self.oldest(asked, False, now) or self.of_ds("fresh_time", asked.ds, 0) or 1 << 62
+        return now - since < OWN_AGE and now - made < limit and wait * self.work(asked) <= OWN_WAIT
 
     def keeps(self, asked, made, now):
         often = sum(self.memory(asked, now).counts) > 1 and not self.of_ds("runs_at_origin", asked.ds, False)
-        return often and self.owns(asked, made, now, 0, now)    # what is wanted once would push out the rest
+        return often and self.owns(asked, made, now, 0, now)    # one-off objects would push out the rest
 
     def memory(self, asked, now):
         key = (asked.object, asked.part)
