One place writes the tag of an answer; a GET's unused time and a double check go

Read over: the ETag header was put together twice (own copy, cache's answer), OpenGet.since was set and never read, and a host listed again was marked before it was told apart.

--- a/sprucegate/front/driver.py
+++ b/sprucegate/front/driver.py
@@ -8,7 +8,7 @@
 
 from sprucegate.front.memory.copies import Copies, Copy
 from sprucegate.front.protocol.bus import Hosts
-from sprucegate.front.protocol.http import Refusal, answer, refusal
+from sprucegate.front.protocol.http import Refusal, answer, refusal, tagged
 from sprucegate.front.stages.admit import LIVE, admit
 from sprucegate.front.stages.book import Book
 from sprucegate.front.stages.relay import Relay
@@ -71,8 +71,7 @@
             return False
         same = copy.tag and get.have == copy.tag
         self.copies.sent(key, len(copy.body) // 20 if same else len(copy.body), now)
-        tag = b'ETag: "%b"\r\n' % copy.tag.encode() if copy.tag else b""
-        self.relay.answer(get, 304 if same else 200, b"" if same else copy.body, tag)
+        self.relay.answer(get, 304 if same else 200, b"" if same else copy.body, tagged(copy.tag))
         self.book.count("gets_own")
         return True
 
@@ -98,22 +97,18 @@
 
     def returned(self, out, said):
         """The first answer that a cache returns goes to the client as it is."""
+        tag = said.fields.get("etag", "")
         if said.word == b"still_good":
-            self.relay.answer(out.get, 304, headers=self._tag(said))
+            self.relay.answer(out.get, 304, headers=tagged(tag))
         else:
-            self.relay.answer(out.get, 200, said.body, self._tag(said))
+            self.relay.answer(out.get, 200, said.body, tagged(tag))
             get, made, now = out.get, said.fields.get("made", ""), self.clock()
             made = int(made) * MS if made.isdecimal() else 0
             if made and self.router.keeps(get.asked, made, now):
                 self.copies.put((get.ds, get.thing, get.part),
-                                Copy(said.body, said.fields.get("etag", ""), made, now))
+                                Copy(said.body, tag, made, now))
         self.book.count("gets_returned")
 
-    @staticmethod
-    def _tag(said):
-        tag = said.fields.get("etag")
-        return b'ETag: "%b"\r\n' % tag.encode() if tag else b""
-
     def left(self, get):
         self.book.count("gets_left")
         now = self.clock()
--- a/sprucegate/front/memory/gets.py
+++ b/sprucegate/front/memory/gets.py
@@ -22,11 +22,11 @@
 
 class OpenGet:
     __slots__ = ("client", "id", "ds", "thing", "part", "have", "body", "asked", "handle", "forwards",
-                 "left_on", "answered", "since")
+                 "left_on", "answered")
 
     def __init__(self, client, call_id, ds, thing, part, have, body, asked):
         self.client, self.id, self.ds, self.thing, self.part = client, call_id, ds, thing, part
         self.have, self.body, self.asked = have, body, asked
-        self.handle, self.forwards, self.answered, self.since = None, {}, False, 0
+        self.handle, self.forwards, self.answered = None, {}, False
         # Connections on which one of its forwards was given up: a late answer there bears the same id.
         self.left_on = []
--- a/sprucegate/front/protocol/http.py
+++ b/sprucegate/front/protocol/http.py
@@ -96,6 +96,10 @@
     return b"HTTP/1.1 %d %b\r\n%b%b%b%b" % (status, REASONS[status].encode(), length, headers, ending, body)
 
 
+def tagged(tag):
+    return b'ETag: "%b"\r\n' % tag.encode() if tag else b""
+
+
 def refusal(said, close):
     headers = b"Content-Type: text/plain\r\n" + said.headers
     return answer(said.status, said.text.encode() + b"\n", headers, close)
--- a/sprucegate/front/stages/route.py
+++ b/sprucegate/front/stages/route.py
@@ -2,6 +2,5 @@
 
 
 def route(router, get, now):
-    get.since = now
     get.handle = router.take(get.asked, now)
     return get.handle.route(now)
--- a/sprucegate/front/stages/send.py
+++ b/sprucegate/front/stages/send.py
@@ -27,15 +27,14 @@
             host, _, port = address.rpartition(":")
             place = self.places.get(entry.id)
             gone = entry.state is State.GONE
-            if place is not None:
-                place.gone = gone
             if place is None:
                 if not gone:
                     self.places[entry.id] = Place(entry.id, name, (host, int(port)))
             elif gone:
                 self.remove(place)
-            elif address and place.address != (host, int(port)):
-                place.address = (host, int(port))
+            else:
+                place.gone = False           # listed again after it had gone
+                place.address = (host, int(port)) if address else place.address
         if hosts.whole:
             for place in [place for at, place in self.places.items() if at not in hosts.names]:
                 self.remove(place)
