--- a/sprucegate/__main__.py
+++ b/sprucegate/__main__.py
@@ -2,12 +2,16 @@
 
 import gc
 import os
+import signal
 import sys
 
-import uvloop
+# Before the slow imports: a SIGHUP that comes before the loop can take it would end the process.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
-from sprucegate.front.lifecycle import configuration
-from sprucegate.front.lifecycle.run import serve
+import uvloop  # noqa: E402
+
+from sprucegate.front.lifecycle import configuration  # noqa: E402
+from sprucegate.front.lifecycle.run import serve  # noqa: E402
 
 
 def main():
--- a/sprucegate/front/lifecycle/run.py
+++ b/sprucegate/front/lifecycle/run.py
@@ -1,16 +1,19 @@
 """Start and stop of one front."""
 
 import asyncio
+import os
 import signal
 import socket
 
 from sprucegate.front.driver import Driver
+from sprucegate.front.lifecycle import configuration
 from sprucegate.front.lifecycle.log import Log
 from sprucegate.front.lifecycle.subscribe import Subscription
 from sprucegate.front.memory.pool import Pool
 from sprucegate.front.stages.take_in import TakeIn
 
 STILL_COMING = 0.7      # seconds after SIGTERM for which clients may still send
+RELOADED = ("bus", "known", "offset")    # what SIGHUP applies; all else takes a restart
 
 
 async def serve(wanted):
@@ -36,8 +39,10 @@
     for place in driver.send.places.values():
         driver.send.warm(place, now)
     driver.ready = True
+    subscription = Subscription(driver, wanted, pool)
+    subscription.start()
+    loop.add_signal_handler(signal.SIGHUP, reload, subscription, wanted, log)
     tasks = [loop.create_task(take_in.accept(listener)),
-             loop.create_task(Subscription(driver, wanted, pool).run()),
              loop.create_task(housekeeping(driver, take_in, pool, log))]
     log("ready", listen="{}:{}".format(*wanted.listen), caches=len(driver.send.places), last=wanted.offset)
     await stop.wait()
@@ -53,6 +58,22 @@
     return 0
 
 
+def reload(subscription, started_with, log):
+    """SIGHUP: what can change under load is taken over whole; a faulty file changes nothing."""
+    try:
+        wanted = configuration.read(os.environ)
+    except configuration.Faulty as fault:
+        log("reload_failed", error=str(fault))
+        return
+    except Exception as fault:           # whatever a file can hold, the front goes on with the old one
+        log("reload_failed", error=f"{type(fault).__name__}: {fault}")
+        return
+    subscription.reloaded(wanted.bus, wanted.known)
+    restart = [key for key in wanted._fields if key not in RELOADED
+               and getattr(wanted, key) != getattr(started_with, key)]
+    log("reloaded", bus="{}:{}".format(*wanted.bus), last=subscription.last, needs_restart=restart)
+
+
 async def housekeeping(driver, take_in, pool, log):
     longest = max([t for t in driver.wanted.settings.get("viewer_timeout", ()) if t], default=3_000_000_000)
     while True:
--- a/sprucegate/front/lifecycle/subscribe.py
+++ b/sprucegate/front/lifecycle/subscribe.py
@@ -12,7 +12,13 @@
 class Subscription:
     def __init__(self, driver, wanted, pool):
         self.driver, self.wanted, self.pool, self.last = driver, wanted, pool, wanted.offset
-        self.loop = asyncio.get_running_loop()
+        self.loop, self.task = asyncio.get_running_loop(), None
+
+    def start(self):
+        """Asks for what comes after the last event seen; a stream that was open before is left."""
+        if self.task is not None:
+            self.task.cancel()
+        self.task = self.loop.create_task(self.run())
 
     async def run(self):
         failures = 0
@@ -51,8 +57,18 @@
             self.pool.give_back(buffer)
             sock.close()
 
+    def reloaded(self, address, known):
+        """The bus has moved: its new address is asked at once, since the old one tells nothing any more."""
+        self.wanted = self.wanted._replace(bus=address)
+        for offset, news in known:
+            if offset == self.last + 1:  # past a gap, what lies between would never be asked for
+                self._apply(offset, news)
+        self.start()
+
     def _event(self, data):
-        offset, news = bus.read(data, self.wanted.locations, self.wanted.kinds)
+        self._apply(*bus.read(data, self.wanted.locations, self.wanted.kinds))
+
+    def _apply(self, offset, news):
         if offset <= self.last:
             return                       # sent again after a break
         self.last = offset
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -143,23 +143,28 @@
 class Front:
     """The program itself, on its own port, with the given hosts known and a bus of its own."""
 
-    def __init__(self, path, *hosts):
+    def __init__(self, path, *hosts, **more):
         self.tells = queue.Queue()
         self.bus = bus(self.tells)
         with socket.create_server(("127.0.0.1", 0)) as free:
             self.address = free.getsockname()
         known = [{"offset": 1, "topology": {"seq": 1, "whole": True, "hosts": hosts}}]
-        file = path / "config.json"
-        file.write_text(json.dumps({**REAL, "listen": f"127.0.0.1:{self.address[1]}",
-                                    "bus": self.bus.address, "known": {"offset": 1, "batch": known}}))
+        self.file, self.config = path / "config.json", {
+            **REAL, "listen": f"127.0.0.1:{self.address[1]}", "bus": self.bus.address,
+            "known": {"offset": 1, "batch": known}, **more}
+        self.configure()
         self.process = subprocess.Popen([sys.executable, "-m", "sprucegate"], stdout=subprocess.PIPE,
-                                        env={**os.environ, "BALANCER_CONFIG": str(file)})
+                                        env={**os.environ, "BALANCER_CONFIG": str(self.file)})
         for line in self.process.stdout:
             if json.loads(line)["event"] == "ready":
                 break
         threading.Thread(target=self._read, daemon=True).start()
         self.log = queue.Queue()
 
+    def configure(self, **changed):
+        self.config.update(changed)
+        self.file.write_text(json.dumps(self.config))
+
     def _read(self):
         for line in self.process.stdout:
             self.log.put(json.loads(line))
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import queue
 import signal
 import socket
 import subprocess
@@ -11,7 +12,7 @@
 import time
 
 import pytest
-from helpers import REAL, Front, cache, get_text, host, served
+from helpers import REAL, Front, bus, cache, get_text, host, served
 
 from sprucegate.front import driver
 from sprucegate.front.lifecycle import configuration
@@ -22,10 +23,10 @@
 LIVE = b"GET /status/live HTTP/1.1\r\nHost: a\r\n\r\n"
 
 
-def serve(path, reply, origin=served):
+def serve(path, reply, origin=served, **more):
     """A front with one cache and an origin, and both stand-ins."""
     box, root = cache(reply), cache(origin)
-    front = Front(path, host("s-0b", box.address, "std"), host("s-1f", root.address, "origin"))
+    front = Front(path, host("s-0b", box.address, "std"), host("s-1f", root.address, "origin"), **more)
     return front, box, root
 
 
@@ -169,6 +170,35 @@
         assert front.process.wait(10) == 0 and idle.recv(9) == b""
 
 
+def test_sighup_asks_the_new_bus_from_the_last_event_and_a_faulty_file_changes_nothing(tmp_path):
+    front, box, root = serve(tmp_path, served)
+    with front:
+        front.bus.heard.get(timeout=5)
+        sock, tells = front.connect(), queue.Queue()
+        moved = bus(tells)
+        front.tells.put({"offset": 2, "ban": {"tag": 1, "ts": 0}})
+        front.until("told")
+        for _ in range(2):                   # one on the heels of another
+            front.configure(bus=moved.address)
+            front.process.send_signal(signal.SIGHUP)
+            assert front.until("reloaded")["needs_restart"] == []
+        assert b"Last-Event-ID: 2\r\n" in moved.heard.get(timeout=5)
+        front.configure(bus="nowhere")
+        front.process.send_signal(signal.SIGHUP)
+        assert "bus" in front.until("reload_failed")["error"]
+        for offset in (2, 3):                # the first was told before
+            tells.put({"offset": offset, "topology": {"seq": 2, "whole": False, "hosts": [
+                host("s-0b", box.address, "std", "draining")]}})
+        assert front.until("told")["offset"] == 3
+        assert front.ask(get_text(), sock)[0] == 200
+        assert root.heard.get(timeout=5)[0] == b"serve" and box.heard.empty()
+
+
+def test_sighup_during_the_start_ends_nothing():
+    code = "import os, signal, sprucegate.__main__; os.kill(os.getpid(), signal.SIGHUP)"
+    assert subprocess.run([sys.executable, "-c", code], timeout=20).returncode == 0
+
+
 def test_a_faulty_configuration_is_one_line_and_no_start(tmp_path):
     file = tmp_path / "config.json"
     known = {"offset": 0, "batch": []}
