--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -1,8 +1,7 @@
 """The rules: every decision of one front, every table it keeps and every tuned value.
 
-Called: Router(settings, seed, now) once a front; listed, list_failed, purged, told and probed bring news;
-take gives a Get, whose route, ended, answering and left return what is to be done; due(now), called at
-next_due(), returns the rest. Settings: a plain map (names: wire/settings.py); the types: interface.py.
+Called: Router(settings, seed, now) once a front; listed, purged and others bring news; take gives a Get,
+whose calls return what is to be done, and due(now), at next_due(), the rest. Names: wire/settings.py.
 """
 
 import heapq
@@ -97,8 +96,7 @@
         if failing or rivals and slow > SLOW * max(1.0, median(rivals)):
             self.rest = min(8 * REST, max(REST, 2 * self.rest))
             self.until, self.trial = now + self.rest, True
-            self.ends.clear()
-            self.speeds.clear()
+            self.ends, self.speeds = deque(maxlen=LATEST), deque(maxlen=SAMPLES)
 
 
 class Node:
@@ -128,7 +126,7 @@
 
 class Memory:
     def __init__(self, span):
-        self.span, self.counts, self.failed_at = span, [0, 0, 0], NEVER
+        self.span, self.counts, self.failed_at, self.returned = span, [0, 0, 0], NEVER, False
         self.holders, self.ranks = {}, {}    # node index -> (expiry, since, the holder's start); by role
         self.spents = deque(maxlen=4)        # its last sending times: the least tells its size
 
@@ -258,9 +256,8 @@
             if entry.started > node.started:
                 node.renewed(entry.started)
             node.entry = entry
-        for node in self.nodes if whole else ():
-            if node.id not in seen:
-                node.entry = node.entry._replace(state=State.GONE)
+        for node in [n for n in self.nodes if whole and n.id not in seen]:
+            node.entry = node.entry._replace(state=State.GONE)
         here, self.groups = self.get("my_location", 0), defaultdict(list)
         for node in self.nodes:
             if node.entry.state is State.SERVING and (node.role != "cache" or node.entry.location == here):
@@ -495,7 +492,10 @@
         self.now, asked, cache, source = now, get.asked, sent.cache, sent.source
         memory, write = self.memory(asked, now), self.of_ds("runs_at_origin", asked.ds, False)
         good, get.missed = outcome is Outcome.RETURNED, outcome is Outcome.MISS
-        cache.out = max(0, cache.out - 1)
+        cache.out, memory.returned = max(0, cache.out - 1), good or memory.returned
+        # No source told of: the cache failed, or the object never was. That is held against no source, and
+        # against no cache before some cache has returned it: bad clients make up what they ask for.
+        bare = outcome is Outcome.ERROR and found is Found.UNTOLD
         if outcome not in (Outcome.TIMED_OUT, Outcome.CANCELLED, Outcome.NOT_SENT):
             cache.heard(outcome is not Outcome.UNREACHABLE, now)
         if found in FILLS or outcome.never_ran and found is Found.SOURCE_BROKEN:
@@ -506,7 +506,7 @@
         if sent.fill:
             self.filling, cache.filling = self.filling - 1, max(0, cache.filling - 1)
             sent.fill[3] = good and now <= sent.fill[2]
-            if found in HITS:
+            if found in HITS or bare:
                 sent.fill[2:] = -NEVER, None     # no fill: as one, it would hide that the sources fail
             elif found in (Found.FILLED_BY_ORIGIN, Found.ORIGIN_FAILED) and self.groups["origin"]:
                 # What was late for the origin's wait speaks against the origin, not against the parent.
@@ -544,7 +544,7 @@
                 source.as_source.note(now, False, 0)
         elif outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
             get.lost.add(cache.index)
-            if outcome is not Outcome.FULL:
+            if outcome is not Outcome.FULL and (memory.returned or not bare):
                 cache.as_cache.note(now, False, 0)
         # A time-out may be the source's fault: it tells of the cache where all end so and its peers' don't.
         timed_out = outcome is Outcome.TIMED_OUT
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -422,3 +422,16 @@
     made, ask = router(), asked(ds=ds)
     made.memory(ask, NOW).counts[0] = times
     assert made.keeps(ask, NOW - MS, NOW) is kept
+
+
+@pytest.mark.parametrize("returned, told, against_cache, against_source", [
+    (False, Found.UNTOLD, 0, False),             # perhaps no such object: bad clients make them up
+    (True, Found.UNTOLD, 1, False),
+    (False, Found.SOURCE_BROKEN, 0, True),
+])
+def test_an_error_speaks_against_those_it_can_be_the_fault_of(returned, told, against_cache, against_source):
+    made, ask = router(), asked(size=100)
+    get, fill = get_with(made, ask, None), [node(made, PARENTS[0]), NOW, NOW + S, None]
+    get.forwards[0].fill, made.memory(ask, NOW).returned = fill, returned
+    made.learn(get, get.forwards[0], Outcome.ERROR, told, MS, 0, {}, NOW)
+    assert len(node(made, 11).as_cache.ends) == against_cache and (fill[3] is False) == against_source
