--- a/sprucegate/front/driver.py
+++ b/sprucegate/front/driver.py
@@ -159,6 +159,8 @@
         due = self.router.next_due()
         if self.limits and (due is None or self.limits[0][0] < due):
             due = self.limits[0][0]
+        if self.send.stalls and (due is None or self.send.stalls[0][0] < due):
+            due = self.send.stalls[0][0]
         if due is None or self.armed is not None and self.armed <= due:
             return
         if self.timer is not None:
@@ -168,11 +170,12 @@
 
     def _due(self):
         now, self.armed, self.timer = self.clock(), None, None
+        self.send.stalled(now)
         # Time-outs first: the module is to learn that a forward came to nothing, not that it was cancelled.
         while self.limits and self.limits[0][0] <= now:
             out = heapq.heappop(self.limits)[2]
             if not out.ended:
-                self.send.cancel(out)
+                self.send.cancel(out, timed_out=True)
                 self.ended(out, Outcome.TIMED_OUT, Found.UNTOLD, 0, {})
         for handle, decided in self.router.due(now):
             if handle in self.open:
--- a/sprucegate/front/memory/gets.py
+++ b/sprucegate/front/memory/gets.py
@@ -9,7 +9,6 @@
     NOT_SENT = 0
     PARTLY = 1
     WHOLE = 2
-    ANSWERING = 3
 
 
 class OpenForward:
--- a/sprucegate/front/protocol/caches.py
+++ b/sprucegate/front/protocol/caches.py
@@ -58,6 +58,9 @@
     def __init__(self):
         self.held, self.head, self.fault = bytearray(), None, None
 
+    def partial(self):
+        return self.head is not None or bool(self.held)
+
     def feed(self, data):
         """The answers made whole: also those before a fault, which were read well."""
         whole = []
--- a/sprucegate/front/stages/send.py
+++ b/sprucegate/front/stages/send.py
@@ -2,14 +2,13 @@
 
 import asyncio
 import socket
+from collections import deque
 
 from sprucegate.front.memory.connections import CacheConnection, Place
 from sprucegate.front.memory.gets import OpenForward, Progress
 from sprucegate.front.protocol import caches
 from sprucegate.interface import Found, Outcome, State
-
-NEVER_RAN = {Progress.NOT_SENT: Outcome.UNREACHABLE, Progress.PARTLY: Outcome.UNREACHABLE,
-             Progress.WHOLE: Outcome.RESET, Progress.ANSWERING: Outcome.RESET}
+from sprucegate.rules import STALLED
 
 
 class Send:
@@ -20,6 +19,7 @@
         # A request that crosses the close of an idle connection may have run: better an own close before.
         self.idle = settings.get("keepalive", 15_000_000_000) - self.connect_timeout
         self.places, self.loop = {}, asyncio.get_running_loop()
+        self.stalls = deque()                # (due, connection): answers begun that may not go on
 
     def listed(self, hosts):
         for entry in hosts.entries:
@@ -45,6 +45,8 @@
         for connection in list(place.connections):
             if not connection.open:
                 self.close(connection)
+        if not place.connections:
+            self.places.pop(place.id, None)
 
     def warm(self, place, now):
         if not place.connections:
@@ -55,9 +57,11 @@
         get.forwards[said.number] = out
         place = self.places.get(said.cache)
         connection = place and self._connection(place, get, now)
-        if connection is None:
-            self.loop.call_soon(self.driver.ended, out, Outcome.UNREACHABLE, Found.UNTOLD, 0, {})
+        if connection is None:               # no room here: nothing is known of the cache
+            self.loop.call_soon(self.driver.ended, out, Outcome.NOT_SENT, Found.UNTOLD, 0, {})
             return out
+        # Never again on this one: a late answer, or a second copy of one, would bear the same id.
+        get.left_on.append(connection)
         source = self.places.get(said.source) if said.source != said.cache else None
         line = caches.serve(get.id, get.ds, get.thing, get.part, said, source and source.name, get.have,
                             get.body)
@@ -66,32 +70,46 @@
         self._queue(connection, line, out)
         return out
 
-    def cancel(self, out):
+    def cancel(self, out, timed_out=False):
         """The front's side ends at once; a forward not yet begun is taken back, another is given up."""
         connection = out.connection
         if connection is None or connection.open.get(out.get.id) is not out:
             return
         del connection.open[out.get.id]
-        out.get.left_on.append(connection)
         if out.progress is Progress.NOT_SENT:
             for at, (_, queued) in enumerate(connection.queue):
                 if queued is out:
                     del connection.queue[at]
                     return
-        if not connection.closed:
+        # Left open after a spoilt answer it would serve nothing more, and look just like this. The others on
+        # it have waited in vain too where the time is up; where a client left, they may still be answered.
+        silent = connection.answered < out.at
+        if not connection.closed and not silent:
             self._queue(connection, caches.cancel(out.get.id), None)
-        if connection.place.gone and not connection.open:
+        if not connection.open and (silent or connection.place.gone) or silent and timed_out:
             self.loop.call_soon(self.close, connection)
 
     def _connection(self, place, get, now):
-        for connection in place.connections:
+        """The least busy one, or a new one while there is room: what spoils one should spoil few GETs."""
+        best = None
+        for connection in list(place.connections):
             if not connection.open and connection.up and now - connection.used > self.idle:
                 self.close(connection)
+            elif connection in get.left_on or len(connection.open) >= self.streams:
                 continue
-            if (not connection.closed and len(connection.open) < self.streams
-                    and get.id not in connection.open and connection not in get.left_on):
-                return connection
-        return self._connect(place, now) if self.connections < self.most else None
+            elif best is None or (len(connection.open), -connection.used) < (len(best.open), -best.used):
+                best = connection
+        if best is not None and (not best.open or self.connections >= self.most - len(self.places)):
+            return best
+        if self.connections >= self.most and not self._make_room():
+            return best
+        return self._connect(place, now)
+
+    def _make_room(self):
+        idle = [c for place in self.places.values() for c in place.connections if c.up and not c.open]
+        if idle:
+            self.close(min(idle, key=lambda c: c.used))
+        return bool(idle)
 
     def _connect(self, place, now):
         connection = CacheConnection(place, now)
@@ -153,12 +171,16 @@
         buffer = self.pool.take()
         try:
             size = connection.sock.recv_into(buffer)
+            connection.heard = self.driver.clock()
             for answer in connection.reader.feed(buffer[:size]):
                 self._answered(connection, answer)
             if fault := connection.reader.fault:
                 self.driver.log("cache_unreadable", cache=connection.place.name, error=fault)
             if fault or not size:
                 self.close(connection)
+            elif connection.reader.partial():
+                self.stalls.append((connection.heard + STALLED, connection))
+                self.driver.arm(connection.heard)
         except BlockingIOError:
             pass
         except OSError:
@@ -187,11 +209,17 @@
                             cache=connection.place.name, forwards=len(connection.open))
         forwards, connection.open = list(connection.open.values()), {}
         connection.queue.clear()
+        if connection.place.gone and not connection.place.connections:
+            if self.places.get(connection.place.id) is connection.place:
+                del self.places[connection.place.id]
         for out in forwards:
-            self.driver.ended(out, NEVER_RAN[out.progress], Found.UNTOLD, 0, {})
+            # What was up and broke shows a cache in reach, unlike one that can't be connected to.
+            never_ran = Outcome.NOT_SENT if was_up else Outcome.UNREACHABLE
+            outcome = Outcome.RESET if out.progress is Progress.WHOLE else never_ran
+            self.driver.ended(out, outcome, Found.UNTOLD, 0, {})
 
     def _answered(self, connection, answer):
-        connection.used = self.driver.clock()
+        connection.used = connection.answered = connection.heard
         out = connection.open.get(answer.id)
         if out is None:
             return                       # late: its forward has ended already
@@ -207,8 +235,16 @@
         if connection.place.gone and not connection.open:
             self.close(connection)
 
+    def stalled(self, now):
+        """Ends connections whose answer was begun and has had no byte since."""
+        while self.stalls and self.stalls[0][0] <= now:
+            due, connection = self.stalls.popleft()
+            if not connection.closed and connection.heard + STALLED == due and connection.reader.partial():
+                self.driver.log("cache_stalled", cache=connection.place.name, forwards=len(connection.open))
+                self.close(connection)
+
     def sweep(self, now):
-        for place in self.places.values():
+        for place in list(self.places.values()):
             for connection in list(place.connections):
                 if connection.up and not connection.open and now - connection.used > self.idle:
                     self.close(connection)
--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -42,6 +42,7 @@
 OWN_BYTES = 64 << 20    # of copies that the front itself keeps
 OWN_AGE = 30 * S        # their longest life, and how much longer than old copies purges are remembered
 OWN_WAIT = 5 * MS * 100 * MS    # queue on the own link times sending: past it a cache answers sooner
+STALLED = 150 * MS      # an answer begun and then silent so long won't be finished
 ANSWER_MARGIN = 20 * MS # kept before the end of a viewer's time and of a token's window
 
 SOURCE_FAULTS = (Found.SOURCE_REFUSED, Found.SOURCE_BROKEN, Found.ORIGIN_FAILED)
@@ -157,8 +158,7 @@
     def open(self):
         return [n for n, f in enumerate(self.forwards) if f.open]
 
-    def settled(self):
-        return self.done and not self.open()
+    settled = lambda self: self.done and not self.open()    # noqa: E731
 
     def route(self, now):
         if self.done or self.streaming:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -116,6 +116,7 @@
             if said == b"":
                 return
             sock.sendall(said or b"")
+        self.heard.put((b"end",))
 
     return StandIn(talk)
 
