--- a/sprucegate/front/stages/send.py
+++ b/sprucegate/front/stages/send.py
@@ -8,7 +8,7 @@
 from sprucegate.front.memory.gets import OpenForward, Progress
 from sprucegate.front.protocol import caches
 from sprucegate.interface import Found, Outcome, State
-from sprucegate.rules import STALLED
+from sprucegate.rules import CONNECTIONS, STALLED
 
 
 class Send:
@@ -99,7 +99,8 @@
                 continue
             elif best is None or (len(connection.open), -connection.used) < (len(best.open), -best.used):
                 best = connection
-        if best is not None and (not best.open or self.connections >= self.most - len(self.places)):
+        full = len(place.connections) >= CONNECTIONS or self.connections >= self.most - len(self.places)
+        if best is not None and (not best.open or full):
             return best
         if self.connections >= self.most and not self._make_room():
             return best
--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -42,6 +42,7 @@
 OWN_BYTES = 64 << 20    # of copies that the front itself keeps
 OWN_AGE = 30 * S        # their longest life, and how much longer than old copies purges are remembered
 OWN_WAIT = 5 * MS * 100 * MS    # queue on the own link times sending: past it a cache answers sooner
+CONNECTIONS = 8         # to one cache: each more is read on its own, and costs the CPU where GETs are many
 STALLED = 150 * MS      # an answer begun and then silent so long won't be finished
 ANSWER_MARGIN = 20 * MS # kept before the end of a viewer's time and of a token's window
 
@@ -171,8 +172,8 @@
     def give_up(self, now):
         self.done, router, ds = True, self.router, self.asked.ds
         router.memory(self.asked, now).failed_at = now
-        effect, group = router.of_ds("effect", ds, "idempotent"), router.of_ds("token_group", ds, "all")
-        harmless = effect == "idempotent" or effect == "tokened" and group == "all" or self.risky() is None
+        repeats = router.of_ds("effect", ds, "idempotent"), router.of_ds("token_group", ds, "all")
+        harmless = repeats[0] == "idempotent" or repeats == ("tokened", "all") or self.risky() is None
         later = router.get("max_retry_after", 0) if router.get("retry_after") else 0
         return [Shed(later) if harmless else Errored(), *self.cancel_open()]
 
