--- a/sprucegate/front/driver.py
+++ b/sprucegate/front/driver.py
@@ -136,8 +136,7 @@
                 case Forward():
                     out = self.send.forward(get, one, now)
                     heapq.heappush(self.limits, (out.limit, next(self.order), out))
-                    if self.armed is None or out.limit < self.armed:
-                        self.arm(now)
+                    self.armed_by(out.limit)
                 case Shed():
                     self.book.count("gets_shed")
                     wait = b"X-Come-Back-Ms: %d\r\n" % (one.retry_after // MS) if one.retry_after else b""
@@ -152,6 +151,10 @@
         if get.handle.settled():
             self.forget(get)
 
+    def armed_by(self, due):
+        if self.armed is None or due < self.armed:
+            self.arm(self.clock())
+
     def arm(self, now):
         """One timer, for what the module or a forward's time-out is due at first."""
         while self.limits and self.limits[0][2].ended:
--- a/sprucegate/front/memory/connections.py
+++ b/sprucegate/front/memory/connections.py
@@ -22,13 +22,13 @@
     """One connection to a place; `open` has the forwards on it that await an answer."""
 
     __slots__ = ("place", "sock", "reader", "task", "writer", "up", "closed", "queue", "open", "used",
-                 "heard", "answered")
+                 "heard", "answered", "watched")
 
     def __init__(self, place, now):
         self.place, self.sock, self.reader = place, None, AnswerReader()
         self.task, self.writer, self.up, self.closed = None, None, False, False
         self.queue, self.open, self.used = deque(), {}, now
-        self.heard, self.answered = now, now     # its last byte, and its last whole answer
+        self.watched, self.heard, self.answered = False, now, now    # its last byte, and its last whole answer
 
 
 class Place:
--- a/sprucegate/front/stages/send.py
+++ b/sprucegate/front/stages/send.py
@@ -179,9 +179,8 @@
                 self.driver.log("cache_unreadable", cache=connection.place.name, error=fault)
             if fault or not size:
                 self.close(connection)
-            elif connection.reader.partial():
-                self.stalls.append((connection.heard + STALLED, connection))
-                self.driver.arm(connection.heard)
+            elif connection.reader.partial() and not connection.watched:
+                self._watch(connection)
         except BlockingIOError:
             pass
         except OSError:
@@ -239,10 +238,21 @@
     def stalled(self, now):
         """Ends connections whose answer was begun and has had no byte since."""
         while self.stalls and self.stalls[0][0] <= now:
-            due, connection = self.stalls.popleft()
-            if not connection.closed and connection.heard + STALLED == due and connection.reader.partial():
-                self.driver.log("cache_stalled", cache=connection.place.name, forwards=len(connection.open))
-                self.close(connection)
+            connection = self.stalls.popleft()[1]
+            connection.watched = False
+            if connection.closed or not connection.reader.partial():
+                continue
+            if connection.heard + STALLED > now:
+                self._watch(connection)
+                continue
+            self.driver.log("cache_stalled", cache=connection.place.name, forwards=len(connection.open))
+            self.close(connection)
+
+    def _watch(self, connection):
+        # Looked at once in so long, not at each read: large answers come in many.
+        connection.watched, due = True, self.driver.clock() + STALLED
+        self.stalls.append((due, connection))
+        self.driver.armed_by(due)
 
     def sweep(self, now):
         for place in list(self.places.values()):
--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -42,7 +42,7 @@
 OWN_BYTES = 64 << 20    # of copies that the front itself keeps
 OWN_AGE = 30 * S        # their longest life, and how much longer than old copies purges are remembered
 OWN_WAIT = 5 * MS * 100 * MS    # queue on the own link times sending: past it a cache answers sooner
-CONNECTIONS = 8         # to one cache: each more is read on its own, and costs the CPU where GETs are many
+CONNECTIONS = 4         # to one cache: each more is read on its own, and costs the CPU where GETs are many
 STALLED = 150 * MS      # an answer begun and then silent so long won't be finished
 ANSWER_MARGIN = 20 * MS # kept before the end of a viewer's time and of a token's window
 
