--- a/sprucegate/front/driver.py
+++ b/sprucegate/front/driver.py
@@ -27,7 +27,7 @@
         self.relay, self.book, self.ready = Relay(self), Book(), False
         self.send = Send(self, pool, wanted.settings, wanted.descriptors // 3)
         self.most = wanted.settings.get("max_open", 1 << 30)
-        self.open, self.limits, self.order = {}, [], count()
+        self.open, self.ids, self.limits, self.order = {}, {}, [], count()
         self.timer, self.armed = None, None
         self.copies = Copies(min(OWN_BYTES, int(wanted.memory_mb * 2**20) // 3), wanted.link)
 
@@ -40,7 +40,7 @@
                              last=not request.keep_alive)
             return
         try:
-            get = admit(client, request, self.wanted.ds_names, now - at)
+            get = admit(client, request, self.wanted.ds_names, self.wanted.settings, self.ids, now - at)
         except Exception as fault:
             self.fault(fault)
             get = Refusal(500, "this request could not be read")
@@ -48,16 +48,17 @@
             self.book.count("bad_requests")
             self.relay.write(client, refusal(get, close=True), last=True)
             return
-        client.get, client.closing = get, not request.keep_alive
+        client.get, client.closing, self.ids[get.id] = get, not request.keep_alive, get
         if len(self.open) >= self.most:
             self.book.count("shed_over_bound")
             self.relay.answer(get, 503)
+            self.forget(get)
             return
         self.guarded(get, self._taken, get, now)
 
     def _taken(self, get, now):
         if self._own(get, now):
-            return
+            return self.forget(get)
         decided = route(self.router, get, now)
         self.open[get.handle] = get
         self.say(get, decided, now)
@@ -91,6 +92,7 @@
             self.forget(get)
 
     def forget(self, get):
+        self.ids.pop(get.id, None)
         # Get and forwards hold each other: left so, each GET would wait for the collector.
         if self.open.pop(get.handle, None) is not None:
             get.forwards.clear()
@@ -125,6 +127,13 @@
             self.router.purged(news.object, news.group, now - news.at, now)
         self.arm(now)
 
+    def stop(self):
+        """The end of the drain: what is still open gets its final answer now."""
+        now = self.clock()
+        for get in list(self.open.values()):
+            if not get.answered:
+                self.guarded(get, self.say, get, get.handle.give_up(now), now)
+
     def list_failed(self):
         self.router.list_failed(self.clock())
 
--- a/sprucegate/front/lifecycle/configuration.py
+++ b/sprucegate/front/lifecycle/configuration.py
@@ -131,7 +131,7 @@
         name=_pick(data, "name", str),
         listen=_address(_pick(data, "listen", str), "listen"),
         seed=seed,
-        memory_mb=_above(_pick(data, "limits.memory_mb", number, 192), "limits.memory_mb", 64),
+        memory_mb=_above(_pick(data, "limits.memory_mb", number, 192), "limits.memory_mb", 32),
         descriptors=int(_above(min(1024, _pick(data, "limits.sockets", number, 1024)), "limits.sockets", 64)),
         bus=_address(_pick(data, "bus", str), "bus"),
         flow=_above(_pick(data, "flow_bytes_per_s", number), "flow_bytes_per_s", 1),
--- a/sprucegate/front/lifecycle/run.py
+++ b/sprucegate/front/lifecycle/run.py
@@ -13,6 +13,7 @@
 from sprucegate.front.stages.take_in import TakeIn
 
 STILL_COMING = 0.7      # seconds after SIGTERM for which clients may still send
+LAST = 3.3              # seconds after SIGTERM at which all that is still open is given up
 RELOADED = ("bus", "known", "offset")    # what SIGHUP applies; all else takes a restart
 
 
@@ -50,7 +51,13 @@
     await asyncio.sleep(STILL_COMING)
     tasks[0].cancel()
     listener.close()
+    end = loop.time() + LAST - STILL_COMING
     while driver.open or any(client.busy or client.writer for client in take_in.clients):
+        # A client that never reads its answer, or a patience past the kill, must not hold up the exit.
+        if loop.time() > end:
+            driver.stop()
+            await asyncio.sleep(0.05)
+            break
         await asyncio.sleep(0.01)
     for client in list(take_in.clients):
         take_in.close(client)
@@ -75,11 +82,11 @@
 
 
 async def housekeeping(driver, take_in, pool, log):
-    longest = max([t for t in driver.wanted.settings.get("viewer_timeout", ()) if t], default=3_000_000_000)
     while True:
-        await asyncio.sleep(1)
-        now = driver.clock()
-        take_in.sweep(now, longest)
+        for _ in range(2):
+            await asyncio.sleep(0.5)
+            now = driver.clock()
+            take_in.sweep(now)
         driver.send.sweep(now)
         log("second", open=len(driver.open), clients=len(take_in.clients), caches=driver.send.connections,
             buffers=pool.out, **driver.book.taken())
--- a/sprucegate/front/lifecycle/subscribe.py
+++ b/sprucegate/front/lifecycle/subscribe.py
@@ -5,7 +5,7 @@
 
 from sprucegate.front.protocol import bus
 
-SILENCE = 3.0       # seconds without a byte: a comment comes each second
+SILENCE = 1.7       # seconds without a byte: a comment comes each second, what is missed counts after 4
 WAITS = (0.1, 0.2, 0.4, 0.8, 1.0)
 
 
@@ -13,6 +13,7 @@
     def __init__(self, driver, wanted, pool):
         self.driver, self.wanted, self.pool, self.last = driver, wanted, pool, wanted.offset
         self.loop, self.task = asyncio.get_running_loop(), None
+        self.doubted = -1                    # the last event before a fault for which the bus was asked again
 
     def start(self):
         """Asks for what comes after the last event seen; a stream that was open before is left."""
@@ -24,7 +25,11 @@
         failures = 0
         while True:
             seen = self.last
-            error = await self._read()
+            try:
+                error = await self._read()
+            except Exception as fault:       # or nothing would be told any more
+                self.driver.fault(fault)
+                error = "a fault of the program"
             self.driver.log("bus_lost", error=error, last=self.last)
             self.driver.list_failed()
             failures = failures + 1 if seen == self.last else 0
@@ -66,7 +71,19 @@
         self.start()
 
     def _event(self, data):
-        self._apply(*bus.read(data, self.wanted.locations, self.wanted.kinds))
+        try:
+            offset, news = bus.read(data, self.wanted.locations, self.wanted.kinds)
+            if offset > self.last + 1:
+                raise bus.Malformed(f"event {offset} follows {self.last}")
+        except bus.Malformed as fault:
+            # Once asked for again. The same fault then is the bus's own, and must not keep back what follows.
+            if self.doubted != self.last:
+                self.doubted = self.last
+                raise
+            self.driver.log("bus_gap", error=str(fault), last=self.last)
+            if "follows" not in str(fault):
+                return
+        self._apply(offset, news)
 
     def _apply(self, offset, news):
         if offset <= self.last:
--- a/sprucegate/front/memory/connections.py
+++ b/sprucegate/front/memory/connections.py
@@ -7,12 +7,14 @@
 
 
 class Client:
-    __slots__ = ("sock", "reader", "get", "outgoing", "writer", "closing", "busy", "since")
+    __slots__ = ("sock", "reader", "get", "outgoing", "writer", "closing", "busy", "since",
+                 "asked")
 
     def __init__(self, sock, now):
         self.sock, self.reader = sock, RequestReader()
         self.get, self.outgoing, self.writer = None, deque(), None
-        self.closing, self.busy, self.since = False, False, now
+        # Since when it has been as it is: connected, in a request, or idle after one.
+        self.closing, self.busy, self.since, self.asked = False, False, now, False
 
     def idle(self):
         return not self.busy and not self.outgoing and self.writer is None and not self.reader.begun
@@ -28,7 +30,8 @@
         self.place, self.sock, self.reader = place, None, AnswerReader()
         self.task, self.writer, self.up, self.closed = None, None, False, False
         self.queue, self.open, self.used = deque(), {}, now
-        self.watched, self.heard, self.answered = False, now, now    # its last byte, and its last whole answer
+        self.watched = False
+        self.heard, self.answered = now, now     # its last byte, and its last whole answer
 
 
 class Place:
--- a/sprucegate/front/protocol/http.py
+++ b/sprucegate/front/protocol/http.py
@@ -7,6 +7,7 @@
 HEAD_MOST = 8192        # bytes of a request line and its headers
 BODY_MOST = 48_000      # bytes of a write
 REASONS = {200: "OK", 304: "Not Modified", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
+           409: "Conflict",
            413: "Content Too Large", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
            502: "Bad Gateway", 503: "Service Unavailable"}
 
--- a/sprucegate/front/stages/admit.py
+++ b/sprucegate/front/stages/admit.py
@@ -24,8 +24,17 @@
     return value if 0 <= value <= most else None    # neither NaN nor infinity is
 
 
-def admit(client, request, ds_names, waited):
-    """An OpenGet, or a Refusal that names what is wrong."""
+def _of(settings, name, ds, default):
+    values = settings.get(name) or ()
+    return values[ds] if ds < len(values) and values[ds] is not None else default
+
+
+def admit(client, request, ds_names, settings, open_ids, waited):
+    """An OpenGet, or a Refusal that names what is wrong.
+
+    Against figures that would be believed for long: a GET is kept as long as its patience lasts, and its size
+    goes into what is taken for usual.
+    """
     headers, found = request.headers, TARGET.fullmatch(request.target)
     if not found:
         return Refusal(404, "no such path")
@@ -33,11 +42,15 @@
     ds = ds_names.get(ds_name.decode("latin-1"))
     if ds is None:
         return Refusal(404, "no such delivery service")
-    if request.method not in (b"GET", b"PUT"):
-        return Refusal(405, "GET and PUT are served here", b"Allow: GET, PUT\r\n")
+    wanted = b"PUT" if _of(settings, "runs_at_origin", ds, False) else b"GET"
+    if request.method != wanted or request.body and wanted == b"GET":
+        return Refusal(405, f"this delivery service takes {wanted.decode()}, a GET without a body",
+                       b"Allow: %b\r\n" % wanted)
     call_id = headers.get(b"x-call-id", b"")
     if not CALL_ID.fullmatch(call_id):
         return Refusal(400, "X-Call-Id: 16 hex digits are wanted")
+    if call_id in open_ids:
+        return Refusal(409, "X-Call-Id: this one is open already")
     patience = _number(headers, b"x-patience-ms", 3_600_000)
     if not patience:
         return Refusal(400, "X-Patience-Ms: milliseconds above 0 are wanted")
@@ -47,10 +60,14 @@
     size = _number(headers, b"x-heap-kb", 1e9, 0.0)
     if size is None:
         return Refusal(400, "X-Heap-Kb: a number of KB is wanted")
+    longest = _of(settings, "viewer_timeout", ds, 3_600_000 * MS)
+    if size * 1000 * MS > longest * settings.get("client_kb_per_s", 0) > 0:
+        return Refusal(400, "X-Heap-Kb: more than can be sent while a client waits")
     have = headers.get(b"if-none-match")
     have = have and TAG.fullmatch(have)
     asked = Asked(
         id=call_id.decode(), object=int(thing, 16), part=int(part or 0), group=int(group), ds=ds,
-        size=int(size), write=request.method == b"PUT", repeat=False, ttl=int(patience * MS) - waited)
+        size=int(size), write=request.method == b"PUT", repeat=False,
+        ttl=min(int(patience * MS), longest) - waited)
     return OpenGet(client, call_id, ds_name.decode(), thing.decode(), int(part or 0),
                    have[1].decode() if have else "", request.body, asked)
--- a/sprucegate/front/stages/relay.py
+++ b/sprucegate/front/stages/relay.py
@@ -20,7 +20,7 @@
 
     def write(self, client, data, last=False):
         """At once where the socket takes all of it; the rest by sock_sendall in a task."""
-        client.closing, client.busy = client.closing or last, False
+        client.closing, client.busy, client.since = client.closing or last, False, self.driver.clock()
         if client.writer is not None:
             client.outgoing.append(data)
             return
@@ -38,7 +38,6 @@
 
     def _finish(self, client):
         # The client's own close ends the connection; the sweep does where it never comes.
-        client.since = self.driver.clock()
         try:
             client.sock.shutdown(socket.SHUT_WR)
         except OSError:
--- a/sprucegate/front/stages/take_in.py
+++ b/sprucegate/front/stages/take_in.py
@@ -8,12 +8,16 @@
 from sprucegate.front.protocol import http
 
 TURN = 3        # requests begun in one turn of the loop
+S = 1_000_000_000
+UNFINISHED = 22 * S // 10   # for a first request, or one begun, to be whole; for a refused client to leave
+IDLE = 12 * S               # between two requests; usual clients close after four seconds
 
 
 class TakeIn:
     def __init__(self, driver, pool, most):
         self.driver, self.pool, self.most = driver, pool, most
-        self.clients, self.loop = {}, asyncio.get_running_loop()
+        self.clients, self.loop = {}, asyncio.get_running_loop()     # the one that asked last stands last
+        self.silent = {}                     # those that have not yet sent a whole request, the oldest first
         self.whole, self.begins = deque(), False
 
     async def accept(self, listener):
@@ -31,12 +35,12 @@
                 continue
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             client = Client(sock, self.driver.clock())
-            self.clients[client] = None
+            self.clients[client] = self.silent[client] = None
             self.loop.add_reader(sock, self._readable, client)
 
     def _make_room(self):
-        """The connection that has been idle longest goes: dicts keep the order of arrival."""
-        oldest = next((client for client in self.clients if client.idle()), None)
+        """One that never asked goes first, against floods of them; then the one idle longest."""
+        oldest = next(iter(self.silent), None) or next((c for c in self.clients if c.idle()), None)
         if oldest is not None:
             self.close(oldest)
         return oldest is not None
@@ -61,6 +65,7 @@
         if client not in self.clients:
             return
         del self.clients[client]
+        self.silent.pop(client, None)
         client.closing = True
         self.loop.remove_reader(client.sock)
         if client.writer is None:
@@ -73,13 +78,19 @@
             self.driver.guarded(client.get, self.driver.left, client.get)
 
     def _fed(self, client, data):
-        client.since = now = self.driver.clock()
-        for request in client.reader.feed(data):
+        now, begun = self.driver.clock(), client.reader.begun
+        requests = client.reader.feed(data)
+        if client.reader.begun and not begun and client.asked:
+            client.since = now               # not moved by later bytes: one that dribbles is bounded too
+        for request in requests:
             if client.busy or client.closing:
                 # One at a time is agreed; one sent ahead is left unread by the close that follows.
                 client.closing = True
                 return
-            client.busy = True
+            client.busy = client.asked = True
+            client.since = now
+            self.silent.pop(client, None)
+            self.clients[client] = self.clients.pop(client)
             self.whole.append((client, request, now))
         if self.whole and not self.begins:
             self.begins = True
@@ -103,9 +114,10 @@
         if self.begins:
             self.loop.call_soon(self._begin)
 
-    def sweep(self, now, patience):
-        """A request never finished, or a connection never closed by its client, goes in bounded time."""
+    def sweep(self, now):
+        """A request never finished, a connection never used or never closed by its client: all go in time."""
         for client in list(self.clients):
-            waits = client.closing or client.reader.begun
-            if waits and not client.busy and now - client.since > patience:
+            waits = client.closing or client.reader.begun or not client.asked
+            if not client.busy and now - client.since > (UNFINISHED if waits else IDLE):
+                self.driver.book.count("clients_timed_out" if waits else "clients_idle")
                 self.close(client)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -64,7 +64,8 @@
             {"name": "media", "aim": 400_000, "effect": "pure", "worth": 2.0, "deadline": 3_000_000},
             {"name": "order", "aim": 400_000, "effect": "side_effect", "worth": 3.0}],
         "failureDomains": ["here"], "shapes": ["std", "parent", "origin"], "myZone": 0,
-        "specifics": {"shieldKind": 1, "storeKind": 2, "goesThrough": [False, True], "straight": True,
+        "specifics": {"clientKbPerS": 1000.0, "shieldKind": 1, "storeKind": 2, "goesThrough": [False, True],
+                      "straight": True,
                       "classFresh": [0, 0], "usableAfter": [0, 0], "neighbours": "location"},
     },
 }
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -67,16 +67,16 @@
 
     front, _, _ = serve(tmp_path, reply, reply)
     with front:
-        assert front.ask(get_text(ds=ds))[0] == status
+        assert front.ask(get_text(ds=ds, method="PUT" if ds == "order" else "GET"))[0] == status
 
 
 def test_a_lost_connection_and_a_refused_one_tell_what_may_have_run(tmp_path):
     front, _, root = serve(tmp_path, served, lambda *_: b"")
     with front:
-        assert front.ask(get_text(ds="order"))[0] == 502
+        assert front.ask(get_text(ds="order", method="PUT"))[0] == 502
         root.stop()
         front.until("cache_connection_lost")
-        assert front.ask(get_text("9b1f03aa5c7e2d42", ds="order"))[0] == 503
+        assert front.ask(get_text("9b1f03aa5c7e2d42", ds="order", method="PUT"))[0] == 503
 
 
 def test_a_silent_cache_is_given_up_in_time_and_by_name(tmp_path):
@@ -165,6 +165,13 @@
     (b"nonsense\r\n\r\n", 400), (get_text(call_id="x"), 400), (get_text(ds="other"), 404),
     (get_text(method="DELETE"), 405), (b"PUT / HTTP/1.1\r\nContent-Length: 50000\r\n\r\n", 413),
     (b"GET / HTTP/1.1\r\nA: " + b"a" * 9000, 431),
+    (get_text(ds="order"), 405), (get_text(method="PUT", body=b"x"), 405), (get_text(body=b"x"), 405),
+    (get_text(extra="Transfer-Encoding: chunked\r\n", body=b"0\r\n\r\n" + get_text("d" * 16)), 400),
+    (get_text().replace(b"Content-Length: 0", b"Content-Length: -1"), 400),
+    (get_text().replace(b"Content-Length: 0", b"Content-Length: " + b"9" * 30), 400),
+    (get_text().replace(b"Heap-Kb: 4.5", b"Heap-Kb: 1e8"), 400),
+    (get_text().replace(b"1500", b"inf"), 400),
+    (get_text().replace(b"Set: 17", b"Set: 1.5"), 400), (get_text().replace(b"X-Call-Id", b"X-None"), 400),
 ])
 def test_bad_input_is_refused_and_reaches_no_cache(tmp_path, text, status):
     front, box, _ = serve(tmp_path, served)
@@ -174,6 +181,81 @@
         assert box.heard.get(timeout=5)[1] == b"c" * 16
 
 
+def test_an_id_that_is_open_is_refused_and_its_get_goes_on(tmp_path):
+    go = threading.Event()
+
+    def reply(call_id, fields, body):
+        go.wait(5)
+        return served(call_id, fields)
+
+    front, box, _ = serve(tmp_path, reply)
+    with front:
+        sock = front.connect()
+        sock.sendall(get_text())
+        box.heard.get(timeout=5)
+        assert front.ask(get_text().replace(b"7f3a", b"aaaa"))[0] == 409
+        go.set()
+        assert sock.recv(4096).startswith(b"HTTP/1.1 200") and box.heard.empty()
+        assert front.ask(get_text())[0] == 200               # once it has ended it may come again
+
+
+@pytest.mark.parametrize("sent", [b"", get_text()[:20]])
+def test_a_client_that_never_asks_is_closed_in_time(tmp_path, sent):
+    front, _, _ = serve(tmp_path, served)
+    with front:
+        asks, idle, sock = front.connect(), front.connect(), front.connect()
+        assert front.ask(get_text(), idle)[0] == 200
+        sock.sendall(sent)
+        sock.settimeout(3)
+        begun = time.monotonic()
+        assert sock.recv(9) == b"" and time.monotonic() - begun < 3
+        assert front.ask(get_text("c" * 16), idle)[0] == 200     # one that asked may stay
+        asks.close()
+
+
+def test_those_who_never_asked_make_room_before_one_who_did(tmp_path):
+    front, _, _ = serve(tmp_path, served, limits={"cores": 1.0, "memory_mb": 32, "sockets": 64})
+    with front:
+        sock = front.connect()
+        assert front.ask(get_text(), sock)[0] == 200
+        crowd = [front.connect() for _ in range(40)]
+        assert crowd[0].recv(9) == b""
+        assert front.ask(get_text("c" * 16), sock)[0] == 200
+        assert front.ask(get_text("d" * 16), crowd[-1])[0] == 200
+
+
+def test_an_event_that_cant_be_read_is_asked_for_again_then_passed_over(tmp_path):
+    front, box, root = serve(tmp_path, served)
+    with front:
+        drain = {"offset": 3, "topology": {"seq": 2, "whole": False, "hosts": [
+            host("s-0b", box.address, "std", "draining")]}}
+        for _ in range(2):
+            assert b"Last-Event-ID: 1\r\n" in front.bus.heard.get(timeout=5)
+            front.tells.put({"offset": 2, "ban": {"url": "not hex", "ts": 0}})
+            if not _:
+                front.until("bus_lost")
+                front.tells.put(None)
+        front.tells.put(drain)
+        assert front.until("bus_gap")["last"] == 1 and front.until("told")["offset"] == 3
+        assert front.ask(get_text())[0] == 200
+        assert root.heard.get(timeout=5)[0] == b"serve" and box.heard.empty()
+
+
+def test_sigterm_is_not_held_up_by_a_patience_past_the_kill(tmp_path):
+    front, box, _ = serve(tmp_path, lambda *_: None, lambda *_: None)
+    front.configure(settings={**REAL["settings"], "categories": [
+        {**REAL["settings"]["categories"][0], "deadline": 30_000_000}]})
+    with front:
+        sock, silent = front.connect(), front.connect()
+        sock.sendall(get_text(patience=30_000))
+        box.heard.get(timeout=5)
+        begun = time.monotonic()
+        front.process.send_signal(signal.SIGTERM)
+        assert sock.recv(4096).startswith(b"HTTP/1.1 503")
+        assert front.process.wait(10) == 0 and time.monotonic() - begun < 3.7
+        silent.close()
+
+
 def test_drains_and_purges_from_the_bus_hold_and_a_break_is_taken_up_again(tmp_path):
     front, box, root = serve(tmp_path, served)
     with front:
--- a/tests/test_front_codecs.py
+++ b/tests/test_front_codecs.py
@@ -45,13 +45,13 @@
 ])
 def test_a_request_that_lacks_something_is_told_what(old, new, status, named):
     request, = RequestReader().feed(get_text().replace(old, new))
-    refused = admit(None, request, {"media": 0}, 0)
+    refused = admit(None, request, {"media": 0}, {}, {}, 0)
     assert refused.status == status and named in refused.text
 
 
 def test_time_spent_at_the_door_comes_off_the_patience():
     request, = RequestReader().feed(get_text(extra='If-None-Match: "4be0"\r\n'))
-    get = admit(None, request, {"media": 0}, 30_000_000)
+    get = admit(None, request, {"media": 0}, {}, {}, 30_000_000)
     assert (get.asked.ttl, get.asked.object, get.asked.part, get.asked.group, get.have) == (
         1_470_000_000, 0x7f3a9c21e0b4d655, 3, 17, "4be0")
 
