--- a/sprucegate/front/stages/send.py
+++ b/sprucegate/front/stages/send.py
@@ -145,7 +145,10 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             async with asyncio.timeout(self.connect_timeout / 1e9):
                 await self.loop.sock_connect(sock, connection.place.address)
-        except OSError:                  # a TimeoutError is one
+        except OSError as fault:         # a TimeoutError is one
+            # Reset when new, or refused beside others that are up: the cache is in reach, and not cold.
+            connection.in_reach = isinstance(fault, ConnectionResetError) or any(
+                other.up for other in connection.place.connections)
             self.close(connection)
         if connection.closed:
             return
@@ -214,7 +217,7 @@
                 del self.places[connection.place.id]
         for out in forwards:
             # What was up and broke shows a cache in reach, unlike one that can't be connected to.
-            never_ran = Outcome.NOT_SENT if was_up else Outcome.UNREACHABLE
+            never_ran = Outcome.NOT_SENT if was_up or connection.in_reach else Outcome.UNREACHABLE
             outcome = Outcome.RESET if out.progress is Progress.WHOLE else never_ran
             self.driver.ended(out, outcome, Found.UNTOLD, 0, {})
 
--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -47,6 +47,7 @@
 ANSWER_MARGIN = 20 * MS # kept before the end of a viewer's time and of a token's window
 
 SOURCE_FAULTS = (Found.SOURCE_REFUSED, Found.SOURCE_BROKEN, Found.ORIGIN_FAILED)
+CUT = (Outcome.RESET, Outcome.NOT_SENT)  # tell of a connection, not of what lies behind it
 HITS, FILLS = (Found.HIT, Found.STALE_HIT), (Found.FILLED, Found.FILLED_BY_ORIGIN)
 
 
@@ -455,6 +456,7 @@
                 told = self.link_use[0] / 2 if now - self.link_use[1] < S else 0
                 late = cache.index not in memory.holders and self.work(asked) * max(
                     told, self.link.crowding(self.filling + 1, now)) > get.limit - now
+                late = late and self.chance(asked.id) >= PROBING    # or no sample would show that it passed
                 if source is None or late:
                     source, may_fetch = cache, False
                 # Hits go on: a look at cache and parent costs next to nothing, and a miss is then given up.
@@ -507,8 +509,8 @@
         if sent.fill:
             self.filling, cache.filling = self.filling - 1, max(0, cache.filling - 1)
             sent.fill[3] = good and now <= sent.fill[2]
-            if found in HITS or bare:
-                sent.fill[2:] = -NEVER, None     # no fill: as one, it would hide that the sources fail
+            if found in HITS or bare or outcome in CUT or outcome is Outcome.CANCELLED and now < sent.fill[2]:
+                sent.fill[2:] = -NEVER, None     # tells of no fill: as one, it would hide how the sources do
             elif found in (Found.FILLED_BY_ORIGIN, Found.ORIGIN_FAILED) and self.groups["origin"]:
                 # What was late for the origin's wait speaks against the origin, not against the parent.
                 sent.fill[0] = self.groups["origin"][-1]
@@ -545,7 +547,10 @@
                 source.as_source.note(now, False, 0)
         elif outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
             get.lost.add(cache.index)
-            if outcome is not Outcome.FULL and (memory.returned or not bare):
+            # A connection that ends takes many with it: that is one bad end, or each would set a cache aside.
+            ends, reset = cache.as_cache.ends, outcome is Outcome.RESET
+            if not (outcome is Outcome.FULL or bare and not memory.returned
+                    or reset and ends and not ends[-1][1] and now - ends[-1][0] < TRIP):
                 cache.as_cache.note(now, False, 0)
         # A time-out may be the source's fault: it tells of the cache where all end so and its peers' don't.
         timed_out = outcome is Outcome.TIMED_OUT
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -435,3 +435,35 @@
     get.forwards[0].fill, made.memory(ask, NOW).returned = fill, returned
     made.learn(get, get.forwards[0], Outcome.ERROR, told, MS, 0, {}, NOW)
     assert len(node(made, 11).as_cache.ends) == against_cache and (fill[3] is False) == against_source
+
+
+@pytest.mark.parametrize("outcome, good", [
+    (Outcome.RESET, None), (Outcome.NOT_SENT, None), (Outcome.CANCELLED, None),     # no word from the source
+    (Outcome.TIMED_OUT, False), (Outcome.UNREACHABLE, False),
+])
+def test_a_connection_cut_or_a_client_gone_says_nothing_of_the_source(outcome, good):
+    made = router()
+    get, fill = get_with(made, asked(size=100), None), [node(made, PARENTS[0]), NOW, NOW + S, None]
+    get.forwards[0].fill = fill
+    made.learn(get, get.forwards[0], outcome, Found.UNTOLD, MS, 0, {}, NOW)
+    assert fill[3] is good
+
+
+def test_a_connection_that_ends_with_many_forwards_is_one_bad_end():
+    made, get = router(), None
+    get = get_with(made, asked(), None, None, None, None)
+    for at, sent in enumerate(get.forwards):
+        made.learn(get, sent, Outcome.RESET, Found.UNTOLD, MS, 0, {}, NOW + at * 1000)
+    assert len(node(made, 11).as_cache.ends) == 1 and node(made, 11).as_cache.until == 0
+
+
+def test_a_link_that_looked_full_is_tried_by_some_fills():
+    made = router(client_kb_per_s=1000)
+    made.link.speeds.extend((NOW, 20.0, 3) for _ in range(16))
+    tried = 0
+    for n in range(300):
+        get = Get(made, asked(f"r-{n}", obj=n, size=200), NOW)
+        forward = made.plan(get, NOW)
+        tried += forward.source != forward.cache
+        get.ended(0, Outcome.CANCELLED, Found.UNTOLD, 0, 0, {}, True, NOW)
+    assert 5 < tried < 60
