--- a/sprucegate/front/driver.py
+++ b/sprucegate/front/driver.py
@@ -51,8 +51,8 @@
         client.get, client.closing, self.ids[get.id] = get, not request.keep_alive, get
         if len(self.open) >= self.most:
             self.book.count("shed_over_bound")
-            self.relay.answer(get, 503)
-            self.forget(get)
+            get.handle = self.router.take(get.asked, now)
+            self.guarded(get, self.say, get, get.handle.give_up(now), now)
             return
         self.guarded(get, self._taken, get, now)
 
--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -1,7 +1,6 @@
 """The rules: every decision of one front, every table it keeps and every tuned value.
 
-Called: Router(settings, seed, now) once a front; listed, purged and others bring news; take gives a Get,
-whose calls return what is to be done, and due(now), at next_due(), the rest. Names: wire/settings.py.
+A front makes one Router and brings it news; take gives a Get, whose calls return what is to be done.
 """
 
 import heapq
@@ -34,9 +33,8 @@
 SAMPLES, SAMPLE_AGE = 16, 10 * S        # outcomes that a judgement rests on
 REFRESH = 20 * MS       # figures over hundreds of samples are worked out again after this, not for each GET
 LATEST = 6              # ends that tell of failing: a hanging place answers late, and a front asks it little
-SLOW = 3.0              # times slower than the peers' median: set aside
+SLOW, UNLIKE = 3.0, 1.5     # times slower than its peers: set aside; what it is slow at is its own fault
 DOWN = 1 * S            # a place out of reach is left alone so long, then tried by one GET
-UNLIKE = 1.5            # times slower than its peers: what it is slow at is its own fault
 REST = 2 * S            # first rest of a node set aside; doubles while trials fail, up to eight times that
 RETRY_SHARE = 0.2       # of the last forwards may be further ones
 OWN_BYTES = 64 << 20    # of copies that the front itself keeps
@@ -47,7 +45,6 @@
 ANSWER_MARGIN = 20 * MS # kept before the end of a viewer's time and of a token's window
 
 SOURCE_FAULTS = (Found.SOURCE_REFUSED, Found.SOURCE_BROKEN, Found.ORIGIN_FAILED)
-CUT = (Outcome.RESET, Outcome.NOT_SENT)  # tell of a connection, not of what lies behind it
 HITS, FILLS = (Found.HIT, Found.STALE_HIT), (Found.FILLED, Found.FILLED_BY_ORIGIN)
 
 
@@ -68,9 +65,10 @@
     def note(self, now, good, slowness, sharing=0):
         if good and self.until <= now:
             self.trial, self.rest = False, self.rest * 3 // 4    # one good end clears no half-failing place
-        self.ends.append((now, good))
-        if slowness:
-            self.speeds.append((now, slowness, sharing))
+        # A connection that ends takes many forwards with it: one bad end, or each would set a cache aside.
+        if good or not self.ends or self.ends[-1][1] or now - self.ends[-1][0] >= TRIP:
+            self.ends.append((now, good))
+        self.speeds.extend([(now, slowness, sharing)] if slowness else [])
 
     def slowness(self, now):
         seen = [s for at, s, _ in self.speeds if now - at < SAMPLE_AGE]
@@ -106,11 +104,11 @@
     def __init__(self, index, entry, role):
         self.index, self.id, self.entry, self.role = index, entry.id, entry, role
         self.label, self.down = entry.id.to_bytes(8, "big"), 0
+        self.out = self.filling = 0          # forwards out there, and those of them that await a fill
         self.sent = deque(maxlen=256)        # (time, work) of what may reach it
         self.renewed(entry.started)
 
     def renewed(self, started):
-        self.out = self.filling = 0          # forwards out there, and those of them that await a fill
         self.as_cache, self.as_source = Standing(), Standing()
         self.load, self.load_at, self.started = {}, NEVER, started
 
@@ -201,16 +199,14 @@
 class Router:
     def __init__(self, settings, seed, now):
         self.get, self.seed, self.draws, self.now = settings.get, seed, 0, now
-        self.nodes, self.index_of, self.groups = [], {}, defaultdict(list)
+        self.nodes, self.index_of, self.indices, self.groups = {}, {}, count(), defaultdict(list)
         self.table, self.slot_of, self.purges = [], OrderedDict(), {}    # purges by ("object" or "group", id)
         self.waiting, self.order = [], count()   # (due, order, Get or None for a list to ask for)
-        self.carried = deque(maxlen=256)     # (time, work) of the last GETs that caches returned
+        self.carried, self.further = deque(maxlen=256), deque(maxlen=100)   # (time, work) returned; if so
         self.spents = defaultdict(lambda: deque(maxlen=64))    # by delivery service, the last sending times
         self.link, self.filling, self.link_use = Standing(), 0, (0, NEVER)
         self.fills = deque(maxlen=256)       # [source, time, when late, came in time] of the last fills
-        self.tally, self.rated = (NEVER, Counter(), Counter()), (NEVER, 0)
-        self.found = deque([Found.FILLED] * 8, maxlen=64)
-        self.further = deque(maxlen=100)     # of the last forwards, which were further ones
+        self.tally, self.rated, self.found = (NEVER, Counter(), Counter()), (NEVER, 0), deque(maxlen=64)
         self.top = max([r for r in self.get("revenue", ()) if r], default=1)
         self.asks = [Subscribe()] if self.get("discovery") == "ask" else []
 
@@ -252,17 +248,17 @@
         roles = {self.get("parent_kind", -1): "parent", self.get("origin_kind", -1): "origin"}
         for entry in entries:
             if entry.id not in self.index_of:
-                self.index_of[entry.id] = len(self.nodes)
-                self.nodes.append(Node(len(self.nodes), entry, roles.get(entry.kind, "cache")))
+                at = self.index_of[entry.id] = next(self.indices)
+                self.nodes[at] = Node(at, entry, roles.get(entry.kind, "cache"))
             node = self.nodes[self.index_of[entry.id]]
             if entry.started > node.started:
                 node.renewed(entry.started)
             node.entry = entry
-        for node in [n for n in self.nodes if whole and n.id not in seen]:
-            node.entry = node.entry._replace(state=State.GONE)
         here, self.groups = self.get("my_location", 0), defaultdict(list)
-        for node in self.nodes:
-            if node.entry.state is State.SERVING and (node.role != "cache" or node.entry.location == here):
+        for node in list(self.nodes.values()):
+            if whole and node.id not in seen or node.entry.state is State.GONE:
+                del self.nodes[node.index], self.index_of[node.id]    # its index is never given again
+            elif node.entry.state is State.SERVING and (node.role != "cache" or node.entry.location == here):
                 self.groups[node.role].append(node)
 
     def list_failed(self, now):
@@ -325,8 +321,8 @@
     def holders(self, asked, memory, now):
         """Beliefs in force: {node: expiry}, the longest first. A restart or a purge voids what was before."""
         purge = self.purge_time(asked)
-        kept = [(-expiry, at) for at, (expiry, since, started) in memory.holders.items() if expiry > now
-            and since > purge and started == (n := self.nodes[at]).started and n.entry.state is State.SERVING]
+        kept = [(-end, at) for at, (end, of, start) in memory.holders.items() if end > now and of > purge
+                and (n := self.nodes.get(at)) and start == n.started and n.entry.state is State.SERVING]
         memory.holders = {at: memory.holders[at] for _, at in kept}
         return {self.nodes[at]: -expiry for expiry, at in sorted(kept)}
 
@@ -368,7 +364,8 @@
         floor, window = self.get(f"{kind}cold_share", 0.1), self.get("fall_time", S)
         spent = sum(w for t, w in node.sent if t > now - window)
         rate = self.rate(now) * node.entry.weight / sum(n.entry.weight for n in self.groups[role])
-        rate *= sum(f not in HITS for f in self.found) / len(self.found) if role == "parent" else 1
+        fills = 8 + sum(f not in HITS for f in self.found)
+        rate *= fills / (8 + len(self.found)) if role == "parent" else 1
         share = floor + (1 - floor) * max(0, age) / warm
         budget = COLD_SAFETY * self.get(f"{kind}fall_multiple", 2) * share * rate * window
         return not spent or spent + self.mean_work(ds) <= budget
@@ -454,9 +451,9 @@
                 source, may_fetch = self.upper(get, now)
                 # Own fills are few of the link's: half a told load counts where higher, as told at fill pace.
                 told = self.link_use[0] / 2 if now - self.link_use[1] < S else 0
-                late = cache.index not in memory.holders and self.work(asked) * max(
-                    told, self.link.crowding(self.filling + 1, now)) > get.limit - now
-                late = late and self.chance(asked.id) >= PROBING    # or no sample would show that it passed
+                slow = max(told, self.link.crowding(self.filling + 1, now))
+                late = (cache.index not in memory.holders and self.work(asked) * slow > get.limit - now
+                        and self.chance(asked.id) >= PROBING)    # or no sample would show that it passed
                 if source is None or late:
                     source, may_fetch = cache, False
                 # Hits go on: a look at cache and parent costs next to nothing, and a miss is then given up.
@@ -496,8 +493,7 @@
         memory, write = self.memory(asked, now), self.of_ds("runs_at_origin", asked.ds, False)
         good, get.missed = outcome is Outcome.RETURNED, outcome is Outcome.MISS
         cache.out, memory.returned = max(0, cache.out - 1), good or memory.returned
-        # No source told of: the cache failed, or the object never was. That is held against no source, and
-        # against no cache before some cache has returned it: bad clients make up what they ask for.
+        # Bad clients make objects up: an error with no source told of, on one never returned, blames nobody.
         bare = outcome is Outcome.ERROR and found is Found.UNTOLD
         if outcome not in (Outcome.TIMED_OUT, Outcome.CANCELLED, Outcome.NOT_SENT):
             cache.heard(outcome is not Outcome.UNREACHABLE, now)
@@ -509,7 +505,8 @@
         if sent.fill:
             self.filling, cache.filling = self.filling - 1, max(0, cache.filling - 1)
             sent.fill[3] = good and now <= sent.fill[2]
-            if found in HITS or bare or outcome in CUT or outcome is Outcome.CANCELLED and now < sent.fill[2]:
+            gone = outcome is Outcome.CANCELLED and now < sent.fill[2]
+            if found in HITS or bare or gone or outcome in (Outcome.RESET, Outcome.NOT_SENT):
                 sent.fill[2:] = -NEVER, None     # tells of no fill: as one, it would hide how the sources do
             elif found in (Found.FILLED_BY_ORIGIN, Found.ORIGIN_FAILED) and self.groups["origin"]:
                 # What was late for the origin's wait speaks against the origin, not against the parent.
@@ -547,14 +544,11 @@
                 source.as_source.note(now, False, 0)
         elif outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
             get.lost.add(cache.index)
-            # A connection that ends takes many with it: that is one bad end, or each would set a cache aside.
-            ends, reset = cache.as_cache.ends, outcome is Outcome.RESET
-            if not (outcome is Outcome.FULL or bare and not memory.returned
-                    or reset and ends and not ends[-1][1] and now - ends[-1][0] < TRIP):
+            if outcome is not Outcome.FULL and (memory.returned or not bare):
                 cache.as_cache.note(now, False, 0)
         # A time-out may be the source's fault: it tells of the cache where all end so and its peers' don't.
-        timed_out = outcome is Outcome.TIMED_OUT
-        cache.as_cache.judge([n.as_cache for n in self.groups["cache"]], not timed_out, now)
+        peers = [n.as_cache for n in self.groups["cache"]]
+        cache.as_cache.judge(peers, outcome is not Outcome.TIMED_OUT, now)
         if source is not cache and source.role != "origin":
             # Parents fail alike where the origin or the load is at fault; one out of reach is down alone.
             peers = [n.as_source for n in self.groups[source.role]]
