--- a/sprucegate/front/lifecycle/run.py
+++ b/sprucegate/front/lifecycle/run.py
@@ -69,9 +69,6 @@
     """SIGHUP: what can change under load is taken over whole; a faulty file changes nothing."""
     try:
         wanted = configuration.read(os.environ)
-    except configuration.Faulty as fault:
-        log("reload_failed", error=str(fault))
-        return
     except Exception as fault:           # whatever a file can hold, the front goes on with the old one
         log("reload_failed", error=f"{type(fault).__name__}: {fault}")
         return
--- a/sprucegate/front/lifecycle/subscribe.py
+++ b/sprucegate/front/lifecycle/subscribe.py
@@ -73,18 +73,19 @@
     def _event(self, data):
         try:
             offset, news = bus.read(data, self.wanted.locations, self.wanted.kinds)
-            if offset > self.last + 1:
-                raise bus.Malformed(f"event {offset} follows {self.last}")
         except bus.Malformed as fault:
-            # Once asked for again. The same fault then is the bus's own, and must not keep back what follows.
-            if self.doubted != self.last:
-                self.doubted = self.last
-                raise
-            self.driver.log("bus_gap", error=str(fault), last=self.last)
-            if "follows" not in str(fault):
-                return
+            return self._doubt(fault)
+        if offset > self.last + 1:
+            self._doubt(bus.Malformed(f"event {offset} follows {self.last}"))
         self._apply(offset, news)
 
+    def _doubt(self, fault):
+        """Asked for again once. The same fault then is the bus's own, and must not keep back what follows."""
+        if self.doubted != self.last:
+            self.doubted = self.last
+            raise fault
+        self.driver.log("bus_gap", error=str(fault), last=self.last)
+
     def _apply(self, offset, news):
         if offset <= self.last:
             return                       # sent again after a break
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -20,6 +20,17 @@
 from sprucegate.front.memory.pool import Pool
 from sprucegate.front.protocol.http import RequestReader
 
+
+def held_back(go):
+    """A cache's reply that waits for `go`."""
+
+    def reply(call_id, fields, body):
+        go.wait(5)
+        return served(call_id, fields)
+
+    return reply
+
+
 LIVE = b"GET /status/live HTTP/1.1\r\nHost: a\r\n\r\n"
 
 
@@ -183,12 +194,7 @@
 
 def test_an_id_that_is_open_is_refused_and_its_get_goes_on(tmp_path):
     go = threading.Event()
-
-    def reply(call_id, fields, body):
-        go.wait(5)
-        return served(call_id, fields)
-
-    front, box, _ = serve(tmp_path, reply)
+    front, box, _ = serve(tmp_path, held_back(go))
     with front:
         sock = front.connect()
         sock.sendall(get_text())
@@ -275,12 +281,7 @@
 
 def test_sigterm_answers_what_is_open_and_what_still_comes_then_ends(tmp_path):
     go = threading.Event()
-
-    def reply(call_id, fields, body):
-        go.wait(5)
-        return served(call_id, fields)
-
-    front, box, _ = serve(tmp_path, reply)
+    front, box, _ = serve(tmp_path, held_back(go))
     with front:
         sock, idle = front.connect(), front.connect()
         sock.sendall(get_text())
