Transports behind one seam: servers/ holds places, lines move there as they were

Cause: front/stages/send.py held sockets, choice of connection and evidence in one file for one protocol, and HTTP/2 needs its own of all three. Servers now holds the places and the common bound on connections; the line transport keeps its behaviour behind it.

--- a/sprucegate/front/driver.py
+++ b/sprucegate/front/driver.py
@@ -7,15 +7,16 @@
 from itertools import count
 
 from sprucegate.front.memory.copies import Copies, Copy
+from sprucegate.front.memory.gets import OpenForward
 from sprucegate.front.protocol.bus import Hosts
 from sprucegate.front.protocol.http import Refusal, answer, refusal, tagged
 from sprucegate.front.stages.admit import LIVE, admit
 from sprucegate.front.stages.book import Book
 from sprucegate.front.stages.relay import Relay
 from sprucegate.front.stages.route import route
-from sprucegate.front.stages.send import Send
 from sprucegate.interface import Cancel, Errored, Forward, Found, Outcome, Shed
 from sprucegate.rules import OWN_BYTES, Router
+from sprucegate.servers.servers import Servers
 
 MS = 1_000_000
 
@@ -25,7 +26,7 @@
         self.wanted, self.log, self.clock, self.loop = wanted, log, clock, asyncio.get_running_loop()
         self.router = Router(wanted.settings, wanted.seed, clock())
         self.relay, self.book, self.ready = Relay(self), Book(), False
-        self.send = Send(self, pool, wanted.settings, wanted.descriptors // 3)
+        self.servers = Servers(self, pool, wanted.settings, wanted.descriptors // 3, wanted.servers)
         self.most = wanted.settings.get("max_open", 1 << 30)
         self.open, self.ids, self.limits, self.order = {}, {}, [], count()
         self.timer, self.armed = None, None
@@ -76,12 +77,13 @@
         self.book.count("gets_own")
         return True
 
-    def ended(self, out, outcome, found, waited, load):
+    def ended(self, out, outcome, found, waited, load, at=None):
+        """`at` where several end at once: told one by one, they would be as many bad ends of a server."""
         if not out.ended:
-            self.guarded(out.get, self._ended, out, outcome, found, waited, load)
+            self.guarded(out.get, self._ended, out, outcome, found, waited, load, at)
 
-    def _ended(self, out, outcome, found, waited, load):
-        now, get = self.clock(), out.get
+    def _ended(self, out, outcome, found, waited, load, at):
+        now, get = at or self.clock(), out.get
         out.ended = True
         self.book.count(f"forwards_{outcome.name.lower()}")
         finished = get.answered or get.client.get is not get
@@ -98,17 +100,14 @@
             get.forwards.clear()
 
     def returned(self, out, said):
-        """The first answer that a cache returns goes to the client as it is."""
-        tag = said.fields.get("etag", "")
-        if said.word == b"still_good":
-            self.relay.answer(out.get, 304, headers=tagged(tag))
+        """The first answer that a server returns goes to the client as it is."""
+        if said.still_good:
+            self.relay.answer(out.get, 304, headers=tagged(said.tag))
         else:
-            self.relay.answer(out.get, 200, said.body, tagged(tag))
-            get, made, now = out.get, said.fields.get("made", ""), self.clock()
-            made = int(made) * MS if made.isdecimal() else 0
-            if made and self.router.keeps(get.asked, made, now):
-                self.copies.put((get.ds, get.thing, get.part),
-                                Copy(said.body, tag, made, now))
+            self.relay.answer(out.get, 200, said.body, tagged(said.tag))
+            get, now = out.get, self.clock()
+            if said.made and self.router.keeps(get.asked, said.made, now):
+                self.copies.put((get.ds, get.thing, get.part), Copy(said.body, said.tag, said.made, now))
         self.book.count("gets_returned")
 
     def left(self, get):
@@ -121,7 +120,7 @@
         """A list or a purge, from the bus or from what was known at the start."""
         now = self.clock()
         if isinstance(news, Hosts):
-            self.send.listed(news)
+            self.servers.listed(news)
             self.router.listed(news.entries, news.whole, now)
         elif news is not None:
             self.router.purged(news.object, news.group, now - news.at, now)
@@ -143,7 +142,8 @@
         for one in decided:
             match one:
                 case Forward():
-                    out = self.send.forward(get, one, now)
+                    out = get.forwards[one.number] = OpenForward(get, one.number, now, now + one.timeout)
+                    self.servers.forward(out, one)
                     heapq.heappush(self.limits, (out.limit, next(self.order), out))
                     self.armed_by(out.limit)
                 case Shed():
@@ -155,7 +155,7 @@
                     self.relay.answer(get, 502)
                 case Cancel():
                     out = get.forwards[one.number]
-                    self.send.cancel(out)
+                    self.servers.cancel(out)
                     self.loop.call_soon(self.ended, out, Outcome.CANCELLED, Found.UNTOLD, 0, {})
         if get.handle.settled():
             self.forget(get)
@@ -171,8 +171,9 @@
         due = self.router.next_due()
         if self.limits and (due is None or self.limits[0][0] < due):
             due = self.limits[0][0]
-        if self.send.stalls and (due is None or self.send.stalls[0][0] < due):
-            due = self.send.stalls[0][0]
+        theirs = self.servers.next_due()
+        if theirs is not None and (due is None or theirs < due):
+            due = theirs
         if due is None or self.armed is not None and self.armed <= due:
             return
         if self.timer is not None:
@@ -182,13 +183,13 @@
 
     def _due(self):
         now, self.armed, self.timer = self.clock(), None, None
-        self.send.stalled(now)
+        self.servers.due(now)
         # Time-outs first: the module is to learn that a forward came to nothing, not that it was cancelled.
         while self.limits and self.limits[0][0] <= now:
             out = heapq.heappop(self.limits)[2]
             if not out.ended:
-                self.send.cancel(out, timed_out=True)
-                self.ended(out, Outcome.TIMED_OUT, Found.UNTOLD, 0, {})
+                never_ran = self.servers.cancel(out, timed_out=True)
+                self.ended(out, never_ran or Outcome.TIMED_OUT, Found.UNTOLD, 0, {})
         for handle, decided in self.router.due(now):
             if handle in self.open:
                 self.guarded(self.open[handle], self.say, self.open[handle], decided, now)
--- a/sprucegate/front/lifecycle/configuration.py
+++ b/sprucegate/front/lifecycle/configuration.py
@@ -33,6 +33,7 @@
     locations: dict
     kinds: dict
     settings: dict          # for the module, under its own names
+    servers: object = None  # what the operator's file says of them; None: all speak lines
 
 
 def _pick(data, key, kind, default=REQUIRED):
--- a/sprucegate/front/lifecycle/run.py
+++ b/sprucegate/front/lifecycle/run.py
@@ -37,15 +37,15 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     now = driver.clock()
-    for place in driver.send.places.values():
-        driver.send.warm(place, now)
+    for place in driver.servers.places.values():
+        driver.servers.warm(place, now)
     driver.ready = True
     subscription = Subscription(driver, wanted, pool)
     subscription.start()
     loop.add_signal_handler(signal.SIGHUP, reload, subscription, wanted, log)
     tasks = [loop.create_task(take_in.accept(listener)),
              loop.create_task(housekeeping(driver, take_in, pool, log))]
-    log("ready", listen="{}:{}".format(*wanted.listen), caches=len(driver.send.places), last=wanted.offset)
+    log("ready", listen="{}:{}".format(*wanted.listen), caches=len(driver.servers.places), last=wanted.offset)
     await stop.wait()
     log("stopping", gets=len(driver.open))
     await asyncio.sleep(STILL_COMING)
@@ -61,6 +61,7 @@
         await asyncio.sleep(0.01)
     for client in list(take_in.clients):
         take_in.close(client)
+    driver.servers.stop()
     log("stopped", **driver.book.taken())
     return 0
 
@@ -68,7 +69,7 @@
 def reload(subscription, started_with, log):
     """SIGHUP: what can change under load is taken over whole; a faulty file changes nothing."""
     try:
-        wanted = configuration.read(os.environ)
+        wanted = configuration.read(os.environ)._replace(servers=started_with.servers)
     except Exception as fault:           # whatever a file can hold, the front goes on with the old one
         log("reload_failed", error=f"{type(fault).__name__}: {fault}")
         return
@@ -84,6 +85,6 @@
             await asyncio.sleep(0.5)
             now = driver.clock()
             take_in.sweep(now)
-        driver.send.sweep(now)
-        log("second", open=len(driver.open), clients=len(take_in.clients), caches=driver.send.connections,
+        driver.servers.sweep(now)
+        log("second", open=len(driver.open), clients=len(take_in.clients), caches=driver.servers.connections,
             buffers=pool.out, **driver.book.taken())
--- a/sprucegate/front/memory/gets.py
+++ b/sprucegate/front/memory/gets.py
@@ -12,11 +12,11 @@
 
 
 class OpenForward:
-    __slots__ = ("get", "number", "at", "limit", "connection", "progress", "ended")
+    __slots__ = ("get", "number", "at", "limit", "transport", "connection", "progress", "ended")
 
     def __init__(self, get, number, at, limit):
         self.get, self.number, self.at, self.limit = get, number, at, limit
-        self.connection, self.progress, self.ended = None, Progress.NOT_SENT, False
+        self.transport, self.connection, self.progress, self.ended = None, None, Progress.NOT_SENT, False
 
 
 class OpenGet:
--- a/sprucegate/front/protocol/caches.py
+++ b/sprucegate/servers/lines/codec.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from sprucegate.interface import Found, Outcome
+from sprucegate.servers.place import Returned
 
 LINE_MOST = 4096        # bytes of an answer's line
 BODY_MOST = 240_000     # bytes of an object
@@ -123,3 +124,10 @@
     except (ValueError, OverflowError):
         raise Unreadable(f"no number where one belongs: {fields}"[:200]) from None
     return outcome, REMARKS.get(fields.get("remark"), Found.UNTOLD), waited, report
+
+
+def returned(answer):
+    """What goes on to the client of an answer whose outcome is RETURNED."""
+    made = answer.fields.get("made", "")
+    return Returned(answer.word == b"still_good", answer.fields.get("etag", ""),
+                    int(made) * MS if made.isdecimal() else 0, answer.body)
--- /dev/null
+++ b/sprucegate/servers/lines/connection.py
@@ -0,0 +1,19 @@
+"""What is kept of one connection to a server that speaks lines."""
+
+from collections import deque
+
+from sprucegate.servers.lines.codec import AnswerReader
+
+
+class LineConnection:
+    """One connection to a place; `open` has the forwards on it that await an answer."""
+
+    __slots__ = ("place", "sock", "reader", "task", "writer", "up", "closed", "queue", "open", "used",
+                 "heard", "answered", "watched", "in_reach")
+
+    def __init__(self, place, now):
+        self.place, self.sock, self.reader = place, None, AnswerReader()
+        self.task, self.writer, self.up, self.closed = None, None, False, False
+        self.queue, self.open, self.used = deque(), {}, now
+        self.watched = self.in_reach = False
+        self.heard, self.answered = now, now     # its last byte, and its last whole answer
--- a/sprucegate/front/stages/send.py
+++ b/sprucegate/servers/lines/transport.py
@@ -1,74 +1,56 @@
-"""Send: forwards to caches, and what comes back, with how far each forward had come."""
+"""Lines as a transport: forwards to servers that speak them, and what comes back, with how far each had come."""
 
 import asyncio
 import socket
 from collections import deque
 
-from sprucegate.front.memory.connections import CacheConnection, Place
-from sprucegate.front.memory.gets import OpenForward, Progress
-from sprucegate.front.protocol import caches
-from sprucegate.interface import Found, Outcome, State
+from sprucegate.front.memory.gets import Progress
+from sprucegate.interface import Found, Outcome
 from sprucegate.rules import CONNECTIONS, STALLED
+from sprucegate.servers.lines import codec
+from sprucegate.servers.lines.connection import LineConnection
 
 
-class Send:
-    def __init__(self, driver, pool, settings, most):
-        self.driver, self.pool, self.most, self.connections = driver, pool, most, 0
+class Lines:
+    def __init__(self, servers, driver, pool, settings):
+        self.servers, self.driver, self.pool = servers, driver, pool
         self.connect_timeout = settings.get("connect_timeout", 400_000_000)
         self.streams = settings.get("max_streams", 100)
         # A request that crosses the close of an idle connection may have run: better an own close before.
-        self.idle = settings.get("keepalive", 15_000_000_000) - self.connect_timeout
-        self.places, self.loop = {}, asyncio.get_running_loop()
+        self.idle_most = settings.get("keepalive", 15_000_000_000) - self.connect_timeout
+        self.loop = asyncio.get_running_loop()
         self.stalls = deque()                # (due, connection): answers begun that may not go on
 
-    def listed(self, hosts):
-        for entry in hosts.entries:
-            name, address = hosts.names[entry.id]
-            host, _, port = address.rpartition(":")
-            place = self.places.get(entry.id)
-            gone = entry.state is State.GONE
-            if place is None:
-                if not gone:
-                    self.places[entry.id] = Place(entry.id, name, (host, int(port)))
-            elif gone:
-                self.remove(place)
-            else:
-                place.gone = False           # listed again after it had gone
-                place.address = (host, int(port)) if address else place.address
-        if hosts.whole:
-            for place in [place for at, place in self.places.items() if at not in hosts.names]:
-                self.remove(place)
+    def kept(self, place):
+        return []                            # its connections
 
-    def remove(self, place):
-        # What is still open there may yet be answered: only idle connections go at once.
-        place.gone = True
-        for connection in list(place.connections):
+    def open_connections(self, place):
+        return len(place.held)
+
+    def moved(self, place):
+        """Connections made to the old address serve on; new ones go to the new one."""
+
+    def leave(self, place):
+        for connection in list(place.held):
             if not connection.open:
                 self.close(connection)
-        if not place.connections:
-            self.places.pop(place.id, None)
 
     def warm(self, place, now):
-        if not place.connections:
+        if not place.held:
             self._connect(place, now)
 
-    def forward(self, get, said, now):
-        out = OpenForward(get, said.number, now, now + said.timeout)
-        get.forwards[said.number] = out
-        place = self.places.get(said.cache)
-        connection = place and self._connection(place, get, now)
+    def forward(self, place, out, said, source):
+        get = out.get
+        connection = self._connection(place, get, out.at)
         if connection is None:               # no room here: nothing is known of the cache
             self.loop.call_soon(self.driver.ended, out, Outcome.NOT_SENT, Found.UNTOLD, 0, {})
-            return out
+            return
         # Never again on this one: a late answer, or a second copy of one, would bear the same id.
         get.left_on.append(connection)
-        source = self.places.get(said.source) if said.source != said.cache else None
-        line = caches.serve(get.id, get.ds, get.thing, get.part, said, source and source.name, get.have,
-                            get.body)
-        out.connection, connection.used = connection, now
+        line = codec.serve(get.id, get.ds, get.thing, get.part, said, source, get.have, get.body)
+        out.connection, connection.used = connection, out.at
         connection.open[get.id] = out
         self._queue(connection, line, out)
-        return out
 
     def cancel(self, out, timed_out=False):
         """The front's side ends at once; a forward not yet begun is taken back, another is given up."""
@@ -85,37 +67,41 @@
         # it have waited in vain too where the time is up; where a client left, they may still be answered.
         silent = connection.answered < out.at
         if not connection.closed and not silent:
-            self._queue(connection, caches.cancel(out.get.id), None)
+            self._queue(connection, codec.cancel(out.get.id), None)
         if not connection.open and (silent or connection.place.gone) or silent and timed_out:
             self.loop.call_soon(self.close, connection)
 
     def _connection(self, place, get, now):
         """The least busy one, or a new one while there is room: what spoils one should spoil few GETs."""
         best = None
-        for connection in list(place.connections):
-            if not connection.open and connection.up and now - connection.used > self.idle:
+        for connection in list(place.held):
+            if not connection.open and connection.up and now - connection.used > self.idle_most:
                 self.close(connection)
             elif connection in get.left_on or len(connection.open) >= self.streams:
                 continue
             elif best is None or (len(connection.open), -connection.used) < (len(best.open), -best.used):
                 best = connection
-        full = len(place.connections) >= CONNECTIONS or self.connections >= self.most - len(self.places)
+        ours = self.servers
+        full = len(place.held) >= CONNECTIONS or ours.connections >= ours.most - len(ours.places)
         if best is not None and (not best.open or full):
             return best
-        if self.connections >= self.most and not self._make_room():
+        if not self.servers.room():
             return best
         return self._connect(place, now)
 
-    def _make_room(self):
-        idle = [c for place in self.places.values() for c in place.connections if c.up and not c.open]
-        if idle:
-            self.close(min(idle, key=lambda c: c.used))
-        return bool(idle)
+    def _places(self):
+        return [place for place in self.servers.places.values() if place.transport is self]
+
+    def idle(self):
+        """The connection unused longest, as (since, its close), or None."""
+        found = [c for place in self._places() for c in place.held if c.up and not c.open]
+        oldest = min(found, key=lambda c: c.used, default=None)
+        return oldest and (oldest.used, lambda: self.close(oldest))
 
     def _connect(self, place, now):
-        connection = CacheConnection(place, now)
-        place.connections.append(connection)
-        self.connections += 1
+        connection = LineConnection(place, now)
+        place.held.append(connection)
+        self.servers.connections += 1
         connection.task = self.loop.create_task(self._connect_to(connection))
         return connection
 
@@ -148,7 +134,7 @@
         except OSError as fault:         # a TimeoutError is one
             # Reset when new, or refused beside others that are up: the cache is in reach, and not cold.
             connection.in_reach = isinstance(fault, ConnectionResetError) or any(
-                other.up for other in connection.place.connections)
+                other.up for other in connection.place.held)
             self.close(connection)
         if connection.closed:
             return
@@ -197,8 +183,8 @@
             return
         was_up, sock = connection.up, connection.sock
         connection.closed, connection.up = True, False
-        connection.place.connections.remove(connection)
-        self.connections -= 1
+        connection.place.held.remove(connection)
+        self.servers.connections -= 1
         if was_up:
             self.loop.remove_reader(sock)
         pending = connection.writer if connection.writer is not None else connection.task
@@ -212,14 +198,13 @@
                             cache=connection.place.name, forwards=len(connection.open))
         forwards, connection.open = list(connection.open.values()), {}
         connection.queue.clear()
-        if connection.place.gone and not connection.place.connections:
-            if self.places.get(connection.place.id) is connection.place:
-                del self.places[connection.place.id]
+        self.servers.forget(connection.place)
+        now = self.driver.clock()            # one end for all of them, however long telling it takes
         for out in forwards:
             # What was up and broke shows a cache in reach, unlike one that can't be connected to.
             never_ran = Outcome.NOT_SENT if was_up or connection.in_reach else Outcome.UNREACHABLE
             outcome = Outcome.RESET if out.progress is Progress.WHOLE else never_ran
-            self.driver.ended(out, outcome, Found.UNTOLD, 0, {})
+            self.driver.ended(out, outcome, Found.UNTOLD, 0, {}, now)
 
     def _answered(self, connection, answer):
         connection.used = connection.answered = connection.heard
@@ -227,18 +212,21 @@
         if out is None:
             return                       # late: its forward has ended already
         try:
-            outcome, found, waited, load = caches.meaning(answer)
-        except caches.Unreadable as fault:
+            outcome, found, waited, load = codec.meaning(answer)
+        except codec.Unreadable as fault:
             connection.reader.fault = connection.reader.fault or str(fault)
             return
         del connection.open[answer.id]
         if outcome is Outcome.RETURNED:
-            self.driver.returned(out, answer)
+            self.driver.returned(out, codec.returned(answer))
         self.driver.ended(out, outcome, found, waited, load)
         if connection.place.gone and not connection.open:
             self.close(connection)
 
-    def stalled(self, now):
+    def next_due(self):
+        return self.stalls[0][0] if self.stalls else None
+
+    def due(self, now):
         """Ends connections whose answer was begun and has had no byte since."""
         while self.stalls and self.stalls[0][0] <= now:
             connection = self.stalls.popleft()[1]
@@ -258,7 +246,10 @@
         self.driver.armed_by(due)
 
     def sweep(self, now):
-        for place in list(self.places.values()):
-            for connection in list(place.connections):
-                if connection.up and not connection.open and now - connection.used > self.idle:
+        for place in self._places():
+            for connection in list(place.held):
+                if connection.up and not connection.open and now - connection.used > self.idle_most:
                     self.close(connection)
+
+    def stop(self):
+        """Nothing is said at the end: what was open here has had its answer."""
--- a/tests/test_front_codecs.py
+++ b/tests/test_front_codecs.py
@@ -8,10 +8,11 @@
 
 from sprucegate.front.lifecycle import configuration
 from sprucegate.front.memory.pool import Pool
-from sprucegate.front.protocol import bus, caches
+from sprucegate.front.protocol import bus
 from sprucegate.front.protocol.http import HEAD_MOST, RequestReader
 from sprucegate.front.stages.admit import admit
 from sprucegate.interface import Forward, Found, Outcome, State
+from sprucegate.servers.lines import codec
 
 
 @pytest.mark.parametrize("cut", range(1, len(get_text(body=b"abc")), 7))
@@ -62,10 +63,10 @@
 
 @pytest.mark.parametrize("cut", range(1, len(ANSWERS)))
 def test_answers_are_read_however_they_are_cut(cut):
-    reader = caches.AnswerReader()
+    reader = codec.AnswerReader()
     first, second = reader.feed(ANSWERS[:cut]) + reader.feed(ANSWERS[cut:])
     assert (first.id, first.body, first.fields["etag"]) == (b"aa", b"xxxxx", "t1")
-    assert caches.meaning(second) == (
+    assert codec.meaning(second) == (
         Outcome.MISS, Found.SOURCE_LACKS, 1_500_000, {"inflight": 7.0, "busy": 0.5})
 
 
@@ -74,21 +75,21 @@
     b"cc served - 1\r\nabc", b"cc served \xff=1 0\r\n", b"c" * 5000,
 ])
 def test_an_unreadable_answer_is_a_fault_and_those_before_it_count(text):
-    reader = caches.AnswerReader()
+    reader = codec.AnswerReader()
     assert [a.id for a in reader.feed(served(b"aa", {}) + text)] == [b"aa"] and reader.fault
 
 
 @pytest.mark.parametrize("word, fields", [
     (b"odd", {}), (b"served", {"ttfb": "x"}), (b"served", {"report": "util:x"})])
 def test_an_answer_without_a_meaning_is_unreadable(word, fields):
-    with pytest.raises(caches.Unreadable):
-        caches.meaning(caches.Answer(b"aa", word, fields, b""))
+    with pytest.raises(codec.Unreadable):
+        codec.meaning(codec.Answer(b"aa", word, fields, b""))
 
 
 @pytest.mark.parametrize("oldest, said", [(0, None), (999_999, "1"), (1_999_999, "1"), (2_000_000, "2")])
 def test_an_age_is_never_rounded_up_nor_to_no_limit_at_all(oldest, said):
     forward = Forward(0, 1, 1, 2, oldest, 1_500_999_999, False, True, False, True)
-    line = caches.serve(b"aa", "media", "7f", 3, forward, None, "", b"")
+    line = codec.serve(b"aa", "media", "7f", 3, forward, None, "", b"")
     fields = dict(pair.split("=") for pair in line.split()[2].decode().split(","))
     assert fields.get("maxage") == said and fields["max"] == "1500" and fields["flags"] == "h+r"
 
