Tests of HTTP/2: sessions by hand, the transport against a stand-in that knows what ran

They found that a connection sent away before its first answer held up its successor (fixed in the pool).

--- a/sprucegate/servers/http2/pool.py
+++ b/sprucegate/servers/http2/pool.py
@@ -123,6 +123,8 @@
         if well:
             at.served, self.failures = at.served + 1, 0
         if at.phase is Phase.DRAINING and not at.open:
+            if not at.served and not self.left_for_good:
+                self._failed(now)
             return [self._close(at, "drained"), *self._grow(now)]
         return self._fill(now)
 
@@ -135,7 +137,7 @@
         at = self.connections[number]
         if at.phase is Phase.DRAINING:
             return []                        # its successor is there, or on its way, already
-        if not calm or not at.served:
+        if not calm or not at.served and not at.open:
             self._failed(now)                # or one that lets nobody in would be dialled without end
         was_used = at.open or self.waiting
         said = self._drain(at, now)
@@ -145,7 +147,7 @@
     def lost(self, number, reached, now):
         """The connection has ended, or never came up; `reached` where the server showed that it is there."""
         at = self.connections.pop(number)
-        if at.phase is Phase.OPENING or not at.served and at.phase is not Phase.DRAINING:
+        if not at.served:
             self._failed(now)
         return self._after_loss(reached or at.phase is not Phase.OPENING, now)
 
--- /dev/null
+++ b/standins/driver.py
@@ -0,0 +1,62 @@
+"""A driver without rules, round the real `Servers`: it sends where it is told and writes down each end.
+
+For tests and measurements of transports alone. It runs in the loop that it is made in.
+"""
+
+import asyncio
+import time
+from types import SimpleNamespace
+
+from sprucegate.front.memory.gets import OpenForward, OpenGet
+from sprucegate.front.memory.pool import Pool
+from sprucegate.front.protocol.bus import Hosts
+from sprucegate.front.stages.book import Book
+from sprucegate.interface import Asked, Forward, Listed, State
+from sprucegate.servers.servers import Servers
+
+
+class Recorder:
+    def __init__(self, addresses, speaks="http2", limits=None, most=341, **settings):
+        self.loop, self.wanted, self.book = asyncio.get_running_loop(), SimpleNamespace(name="n0"), Book()
+        self.ends, self.answers, self.logged, self.waiting = {}, {}, [], {}
+        wanted = SimpleNamespace(http2=limits, speaks=lambda name: name == speaks, transport=lambda *_: speaks)
+        self.servers = Servers(self, Pool(256), settings, most, wanted if speaks != "lines" else None)
+        self.list(addresses)
+
+    def list(self, addresses, whole=True, state=State.SERVING):
+        entries = [Listed(at, 0, 0, 0, state, 1.0, 0) for at in addresses]
+        self.servers.listed(Hosts(whole, entries, {at: (f"s-{at:02x}", a) for at, a in addresses.items()}))
+
+    def send(self, place, call_id, body=b"", timeout=5_000_000_000, number=0, write=False):
+        asked = Asked(call_id, 1, 0, 0, 0, 1, write or bool(body), False, timeout)
+        get = OpenGet(None, call_id.encode(), "media", "7f3a", 0, "", body, asked)
+        now = self.clock()
+        out = OpenForward(get, number, now, now + timeout)
+        self.waiting[out] = self.loop.create_future()
+        self.servers.forward(out, Forward(number, place, place, 0, 0, timeout, False, False, False, False))
+        return out
+
+    async def end(self, out, patience=10):
+        """The outcome of one forward."""
+        async with asyncio.timeout(patience):
+            return await self.waiting[out]
+
+    # What `Servers` calls.
+
+    def clock(self):
+        return time.time_ns()
+
+    def log(self, event, **fields):
+        self.logged.append((event, fields))
+
+    def armed_by(self, due):
+        self.loop.call_later(max(0, due - self.clock()) / 1e9, lambda: self.servers.due(self.clock()))
+
+    def returned(self, out, said):
+        self.answers[out] = said
+
+    def ended(self, out, outcome, found, waited, load, at=None):
+        if not out.ended:
+            out.ended = True
+            self.ends[out] = outcome, found, at
+            self.waiting[out].set_result(outcome)
