--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -428,7 +428,7 @@
         if (risky is not None and effect != "idempotent" and now - risky.at >= window
                 or sent > 1 + int(2 * self.of_ds("revenue", asked.ds, 0) / self.top)):
             return False
-        # A plain miss asks nothing of anybody; all else that is sent again may feed a jam.
+        # A plain miss, or what never left, asks nothing of anybody; all else sent again may feed a jam.
         return not sent or get.missed or sum(self.further) <= RETRY_SHARE * max(10, len(self.further))
 
     def plan(self, get, now):
@@ -491,7 +491,7 @@
     def learn(self, get, sent, outcome, found, spent, waited, load, now):
         self.now, asked, cache, source = now, get.asked, sent.cache, sent.source
         memory, write = self.memory(asked, now), self.of_ds("runs_at_origin", asked.ds, False)
-        good, get.missed = outcome is Outcome.RETURNED, outcome is Outcome.MISS
+        good, get.missed = outcome is Outcome.RETURNED, outcome in (Outcome.MISS, Outcome.NOT_SENT)
         cache.out, memory.returned = max(0, cache.out - 1), good or memory.returned
         # Bad clients make objects up: an error with no source told of, on one never returned, blames nobody.
         bare = outcome is Outcome.ERROR and found is Found.UNTOLD
@@ -542,9 +542,9 @@
                 get.hopeless = not self.of_ds("grace_time", asked.ds, 0)
             else:
                 source.as_source.note(now, False, 0)
-        elif outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
+        elif outcome is not Outcome.CANCELLED:
             get.lost.add(cache.index)
-            if outcome is not Outcome.FULL and (memory.returned or not bare):
+            if outcome not in (Outcome.FULL, Outcome.NOT_SENT) and (memory.returned or not bare):
                 cache.as_cache.note(now, False, 0)
         # A time-out may be the source's fault: it tells of the cache where all end so and its peers' don't.
         peers = [n.as_cache for n in self.groups["cache"]]
--- a/tests/test_http2_pool.py
+++ b/tests/test_http2_pool.py
@@ -101,7 +101,7 @@
 
 def test_reconnects_wait_longer_each_time_and_gets_are_refused_at_once_meanwhile():
     made, now, waits = Pool(Limits(), 11, "n0"), NOW, []
-    for number in range(1, 12):
+    for _ in range(11):
         opened, = made.ask("g", now)
         assert isinstance(opened, Open)
         assert made.lost(opened.connection, False, now) == [Refuse("g", Outcome.UNREACHABLE)]
--- a/tests/test_http2_transport.py
+++ b/tests/test_http2_transport.py
@@ -71,7 +71,7 @@
 
     box.server.came = after(200, half)
     outs = [recorder.send(1, f"{n:016x}") for n in range(200)]
-    assert await ends(recorder, outs) == [Outcome.RETURNED] * 100 + [Outcome.FULL] * 100
+    assert await ends(recorder, outs) == [Outcome.RETURNED] * 100 + [Outcome.NOT_SENT] * 100
     assert [ran for ran, _ in box.server.ran] == [f"{n:016x}" for n in range(100)]
     again = [recorder.send(2, f"{n:016x}", number=1) for n in range(100, 200)]
     assert set(await ends(recorder, again)) == {Outcome.RETURNED} and len(other.server.ran) == 100
@@ -90,20 +90,20 @@
     box.server.came = lambda peer, request: run_all(peer, [request])
     assert await recorder.end(recorder.send(1, "a" * 16)) is Outcome.RETURNED and box.server.made == 2
     assert not any(out.ended for out in outs)                # the old ones still wait for theirs
-    assert await ends(recorder, outs) == [Outcome.RETURNED] * 4 + [Outcome.FULL] * 4
+    assert await ends(recorder, outs) == [Outcome.RETURNED] * 4 + [Outcome.NOT_SENT] * 4
 
 
 @on({}, limits=ONE)
 async def test_a_goaway_with_last_stream_0_proves_that_none_ran(recorder, box):
     box.server.came = after(5, lambda peer, requests: (peer.goaway(0), peer.loop.call_soon(peer.end)))
     outs = [recorder.send(1, f"{n:016x}") for n in range(5)]
-    assert await ends(recorder, outs) == [Outcome.FULL] * 5 and box.server.ran == []
+    assert await ends(recorder, outs) == [Outcome.NOT_SENT] * 5 and box.server.ran == []
 
 
 @on({"window": 1000, "opens": False}, {"window": 1000}, limits=ONE)
 async def test_a_goaway_while_a_body_is_half_sent(recorder, box, other):
     box.server.heads = lambda peer, request: peer.loop.call_later(0.05, peer.goaway, 0)
-    assert await recorder.end(recorder.send(1, "a" * 16, b"b" * 48_000)) is Outcome.FULL
+    assert await recorder.end(recorder.send(1, "a" * 16, b"b" * 48_000)) is Outcome.NOT_SENT
     # At or below the last stream the body goes on, as the peer opens its window, and is answered.
     other.server.heads = lambda peer, request: peer.goaway(request.stream)
     other.server.came = lambda peer, request: run_all(peer, [request])
@@ -253,7 +253,7 @@
         with socket.create_server(("127.0.0.1", 0)) as sock:
             thread = threading.Thread(target=talk, args=(sock, said), daemon=True)
             thread.start()
-            recorder = Recorder({1: "127.0.0.1:{}".format(sock.getsockname()[1])}, limits=Limits(connect=100 * MS))
+            recorder = Recorder({1: f"127.0.0.1:{sock.getsockname()[1]}"}, limits=Limits(connect=100 * MS))
             outcome = await recorder.end(recorder.send(1, "a" * 16))
             recorder.servers.stop()
             await asyncio.sleep(0)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -215,6 +215,16 @@
     assert made.may_forward(get_with(made, asked()), NOW)
 
 
+@pytest.mark.parametrize("outcome, again", [(Outcome.NOT_SENT, True), (Outcome.FULL, False)])
+def test_what_never_left_goes_elsewhere_outside_the_retry_budget(outcome, again):
+    made = router()
+    get = made.take(asked(), NOW)
+    first, = get.route(NOW)
+    made.further.extend([True] * 30 + [False] * 70)
+    said, = get.ended(first.number, outcome, Found.UNTOLD, MS, 0, {}, False, NOW + MS)
+    assert (isinstance(said, Forward) and said.cache != first.cache) if again else isinstance(said, Shed)
+
+
 def test_an_answer_is_owed_before_the_viewer_leaves():
     made = router()
     get = made.take(asked(ttl=3 * S), NOW)
