--- a/sprucegate/servers/http2/pool.py
+++ b/sprucegate/servers/http2/pool.py
@@ -67,7 +67,7 @@
     def __init__(self, limits, server, instance):
         self.limits, self.label = limits, f"{instance}/{server}"
         self.connections, self.waiting, self.number, self.draws = {}, OrderedDict(), 0, 0
-        self.failures, self.again, self.left_for_good = 0, 0, False
+        self.failures, self.again, self.left_for_good, self.in_reach = 0, 0, False, True
 
     # What happens.
 
@@ -79,8 +79,8 @@
         if self.left_for_good:
             return [Refuse(forward, Outcome.NOT_SENT)]
         if not any(c.phase is not Phase.DRAINING for c in self.connections.values()) and now < self.again:
-            # At once: a server that is known not to be reached is not waited for.
-            return [Refuse(forward, Outcome.UNREACHABLE)]
+            # At once: a server that is known not to be had is not waited for.
+            return [Refuse(forward, Outcome.NOT_SENT if self.in_reach else Outcome.UNREACHABLE)]
         if not self.waiting and (best := self._best()) is not None:
             return [self._give(best, forward, now), *self._grow(now)]
         if len(self.waiting) >= self.limits.waiting:
@@ -96,6 +96,7 @@
         """The peer's SETTINGS are there."""
         at, spread = self.connections[number], self.limits.age_spread * self._chance()
         at.phase, at.limit, at.quiet = Phase.UP, limit, now
+        self.in_reach = True
         at.retires, at.settled = now + int(self.limits.age * (1 - spread)), now + self.limits.connect
         said = []
         for old in [c for c in self.connections.values() if c.phase is Phase.RETIRING]:
@@ -147,9 +148,11 @@
     def lost(self, number, reached, now):
         """The connection has ended, or never came up; `reached` where the server showed that it is there."""
         at = self.connections.pop(number)
+        # One that was up and broke shows a server in reach, unlike one that can't be connected to.
+        self.in_reach = reached or at.phase is not Phase.OPENING
         if not at.served:
             self._failed(now)
-        return self._after_loss(reached or at.phase is not Phase.OPENING, now)
+        return self._after_loss(now)
 
     def leave(self, now):
         """The server has gone from the list: what is open there may yet be answered."""
@@ -265,7 +268,7 @@
 
     def _broken(self, at, why, now):
         self._failed(now)
-        return [self._close(at, why), *self._after_loss(True, now)]
+        return [self._close(at, why), *self._after_loss(now)]
 
     def _failed(self, now):
         """Growing waits, spread out: all fronts lose a server at once, and must not come back at once."""
@@ -273,9 +276,9 @@
         self.failures += 1
         self.again = now + int(most * (0.5 + 0.5 * self._chance()))
 
-    def _after_loss(self, reached, now):
+    def _after_loss(self, now):
         said = self._grow(now) if self.waiting else []
         if not any(at.phase is not Phase.DRAINING for at in self.connections.values()):
-            said += [Refuse(forward, Outcome.NOT_SENT if reached else Outcome.UNREACHABLE) for forward in self.waiting]
+            said += [Refuse(forward, Outcome.NOT_SENT if self.in_reach else Outcome.UNREACHABLE) for forward in self.waiting]
             self.waiting.clear()
         return said
--- /dev/null
+++ b/tests/test_operator.py
@@ -0,0 +1,171 @@
+"""The operator's file, the command line and the log: taken whole or not at all, and said where it is wrong."""
+
+import json
+import os
+import subprocess
+import sys
+
+import orjson
+import pytest
+from helpers import Front, cache, get_text, host, served
+from hypothesis import given
+from hypothesis import settings as profile
+from hypothesis import strategies as st
+
+from sprucegate.front.lifecycle.log import Log
+from sprucegate.operator import file, places
+from sprucegate.operator.logs import structured
+from sprucegate.servers.http2.limits import MS, S
+
+GOOD = """// comment with { braces
+servers {
+    speak http2 kind="std" // and so on
+    /- speak bogus
+    speak lines name="s-0b"; speak http2 address="127.0.0.1:4101"
+    /* speak
+       nothing */ http2 {
+        connections 2
+        wait (ms)250
+        held (MiB)2
+        age-spread 0.5
+    }
+}
+"""
+
+
+def test_a_good_file_and_what_goes_before_what():
+    made = file.parse(GOOD, "f")
+    limits = made.servers.http2
+    assert (limits.connections, limits.wait, limits.held, limits.age_spread) == (2, 250 * MS, 2 << 20, 0.5)
+    assert limits.idle == 14 * S             # what is not set has its default
+    servers = made.servers.resolved({"std": 0, "parent": 1})
+    assert servers.transport("s-01", "127.0.0.1:1", 0) == "http2"
+    assert servers.transport("s-0b", "127.0.0.1:4101", 0) == "lines"         # a name before an address
+    assert servers.transport("s-01", "127.0.0.1:4101", 1) == "http2"         # an address before a kind
+    assert servers.transport("s-01", "127.0.0.1:1", 1) == "lines"
+    with pytest.raises(KeyError):
+        made.servers.resolved({"parent": 0})
+
+
+@pytest.mark.parametrize("old, new, line, key", [
+    ("wait (ms)250", "wait 250", 9, "servers.http2.wait"),
+    ("wait (ms)250", "wait (KB)250", 9, "servers.http2.wait"),
+    ("wait (ms)250", "wait (ms)\"x\"", 9, "servers.http2.wait"),
+    ("wait (ms)250", "wait (h)20", 9, "servers.http2.wait"),
+    ("wait (ms)250", "wait (ms)1 2", 9, "servers.http2.wait"),
+    ("wait (ms)250", "wait (ms)250; wait (ms)1", 9, "servers.http2.wait"),
+    ("wait (ms)250", "wate (ms)250", 9, "servers.http2.wate"),
+    ("connections 2", "connections (ms)2", 8, "servers.http2.connections"),
+    ("connections 2", "connections 0", 8, "servers.http2.connections"),
+    ("connections 2", "connections 2.5", 8, "servers.http2.connections"),
+    ("connections 2", "connections #true", 8, "servers.http2.connections"),
+    ("connections 2", "connections {\n}", 8, "servers.http2.connections"),
+    ("connections 2", "reconnect-first (s)9", 8, "servers.http2.reconnect-first"),
+    ("age-spread 0.5", "age-spread #nan", 11, "servers.http2.age-spread"),
+    ("lines name=", "lines nane=", 5, "servers.speak[1].nane"),
+    ("lines name=\"s-0b\"", "lines name=5", 5, "servers.speak[1].name"),
+    ("lines name=\"s-0b\"", "lines kind=\"std\"", 5, "servers.speak"),
+    ("lines name=", "lines kind=\"x\" name=", 5, "servers.speak"),
+    ("speak lines name", "speak http3 name", 5, "servers.speak[1].transport"),
+    ("127.0.0.1:4101", "127.0.0.1", 5, "servers.speak"),
+    ("servers {", "server {", 2, "server"),
+    ("http2 {\n", "http2 4 {\n", 7, "servers.http2"),
+    ("    }\n}\n", "    }\n", 13, ""), ("// and so on", "\"", 3, ""),
+])
+def test_a_fault_is_one_message_with_file_line_and_key(old, new, line, key):
+    assert old in GOOD
+    with pytest.raises(file.Faulty) as caught:
+        file.parse(GOOD.replace(old, new, 1), "f.kdl")
+    said = caught.value
+    assert (said.file, said.line, said.key) == ("f.kdl", line, key), str(said)
+    assert str(said).startswith(f"f.kdl:{line}: ") and "\n" not in str(said)
+
+
+WORDS = st.sampled_from(["a", "speak x=1", 'b "str{ing"', "c {", "}", "\n", ";", "// z\n", "/* { */", "/- d",
+                         'e #"raw " {"#', "\\\n", "f (ms)5", 'g """\n x {\n """', "/-{ h\n}", "i 1 2"])
+
+
+@profile(max_examples=300, deadline=None, derandomize=True)
+@given(st.lists(WORDS, max_size=12))
+def test_nodes_are_found_as_the_library_reads_them(words):
+    text = " ".join(words)
+    try:
+        nodes = file.ckdl.parse(text).nodes
+    except Exception:
+        return
+    lines = text.split("\n")
+
+    def same(nodes, starts):
+        assert len(nodes) == len(starts)
+        for node, start in zip(nodes, starts, strict=True):
+            assert node.name in lines[start.line - 1]
+            same(node.children, start.children)
+
+    same(nodes, places.starts(text))
+
+
+def command(*given, **environ):
+    return subprocess.run([sys.executable, "-m", "sprucegate", *given], capture_output=True, text=True, timeout=30,
+                          env={**os.environ, **environ})
+
+
+def test_check_says_good_or_what_is_wrong_without_starting(tmp_path):
+    path = tmp_path / "f.kdl"
+    path.write_text(GOOD)
+    done = command("check", str(path))
+    assert done.returncode == 0 and "good" in done.stdout
+    assert json.loads(command("check", "--json", str(path)).stdout)["speak"][0] == {
+        "transport": "http2", "kind": "std"}
+    path.write_text(GOOD.replace("connections 2", "connections 0"))
+    done = command("check", str(path))
+    assert done.returncode == 2 and done.stderr.startswith(f"sprucegate: {path}:8: servers.http2.connections: ")
+    said = json.loads(command("check", "--json", str(path)).stdout)
+    assert (said["ok"], said["line"], said["key"]) == (False, 8, "servers.http2.connections")
+    done = command("check", str(tmp_path / "none"))
+    assert done.returncode == 2 and "can't be read" in done.stderr
+
+
+def test_a_front_with_a_faulty_operators_file_does_not_start(tmp_path):
+    path = tmp_path / "f.kdl"
+    path.write_text("servers {\n  speak http2\n}\n")
+    done = command("front", "--file", str(path))
+    assert (done.returncode, done.stdout) == (2, "") and f"{path}:2: servers.speak" in done.stderr
+
+
+def test_wrong_use_is_exit_2_and_the_version_needs_no_configuration():
+    assert command("bogus").returncode == command("check").returncode == 2
+    assert json.loads(command("version", "--json").stdout)["python"] == sys.version.split()[0]
+
+
+def test_the_platforms_front_loads_no_library_that_it_does_not_use(tmp_path, monkeypatch, capfd):
+    monkeypatch.setenv("PYTHONPROFILEIMPORTTIME", "1")
+    box = cache(served)
+    with Front(tmp_path, host("s-0b", box.address, "std")) as front:
+        assert front.ask(get_text())[0] == 200
+    loaded = {line.rpartition("|")[2].strip().partition(".")[0] for line in capfd.readouterr().err.splitlines()}
+    assert "uvloop" in loaded and "sprucegate" in loaded
+    assert not loaded & {"h2", "hpack", "hyperframe", "http_sfv", "ckdl", "msgspec", "click", "structlog"}
+
+
+def test_the_log_by_the_library_writes_the_same_lines_and_never_blocks():
+    near, far = os.pipe()
+    plain, rich = Log("n0", far), structured("n0", far)
+    for log in (plain, rich):
+        log("told", offset=3, what="Hosts")
+    rich.bind(server="s-1")("told", offset=4)
+    one, two, three = [orjson.loads(line) for line in os.read(near, 4096).splitlines()]
+    for said in (one, two, three):
+        assert said.pop("at") > 0
+    assert list(one.items()) == list(two.items())
+    assert three == {"front": "n0", "event": "told", "server": "s-1", "offset": 4}
+    for _ in range(20_000):
+        rich("fill", text="x" * 50)
+    held = b""
+    while len(held) < 60_000:
+        held += os.read(near, 65_536)
+    rich("last")
+    while b"\n" in (rest := os.read(near, 65_536)) and b"last" not in rest:
+        pass
+    assert orjson.loads(rest.splitlines()[-1])["lines_dropped"] > 0
+    os.close(near)
+    os.close(far)
