--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -506,8 +506,7 @@
             self.filling, cache.filling = self.filling - 1, max(0, cache.filling - 1)
             sent.fill[3] = good and now <= sent.fill[2]
             gone = outcome is Outcome.CANCELLED and now < sent.fill[2]
-            idle = outcome is Outcome.FULL and found is Found.UNTOLD    # the cache itself refused: no fill began
-            if found in HITS or bare or gone or idle or outcome in (Outcome.RESET, Outcome.NOT_SENT):
+            if found in HITS or bare or gone or outcome in (Outcome.RESET, Outcome.NOT_SENT):
                 sent.fill[2:] = -NEVER, None     # tells of no fill: as one, it would hide how the sources do
             elif found in (Found.FILLED_BY_ORIGIN, Found.ORIGIN_FAILED) and self.groups["origin"]:
                 # What was late for the origin's wait speaks against the origin, not against the parent.
