--- a/sprucegate/servers/http2/evidence.py
+++ b/sprucegate/servers/http2/evidence.py
@@ -32,7 +32,7 @@
 NOT_WRITTEN = Row("not written", Outcome.NOT_SENT, "RFC 9113 4.3")
 IN_PART = Row("written in part", Outcome.NOT_SENT, "RFC 9113 4.3")
 ABOVE_LAST = Row("above the last stream of a GOAWAY", Outcome.NOT_SENT, "RFC 9113 6.8, 8.7")
-REFUSED = Row("REFUSED_STREAM", Outcome.FULL, "RFC 9113 8.7")
+REFUSED = Row("REFUSED_STREAM", Outcome.NOT_SENT, "RFC 9113 8.7")
 OTHER_RESET = Row("other reset", Outcome.RESET, "RFC 9113 5.4.2, 8.7")
 NEEDS_HTTP_1_1 = Row("HTTP_1_1_REQUIRED", Outcome.RESET, "RFC 9113 7")
 CALM = Row("ENHANCE_YOUR_CALM", Outcome.RESET, "RFC 9113 7")
