--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -481,7 +481,7 @@
             sent.fill = [source, now, now + self.objective(asked), None]
             self.fills.extend([] if held_only else [sent.fill])
         get.forwards.append(sent)
-        self.further.append(number > 0)
+        self.further.append(number > 0 and not get.missed)
         return Forward(
             number, cache.id, source.id, rank=0 if write else 1 if sum(memory.counts) <= 1 else 2,
             oldest=self.oldest(asked, number > 0 or get.hopeless, now), timeout=max(MS, get.due - now),
