--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -174,6 +174,10 @@
     return figures(orders, ends, verdicts.said, lines, closes, seconds, events)
 
 
+def _share(ends, ids):
+    return round(sum(ends[i][0] == 200 for i in ids) / len(ids), 4) if ids else None
+
+
 def figures(orders, ends, said, lines, closes, seconds, events):
     ran = Counter((call_id, int(attempt)) for call_id, attempt, _ in lines)
     ran_ids = Counter(call_id for call_id, _, _ in lines)
@@ -189,9 +193,9 @@
         "false_never_ran": sum(key in ran for key in never),
         "never_ran": len(never), "may_have_run": len(maybe),
         "may_have_run_but_had_not": sum(key not in ran for key in maybe),
-        "recovered_share": round(sum(ends[i][0] == 200 for i in gets) / len(gets), 4) if gets else None,
-        "orders_recovered_share": (round(sum(ends[i][0] == 200 for i in again & orders) / len(again & orders), 4)
-                                   if again & orders else None),
+        "recovered_share": _share(ends, gets),
+        "recovered_share_without_later_reset": _share(ends, gets - {call_id for call_id, _ in maybe}),
+        "orders_recovered_share": _share(ends, again & orders),
         "returned": sum(status in (200, 304) for status, _ in ends.values()),
         "shed": sum(status == 503 for status, _ in ends.values()),
         "errored": sum(status == 502 for status, _ in ends.values()),
