--- a/benchmarks/front.py
+++ b/benchmarks/front.py
@@ -51,7 +51,7 @@
 
 def _memory(pid):
     with open(f"/proc/{pid}/smaps_rollup") as file:
-        return next(int(line.split()[1]) for line in file if line.startswith("Pss_Anon") or line.startswith("Anonymous"))
+        return next(int(line.split()[1]) for line in file if line.startswith(("Pss_Anon", "Anonymous")))
 
 
 def _turn(folder, path, hosts, bus, gets):
