--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -6,7 +6,7 @@
 
 import click
 
-NAMES = ("http2", "front")
+NAMES = ("http2", "front", "serverfiles")
 
 
 @click.command()
--- a/sprucegate/front/driver.py
+++ b/sprucegate/front/driver.py
@@ -29,7 +29,7 @@
         self.servers = Servers(self, pool, wanted.settings, wanted.descriptors // 3, wanted.servers)
         self.most = wanted.settings.get("max_open", 1 << 30)
         self.open, self.ids, self.limits, self.order = {}, {}, [], count()
-        self.timer, self.armed = None, None
+        self.timer, self.armed, self.membership = None, None, None
         self.copies = Copies(min(OWN_BYTES, int(wanted.memory_mb * 2**20) // 3), wanted.link)
 
     # What happens.
@@ -120,12 +120,20 @@
         """A list or a purge, from the bus or from what was known at the start."""
         now = self.clock()
         if isinstance(news, Hosts):
-            self.servers.listed(news)
-            self.router.listed(news.entries, news.whole, now)
+            if self.membership is not None:
+                news = self.membership.merged(news, now)
+            if news is not None:
+                self.apply(news)
         elif news is not None:
             self.router.purged(news.object, news.group, now - news.at, now)
         self.arm(now)
 
+    def apply(self, hosts):
+        """A list as it now holds: from the bus alone, or merged from all sources."""
+        self.servers.listed(hosts)
+        self.router.listed(hosts.entries, hosts.whole, self.clock())
+        self.arm(self.clock())
+
     def stop(self):
         """The end of the drain: what is still open gets its final answer now."""
         now = self.clock()
--- a/sprucegate/front/lifecycle/run.py
+++ b/sprucegate/front/lifecycle/run.py
@@ -22,8 +22,14 @@
     loop, log, pool = asyncio.get_running_loop(), log or Log(wanted.name), Pool(wanted.descriptors)
     driver = Driver(wanted, pool, log)
     take_in = TakeIn(driver, pool, wanted.descriptors // 2)
+    if wanted.membership is not None:
+        # Here and not above: a front without it loads none of its libraries.
+        from sprucegate.membership.service import Membership
+        driver.membership = Membership(driver, wanted, wanted.membership)
     for _, news in wanted.known:
         driver.told(news)
+    if driver.membership is not None:
+        await driver.membership.start()
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
@@ -62,6 +68,8 @@
     for client in list(take_in.clients):
         take_in.close(client)
     driver.servers.stop()
+    if driver.membership is not None:
+        driver.membership.stop()
     log("stopped", **driver.book.taken())
     return 0
 
@@ -69,7 +77,8 @@
 def reload(subscription, started_with, log):
     """SIGHUP: what can change under load is taken over whole; a faulty file changes nothing."""
     try:
-        wanted = configuration.read(os.environ)._replace(servers=started_with.servers)
+        wanted = configuration.read(os.environ)._replace(
+            servers=started_with.servers, membership=started_with.membership)
     except Exception as fault:           # whatever a file can hold, the front goes on with the old one
         log("reload_failed", error=f"{type(fault).__name__}: {fault}")
         return
--- a/sprucegate/membership/listfile.py
+++ b/sprucegate/membership/listfile.py
@@ -1,10 +1,11 @@
 """A list of servers as KDL: text to servers, checked by schema and by sense. Opens nothing.
 
     servers {
-        server "s-0b" address="10.1.0.9:4100" location="east" kind="std" weight=1.0 state="serving" started=1764576000123
+        server "s-0b" address="10.1.0.9:4100" location="east" kind="std" weight=1.0 state="serving" started=0
     }
 
-`state` is serving, draining or held; `started` is the Unix millisecond of a late start; `cell` and `weight` may be left out.
+`state` is serving, draining or held; `started` is the Unix millisecond of a late start, 0 for one that is warm. All but
+name, address, location and kind may be left out.
 """
 
 import math
--- /dev/null
+++ b/sprucegate/membership/service.py
@@ -0,0 +1,282 @@
+"""Membership in a front: the file is watched, lists are loaded elsewhere, changes of the view handed over in pieces."""
+
+import asyncio
+import os
+import sys
+import time
+
+import orjson
+import watchfiles
+
+from sprucegate.front.protocol.bus import Hosts
+from sprucegate.membership import reading
+from sprucegate.membership.gate import Gate
+from sprucegate.membership.listfile import Faulty
+from sprucegate.membership.view import Server, View
+from sprucegate.membership.worker import flat, server_of
+from sprucegate.state.disk import Disk
+from sprucegate.state.snapshots import Snapshots
+
+PIECE = 200             # entries handed over in one turn of the loop
+UNSETTLED = 1.0         # seconds after which a list that does not become whole is logged
+AGAIN = 0.05            # seconds until one that is being written is read again
+LINE_MOST = 4 << 20
+S = 1_000_000_000
+
+
+class Membership:
+    """Between the sources and the driver. `driver.apply(hosts)` is what takes a change."""
+
+    def __init__(self, driver, wanted, node, disk=None):
+        self.driver, self.wanted, self.node, self.log = driver, wanted, node, driver.log
+        self.loop, now = asyncio.get_running_loop(), driver.clock()
+        self.view, self.gate = View(node.order, node.ramp, now), Gate(node.most_removed, node.hold)
+        self.snapshots = Snapshots(disk or Disk(), node.state, "servers", node.keep) if node.state else None
+        self.queue, self.handing = [], None
+        self.wake, self.digest, self.refused, self.unsettled = asyncio.Event(), "", None, None
+        self.worker, self.dirty, self.tasks, self.seen, self.events = None, False, [], None, 0
+        self.polled = False
+
+    # The bus.
+
+    def merged(self, hosts, now):
+        """What the bus tells, through the view: Hosts to apply now, or None."""
+        servers = [Server(entry, *hosts.names[entry.id]) for entry in hosts.entries]
+        change = self.view.told("bus", servers, hosts.whole, now)
+        if change is None:
+            return None
+        self.dirty = True
+        if self.queue:                       # in order behind what is being handed over
+            self._hand_over(change)
+            return None
+        return _hosts(change.servers)
+
+    # Start and end.
+
+    async def start(self):
+        """The list of the file, or of the last good snapshot, before the front is ready."""
+        if (kept := self._recovered()) is not None:
+            # First, so that a list that takes away too much is held at a restart as well.
+            self._file_told([server_of(row) for row in kept["file"]], True)
+        loaded = await self._loaded()
+        if isinstance(loaded, list):
+            self._taken(loaded)
+        elif kept is not None:
+            self.log("servers_from_snapshot", generation=self.view.generation, entries=len(kept["file"]))
+        while self.queue:
+            self.driver.apply(self.queue.pop(0))
+        self.tasks = [self.loop.create_task(each()) for each in (self._watch, self._poll, self._run, self._keep)]
+
+    def stop(self):
+        for task in self.tasks:
+            task.cancel()
+        if self.worker is not None and self.worker.returncode is None:
+            self.worker.kill()
+
+    def _recovered(self):
+        if self.snapshots is None:
+            return None
+        now = self.driver.clock()
+        taken, refused = self.snapshots.newest(now, self.node.state_oldest)
+        for one in refused:
+            self.log("snapshot_refused", name=one.name, error=one.why)
+        if taken is None:
+            return None
+        try:
+            kept = orjson.loads(taken.payload)
+            kept["file"] = [row for piece in kept["file"] for row in piece]
+            self.view.restored(kept)
+        except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as fault:
+            self.log("snapshot_refused", name="servers", error=f"{type(fault).__name__}: {fault}")
+            return None
+        self.log("snapshot_read", generation=taken.generation, age_s=(now - taken.at) // S, entries=len(kept["file"]))
+        return kept
+
+    # Loading.
+
+    async def _loaded(self):
+        """Servers of a new list; None where there is nothing new to use."""
+        try:
+            said = await self._asked()
+        except (OSError, ValueError, asyncio.IncompleteReadError) as fault:
+            self.log("servers_worker_lost", error=f"{type(fault).__name__}: {fault}")
+            if self.worker is not None and self.worker.returncode is None:
+                self.worker.kill()
+            self.worker = None
+            await asyncio.sleep(AGAIN)
+            self.wake.set()
+            return None
+        if isinstance(said, Faulty):
+            self._refuse(said)
+            return None
+        if isinstance(said, str):
+            self._wait(said)
+            return None
+        self.unsettled = self.refused = None
+        return said
+
+    async def _asked(self):
+        if self.worker is None or self.worker.returncode is not None:
+            self.worker = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "sprucegate.membership.worker", stdin=asyncio.subprocess.PIPE,
+                stdout=asyncio.subprocess.PIPE, limit=LINE_MOST)
+        self.worker.stdin.write(orjson.dumps({
+            "path": self.node.file, "digest": self.digest, "locations": self.wanted.locations,
+            "kinds": self.wanted.kinds}) + b"\n")
+        servers, digest = [], ""
+        while True:
+            async with asyncio.timeout(30):
+                said = orjson.loads(await self.worker.stdout.readuntil(b"\n"))
+            if "faulty" in said:
+                return Faulty(*said["faulty"])
+            if "unsettled" in said:
+                return said["unsettled"]
+            if "same" in said:
+                self.unsettled = self.refused = None
+                return None
+            servers += [server_of(row) for row in said["servers"]]
+            digest = said["digest"]
+            if not said["more"]:
+                self.digest = digest
+                return servers
+            await asyncio.sleep(0)           # lines that lie ready must not become one long turn
+
+    def _refuse(self, fault):
+        self.unsettled = None
+        if str(fault) != self.refused:       # once, however often it is read again
+            self.refused = str(fault)
+            self.log("servers_refused", file=fault.file, line=fault.line, key=fault.key, error=fault.text,
+                     generation=self.view.generation)
+
+    def _wait(self, why):
+        """Being written, or gone for a moment: the last list stands; after a second it is told."""
+        now = time.monotonic()
+        begun, told = self.unsettled or (now, False)
+        if not told and now - begun > UNSETTLED:
+            self.log("servers_unsettled", error=why, generation=self.view.generation)
+            told = True
+        self.unsettled = begun, told
+        self.loop.call_later(AGAIN if not told else UNSETTLED, self.wake.set)
+
+    # Taking.
+
+    def _taken(self, servers):
+        now = self.driver.clock()
+        passed = self.gate.offered(self.view.lists["file"], servers, now)
+        if passed.held is not None:
+            held = passed.held
+            self.log("servers_held", number=held.number, location=_name(self.wanted.locations, held.location),
+                     share=round(held.share, 3), until_s=(held.until - now) // S, entries=len(held.servers),
+                     generation=self.view.generation)
+        self._file_told(passed.servers, passed.whole)
+
+    def _file_told(self, servers, whole):
+        change = self.view.told("file", servers, whole, self.driver.clock())
+        self.dirty = True
+        if change is not None:
+            self.log("servers_taken", generation=change.generation, changed=len(change.servers),
+                     entries=len(self.view.rows))
+            self._hand_over(change)
+
+    def _hand_over(self, change):
+        self.queue += [_hosts(change.servers[at:at + PIECE]) for at in range(0, len(change.servers), PIECE)]
+        if self.tasks and self.handing is None:
+            self._piece()
+
+    def _piece(self):
+        """One piece a turn of the loop, in the order of the changes; the first one at once."""
+        self.handing = None
+        if self.queue:
+            self.driver.apply(self.queue.pop(0))
+        if self.queue:
+            self.handing = self.loop.call_later(0.001, self._piece)
+
+    # Watching.
+
+    async def _watch(self):
+        """Events of the folder that holds the file, and of the folder itself where the list is one."""
+        while True:
+            base = os.path.dirname(os.path.abspath(self.node.file))
+            folders = [base] + ([self.node.file] if os.path.isdir(self.node.file) else [])
+            try:
+                async for _ in watchfiles.awatch(*folders, watch_filter=None, debounce=20, step=10, recursive=False,
+                                                 rust_timeout=1000, yield_on_timeout=False):
+                    self.events += 1
+                    self.wake.set()
+                    if len(folders) == 1 and os.path.isdir(self.node.file):
+                        break
+            except (OSError, RuntimeError) as fault:
+                self.log("servers_unwatched", error=f"{type(fault).__name__}: {fault}")
+            await asyncio.sleep(1)
+
+    async def _poll(self):
+        """Beside the events, which do not come from every file system."""
+        while True:
+            events, before = self.events, self.seen
+            await asyncio.sleep(self.node.poll / S)
+            self.seen = reading.signature(self.node.file)
+            if self.seen != before:
+                if events == self.events and before is not None and not self.polled:
+                    self.polled = True
+                    self.log("servers_polled", error="a change came without an event")
+                self.wake.set()
+            now = self.driver.clock()
+            if (passed := self.gate.due(now)) is not None:
+                self.log("servers_hold_over")
+                self._file_told(passed.servers, True)
+            if (change := self.view.due(now)) is not None:
+                self._hand_over(change)
+            self._confirm()
+
+    def _confirm(self):
+        """`servers confirm NUMBER` leaves its number in the state folder."""
+        if self.gate.held is None or not self.node.state:
+            return
+        try:
+            with open(os.path.join(self.node.state, "confirm")) as file:
+                number = int(file.read(20))
+        except (OSError, ValueError):
+            return
+        if (passed := self.gate.confirmed(number)) is not None:
+            self.log("servers_confirmed", number=number)
+            self._file_told(passed.servers, True)
+
+    async def _run(self):
+        """Loads after a change, never more often than `least`; what changes meanwhile is read after it."""
+        while True:
+            await self.wake.wait()
+            self.wake.clear()
+            loaded = await self._loaded()
+            if isinstance(loaded, list):
+                self._taken(loaded)
+            await asyncio.sleep(self.node.least / S)
+
+    # What lasts.
+
+    async def _keep(self):
+        """A snapshot at most once a second, made in pieces and written in a thread."""
+        while True:
+            await asyncio.sleep(1)
+            if self.snapshots is not None and self.dirty and not self.queue:
+                await self.keep()
+
+    async def keep(self):
+        self.dirty, generation, pieces = False, self.view.generation, []
+        rows = list(self.view.lists["file"].values())
+        head = orjson.dumps(self.view.kept())[:-1]
+        for at in range(0, len(rows), PIECE):
+            pieces.append(orjson.dumps([flat(server) for server in rows[at:at + PIECE]]))
+            await asyncio.sleep(0)
+        payload = head + b',"file":[' + b",".join(pieces) + b"]}"
+        fault = await asyncio.to_thread(self.snapshots.save, generation, self.driver.clock(), payload)
+        if fault:
+            self.log("snapshot_failed", error=fault, generation=generation)
+
+
+def _hosts(servers):
+    return Hosts(False, [server.entry for server in servers],
+                 {server.entry.id: (server.name, server.address) for server in servers})
+
+
+def _name(names, at):
+    return next((name for name, index in names.items() if index == at), str(at))
--- a/sprucegate/membership/view.py
+++ b/sprucegate/membership/view.py
@@ -1,6 +1,6 @@
 """The merged view of all sources: who serves, who drains, who has gone, and what of it is to be told.
 
-No I/O, no clock: the caller passes the time (ns). A server is known by its id; a new id at an old address is another one.
+No I/O, no clock: the caller passes the time (ns). A server is known by its id; a new id at an old address is another.
 """
 
 from collections import OrderedDict
--- a/sprucegate/operator/commands.py
+++ b/sprucegate/operator/commands.py
@@ -9,6 +9,7 @@
 import orjson
 
 from sprucegate.operator import file
+from sprucegate.operator.servers import servers
 
 
 def _fault(fault, as_json):
@@ -52,7 +53,7 @@
     # As the platform's front: what the start built stays.
     gc.freeze()
     gc.set_threshold(20_000, 20, 100)
-    sys.exit(uvloop.run(serve(wanted._replace(servers=servers), structured(wanted.name))))
+    sys.exit(uvloop.run(serve(wanted._replace(servers=servers, membership=said.membership), structured(wanted.name))))
 
 
 @main.command()
@@ -72,6 +73,9 @@
         click.echo(f"{path}: good, {len(rules)} rule{'s' * (len(rules) != 1)} on what servers speak")
 
 
+main.add_command(servers)
+
+
 @main.command()
 @click.option("--json", "as_json", is_flag=True, help="One JSON object on standard output.")
 def version(as_json):
--- a/sprucegate/operator/file.py
+++ b/sprucegate/operator/file.py
@@ -11,14 +11,14 @@
 """
 
 import os
-from typing import Literal
+from typing import Annotated, Literal
 
 import ckdl
 import msgspec
-from msgspec import Struct
+from msgspec import Meta, Struct
 
 from sprucegate.operator import places
-from sprucegate.servers.http2.limits import Limits
+from sprucegate.servers.http2.limits import MS, Limits, S, Share, number, time
 
 SIZE_MOST = 1 << 20     # bytes of the file
 TIMES = {"us": 1000, "ms": 1_000_000, "s": 1_000_000_000, "min": 60_000_000_000, "h": 3_600_000_000_000}
@@ -54,8 +54,29 @@
         return Servers(self, {kinds[one.kind]: one.transport for one in self.speak if one.kind is not None})
 
 
+class MembershipNode(Struct, forbid_unknown_fields=True, frozen=True, rename="kebab"):
+    """Sources of the list of servers besides the bus. Times in ns."""
+
+    file: Annotated[str, Meta(min_length=1)]
+    order: tuple[Literal["file", "bus"], Literal["file", "bus"]] = ("file", "bus")      # whose word goes first
+    poll: time(20 * MS, 60 * S) = 200 * MS
+    least: time(MS, 60 * S) = 50 * MS                           # between two readings
+    most_removed: Share = 0.5                                   # of a location in one list, or it is held
+    hold: time(S, 30 * 86_400 * S) = 600 * S
+    ramp: time(0, 3600 * S) = 20 * S                            # to the whole weight of one that comes back
+    state: str = ""                                             # folder for snapshots; empty: none
+    state_oldest: time(S, 365 * 86_400 * S) = 86_400 * S
+    keep: number(1, 100) = 3
+
+    def contradiction(self):
+        if sorted(self.order) != ["bus", "file"]:
+            return "order", "wants file and bus, each once"
+        return None
+
+
 class OperatorFile(Struct, forbid_unknown_fields=True, frozen=True):
     servers: ServersNode = ServersNode()
+    membership: MembershipNode | None = None
 
 
 class Servers:
@@ -76,11 +97,13 @@
         return isinstance(other, Servers) and self.node == other.node
 
 
-UNITS = {one.encode_name: (one.type.__metadata__[0].extra or {}).get("unit")
-         for one in msgspec.structs.fields(Limits)}
+LEAVES = {"servers.http2": Limits, "membership": MembershipNode}        # blocks of `key value` lines
+UNITS = {f"{block}.{one.encode_name}": (getattr(one.type, "__metadata__", (Meta(),))[0].extra or {}).get("unit")
+         for block, struct in LEAVES.items() for one in msgspec.structs.fields(struct)}
+SEVERAL = ("membership.order",)
 
 
-BLOCKS = ("servers", "servers.http2")
+BLOCKS = ("servers", *LEAVES)
 
 
 class _Builder:
@@ -111,7 +134,7 @@
             else:
                 if node.args or node.properties:
                     self.fault(start.line, key, "takes a block in braces, no values")
-                made[node.name] = self.children(node.children, start.children, key, key == "servers.http2")
+                made[node.name] = self.children(node.children, start.children, key, key in LEAVES)
         return made
 
     def _speak(self, node, start, key):
@@ -129,12 +152,14 @@
         return given
 
     def _value(self, node, start, key):
+        if key in SEVERAL and node.args and not node.properties and not node.children:
+            return [_plain(value) for value in node.args]
         if len(node.args) != 1 or node.properties or node.children:
             self.fault(start.line, key, "wants one value")
         value, unit = node.args[0], None
         if isinstance(value, ckdl.Value):
             unit, value = value.type_annotation, value.value
-        wanted = UNITS.get(node.name)
+        wanted = UNITS.get(key)
         known = {"time": TIMES, "size": SIZES}.get(wanted, {})
         if unit not in known and (unit or wanted):
             hint = f"a {wanted} with its unit, one of {', '.join(f'({u})' for u in known)}" if wanted else "no unit"
@@ -211,6 +236,7 @@
             builder.fault(builder.lines[key], "servers.speak",
                           f"{which[0]} {which[1]!r} is named on line {seen[which]} already")
         seen[which] = builder.lines[key]
-    if found := made.servers.http2.contradiction():
-        key = f"servers.http2.{found[0]}"
-        builder.fault(builder.lines.get(key, builder.lines.get("servers.http2", 1)), key, found[1])
+    for block, node in (("servers.http2", made.servers.http2), ("membership", made.membership)):
+        if node is not None and (found := node.contradiction()):
+            key = f"{block}.{found[0]}"
+            builder.fault(builder.lines.get(key, builder.lines.get(block, 1)), key, found[1])
--- /dev/null
+++ b/sprucegate/operator/servers.py
@@ -0,0 +1,180 @@
+"""`sprucegate servers`: lists checked and compared before use, the running view, and a held list confirmed."""
+
+import os
+import sys
+import time
+
+import click
+import orjson
+from rich.console import Console
+from rich.table import Table
+
+from sprucegate.interface import State
+from sprucegate.membership import listfile, moves, reading
+from sprucegate.membership.worker import server_of
+from sprucegate.operator import file
+from sprucegate.state.disk import Disk, replace
+from sprucegate.state.snapshots import Snapshots
+
+JSON = click.option("--json", "as_json", is_flag=True, help="One JSON object on standard output.")
+CONFIG = click.option("--config", envvar="BALANCER_CONFIG", type=click.Path(dir_okay=False),
+                      help="The front's configuration, for its locations and kinds; without it any name will do.")
+OPERATOR = click.option("--file", "path", type=click.Path(dir_okay=False), default="deploy/sprucegate.kdl",
+                        show_default=True, help="The operator's file.")
+
+
+class _AnyName(dict):
+    """Names numbered as they come, where no configuration says which there are."""
+
+    def __contains__(self, name):
+        return True
+
+    def __missing__(self, name):
+        self[name] = len(self)
+        return self[name]
+
+
+def _fail(text, as_json, status=2, **more):
+    if as_json:
+        click.echo(orjson.dumps({"ok": False, "error": text, **more}).decode())
+    else:
+        click.echo(f"sprucegate: {text}", err=True)
+    sys.exit(status)
+
+
+def _names(config):
+    if not config:
+        return _AnyName(), _AnyName()
+    from sprucegate.front.lifecycle import configuration
+    try:
+        wanted = configuration.read({"BALANCER_CONFIG": config})
+    except configuration.Faulty as fault:
+        _fail(str(fault), False)
+    return wanted.locations, wanted.kinds
+
+
+def _list(path, names, as_json):
+    try:
+        return listfile.parse(reading.read(path).texts, *names)
+    except reading.Unsettled as fault:
+        _fail(str(fault), as_json)
+    except listfile.Faulty as fault:
+        _fail(str(fault), as_json, file=fault.file, line=fault.line, key=fault.key)
+
+
+def _state(server):
+    return "held" if server.held else "draining" if server.entry.state is State.DRAINING else "serving"
+
+
+def _print(table):
+    # A pipe gets whole lines: rich would cut them to 80 columns there.
+    Console(width=None if sys.stdout.isatty() else 200).print(table)
+
+
+@click.group()
+def servers():
+    """Lists of servers: check, compare, show, confirm."""
+
+
+@servers.command()
+@click.argument("path", metavar="LIST")
+@CONFIG
+@JSON
+def check(path, config, as_json):
+    """Say whether LIST, a file or a folder of parts, can be taken."""
+    found = _list(path, _names(config), as_json)
+    counts = {state: sum(_state(s) == state for s in found) for state in ("serving", "draining", "held")}
+    if as_json:
+        click.echo(orjson.dumps({"ok": True, "file": path, "entries": len(found), **counts}).decode())
+    else:
+        click.echo(f"{path}: good, {len(found)} servers: " + ", ".join(f"{n} {s}" for s, n in counts.items()))
+
+
+@servers.command()
+@click.argument("before", metavar="A")
+@click.argument("after", metavar="B")
+@CONFIG
+@JSON
+def diff(before, after, config, as_json):
+    """Say what changes from list A to list B, and which share of the objects moves to which server."""
+    names = _names(config)
+    old, new = _list(before, names, as_json), _list(after, names, as_json)
+    was, now = {s.name: s for s in old}, {s.name: s for s in new}
+    changes = [(name, "removed", "") for name in was if name not in now]
+    changes += [(name, "added", _state(s)) for name, s in now.items() if name not in was]
+    for name in was.keys() & now.keys():
+        a, b = was[name], now[name]
+        changes += [(name, what, f"{x} to {y}") for what, x, y in (
+            ("state", _state(a), _state(b)), ("weight", a.entry.weight, b.entry.weight),
+            ("address", a.address, b.address), ("start", a.entry.started, b.entry.started)) if x != y]
+    changes.sort()
+    moved = moves.moves(old, new)
+    gained, objects = {}, 0
+    for one in moved.values():
+        objects += one.objects
+        for at, count in one.gained.items():
+            gained[at] = gained.get(at, 0) + count
+    named = {s.entry.id: s.name for s in new}
+    shares = {named[at]: round(count / objects, 4) for at, count in sorted(gained.items())} if objects else {}
+    total = round(sum(one.moved for one in moved.values()) / objects, 4) if objects else 0.0
+    if as_json:
+        click.echo(orjson.dumps({"ok": True, "changes": changes, "moved_share": total, "moved_to": shares}).decode())
+        return
+    table = Table("server", "change", "from and to", title=f"{before} to {after}")
+    for row in changes[:200]:
+        table.add_row(*row)
+    _print(table)
+    if len(changes) > 200:
+        click.echo(f"and {len(changes) - 200} more")
+    click.echo(f"{total:.2%} of the objects move" + "".join(f"\n  {share:.2%} to {n}" for n, share in shares.items()))
+
+
+def _membership(path, as_json):
+    try:
+        node = file.read(path).membership
+    except file.Faulty as fault:
+        _fail(str(fault), as_json, file=fault.file, line=fault.line, key=fault.key)
+    if node is None or not node.state:
+        _fail(f"{path}: membership.state: is not set, so nothing is kept of the running front", as_json)
+    return node
+
+
+@servers.command()
+@OPERATOR
+@JSON
+def show(path, as_json):
+    """Show the front's view as its last snapshot has it."""
+    node = _membership(path, as_json)
+    now = time.time_ns()
+    taken, refused = Snapshots(Disk(), node.state, "servers").newest(now, 1 << 62)
+    if taken is None:
+        _fail(f"{node.state}: holds no readable snapshot" + "".join(f"; {r.name} {r.why}" for r in refused), as_json, 1)
+    kept = orjson.loads(taken.payload)
+    rows = [server_of(row) for piece in kept["file"] for row in piece]
+    drains = {at: one for at, one in kept["drains"]}
+    age = (now - taken.at) // 1_000_000_000
+    lines = [(s.name, s.address, "draining" if s.entry.id in drains else _state(s),
+              "drained by " + ", ".join(d[0] for d in drains[s.entry.id]) if s.entry.id in drains else "listed by file",
+              f"{s.entry.weight:g}") for s in rows]
+    if as_json:
+        click.echo(orjson.dumps({"ok": True, "generation": taken.generation, "age_s": age, "servers": [
+            dict(zip(("name", "address", "state", "why", "weight"), line, strict=True)) for line in lines]}).decode())
+        return
+    table = Table("server", "address", "state", "why", "weight", title=f"generation {taken.generation}, {age} s old")
+    for line in lines:
+        table.add_row(*line)
+    _print(table)
+
+
+@servers.command()
+@click.argument("number", type=click.IntRange(1))
+@OPERATOR
+def confirm(number, path):
+    """Let the held list NUMBER (as `servers_held` names it) be applied."""
+    node = _membership(path, False)
+    try:
+        os.makedirs(node.state, exist_ok=True)
+        replace(Disk(), node.state, "confirm", str(number).encode())
+    except OSError as fault:
+        _fail(f"{node.state}: {fault}", False, 1)
+    click.echo(f"confirmed {number}; the front logs servers_confirmed once it has applied it")
--- a/standins/lines.py
+++ b/standins/lines.py
@@ -38,6 +38,7 @@
                     break
                 self.held = self.held[at + 4 + size:]
                 self.open[words[1]] = True
+                self.server.came(words[1], words[2])
                 self.loop.call_later(self.server.wait(), self._answer, words[1])
             else:
                 self.held = self.held[at + 2:]
@@ -88,6 +89,9 @@
     def wait(self):
         return self.service * (1.0 if self.steady else 0.5 + self.chance.random())
 
+    def came(self, call_id, fields):
+        """Called as a whole request comes in."""
+
     def note(self, call_id):
         self.count += 1
         if self.file is not None:
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,260 @@
+"""One view from several sources, the gate before it, and lists taken whole or not at all."""
+
+import hashlib
+import os
+
+import pytest
+from hypothesis import given
+from hypothesis import settings as profile
+from hypothesis import strategies as st
+
+from sprucegate.front.protocol.bus import number_of
+from sprucegate.interface import Listed, State
+from sprucegate.membership import listfile, reading
+from sprucegate.membership.gate import Gate
+from sprucegate.membership.listfile import Faulty, parse, render
+from sprucegate.membership.reading import Unsettled, read
+from sprucegate.membership.view import Server, Standing, View
+
+S = 1_000_000_000
+NOW = 1000 * S
+LOCATIONS, KINDS = {"east": 0, "west": 1}, {"std": 0, "parent": 1}
+UP, DRAIN, GONE = State.SERVING, State.DRAINING, State.GONE
+
+
+def server(name, state=UP, weight=1.0, started=0, address="", location=0, held=False):
+    return Server(Listed(number_of(name), location, 0, 0, state, weight, started), name,
+                  address or f"127.0.0.1:{4000 + number_of(name) % 1000}", held)
+
+
+def view(**more):
+    made = View(("file", "bus"), **more)
+    made.told("bus", [server("s-1"), server("s-2")], True, NOW)
+    return made
+
+
+def said(change):
+    return change and [(s.name, s.entry.state) for s in change.servers]
+
+
+def standing(made, name):
+    return made.rows[number_of(name)].standing if number_of(name) in made.rows else Standing.GONE
+
+
+def test_the_bus_alone_tells_what_it_tells():
+    made = View(("file", "bus"))
+    assert said(made.told("bus", [server("s-1"), server("s-2", DRAIN)], True, NOW)) == [("s-2", DRAIN), ("s-1", UP)]
+    assert made.told("bus", [server("s-1")], False, NOW) is None and made.generation == 1
+    assert said(made.told("bus", [server("s-1", GONE)], False, NOW)) == [("s-1", GONE)]
+    assert said(made.told("bus", [server("s-3")], True, NOW)) == [("s-2", GONE), ("s-3", UP)]
+
+
+@pytest.mark.parametrize("first, second", [("file", "bus"), ("bus", "file")])
+def test_a_drain_of_one_source_holds_against_the_other_until_it_lifts_it(first, second):
+    made = view()
+    made.told(first, [server("s-1", DRAIN)], first == "file", NOW)
+    assert standing(made, "s-1") is Standing.DRAINING
+    assert made.told(second, [server("s-1")], False, NOW + S) is None
+    assert standing(made, "s-1") is Standing.DRAINING and f"by {first}" in made.rows[number_of("s-1")].why
+    made.told(first, [server("s-1", GONE)], False, NOW + S)  # gone from its source: the other brings it back
+    made.told(second, [server("s-1")], False, NOW + 2 * S)
+    assert standing(made, "s-1") is Standing.DRAINING
+    assert said(made.told(first, [server("s-1")], False, NOW + 3 * S)) == [("s-1", UP)]
+
+
+def test_really_another_server_is_not_held_to_an_old_drain():
+    made = view()
+    made.told("bus", [server("s-1", DRAIN)], False, NOW)
+    assert said(made.told("file", [server("s-1", started=NOW)], True, NOW)) == [("s-1", UP)]
+    made.told("bus", [server("s-2", DRAIN, address="127.0.0.1:9")], False, NOW)
+    made.told("file", [server("s-9", address="127.0.0.1:9")], True, NOW)     # a new id at its address
+    assert standing(made, "s-9") is Standing.SERVING and standing(made, "s-2") is Standing.DRAINING
+
+
+def test_a_server_goes_when_no_source_lists_it_and_the_first_sources_word_counts():
+    made = view()
+    made.told("file", [server("s-1", weight=3.0), server("s-3")], True, NOW)
+    assert made.rows[number_of("s-1")].server.entry.weight == 3.0
+    assert said(made.told("file", [server("s-1", weight=3.0)], True, NOW)) == [("s-3", GONE)]
+    made.told("bus", [server("s-1", weight=7.0)], False, NOW)
+    assert made.rows[number_of("s-1")].server.entry.weight == 3.0
+    change = made.told("file", [server("s-2")], True, NOW)
+    assert [(s.name, s.entry.weight) for s in change.servers] == [("s-1", 7.0)]      # the bus still has it
+
+
+def test_a_held_server_is_known_and_not_told_and_why_and_since_are_kept():
+    made = view()
+    assert said(made.told("file", [server("s-5", held=True), server("s-2", held=True)], True, NOW)) == [("s-2", GONE)]
+    assert standing(made, "s-5") is Standing.HELD
+    assert said(made.told("file", [server("s-5")], True, NOW + S)) == [("s-2", UP), ("s-5", UP)]
+    made.told("file", [server("s-5", weight=2.0)], True, NOW + 2 * S)
+    assert made.rows[number_of("s-5")].since == NOW + S
+
+
+def test_a_server_that_comes_back_gets_its_weight_in_steps_and_a_first_one_at_once():
+    made = view(ramp=10 * S)
+    made.told("file", [server("s-1", weight=2.0), server("s-2", DRAIN)], True, NOW)
+    assert made.told("file", [server("s-1", weight=2.0), server("s-2")], True, NOW).servers[0].entry.weight == 0.1
+    assert made.next_due() == NOW + S
+    weights = []
+    for step in range(1, 12):
+        change = made.due(NOW + step * S)
+        weights += [s.entry.weight for s in change.servers] if change else []
+    assert weights == pytest.approx([0.2, 0.3, 0.4, 0.5, 0.6, 0.7, 0.8, 0.9, 1.0]) and made.next_due() is None
+
+
+def test_drains_outlast_a_restart():
+    made, again = view(), View(("file", "bus"))
+    made.told("bus", [server("s-1", DRAIN)], False, NOW)
+    again.restored(made.kept())
+    again.told("file", [server("s-1")], True, NOW)
+    assert standing(again, "s-1") is Standing.DRAINING and again.generation > made.generation
+
+
+EVENTS = st.lists(st.tuples(st.sampled_from(["file", "bus"]), st.booleans(), st.lists(
+    st.tuples(st.sampled_from(["s-1", "s-2", "s-3"]), st.sampled_from([UP, DRAIN, GONE]), st.integers(0, 1)),
+    max_size=3)), max_size=12)
+
+
+@profile(max_examples=400, deadline=None, derandomize=True)
+@given(EVENTS)
+def test_what_is_told_is_the_view_and_no_drain_is_lifted_by_another(events):
+    made, known, drains = View(("file", "bus")), {}, {}
+    for at, (source, whole, listed) in enumerate(events):
+        change = made.told(source, [server(n, state, started=start) for n, state, start in listed], whole, NOW + at)
+        for name, state, start in listed:
+            kept = {d for d in drains.get(name, set()) if state is GONE or start <= d[1]}
+            if state is DRAIN and source not in {d[0] for d in kept}:
+                kept.add((source, start))
+            drains[name] = {d for d in kept if state is not UP or d[0] != source}
+        for one in change.servers if change else []:
+            if one.entry.state is GONE:
+                del known[one.name]
+            else:
+                known[one.name] = one.entry.state
+        assert known == {row.server.name: DRAIN if row.standing is Standing.DRAINING else UP
+                         for row in made.rows.values()}
+        for name, state in known.items():
+            assert (state is DRAIN) is bool(drains[name])
+
+
+def test_a_list_that_takes_away_too_much_is_held_but_its_drains_are_not():
+    gate = Gate(0.5, 60 * S)
+    current = {s.entry.id: s for s in [server(f"s-{n}", location=n % 2) for n in range(8)]}
+    kept = [server("s-0", DRAIN), *[server(f"s-{n}", location=1) for n in (1, 3, 5, 7)]]
+    passed = gate.offered(current, kept, NOW)
+    assert [s.name for s in passed.servers] == ["s-0"] and not passed.whole
+    assert (passed.held.location, passed.held.share) == (0, 0.75)
+    assert gate.confirmed(passed.held.number + 1) is None and gate.due(NOW + 59 * S) is None
+    assert gate.confirmed(passed.held.number).servers == kept and gate.held is None
+    gate.offered(current, kept, NOW)
+    assert gate.due(NOW + 60 * S).whole
+    gate.offered(current, kept, NOW)
+    assert gate.offered(current, list(current.values()), NOW).whole and gate.due(NOW + 999 * S) is None
+
+
+GOOD = render([server("s-1"), server("s-2", DRAIN, 2.5, 5_000_000, location=1), server("s-3", held=True)],
+              LOCATIONS, KINDS)
+
+
+def test_a_list_is_read_back_as_it_was_written():
+    found = parse([("f", GOOD)], LOCATIONS, KINDS)
+    assert render(found, LOCATIONS, KINDS) == GOOD and [s.name for s in found] == ["s-1", "s-2", "s-3"]
+
+
+@pytest.mark.parametrize("cut", range(len(GOOD) - 2))
+def test_a_file_cut_at_any_byte_is_no_list(cut):
+    with pytest.raises(Faulty):
+        parse([("f", GOOD[:cut])], LOCATIONS, KINDS)
+
+
+@pytest.mark.parametrize("old, new, line, key", [
+    ('"s-2"', '"s-1"', 3, "server"), ('address="127.0.0.1:4002"', 'address="127.0.0.1:4001"', 3, "address"),
+    ('location="west"', 'location="north"', 3, "location"), ('kind="std" cell=0 weight=2.5', 'kind="x"', 3, "kind"),
+    ("weight=2.5", "weight=-1", 3, "weight"), ("weight=2.5", 'weight="2"', 3, "weight"),
+    ("weight=2.5", "weight=#nan", 3, "weight"), ("weight=2.5", "weight=#inf", 3, "weight"),
+    ("weight=2.5", "wait=1", 3, ""), ("weight=2.5", "weight=(kg)1", 3, "weight"),
+    ('state="draining"', 'state="drain"', 3, "state"), ("started=5", "started=-5", 3, "started"),
+    ('"127.0.0.1:4002"', '"127.0.0.1"', 3, "address"), ('"127.0.0.1:4002"', '"127.0.0.1:99999"', 3, "address"),
+    ('    server "s-2"', '    box "s-2"', 3, "box"), ('    server "s-2"', '    server "x" "s-2"', 3, "server"),
+])
+def test_a_faulty_entry_is_told_with_line_and_key(old, new, line, key):
+    assert old in GOOD
+    with pytest.raises(Faulty) as caught:
+        parse([("f.kdl", GOOD.replace(old, new, 1))], LOCATIONS, KINDS)
+    assert (caught.value.file, caught.value.line, caught.value.key) == ("f.kdl", line, key)
+
+
+@pytest.mark.parametrize("text", ["", "servers {\n}\n", "servers { }\nservers { }\n", "box\n",
+                                  GOOD.replace("weight=1.0", "weight=0").replace("weight=2.5", "weight=0")])
+def test_no_servers_or_no_weight_is_a_mistake(text):
+    with pytest.raises(Faulty):
+        parse([("f", text)], LOCATIONS, KINDS)
+
+
+def test_more_entries_than_the_bound_are_refused(monkeypatch):
+    monkeypatch.setattr(listfile, "ENTRIES_MOST", 2)
+    with pytest.raises(Faulty, match="more than 2"):
+        parse([("f", GOOD)], LOCATIONS, KINDS)
+
+
+def test_a_file_with_its_digest_is_whole_by_it_and_one_without_by_two_readings(tmp_path, monkeypatch):
+    path = tmp_path / "list.kdl"
+    path.write_text(GOOD)
+    first = read(str(path))
+    assert first.texts[0][1] == GOOD and first.digest == hashlib.sha256(GOOD.encode()).hexdigest()
+    (tmp_path / "list.kdl.sha256").write_text("0" * 64 + "  list.kdl\n")
+    with pytest.raises(Unsettled):
+        read(str(path))
+    (tmp_path / "list.kdl.sha256").write_text(first.digest + "  list.kdl\n")
+    assert read(str(path), settle=60) == first               # no waiting where the digest says it
+    (tmp_path / "list.kdl.sha256").unlink()
+    monkeypatch.setattr(reading.time, "sleep", lambda _: path.write_text(GOOD + "\n"))
+    with pytest.raises(Unsettled):
+        read(str(path))
+
+
+def test_a_file_that_goes_or_may_not_be_read_or_is_too_large(tmp_path, monkeypatch):
+    with pytest.raises(Unsettled):
+        read(str(tmp_path / "none"))
+    path = tmp_path / "list.kdl"
+    path.write_bytes(b"\xff\n")
+    with pytest.raises(Faulty, match="UTF-8"):
+        read(str(path))
+    monkeypatch.setattr(reading, "SIZE_MOST", 1)
+    with pytest.raises(Faulty, match="larger"):
+        read(str(path))
+    monkeypatch.setattr(reading, "open", lambda *_: (_ for _ in ()).throw(PermissionError(13, "denied")), raising=False)
+    with pytest.raises(Faulty, match="denied"):
+        read(str(path))
+
+
+def folder(path, parts):
+    path.mkdir()
+    for name, text in parts.items():
+        (path / name).write_text(text)
+    (path / "manifest.kdl").write_text("".join(
+        f'part "{name}" sha256="{hashlib.sha256(text.encode()).hexdigest()}"\n' for name, text in parts.items()))
+
+
+def test_a_folder_of_parts_is_one_generation_by_its_manifest(tmp_path):
+    one, two = (render([server(n)], LOCATIONS, KINDS) for n in ("s-1", "s-2"))
+    folder(tmp_path / "list", {"a.kdl": one, "b.kdl": two})
+    found = read(str(tmp_path / "list"))
+    assert [s.name for s in parse(found.texts, LOCATIONS, KINDS)] == ["s-1", "s-2"]
+    (tmp_path / "list" / "b.kdl").write_text(render([server("s-3")], LOCATIONS, KINDS))
+    with pytest.raises(Unsettled, match="b.kdl"):
+        read(str(tmp_path / "list"))
+    folder(tmp_path / "next", {"a.kdl": two})
+    os.rename(tmp_path / "list", tmp_path / "old")
+    os.rename(tmp_path / "next", tmp_path / "list")
+    assert len(read(str(tmp_path / "list")).texts) == 1
+    (tmp_path / "list" / "manifest.kdl").write_text('part "../old/a.kdl" sha256="x"\n')
+    with pytest.raises(Faulty):
+        read(str(tmp_path / "list"))
+
+
+def test_parts_that_name_a_server_twice_are_no_list(tmp_path):
+    one = render([server("s-1")], LOCATIONS, KINDS)
+    with pytest.raises(Faulty, match="stands on entry 1 of a"):
+        parse([("a", one), ("b", one)], LOCATIONS, KINDS)
