--- a/sprucegate/membership/service.py
+++ b/sprucegate/membership/service.py
@@ -1,6 +1,7 @@
 """Membership in a front: the file is watched, lists are loaded elsewhere, changes of the view handed over in pieces."""
 
 import asyncio
+import gc
 import os
 import sys
 import time
@@ -17,7 +18,9 @@
 from sprucegate.state.disk import Disk
 from sprucegate.state.snapshots import Snapshots
 
-PIECE = 200             # entries handed over in one turn of the loop
+MANY = 1000             # entries of a change after which the collector is told that they stay
+PIECE = 100             # entries handed over in one turn of the loop
+TURN = 0.001            # seconds between two such turns, so that a GET comes in between
 UNSETTLED = 1.0         # seconds after which a list that does not become whole is logged
 AGAIN = 0.05            # seconds until one that is being written is read again
 LINE_MOST = 4 << 20
@@ -35,7 +38,7 @@
         self.queue, self.handing = [], None
         self.wake, self.digest, self.refused, self.unsettled = asyncio.Event(), "", None, None
         self.worker, self.dirty, self.tasks, self.seen, self.events = None, False, [], None, 0
-        self.polled = False
+        self.polled, self.telling = False, asyncio.Lock()
 
     # The bus.
 
@@ -57,14 +60,15 @@
         """The list of the file, or of the last good snapshot, before the front is ready."""
         if (kept := self._recovered()) is not None:
             # First, so that a list that takes away too much is held at a restart as well.
-            self._file_told([server_of(row) for row in kept["file"]], True)
+            await self._file_told([server_of(row) for row in kept["file"]], True)
         loaded = await self._loaded()
         if isinstance(loaded, list):
-            self._taken(loaded)
+            await self._taken(loaded)
         elif kept is not None:
             self.log("servers_from_snapshot", generation=self.view.generation, entries=len(kept["file"]))
         while self.queue:
             self.driver.apply(self.queue.pop(0))
+        await asyncio.to_thread(int)         # the first thread takes a tenth of a second: now, not in service
         self.tasks = [self.loop.create_task(each()) for each in (self._watch, self._poll, self._run, self._keep)]
 
     def stop(self):
@@ -160,23 +164,32 @@
 
     # Taking.
 
-    def _taken(self, servers):
+    async def _taken(self, servers):
         now = self.driver.clock()
         passed = self.gate.offered(self.view.lists["file"], servers, now)
+        await asyncio.sleep(0)
         if passed.held is not None:
             held = passed.held
             self.log("servers_held", number=held.number, location=_name(self.wanted.locations, held.location),
                      share=round(held.share, 3), until_s=(held.until - now) // S, entries=len(held.servers),
                      generation=self.view.generation)
-        self._file_told(passed.servers, passed.whole)
-
-    def _file_told(self, servers, whole):
-        change = self.view.told("file", servers, whole, self.driver.clock())
+        await self._file_told(passed.servers, passed.whole)
+
+    async def _file_told(self, servers, whole):
+        """A list of the file, worked out and handed over a piece a turn of the loop, under one generation."""
+        changed = 0
+        async with self.telling:
+            for change in self.view.changes("file", servers, whole, self.driver.clock(), PIECE):
+                if change is not None:
+                    changed += len(change.servers)
+                    self._hand_over(change)
+                await asyncio.sleep(TURN)
         self.dirty = True
-        if change is not None:
-            self.log("servers_taken", generation=change.generation, changed=len(change.servers),
-                     entries=len(self.view.rows))
-            self._hand_over(change)
+        if changed:
+            self.log("servers_taken", generation=self.view.generation, changed=changed, entries=len(self.view.rows))
+        if changed > MANY:
+            # What such a list built stays: the collector need not walk it, which would take longer than a turn.
+            gc.freeze()
 
     def _hand_over(self, change):
         self.queue += [_hosts(change.servers[at:at + PIECE]) for at in range(0, len(change.servers), PIECE)]
@@ -189,7 +202,7 @@
         if self.queue:
             self.driver.apply(self.queue.pop(0))
         if self.queue:
-            self.handing = self.loop.call_later(0.001, self._piece)
+            self.handing = self.loop.call_later(TURN, self._piece)
 
     # Watching.
 
@@ -223,12 +236,12 @@
             now = self.driver.clock()
             if (passed := self.gate.due(now)) is not None:
                 self.log("servers_hold_over")
-                self._file_told(passed.servers, True)
+                await self._file_told(passed.servers, True)
             if (change := self.view.due(now)) is not None:
                 self._hand_over(change)
-            self._confirm()
+            await self._confirm()
 
-    def _confirm(self):
+    async def _confirm(self):
         """`servers confirm NUMBER` leaves its number in the state folder."""
         if self.gate.held is None or not self.node.state:
             return
@@ -239,7 +252,7 @@
             return
         if (passed := self.gate.confirmed(number)) is not None:
             self.log("servers_confirmed", number=number)
-            self._file_told(passed.servers, True)
+            await self._file_told(passed.servers, True)
 
     async def _run(self):
         """Loads after a change, never more often than `least`; what changes meanwhile is read after it."""
@@ -248,7 +261,7 @@
             self.wake.clear()
             loaded = await self._loaded()
             if isinstance(loaded, list):
-                self._taken(loaded)
+                await self._taken(loaded)
             await asyncio.sleep(self.node.least / S)
 
     # What lasts.
--- a/sprucegate/membership/view.py
+++ b/sprucegate/membership/view.py
@@ -64,21 +64,43 @@
 
     def told(self, source, servers, whole, now):
         """A list of one source, whole or what changed of it. None where nothing of the view changes."""
-        listed, touched = self.lists[source], []
+        made = [one for piece in self.changes(source, servers, whole, now) if piece for one in piece.servers]
+        made.sort(key=lambda one: one.entry.state is State.SERVING)
+        return Change(self.generation, made) if made else None
+
+    def changes(self, source, servers, whole, now, piece=200):
+        """The same in pieces that bear one generation, removals and drains first; None for one without a change.
+
+        Between two pieces the caller may do other work, and tell other sources' news: each server is worked out from
+        all lists as they then are. 20,000 entries in one go would stop the front for a fifth of a second.
+        """
+        listed, generation = self.lists[source], None
         if whole:
             names = {server.entry.id for server in servers}
-            touched += [at for at in listed if at not in names]
+            yield None
+            removed = [at for at in listed if at not in names]
+            yield None
+            servers = sorted(servers, key=lambda s: s.entry.state is not State.DRAINING)
+            yield None
+        else:
+            removed = []
+        for begin in range(0, max(1, len(removed) + len(servers)), piece):
+            touched = removed[begin:begin + piece]
             for at in touched:
-                del listed[at]
-        for server in servers:
-            at = server.entry.id
-            touched.append(at)
-            if server.entry.state is State.GONE:
                 listed.pop(at, None)
-                continue
-            listed[at] = server
-            self._drained(source, server, now)
-        return self._worked_out(touched, now)
+            from_here = max(0, begin - len(removed))
+            for server in servers[from_here:max(0, begin + piece - len(removed))]:
+                at = server.entry.id
+                touched.append(at)
+                if server.entry.state is State.GONE:
+                    listed.pop(at, None)
+                    continue
+                listed[at] = server
+                self._drained(source, server, now)
+            made = self._worked_out(touched, now)
+            if made and generation is None:
+                self.generation = generation = self.generation + 1
+            yield Change(generation, made) if made else None
 
     def _drained(self, source, server, now):
         """Keeps, begins or lifts drains: each is lifted by the source that began it, or by another server."""
@@ -104,8 +126,10 @@
 
     def due(self, now):
         """The ramps' next steps."""
-        return self._worked_out([at for at, (begun, step) in self.ramps.items()
+        made = self._worked_out([at for at, (begun, step) in self.ramps.items()
                                  if now >= begun + self.ramp * step // STEPS], now)
+        self.generation += bool(made)
+        return Change(self.generation, made) if made else None
 
     def next_due(self):
         return min((begun + self.ramp * step // STEPS for begun, step in self.ramps.values()), default=None)
@@ -149,10 +173,7 @@
                 first.append(_with(old.server, State.GONE, old.server.entry.weight))
             else:
                 (first if told.entry.state is State.DRAINING else later).append(told)
-        if not first and not later:
-            return None
-        self.generation += 1
-        return Change(self.generation, first + later)
+        return first + later
 
     def _ramped(self, at, old, new, now):
         """One that drained or was gone gets its weight in steps; those of the first list have theirs at once."""
--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -4,6 +4,7 @@
 """
 
 import heapq
+from bisect import bisect_left
 from collections import Counter, OrderedDict, defaultdict, deque
 from itertools import count
 from math import log, sqrt
@@ -244,7 +245,7 @@
         return [(good_of[n.index] + LEAN * shared) / (all_of[n.index] + LEAN) for n in sources]
 
     def listed(self, entries, whole, now):
-        seen = {entry.id for entry in entries}
+        seen = dict.fromkeys([entry.id for entry in entries])
         roles = {self.get("parent_kind", -1): "parent", self.get("origin_kind", -1): "origin"}
         for entry in entries:
             if entry.id not in self.index_of:
@@ -254,12 +255,21 @@
             if entry.started > node.started:
                 node.renewed(entry.started)
             node.entry = entry
-        here, self.groups = self.get("my_location", 0), defaultdict(list)
-        for node in list(self.nodes.values()):
-            if whole and node.id not in seen or node.entry.state is State.GONE:
+        here, self.groups = self.get("my_location", 0), self.groups.copy()    # another one: ranks go with it
+        nodes = list(self.nodes.values()) if whole else [self.nodes[self.index_of[at]] for at in seen]
+        for role in dict.fromkeys([node.role for node in nodes]):
+            self.groups[role] = list(self.groups[role])
+        for node in nodes:
+            # By index, and only those that the list names: of 20,000 few change, and grouping all takes long.
+            group, gone = self.groups[node.role], whole and node.id not in seen or node.entry.state is State.GONE
+            near = node.role != "cache" or node.entry.location == here
+            at = bisect_left(group, node.index, key=lambda n: n.index)
+            if at < len(group) and group[at] is node:
+                del group[at]
+            if not gone and node.entry.state is State.SERVING and near:
+                group.insert(at, node)
+            if gone:
                 del self.nodes[node.index], self.index_of[node.id]    # its index is never given again
-            elif node.entry.state is State.SERVING and (node.role != "cache" or node.entry.location == here):
-                self.groups[node.role].append(node)
 
     def list_failed(self, now):
         if self.get("discovery") == "ask":
