--- a/sprucegate/operator/servers.py
+++ b/sprucegate/operator/servers.py
@@ -110,12 +110,12 @@
     moved = moves.moves(old, new)
     gained, objects = {}, 0
     for one in moved.values():
-        objects += one.objects
+        objects += one.objects if one.moved else 0       # of the locations and kinds that are touched at all
         for at, count in one.gained.items():
             gained[at] = gained.get(at, 0) + count
     named = {s.entry.id: s.name for s in new}
     shares = {named[at]: round(count / objects, 4) for at, count in sorted(gained.items())} if objects else {}
-    total = round(sum(one.moved for one in moved.values()) / objects, 4) if objects else 0.0
+    total = round(sum(gained.values()) / objects, 4) if objects else 0.0
     if as_json:
         click.echo(orjson.dumps({"ok": True, "changes": changes, "moved_share": total, "moved_to": shares}).decode())
         return
@@ -125,7 +125,7 @@
     _print(table)
     if len(changes) > 200:
         click.echo(f"and {len(changes) - 200} more")
-    click.echo(f"{total:.2%} of the objects move" + "".join(f"\n  {share:.2%} to {n}" for n, share in shares.items()))
+    click.echo(f"{total:.2%} of the objects of the locations and kinds concerned move" + "".join(f"\n  {share:.2%} to {n}" for n, share in shares.items()))
 
 
 def _membership(path, as_json):
