--- a/sprucegate/membership/listfile.py
+++ b/sprucegate/membership/listfile.py
@@ -19,6 +19,7 @@
 from sprucegate.interface import Listed, State
 from sprucegate.membership.view import Server
 from sprucegate.operator import places
+from sprucegate.operator.places import Faulty
 
 MS = 1_000_000
 SIZE_MOST = 10_000_000  # bytes of a list, of all its parts together
@@ -26,14 +27,6 @@
 ADDRESS = re.compile(r"[0-9A-Za-z.\-]{1,253}:([0-9]{1,5})")
 
 
-class Faulty(Exception):
-    """What is wrong and where. Nothing of the list is taken."""
-
-    def __init__(self, file, line, key, text):
-        super().__init__(f"{file}:{line}: {key}: {text}" if key else f"{file}:{line}: {text}")
-        self.file, self.line, self.key, self.text = file, line, key, text
-
-
 class Node(msgspec.Struct, forbid_unknown_fields=True):
     name: Annotated[str, msgspec.Meta(min_length=1, max_length=64, pattern=r"^[!-~]+$")]
     address: str
@@ -82,21 +75,13 @@
     try:
         nodes = ckdl.parse(text).nodes
     except Exception:                        # ckdl raises several kinds
-        line = places.fault_line(text, _parses) if len(text) < 20_000 else text.count("\n") + 1
+        line = places.fault_line(text) if len(text) < 20_000 else text.count("\n") + 1
         raise Faulty(file, line, "", "is not KDL, or is cut") from None
     if [node.name for node in nodes] != ["servers"] or nodes[0].args or nodes[0].properties:
         raise Faulty(file, 1, "", "wants one block `servers { ... }` and nothing else")
     return nodes[0].children
 
 
-def _parses(text):
-    try:
-        ckdl.parse(text)
-    except Exception:
-        return False
-    return True
-
-
 def _plain(node):
     if node.name != "server":
         raise ValueError(f"{node.name}: is not known; a list has `server` nodes")
--- a/sprucegate/operator/file.py
+++ b/sprucegate/operator/file.py
@@ -18,6 +18,7 @@
 from msgspec import Meta, Struct
 
 from sprucegate.operator import places
+from sprucegate.operator.places import Faulty
 from sprucegate.servers.http2.limits import MS, Limits, S, Share, number, time
 
 SIZE_MOST = 1 << 20     # bytes of the file
@@ -25,14 +26,6 @@
 SIZES = {"B": 1, "KB": 1000, "KiB": 1024, "MB": 1_000_000, "MiB": 1 << 20}
 
 
-class Faulty(Exception):
-    """What is wrong and where: `file`, `line`, `key`, `text`. Nothing of the file is taken."""
-
-    def __init__(self, file, line, key, text):
-        super().__init__(f"{file}:{line}: {key}: {text}" if key else f"{file}:{line}: {text}")
-        self.file, self.line, self.key, self.text = file, line, key, text
-
-
 class Speak(Struct, forbid_unknown_fields=True, frozen=True):
     """Servers by kind, name or address and what they speak; a name goes before an address before a kind."""
 
@@ -175,14 +168,6 @@
     return value.value if isinstance(value, ckdl.Value) else value
 
 
-def _parses(text):
-    try:
-        ckdl.parse(text)
-    except Exception:
-        return False
-    return True
-
-
 def read(path):
     """The OperatorFile at `path`; raises Faulty."""
     try:
@@ -203,7 +188,7 @@
     try:
         nodes = ckdl.parse(text).nodes
     except Exception:                        # ckdl raises several kinds
-        raise Faulty(path, places.fault_line(text, _parses), "", "is not KDL from here on") from None
+        raise Faulty(path, places.fault_line(text), "", "is not KDL from here on") from None
     builder = _Builder(path)
     data = builder.children(nodes, places.starts(text), "", False)
     try:
--- a/sprucegate/operator/places.py
+++ b/sprucegate/operator/places.py
@@ -5,6 +5,16 @@
 
 from typing import NamedTuple
 
+import ckdl
+
+
+class Faulty(Exception):
+    """What is wrong and where: `file`, `line`, `key`, `text`. Nothing of the file is taken."""
+
+    def __init__(self, file, line, key, text):
+        super().__init__(f"{file}:{line}: {key}: {text}" if key else f"{file}:{line}: {text}")
+        self.file, self.line, self.key, self.text = file, line, key, text
+
 
 class Start(NamedTuple):
     line: int
@@ -106,14 +116,22 @@
     return _Reader(text).starts()
 
 
-def fault_line(text, parses):
+def _parses(text):
+    try:
+        ckdl.parse(text)
+    except Exception:                        # ckdl raises several kinds
+        return False
+    return True
+
+
+def fault_line(text):
     """The line at which `text` stops being a document: the first whose prefix can't be one, closed as it stands."""
     lines = text.split("\n")
     last = 0
     for count in range(1, len(lines) + 1):
         prefix = "\n".join(lines[:count])
         for depth in range(9):
-            if parses(prefix + "\n" + "}" * depth):
+            if _parses(prefix + "\n" + "}" * depth):
                 last = count
                 break
     return min(last + 1, len(lines))
--- a/sprucegate/operator/servers.py
+++ b/sprucegate/operator/servers.py
@@ -125,7 +125,9 @@
     _print(table)
     if len(changes) > 200:
         click.echo(f"and {len(changes) - 200} more")
-    click.echo(f"{total:.2%} of the objects of the locations and kinds concerned move" + "".join(f"\n  {share:.2%} to {n}" for n, share in shares.items()))
+    click.echo(f"{total:.2%} of the objects of the locations and kinds concerned move")
+    for name, share in shares.items():
+        click.echo(f"  {share:.2%} to {name}")
 
 
 def _membership(path, as_json):
--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -261,7 +261,8 @@
             self.groups[role] = list(self.groups[role])
         for node in nodes:
             # By index, and only those that the list names: of 20,000 few change, and grouping all takes long.
-            group, gone = self.groups[node.role], whole and node.id not in seen or node.entry.state is State.GONE
+            group = self.groups[node.role]
+            gone = whole and node.id not in seen or node.entry.state is State.GONE
             near = node.role != "cache" or node.entry.location == here
             at = bisect_left(group, node.index, key=lambda n: n.index)
             if at < len(group) and group[at] is node:
@@ -491,7 +492,8 @@
             sent.fill = [source, now, now + self.objective(asked), None]
             self.fills.extend([] if held_only else [sent.fill])
         get.forwards.append(sent)
-        self.further.append(number > 0 and not get.missed)
+        # What follows one that never left is the first to ask anything of anybody.
+        self.further.append(number > 0 and get.forwards[number - 1].outcome is not Outcome.NOT_SENT)
         return Forward(
             number, cache.id, source.id, rank=0 if write else 1 if sum(memory.counts) <= 1 else 2,
             oldest=self.oldest(asked, number > 0 or get.hopeless, now), timeout=max(MS, get.due - now),
