Answers that don't say hit or fill are told apart by their time

At fault: Router.learn noted an untold answer's whole time as the cache's pace, so fill waits had hits shed as late, and noted no fill for the link, the sources or the throttle. Change: where nothing is told, quick is a hit; slow is a fill if the cache was not believed to hold it, else it stays open.

--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -144,8 +144,9 @@
 
 
 class Sent:
-    def __init__(self, cache, source, now, crowd):
+    def __init__(self, cache, source, now, crowd, believed):
         self.cache, self.source, self.at, self.crowd, self.filling = cache, source, now, crowd, 0
+        self.believed = believed             # to hold the object, when it was sent
         self.open, self.outcome, self.fill = True, None, None
 
 
@@ -485,8 +486,8 @@
         for node in [cache, source][:1 + (source is not cache)]:
             node.sent.append((now, self.mean_work(asked.ds)))
         cache.out += 1
-        sent = Sent(cache, source, now, cache.out - cache.filling)
-        if source.role != "cache" and cache is not source and cache.index not in memory.holders:
+        sent = Sent(cache, source, now, cache.out - cache.filling, cache.index in memory.holders)
+        if source.role != "cache" and cache is not source and not sent.believed:
             sent.filling = self.filling = self.filling + 1
             cache.filling += 1
             sent.fill = [source, now, now + self.objective(asked), None]
@@ -500,6 +501,17 @@
             join=bool(self.get("joins")), held_only=held_only, pass_parent=False,
             renew=bool(self.of_ds("fresh_time", asked.ds, 0)) and not get.hopeless)
 
+    def resolved(self, sent, found, slow):
+        """What an answer without a word on hits shows by its time; what stays open is neither hit nor fill."""
+        if found is not Found.UNTOLD or self.get("tells", "all") != "none" or sent.cache.role != "cache":
+            return found
+        if sent.source is sent.cache:
+            return Found.HIT
+        # Against jams: fill waits read as crowded caches had hits shed, the link in was not seen at all.
+        if slow <= CROWDED * max(1.0, sent.cache.as_cache.slowness(self.now)):
+            return Found.HIT
+        return Found.UNTOLD if sent.believed else Found.FILLED
+
     def learn(self, get, sent, outcome, found, spent, waited, load, now):
         self.now, asked, cache, source = now, get.asked, sent.cache, sent.source
         memory, write = self.memory(asked, now), self.of_ds("runs_at_origin", asked.ds, False)
@@ -514,6 +526,8 @@
         cache.load, cache.load_at = (load, now) if load else (cache.load, cache.load_at)
         if cache.role == "cache" and "link_use" in load:
             self.link_use = load["link_use"], now
+        if good and not write:
+            found = self.resolved(sent, found, (spent - waited) / max(20 * MS, self.work(asked)))
         if sent.fill:
             self.filling, cache.filling = self.filling - 1, max(0, cache.filling - 1)
             sent.fill[3] = good and now <= sent.fill[2]
