An object's parts share the sending times that tell its size

At fault: Memory.spents by part, so Router.work fell back to the middle of the delivery service. Change: the last eight times stand by object, in a table as bounded as the beliefs'.

--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -130,7 +130,7 @@
     def __init__(self, span):
         self.span, self.counts, self.failed_at, self.returned = span, [0, 0, 0], NEVER, False
         self.holders, self.ranks = {}, {}    # node index -> (expiry, since, the holder's start); by role
-        self.spents = deque(maxlen=4)        # its last sending times: the least tells its size
+        self.spents = None                   # its object's last sending times: the least tells a part's size
 
     def roll(self, span):
         if (steps := span - self.span) > 0:
@@ -144,7 +144,7 @@
 
 
 class Sent:
-    def __init__(self, cache, source, now, crowd, believed):
+    def __init__(self, cache, source, now, crowd, believed=False):
         self.cache, self.source, self.at, self.crowd, self.filling = cache, source, now, crowd, 0
         self.believed = believed             # to hold the object, when it was sent
         self.open, self.outcome, self.fill = True, None, None
@@ -202,6 +202,7 @@
     def __init__(self, settings, seed, now):
         self.get, self.seed, self.draws, self.now = settings.get, seed, 0, now
         self.nodes, self.index_of, self.indices, self.groups = {}, {}, count(), defaultdict(list)
+        self.paces = OrderedDict()           # object -> its last sending times
         self.table, self.slot_of, self.purges = [], OrderedDict(), {}    # purges by ("object" or "group", id)
         self.waiting, self.order = [], count()   # (due, order, Get or None for a list to ask for)
         self.carried, self.further = deque(maxlen=256), deque(maxlen=100)   # (time, work) returned; if so
@@ -313,6 +314,11 @@
         if slot is None:
             slot = self.slot_of.popitem(last=False)[1] if len(self.table) >= TABLE else len(self.table)
             self.table[slot:slot + 1] = [Memory(now // SPAN)]
+            # Parts of one object are alike in size, and each alone is asked for too seldom to tell it.
+            spents = self.paces.pop(asked.object, None) or deque(maxlen=8)
+            self.table[slot].spents = self.paces[asked.object] = spents
+            if len(self.paces) > TABLE:
+                self.paces.popitem(last=False)
         self.slot_of[key] = slot
         self.table[slot].roll(now // SPAN)
         return self.table[slot]
