A told link's even part stands in where the wait for fills isn't told

At fault: the link's samples. A tile of 80 ms that waits 120 ms for the origin reads as 2.5 times slower, so the link always looked full. Change: where hits and waits are untold, fills under way are this front's forwards to caches not believed to hold the object, times the share of such that proved to be fills; set against the even part of the told link, of which SHARE_ROOM counts, as other fronts' parts are uneven. The link has to leave a quarter of the time left, as caches do (AHEAD).

--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -25,6 +25,7 @@
 CROWDED = 1.3           # slowness from which a sample tells of the link, not of its own noise
 AHEAD = 0.75            # of the time left that an answer may be expected to take: others will come to share
 FITS_RANK = 0.25        # which sample tells what a link fits: the lower ones keep its queue short
+SHARE_ROOM = 0.4       # of an even part of a told link: other fronts' parts are uneven, and waits add
 THROTTLE, THROTTLE_SPAN = 1.3, 3 * S    # share of fills let through, over the share that came in time
 WELL = 0.7              # share in time from which a source is not passed by
 FLOOR = 0.15            # of the fills go on whatever comes of them: late ones still leave copies for others
@@ -208,6 +209,7 @@
         self.carried, self.further = deque(maxlen=256), deque(maxlen=100)   # (time, work) returned; if so
         self.spents = defaultdict(lambda: deque(maxlen=64))    # by delivery service, the last sending times
         self.link, self.filling, self.link_use = Standing(), 0, (0, NEVER)
+        self.misses = deque(maxlen=64)       # of the last answers to unbelieved GETs, which were no hits
         self.fills = deque(maxlen=256)       # [source, time, when late, came in time] of the last fills
         self.tally, self.rated, self.found = (NEVER, Counter(), Counter()), (NEVER, 0), deque(maxlen=64)
         self.top = max([r for r in self.get("revenue", ()) if r], default=1)
@@ -471,10 +473,8 @@
             source, held_only = self.sibling(get, memory, cache, now)
             if source is None:
                 source, may_fetch = self.upper(get, now)
-                # Own fills are few of the link's: half a told load counts where higher, as told at fill pace.
-                told = self.link_use[0] / 2 if now - self.link_use[1] < S else 0
-                slow = max(told, self.link.crowding(self.filling + 1, now))
-                late = (cache.index not in memory.holders and self.work(asked) * slow > get.limit - now
+                slow = self.link_pace(now)
+                late = (cache.index not in memory.holders and self.work(asked) * slow > AHEAD * (get.limit - now)
                         and self.chance(asked.id) >= PROBING)    # or no sample would show that it passed
                 if source is None or late:
                     source, may_fetch = cache, False
@@ -511,6 +511,19 @@
             join=bool(self.get("joins")), held_only=held_only, pass_parent=False,
             renew=bool(self.of_ds("fresh_time", asked.ds, 0)) and not get.hopeless)
 
+    def link_pace(self, now):
+        """Slowness that one more fill of this front has to expect of the link in."""
+        here, rate = self.get("my_location", 0), self.get("client_kb_per_s", 0)
+        told = self.get("link_in_kb_per_s") or ()
+        if self.get("tells", "all") == "none" and rate and here < len(told) and told[here]:
+            # Without the wait told a fill's pace doesn't show; the fronts' parts of a told link do.
+            fills = 1 + self.filling * (1 + sum(self.misses)) / (2 + len(self.misses))
+            fills /= SHARE_ROOM
+            return max(1.0, fills * max(1, (self.get("fronts_by_location") or {here: 1})[here]) * rate / told[here])
+        # Own fills are few of the link's: half a told load counts where higher, as told at fill pace.
+        load = self.link_use[0] / 2 if now - self.link_use[1] < S else 0
+        return max(load, self.link.crowding(self.filling + 1, now))
+
     def resolved(self, sent, found, slow):
         """What an answer without a word on hits shows by its time; what stays open is neither hit nor fill."""
         if found is not Found.UNTOLD or self.get("tells", "all") != "none" or sent.cache.role != "cache":
@@ -540,6 +553,7 @@
             found = self.resolved(sent, found, (spent - waited) / max(20 * MS, self.work(asked)))
         if sent.fill:
             self.filling, cache.filling = self.filling - 1, max(0, cache.filling - 1)
+            self.misses.extend([found not in HITS] if good else [])
             sent.fill[3] = good and now <= sent.fill[2]
             gone = outcome is Outcome.CANCELLED and now < sent.fill[2]
             if found in HITS or bare or gone or outcome in (Outcome.RESET, Outcome.NOT_SENT):
