Counts within the noise of few GETs widen no pick

At fault: Router.width. A front among 40 sees three or four GETs a second, so one GET of a part was "above a quarter of what one cache does" and every pick was among two or three caches. Change: the noise of counting goes off first.

--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -402,7 +402,9 @@
         return [n for n in nodes if n not in barred]
 
     def width(self, asked, memory, caches, now):
-        share = sum(memory.counts[:2]) * self.work(asked) / (2 * SPAN) * len(caches)
+        # One GET of the few that a front among many sees is no sign of a hot object: noise (Poisson) goes off.
+        asks = (seen := sum(memory.counts[:2])) - 2 * sqrt(seen)
+        share = asks * self.work(asked) / (2 * SPAN) * len(caches)
         hot = HOT_SHARE * self.rate(now)
         return 1 + (share > hot > 0) + (share > 2 * hot > 0)
 
