What goes past the caches obeys the link too

Ruled out: the parents (fills through caches from them came back in 654 of 706). At fault: Router.plan, which asked nothing of the link where no cache was left to pick, though an answer from outside takes as much of it as a fill.

--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -469,16 +469,15 @@
         elif cache is None:
             cache = self.upper(get, now)[0] if self.get("direct") else None
             source = next(iter(self.groups["origin"]), None)
+            if self.late_fill(get, now):
+                return None                  # past the caches it is as long on the link as a fill
         elif not in_time and self.chance(asked.id) >= PROBING:
             return None                      # it would only crowd out what can still be in time
         else:
             source, held_only = self.sibling(get, memory, cache, now)
             if source is None:
                 source, may_fetch = self.upper(get, now)
-                slow = self.link_pace(now)
-                late = (cache.index not in memory.holders and self.work(asked) * slow > AHEAD * (get.limit - now)
-                        and self.chance(asked.id) >= PROBING)    # or no sample would show that it passed
-                if source is None or late:
+                if source is None or cache.index not in memory.holders and self.late_fill(get, now):
                     source, may_fetch = cache, False
                 # Hits go on: a look at cache and parent costs next to nothing, and a miss is then given up.
                 held_only = get.hopeless = not may_fetch
@@ -526,6 +525,11 @@
         load = self.link_use[0] / 2 if now - self.link_use[1] < S else 0
         return max(load, self.link.crowding(self.filling + 1, now))
 
+    def late_fill(self, get, now):
+        """Would it be late by the link in? Some go all the same, or no sample would show that it passed."""
+        late = self.work(get.asked) * self.link_pace(now) > AHEAD * (get.limit - now)
+        return late and self.chance(get.asked.id) >= PROBING
+
     def resolved(self, sent, found, slow):
         """What an answer without a word on hits shows by its time; what stays open is neither hit nor fill."""
         if found is not Found.UNTOLD or self.get("tells", "all") != "none" or sent.cache.role != "cache":
