--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -35,7 +35,6 @@
 SAMPLES, SAMPLE_AGE = 16, 10 * S        # outcomes that a judgement rests on
 REFRESH = 20 * MS       # figures over hundreds of samples are worked out again after this, not for each GET
 LATEST = 6              # ends that tell of failing: a hanging place answers late, and a front asks it little
-OVERDUE = 2             # forwards out past their objective, with nothing in time since, that tell of silence
 SLOW, UNLIKE = 3.0, 1.5     # times slower than its peers: set aside; what it is slow at is its own fault
 DOWN = 1 * S            # a place out of reach is left alone so long, then tried by one GET
 REST = 2 * S            # first rest of a node set aside; doubles while trials fail, up to eight times that
@@ -108,7 +107,6 @@
         self.index, self.id, self.entry, self.role = index, entry.id, entry, role
         self.label, self.down = entry.id.to_bytes(8, "big"), 0
         self.out = self.filling = 0          # forwards out there, and those of them that await a fill
-        self.open, self.well_at = [], NEVER  # those out, the oldest first; when one came in time
         self.renewed(entry.started)
 
     def renewed(self, started):
@@ -125,10 +123,6 @@
     def crowding(self, now):
         return self.as_cache.crowding(self.out - self.filling + 1, now)
 
-    def silent(self, now):
-        """Nothing in time since two forwards went that are both late: a time-out tells it seconds after."""
-        return len(self.open) >= OVERDUE and self.open[OVERDUE - 1].late < now and self.open[0].at > self.well_at
-
     def busy(self, now):
         return max(self.out, self.load.get("inflight", 0) if now - self.load_at < S else 0)
 
@@ -153,7 +147,7 @@
 class Sent:
     def __init__(self, cache, source, now, crowd, believed=False):
         self.cache, self.source, self.at, self.crowd, self.filling = cache, source, now, crowd, 0
-        self.believed, self.late = believed, -NEVER     # to hold the object, when it was sent; its objective
+        self.believed = believed             # to hold the object, when it was sent
         self.open, self.outcome, self.fill = True, None, None
 
 
@@ -403,7 +397,7 @@
     def usable(self, nodes, now):
         """Never more than half are set aside, whatever the samples say; a trial is one GET at a time."""
         nodes = [n for n in nodes if not n.down or n.down <= now and not n.out]
-        aside = [n for n in nodes if (by := n.as_cache).until > now or by.trial and n.out or n.silent(now)]
+        aside = [n for n in nodes if (by := n.as_cache).until > now or by.trial and n.out]
         barred = sorted(aside, key=lambda n: (-n.as_cache.until, n.id))[:len(nodes) // 2]
         return [n for n in nodes if n not in barred]
 
@@ -510,8 +504,6 @@
             sent.fill = [source, now, now + self.objective(asked), None]
             self.fills.extend([] if held_only else [sent.fill])
         get.forwards.append(sent)
-        sent.late = now + self.objective(asked)
-        cache.open.append(sent)
         # What follows one that never left is the first to ask anything of anybody.
         self.further.append(number > 0 and get.forwards[number - 1].outcome is not Outcome.NOT_SENT)
         return Forward(
@@ -554,9 +546,6 @@
         memory, write = self.memory(asked, now), self.of_ds("runs_at_origin", asked.ds, False)
         good, get.missed = outcome is Outcome.RETURNED, outcome in (Outcome.MISS, Outcome.NOT_SENT)
         cache.out, memory.returned = max(0, cache.out - 1), good or memory.returned
-        cache.open = [f for f in cache.open if f is not sent]
-        if good and now <= sent.late:
-            cache.well_at = now
         # Bad clients make objects up: an error with no source told of, on one never returned, blames nobody.
         bare = outcome is Outcome.ERROR and found is Found.UNTOLD
         if outcome not in (Outcome.TIMED_OUT, Outcome.CANCELLED, Outcome.NOT_SENT):
