GETs told to be at a cache, over its listed size, tell how crowded it is

A probe on taps: the time of hits over the object's quickest grows in a line with the told inflight over the listed size (1.4 up to 1.5, 2.6 at 3, 4.8 at 4, 10 at 7), which is told of all fronts; the same for the told link is flat. At fault: Node.crowding, from this front's own forwards alone. Change: the higher of the two counts, as the told link's load does for fills.

--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -23,6 +23,7 @@
 TABLE = 4096            # objects remembered
 HOT_SHARE = 0.25        # of one cache's part of the work: an object above it is spread
 CROWDED = 1.3           # slowness from which a sample tells of the link, not of its own noise
+TOLD_CROWD = 0.6        # slowness for each GET told to be at a cache for each transfer that its link fits
 AHEAD = 0.75            # of the time left that an answer may be expected to take: others will come to share
 FITS_RANK = 0.25        # which sample tells what a link fits: the lower ones keep its queue short
 SHARE_ROOM = 0.4       # of an even part of a told link: other fronts' parts are uneven, and waits add
@@ -121,7 +122,9 @@
         self.down = 0 if reached else now + DOWN
 
     def crowding(self, now):
-        return self.as_cache.crowding(self.out - self.filling + 1, now)
+        # Against many fronts that each have one GET there: what the cache told of all, fills waiting as well.
+        told = TOLD_CROWD * self.load.get("inflight", 0) / self.entry.weight if now - self.load_at < S else 0
+        return max(told, self.as_cache.crowding(self.out - self.filling + 1, now))
 
     def busy(self, now):
         return max(self.out, self.load.get("inflight", 0) if now - self.load_at < S else 0)
