Fills may take all of the time left again; what caches told counts for two seconds

At fault: AHEAD in the link's limit, taken over from the caches, which told samples did not need; its part for a told link moves into SHARE_ROOM (0.4 to 0.3). A cache's told GETs stand two seconds, as a front among many hears of each cache about once a second.

--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -26,7 +26,7 @@
 TOLD_CROWD = 0.6        # slowness for each GET told to be at a cache for each transfer that its link fits
 AHEAD = 0.75            # of the time left that an answer may be expected to take: others will come to share
 FITS_RANK = 0.25        # which sample tells what a link fits: the lower ones keep its queue short
-SHARE_ROOM = 0.4       # of an even part of a told link: other fronts' parts are uneven, and waits add
+SHARE_ROOM = 0.3       # of an even part of a told link: other fronts' parts are uneven, and waits add
 THROTTLE, THROTTLE_SPAN = 1.3, 3 * S    # share of fills let through, over the share that came in time
 WELL = 0.7              # share in time from which a source is not passed by
 FLOOR = 0.15            # of the fills go on whatever comes of them: late ones still leave copies for others
@@ -123,7 +123,7 @@
 
     def crowding(self, now):
         # Against many fronts that each have one GET there: what the cache told of all, fills waiting as well.
-        told = TOLD_CROWD * self.load.get("inflight", 0) / self.entry.weight if now - self.load_at < S else 0
+        told = TOLD_CROWD * self.load.get("inflight", 0) / self.entry.weight if now - self.load_at < 2 * S else 0
         return max(told, self.as_cache.crowding(self.out - self.filling + 1, now))
 
     def busy(self, now):
@@ -530,7 +530,7 @@
 
     def late_fill(self, get, now):
         """Would it be late by the link in? Some go all the same, or no sample would show that it passed."""
-        late = self.work(get.asked) * self.link_pace(now) > AHEAD * (get.limit - now)
+        late = self.work(get.asked) * self.link_pace(now) > get.limit - now
         return late and self.chance(get.asked.id) >= PROBING
 
     def resolved(self, sent, found, slow):
