--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -605,8 +605,6 @@
             get.lost.add(cache.index)
             if outcome not in (Outcome.FULL, Outcome.NOT_SENT) and (memory.returned or not bare):
                 cache.as_cache.note(now, False, 0)
-                if sent.fill and self.get("tells", "all") != "all":
-                    source.as_source.note(now, False, 0)     # no reason is told: its peers' ends show whose it was
         # A time-out may be the source's fault: it tells of the cache where all end so and its peers' don't.
         peers = [n.as_cache for n in self.groups["cache"]]
         cache.as_cache.judge(peers, outcome is not Outcome.TIMED_OUT, now)
