--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -124,11 +124,7 @@
     def crowding(self, now):
         # Against many fronts that each have one GET there: what the cache told of all, fills waiting as well.
         told = TOLD_CROWD * self.load.get("inflight", 0) / self.entry.weight if now - self.load_at < 2 * S else 0
-        return max(told, self.as_cache.crowding(self.sharing(now) + 1, now))
-
-    def sharing(self, now):
-        """How many share its link: told of all fronts, else this front's own that await no fill."""
-        return self.load.get("inflight", 0) if now - self.load_at < 2 * S else self.out - self.filling
+        return max(told, self.as_cache.crowding(self.out - self.filling + 1, now))
 
     def busy(self, now):
         return max(self.out, self.load.get("inflight", 0) if now - self.load_at < S else 0)
@@ -504,7 +500,7 @@
         for node in [cache, source][:1 + (source is not cache)]:
             node.credit = node.credit and node.credit - self.mean_work(asked.ds)
         cache.out += 1
-        sent = Sent(cache, source, now, max(cache.out - cache.filling, cache.sharing(now)), cache.index in memory.holders)
+        sent = Sent(cache, source, now, cache.out - cache.filling, cache.index in memory.holders)
         if source.role != "cache" and cache is not source and not sent.believed:
             sent.filling = self.filling = self.filling + 1
             cache.filling += 1
