A cold node earns up to 1.4 times its part, 0.7 of the fall multiple

At fault: half of a multiple of 2 is a cold node's bare part at the front's own load, of a multiple of 4 twice that, more than it can answer in time. Change: 0.7 of the multiple, 1.4 at most.

--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -32,7 +32,8 @@
 FLOOR = 0.15            # of the fills go on whatever comes of them: late ones still leave copies for others
 LEAN = 4                # samples that the share of all sources weighs against a source's own
 PROBING = 0.08          # of what looks hopeless is tried all the same, or nothing would show that it passed
-COLD_SAFETY = 0.5       # of a cold node's budget: the rest is for what this front can't see
+COLD_MOST = 1.4         # times its part of what warm ones return: more would come late
+COLD_SAFETY = 0.7       # of a cold node's budget: the rest is for what this front can't see
 SAMPLES, SAMPLE_AGE = 16, 10 * S        # outcomes that a judgement rests on
 REFRESH = 20 * MS       # figures over hundreds of samples are worked out again after this, not for each GET
 LATEST = 6              # ends that tell of failing: a hanging place answers late, and a front asks it little
@@ -124,7 +125,8 @@
     def crowding(self, now):
         # Against many fronts that each have one GET there: the GETs that the cache told of all.
         here = self.load.get("inflight", 0) if now - self.load_at < 2 * S else 0
-        return max(TOLD_CROWD * here / self.entry.weight, self.as_cache.crowding(self.out - self.filling + 1, now))
+        crowd = self.as_cache.crowding(self.out - self.filling + 1, now)
+        return max(TOLD_CROWD * here / self.entry.weight, crowd)
 
     def busy(self, now):
         return max(self.out, self.load.get("inflight", 0) if now - self.load_at < S else 0)
@@ -389,7 +391,7 @@
         fills = 8 + sum(f not in HITS for f in self.found)
         rate *= fills / (8 + len(self.found)) if role == "parent" else 1
         share = floor + (1 - floor) * max(0, age) / warm
-        budget = COLD_SAFETY * self.get(f"{kind}fall_multiple", 2) * share * rate * window
+        budget = min(COLD_MOST, COLD_SAFETY * self.get(f"{kind}fall_multiple", 2)) * share * rate * window
         need = self.mean_work(ds)
         if node.credit is None:
             # Against many fronts that each see few GETs: all their firsts together would push it over.
@@ -523,7 +525,7 @@
         if self.get("tells", "all") == "none" and rate and here < len(told) and told[here]:
             # Without the wait told a fill's pace doesn't show; the fronts' parts of a told link do.
             fills = 1 + self.filling * (1 + sum(self.misses)) / (2 + len(self.misses))
-            fronts = max(1, (self.get("fronts_by_location") or {here: 1})[here])
+            fronts = sum((self.get("fronts_by_location") or [])[here:here + 1]) or 1
             return max(1.0, fills * fronts * rate / told[here] / SHARE_ROOM)
         # Own fills are few of the link's: half a told load counts where higher, as told at fill pace.
         load = self.link_use[0] / 2 if now - self.link_use[1] < S else 0
