Clearing up: windows and groups of tokened GETs go, which only east had

What is not idempotent, under whatever word, is now never sent again once it may have run: stricter, no rule can break by it.

--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -46,7 +46,7 @@
 OWN_WAIT = 5 * MS * 100 * MS    # queue on the own link times sending: past it a cache answers sooner
 CONNECTIONS = 4         # to one cache: each more is read on its own, and costs the CPU where GETs are many
 STALLED = 150 * MS      # an answer begun and then silent so long won't be finished
-ANSWER_MARGIN = 20 * MS # kept before the end of a viewer's time and of a token's window
+ANSWER_MARGIN = 20 * MS # kept before the end of a viewer's time
 
 SOURCE_FAULTS = (Found.SOURCE_REFUSED, Found.SOURCE_BROKEN, Found.ORIGIN_FAILED)
 HITS, FILLS = (Found.HIT, Found.STALE_HIT), (Found.FILLED, Found.FILLED_BY_ORIGIN)
@@ -150,8 +150,8 @@
 
 
 class Sent:
-    def __init__(self, cache, source, now, crowd, believed=False):
-        self.cache, self.source, self.at, self.crowd, self.filling = cache, source, now, crowd, 0
+    def __init__(self, cache, source, crowd, believed=False):
+        self.cache, self.source, self.crowd, self.filling = cache, source, crowd, 0
         self.believed = believed             # to hold the object, when it was sent
         self.open, self.outcome, self.fill = True, None, None
 
@@ -179,8 +179,7 @@
     def give_up(self, now):
         self.done, router, ds = True, self.router, self.asked.ds
         router.memory(self.asked, now).failed_at = now
-        repeats = router.of_ds("effect", ds, "idempotent"), router.of_ds("token_group", ds, "all")
-        harmless = repeats[0] == "idempotent" or repeats == ("tokened", "all") or self.risky() is None
+        harmless = router.of_ds("effect", ds, "idempotent") == "idempotent" or self.risky() is None
         later = router.get("max_retry_after", 0) if router.get("retry_after") else 0
         return [Shed(later) if harmless else Errored(), *self.cancel_open()]
 
@@ -455,9 +454,8 @@
         asked, sent = get.asked, len(get.forwards)
         if get.hopeless or now >= get.due or sent >= self.get("max_forwards", 1 << 30):
             return False
-        effect, risky = self.of_ds("effect", asked.ds, "idempotent"), get.risky()
-        window = self.of_ds("token_window", asked.ds, 0) - ANSWER_MARGIN if effect == "tokened" else 0
-        if (risky is not None and effect != "idempotent" and now - risky.at >= window
+        # What is not idempotent, by a word unknown here as well, is never sent again once it may have run.
+        if (get.risky() is not None and self.of_ds("effect", asked.ds, "idempotent") != "idempotent"
                 or sent > 1 + int(2 * self.of_ds("revenue", asked.ds, 0) / self.top)):
             return False
         # A plain miss, or what never left, asks nothing of anybody; all else sent again may feed a jam.
@@ -487,23 +485,16 @@
                     source, may_fetch = cache, False
                 # Hits go on: a look at cache and parent costs next to nothing, and a miss is then given up.
                 held_only = get.hopeless = not may_fetch
-        if cache is None or not self.in_group(asked.ds, get.risky(), cache):
+        if cache is None:
             return None
         return self.send(get, memory, cache, source or cache, held_only, now)
 
-    def in_group(self, ds, first, node):
-        group = self.of_ds("token_group", ds, "all")
-        if first is None or self.of_ds("effect", ds, "idempotent") != "tokened" or group == "all":
-            return True
-        a, b = first.cache.entry, node.entry
-        return a.location == b.location and (group == "location" or a.cell == b.cell)
-
     def send(self, get, memory, cache, source, held_only, now):
         asked, number, write = get.asked, len(get.forwards), self.of_ds("runs_at_origin", get.asked.ds, False)
         for node in [cache, source][:1 + (source is not cache)]:
             node.credit = node.credit and node.credit - self.mean_work(asked.ds)
         cache.out += 1
-        sent = Sent(cache, source, now, cache.out - cache.filling, cache.index in memory.holders)
+        sent = Sent(cache, source, cache.out - cache.filling, cache.index in memory.holders)
         if source.role != "cache" and cache is not source and not sent.believed:
             sent.filling = self.filling = self.filling + 1
             cache.filling += 1
--- a/sprucegate/wire/settings.py
+++ b/sprucegate/wire/settings.py
@@ -16,7 +16,6 @@
 
 
 EFFECTS = {"pure": "idempotent", "token": "tokened", "side_effect": "non-idempotent"}
-SCOPES = {"zone": "location"}
 SOURCES = {"silent": "none"}
 LOAD_BY = {"piggyback": "answers", "pull": "probe", "silent": "none"}
 DISCOVERY = {"automatic": "push", "subscribe": "ask"}
@@ -81,11 +80,9 @@
     "aim": ("latency_objective", _ns),
     "aimStretch": ("objective_stretch", float),
     "deadline": ("viewer_timeout", _ns),
-    "dedupScope": ("token_group", _words(SCOPES)),
     "effect": ("effect", _words(EFFECTS)),
     "lateShare": ("late_share", float),
     "streamed": ("streamed", truth),
-    "window": ("token_window", _ns),
     "worth": ("revenue", float),
 }
 
