Silence is left out of the count of hits; a front among cold nodes alone earns a GET

Seen, by reading the change again: answers without a word counted as fills in the share that scales a cold parent's budget; and a front that starts where all caches are cold and GETs may not pass them by had carried nothing, so it earned nothing for good. At fault: Router.learn (found) and Router.cold_room. Change: silence is left out of the count; with nothing carried a front earns one GET over the warm-up time. Both have a test that fails without it.

--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -26,7 +26,7 @@
 TOLD_CROWD = 0.6        # slowness for each GET told to be at a cache for each transfer that its link fits
 AHEAD = 0.75            # of the time left that an answer may be expected to take: others will come to share
 FITS_RANK = 0.25        # which sample tells what a link fits: the lower ones keep its queue short
-SHARE_ROOM = 0.3       # of an even part of a told link: other fronts' parts are uneven, and waits add
+SHARE_ROOM = 0.3        # of an even part of a told link: other fronts' parts are uneven, and waits add
 THROTTLE, THROTTLE_SPAN = 1.3, 3 * S    # share of fills let through, over the share that came in time
 WELL = 0.7              # share in time from which a source is not passed by
 FLOOR = 0.15            # of the fills go on whatever comes of them: late ones still leave copies for others
@@ -392,6 +392,8 @@
         share = floor + (1 - floor) * max(0, age) / warm
         budget = min(COLD_MOST, COLD_SAFETY * self.get(f"{kind}fall_multiple", 2)) * share * rate * window
         need = self.mean_work(ds)
+        # Against a start among cold nodes alone: with nothing carried a front would earn nothing, ever.
+        budget = budget if self.carried else need * window / warm
         if node.credit is None:
             # Against many fronts that each see few GETs: all their firsts together would push it over.
             node.credit, node.credit_at = self.chance(node.label.hex()) * need, now
@@ -492,7 +494,7 @@
     def send(self, get, memory, cache, source, held_only, now):
         asked, number, write = get.asked, len(get.forwards), self.of_ds("runs_at_origin", get.asked.ds, False)
         for node in [cache, source][:1 + (source is not cache)]:
-            node.credit = node.credit and node.credit - self.mean_work(asked.ds)
+            node.credit = None if node.credit is None else node.credit - self.mean_work(asked.ds)
         cache.out += 1
         sent = Sent(cache, source, cache.out - cache.filling, cache.index in memory.holders)
         if source.role != "cache" and cache is not source and not sent.believed:
@@ -574,7 +576,7 @@
                 if source.as_source.slowness(now) <= UNLIKE * median_low(speeds):
                     self.link.note(now, good, slow, sent.filling)
         if good:
-            self.found.append(found)
+            self.found.extend([found] if found is not Found.UNTOLD else [])     # silence is no answer
             self.carried.append((now, self.work(asked)))
             if not asked.size and not write:
                 memory.spents.append(spent - waited)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -260,6 +260,20 @@
     assert made.cold_room(node(made, cache), 0, NOW) is room
 
 
+def test_a_front_that_starts_among_cold_caches_alone_still_earns():
+    """With nothing carried its budget was nothing; where GETs can't pass the caches by, all were shed for good."""
+    made = router([entry(c, started=NOW) for c in CACHES], direct=False)
+    said = [made.take(asked(f"r-{at}", obj=at), NOW + at * S).route(NOW + at * S)[0] for at in range(15)]
+    assert any(isinstance(one, Forward) for one in said)
+
+
+def test_an_answer_without_a_word_is_neither_hit_nor_fill_in_the_count():
+    made = router(tells="hit")
+    get = get_with(made, asked(), None)
+    made.learn(get, get.forwards[0], Outcome.RETURNED, Found.UNTOLD, 50 * MS, 0, {}, NOW)
+    assert not made.found
+
+
 def test_many_fronts_first_gets_are_spread_over_a_cold_start():
     """156 fronts that each see a GET a second pushed a cold parent over: each one's first was free."""
     sent = 0
