A cold cache that is left alone doesn't earn what all that stood had carried

Ruled out: late news (all fronts had its start at 3.2 s). At fault: Router.cold_room took the node's part of the present group; as the branch's other caches drained it was all of it, while the rate is of the last 256 returned GETs, which those others had carried. Change: the part is of the most weight that the group has had.

--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -207,6 +207,7 @@
     def __init__(self, settings, seed, now):
         self.get, self.seed, self.draws, self.now = settings.get, seed, 0, now
         self.nodes, self.index_of, self.indices, self.groups = {}, {}, count(), defaultdict(list)
+        self.widest = Counter()              # most weight that a role's group has had
         self.paces = OrderedDict()           # object -> its last sending times
         self.table, self.slot_of, self.purges = [], OrderedDict(), {}    # purges by ("object" or "group", id)
         self.waiting, self.order = [], count()   # (due, order, Get or None for a list to ask for)
@@ -279,6 +280,8 @@
                 group.insert(at, node)
             if gone:
                 del self.nodes[node.index], self.index_of[node.id]    # its index is never given again
+        for role in dict.fromkeys([node.role for node in nodes]):
+            self.widest[role] = max(self.widest[role], sum([n.entry.weight for n in self.groups[role]]))
 
     def list_failed(self, now):
         if self.get("discovery") == "ask":
@@ -386,7 +389,8 @@
         if role == "origin" or not node.started or age >= warm:
             return True
         floor, window = self.get(f"{kind}cold_share", 0.1), self.get("fall_time", S)
-        rate = self.rate(now) * node.entry.weight / sum(n.entry.weight for n in self.groups[role])
+        # Its part of all that ever stood: one that is left did not carry alone what is still in the rate.
+        rate = self.rate(now) * node.entry.weight / (self.widest[role] or 1)
         fills = 8 + sum(f not in HITS for f in self.found)
         rate *= fills / (8 + len(self.found)) if role == "parent" else 1
         share = floor + (1 - floor) * max(0, age) / warm
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -260,6 +260,22 @@
     assert made.cold_room(node(made, cache), 0, NOW) is room
 
 
+def test_one_cold_cache_left_does_not_earn_for_all_that_stood():
+    """As its group's last one it earned what four had carried, and was sent 3.3 times what it could do."""
+    made = router([entry(11, started=NOW - 9 * S)])
+    made.carried.extend((NOW - 4 * S + i * 100 * MS, 400 * MS) for i in range(40))
+    made.cold_room(node(made, 11), 0, NOW - 2 * S)
+    among_four = made.rate(NOW), node(made, 11)
+    made.listed([entry(c, State.DRAINING) for c in CACHES[1:]], False, NOW - 2 * S)
+    earned, at = 0, NOW - 2 * S
+    while at < NOW:
+        at += 50 * MS
+        if made.cold_room(among_four[1], 0, at):
+            among_four[1].credit -= 400 * MS
+            earned += 1
+    assert 0 < earned * 0.4 / 2 <= 1.4 * 0.7 * 4 / 4 + 0.2     # its own part of 4 s of work a second
+
+
 def test_a_front_that_starts_among_cold_caches_alone_still_earns():
     """With nothing carried its budget was nothing; where GETs can't pass the caches by, all were shed for good."""
     made = router([entry(c, started=NOW) for c in CACHES], direct=False)
