--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -8,6 +8,7 @@
 from helpers import NOW, REAL, Front, asked, cache, get_text, host, router, served
 
 from sprucegate.front.lifecycle import configuration
+from sprucegate.interface import Found, Outcome
 from sprucegate.rules import MS
 
 # Settings as the platform sends them for each shape, times in microseconds; names are those of the wire.
@@ -73,18 +74,24 @@
     assert done.returncode == 2 and "settings.loadInfo.fields" in done.stderr and done.stderr.count("\n") == 1
 
 
+def decisions(**settings):
+    """What a front forwards while some answers are slow and none says what it was; told links are small."""
+    made = router(client_kb_per_s=1000.0, link_in_kb_per_s=[0.0, 2000.0], fronts_by_location=[0, 4], **settings)
+    said = []
+    for at in range(80):
+        now = NOW + at * 50 * MS
+        get = made.take(asked(f"r-{at}", obj=at % 9, size=300), now)
+        said += get.route(now)
+        if get.open() and at % 3:
+            get.ended(0, Outcome.RETURNED, Found.UNTOLD, (300 + 200 * (at % 5)) * MS, 0, {}, True, now)
+    return said
+
+
 def test_the_old_configuration_decides_as_with_the_new_settings_at_their_defaults():
-    """What is not set is as it was: all is told, links are judged by samples."""
-    def decisions(**more):
-        made = router(**more)
-        said = []
-        for at in range(60):
-            get = made.take(asked(f"r-{at}", obj=at % 7, size=300), NOW + at * 50 * MS)
-            said += get.route(NOW + at * 50 * MS)
-        return said
-
-    new = {"tells": "all", "weights": "nominal", "load_by": "answers", "load_fields": ["inflight"]}
-    assert decisions(tells=None) == decisions(**new)
+    """Links told beside answers that tell all are judged by samples, as before; only silence changes that."""
+    old = decisions(tells=None)
+    assert old == decisions(tells="all", weights="nominal", load_by="answers", load_fields=["inflight"])
+    assert old != decisions(tells="none")
 
 
 @pytest.mark.parametrize("shape, advice", [(OLD, True), (SILENT, False)])
