Parts asked for before the first is back share their object's times too

At fault: Router.memory took an object's empty deque for none ("or"), so the first part's was left behind. Change: only a missing one is made. Its test fails without.

--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -324,7 +324,9 @@
             slot = self.slot_of.popitem(last=False)[1] if len(self.table) >= TABLE else len(self.table)
             self.table[slot:slot + 1] = [Memory(now // SPAN)]
             # Parts of one object are alike in size, and each alone is asked for too seldom to tell it.
-            spents = self.paces.pop(asked.object, None) or deque(maxlen=8)
+            # An empty one is shared as well: the next part is asked for before the first has come back.
+            spents = self.paces.pop(asked.object, None)
+            spents = deque(maxlen=8) if spents is None else spents
             self.table[slot].spents = self.paces[asked.object] = spents
             if len(self.paces) > TABLE:
                 self.paces.popitem(last=False)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -574,7 +574,9 @@
 def test_parts_of_an_object_share_what_tells_their_size():
     made = router()
     first = asked(obj=7)
-    made.memory(first, NOW).spents.append(120 * MS)
+    earlier = made.memory(first._replace(part=2), NOW)     # not back yet when the next one is asked for
+    made.memory(first, NOW)
+    earlier.spents.append(120 * MS)
     assert made.work(first._replace(part=3)) == 120 * MS != made.work(asked(obj=8))
     for obj in range(5000):
         made.memory(asked(obj=1000 + obj), NOW)
