How a place in a document is named moves to a room below its users

Seen: membership imports operator/places.py, so a lower room reaches up to the command line's. Change: sprucegate/documents/ has it, no other line changes.

--- a/sprucegate/membership/listfile.py
+++ b/sprucegate/membership/listfile.py
@@ -15,11 +15,11 @@
 import ckdl
 import msgspec
 
+from sprucegate.documents import places
+from sprucegate.documents.places import Faulty
 from sprucegate.front.protocol.bus import number_of
 from sprucegate.interface import Listed, State
 from sprucegate.membership.view import Server
-from sprucegate.operator import places
-from sprucegate.operator.places import Faulty
 
 MS = 1_000_000
 SIZE_MOST = 10_000_000  # bytes of a list, of all its parts together
--- a/sprucegate/operator/file.py
+++ b/sprucegate/operator/file.py
@@ -17,8 +17,8 @@
 import msgspec
 from msgspec import Meta, Struct
 
-from sprucegate.operator import places
-from sprucegate.operator.places import Faulty
+from sprucegate.documents import places
+from sprucegate.documents.places import Faulty
 from sprucegate.servers.http2.limits import MS, Limits, S, Share, number, time
 
 SIZE_MOST = 1 << 20     # bytes of the file
