How far a forward came and what a list is stand in servers/, below front and membership

Seen: servers/ imports front/memory/gets.py for Progress, membership/ imports front/protocol/bus.py for Hosts and number_of: two more imports that run up. Change: servers/progress.py and servers/hosts.py have them; the front's files import downwards.

--- a/benchmarks/serverfiles.py
+++ b/benchmarks/serverfiles.py
@@ -23,12 +23,12 @@
 
 from benchmarks.soak import SETTINGS, _bus, _client
 from sprucegate.front.lifecycle import configuration, run
-from sprucegate.front.protocol.bus import number_of
 from sprucegate.interface import Listed, State
 from sprucegate.membership import moves
 from sprucegate.membership.listfile import render
 from sprucegate.membership.view import Server
 from sprucegate.operator.file import parse
+from sprucegate.servers.hosts import number_of
 from sprucegate.state.snapshots import Snapshots
 from standins import lines
 from standins.disk import Crashed, FaultyDisk
--- a/sprucegate/front/driver.py
+++ b/sprucegate/front/driver.py
@@ -8,7 +8,6 @@
 
 from sprucegate.front.memory.copies import Copies, Copy
 from sprucegate.front.memory.gets import OpenForward
-from sprucegate.front.protocol.bus import Hosts
 from sprucegate.front.protocol.http import Refusal, answer, refusal, tagged
 from sprucegate.front.stages.admit import LIVE, admit
 from sprucegate.front.stages.book import Book
@@ -16,6 +15,7 @@
 from sprucegate.front.stages.route import route
 from sprucegate.interface import Cancel, Errored, Forward, Found, Outcome, Shed
 from sprucegate.rules import OWN_BYTES, Router
+from sprucegate.servers.hosts import Hosts
 from sprucegate.servers.servers import Servers
 
 MS = 1_000_000
--- a/sprucegate/front/memory/gets.py
+++ b/sprucegate/front/memory/gets.py
@@ -1,14 +1,6 @@
 """Open GETs and their forwards, as the front keeps them. Nothing is decided here."""
 
-from enum import IntEnum
-
-
-class Progress(IntEnum):
-    """How far a forward had come: it tells 'never ran' from 'may have run'."""
-
-    NOT_SENT = 0
-    PARTLY = 1
-    WHOLE = 2
+from sprucegate.servers.progress import Progress
 
 
 class OpenForward:
--- a/sprucegate/front/protocol/bus.py
+++ b/sprucegate/front/protocol/bus.py
@@ -2,12 +2,12 @@
 
 import re
 from typing import NamedTuple
-from zlib import crc32
 
 import httptools
 import orjson
 
 from sprucegate.interface import Listed, State
+from sprucegate.servers.hosts import Hosts, number_of
 
 MS = 1_000_000
 EVENT_MOST = 4 << 20    # bytes of one event; the whole list is the largest
@@ -18,14 +18,6 @@
     """An event that lacks what it needs."""
 
 
-class Hosts(NamedTuple):
-    """A list, whole or what changed of it, with each entry's name and address."""
-
-    whole: bool
-    entries: list
-    names: dict         # id -> (name, address)
-
-
 class Purge(NamedTuple):
     object: int
     group: int
@@ -79,13 +71,6 @@
         return found
 
 
-def number_of(name):
-    """A cache's id from its name: the same at all fronts, and the number in it where it has one."""
-    if match := re.fullmatch(r"[a-z]+-([0-9a-f]{1,15})", name):
-        return int(match[1], 16)
-    return crc32(name.encode()) << 32 | crc32(name[::-1].encode())
-
-
 def read(data, locations, kinds):
     """One event as (offset, Hosts or Purge or None); what is not known is passed over with None."""
     try:
--- a/sprucegate/membership/listfile.py
+++ b/sprucegate/membership/listfile.py
@@ -17,9 +17,9 @@
 
 from sprucegate.documents import places
 from sprucegate.documents.places import Faulty
-from sprucegate.front.protocol.bus import number_of
 from sprucegate.interface import Listed, State
 from sprucegate.membership.view import Server
+from sprucegate.servers.hosts import number_of
 
 MS = 1_000_000
 SIZE_MOST = 10_000_000  # bytes of a list, of all its parts together
--- a/sprucegate/membership/service.py
+++ b/sprucegate/membership/service.py
@@ -9,12 +9,12 @@
 import orjson
 import watchfiles
 
-from sprucegate.front.protocol.bus import Hosts
 from sprucegate.membership import reading
 from sprucegate.membership.gate import Gate
 from sprucegate.membership.listfile import Faulty
 from sprucegate.membership.view import Server, View
 from sprucegate.membership.worker import flat, server_of
+from sprucegate.servers.hosts import Hosts
 from sprucegate.state.disk import Disk
 from sprucegate.state.snapshots import Snapshots
 
--- a/sprucegate/servers/http2/transport.py
+++ b/sprucegate/servers/http2/transport.py
@@ -7,7 +7,6 @@
 import asyncio
 import socket
 
-from sprucegate.front.memory.gets import Progress
 from sprucegate.interface import Found, Outcome
 from sprucegate.servers.http2 import evidence, mapping
 from sprucegate.servers.http2.pool import Close, Open, Ping, Pool, Refuse, Send
@@ -22,6 +21,7 @@
     Session,
     Spoilt,
 )
+from sprucegate.servers.progress import Progress
 
 
 class Held:
--- a/sprucegate/servers/lines/transport.py
+++ b/sprucegate/servers/lines/transport.py
@@ -4,11 +4,11 @@
 import socket
 from collections import deque
 
-from sprucegate.front.memory.gets import Progress
 from sprucegate.interface import Found, Outcome
 from sprucegate.rules import CONNECTIONS, STALLED
 from sprucegate.servers.lines import codec
 from sprucegate.servers.lines.connection import LineConnection
+from sprucegate.servers.progress import Progress
 
 
 class Lines:
--- a/standins/driver.py
+++ b/standins/driver.py
@@ -9,9 +9,9 @@
 
 from sprucegate.front.memory.gets import OpenForward, OpenGet
 from sprucegate.front.memory.pool import Pool
-from sprucegate.front.protocol.bus import Hosts
 from sprucegate.front.stages.book import Book
 from sprucegate.interface import Asked, Forward, Listed, State
+from sprucegate.servers.hosts import Hosts
 from sprucegate.servers.servers import Servers
 
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -8,13 +8,13 @@
 from hypothesis import settings as profile
 from hypothesis import strategies as st
 
-from sprucegate.front.protocol.bus import number_of
 from sprucegate.interface import Listed, State
 from sprucegate.membership import listfile, reading
 from sprucegate.membership.gate import Gate
 from sprucegate.membership.listfile import Faulty, parse, render
 from sprucegate.membership.reading import Unsettled, read
 from sprucegate.membership.view import Server, Standing, View
+from sprucegate.servers.hosts import number_of
 
 S = 1_000_000_000
 NOW = 1000 * S
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -12,8 +12,8 @@
 from hypothesis import settings as profile
 from hypothesis import strategies as st
 
-from sprucegate.front.lifecycle.log import Log
 from sprucegate.documents import places
+from sprucegate.front.lifecycle.log import Log
 from sprucegate.operator import file
 from sprucegate.operator.logs import structured
 from sprucegate.servers.http2.limits import MS, S
