One room above front and membership starts a front; a test holds that no import runs up

Seen: front/lifecycle/run.py starts membership, the last of three imports that run up. No behaviour changes.

--- a/benchmarks/serverfiles.py
+++ b/benchmarks/serverfiles.py
@@ -22,7 +22,8 @@
 import uvloop
 
 from benchmarks.soak import SETTINGS, _bus, _client
-from sprucegate.front.lifecycle import configuration, run
+from sprucegate.assembly import run
+from sprucegate.front.lifecycle import configuration
 from sprucegate.interface import Listed, State
 from sprucegate.membership import moves
 from sprucegate.membership.listfile import render
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -17,7 +17,8 @@
 
 import uvloop
 
-from sprucegate.front.lifecycle import configuration, run
+from sprucegate.assembly import run
+from sprucegate.front.lifecycle import configuration
 from sprucegate.interface import Outcome
 from sprucegate.operator.file import parse
 from standins.processes import Process
--- a/sprucegate/__main__.py
+++ b/sprucegate/__main__.py
@@ -10,8 +10,8 @@
 
 import uvloop  # noqa: E402
 
+from sprucegate.assembly.run import serve  # noqa: E402
 from sprucegate.front.lifecycle import configuration  # noqa: E402
-from sprucegate.front.lifecycle.run import serve  # noqa: E402
 
 
 def main():
--- a/sprucegate/operator/commands.py
+++ b/sprucegate/operator/commands.py
@@ -34,8 +34,8 @@
     # Here and not above: `check` and `version` start without the front's libraries.
     import uvloop
 
+    from sprucegate.assembly.run import serve
     from sprucegate.front.lifecycle import configuration
-    from sprucegate.front.lifecycle.run import serve
     from sprucegate.operator.logs import structured
 
     try:
--- /dev/null
+++ b/tests/test_layers.py
@@ -0,0 +1,24 @@
+"""No import runs from a lower room to a higher one, and what holds that can fail."""
+
+import pathlib
+import subprocess
+import sys
+
+ROOT = pathlib.Path(__file__).parent.parent
+LINTER = [sys.executable, "-c", "from importlinter.cli import lint_imports_command as run; run()", "--no-cache"]
+
+
+def linted(config):
+    return subprocess.run([*LINTER, "--config", str(config)], cwd=ROOT, capture_output=True, text=True, timeout=120)
+
+
+def test_no_import_runs_up():
+    done = linted(ROOT / "pyproject.toml")
+    assert done.returncode == 0, done.stdout + done.stderr
+
+
+def test_an_import_that_runs_up_is_found(tmp_path):
+    turned = (ROOT / "pyproject.toml").read_text().replace('"rules",\n    "interface"', '"interface",\n    "rules"')
+    (tmp_path / "pyproject.toml").write_text(turned)
+    done = linted(tmp_path / "pyproject.toml")
+    assert done.returncode == 1 and "sprucegate.rules -> sprucegate.interface" in done.stdout
