Members and replica of a fleet, decided without I/O, under a deterministic driver and checkers

Need: fronts that are told different things stay different, and one that returns starts blind. Change: fleet/members (SWIM, Lifeguard), fleet/replica (facts joined by the greater value under dots, transfers, range digests, letting go, catching up), fleet/keeping on state/, a driver with time, network and disks by seed, checkers that read traces alone, each seen to fail by a sown defect. Found on the way and kept from coming back: claims on counters taken before all pieces of a transfer were there would lose what replaced them; a front that still caught up past its time was due without end (the driver now ends a run on that). Not yet in a front.

--- /dev/null
+++ b/sprucegate/fleet/peer.py
@@ -0,0 +1,93 @@
+"""A front among fronts: membership and replica as one. No I/O: (event, now) in, actions out.
+
+Three things drive it: the service in a front, the deterministic driver of the tests, and what explores small instances.
+Actions are those of the two modules; `Send` of either goes to a peer by name, or to an address.
+"""
+
+from sprucegate.fleet.chance import Chance
+from sprucegate.fleet.members import swim
+from sprucegate.fleet.members.swim import Member, Members, Standing
+from sprucegate.fleet.replica import replica
+from sprucegate.fleet.replica.replica import Phase, Replica
+
+MEMBER_WORDS = (swim.Ping, swim.Ack, swim.PingFor, swim.Nack, swim.All)
+
+
+class Peer:
+    def __init__(self, name, address, life, seeds, seed, now, pace=None, **replicas):
+        """`life`: start << 32 | being, its start kept on disk before anything is told; `replicas`: see Replica."""
+        chance = Chance(name, seed ^ life)
+        own = Member(name, address, life, 0, int(Standing.ALIVE), name)
+        self.members = Members(own, seeds, chance, now, pace)
+        self.replica = Replica(name, life, chance, now, **replicas)
+
+    def loaded(self, facts, lives, now):
+        self.replica.loaded(facts, lives, now)
+
+    def starts(self, now):
+        """From here on others are looked for, and asked once one is there."""
+        self.replica.phase, self.replica.ask_until = Phase.ASKING, now + self.replica.alone_after
+        self.replica.moved = now
+        return self.due(now)
+
+    def told(self, key, value, now):
+        return self.replica.told(key, value, now)
+
+    def heard(self, sender, message, now):
+        if isinstance(message, MEMBER_WORDS):
+            done = self._followed(self.members.heard(sender, message, now), now)
+            # Neighbours alone could be a closed circle: a probe comes from anywhere.
+            held = message.held if isinstance(message, swim.Ping | swim.Ack) else 0
+            return done + (self.replica.compared(sender, held, now) if held else [])
+        return self.replica.heard(sender, message, now)
+
+    def due(self, now):
+        done = []
+        if self.members.next_due() <= now:
+            self.members.held = self.replica.digest()
+            done = self._followed(self.members.due(now), now)
+        return done + (self.replica.due(now) if self.replica.next_due() <= now else [])
+
+    def next_due(self):
+        return min(self.members.next_due(), self.replica.next_due())
+
+    def renewed(self, start, alias):
+        self.members.renewed(start, alias)
+        self.replica.renewed(self.members.own.name, self.members.own.life)
+
+    def synced(self, number, now):
+        return self.replica.synced(number, now)
+
+    def not_kept(self, number, fault, now):
+        return self.replica.not_kept(number, fault, now)
+
+    def leaves(self, now):
+        return self.members.leaves(now)
+
+    def _followed(self, actions, now):
+        """What membership finds goes to the replica at once."""
+        done = []
+        for action in actions:
+            done.append(action)
+            if isinstance(action, swim.Stands):
+                there, before = action.member.standing <= Standing.SUSPECT, action.before
+                if before is not None and before.life != action.member.life:
+                    # Another life may have lost its disk: what the former one had seen counts no more.
+                    done += self.replica.stands(before.name, False, now)
+                    self.replica.gone.pop(before.name, None)
+                if there != (action.member.name in self.replica.peers):
+                    done += self.replica.stands(action.member.name, there, now)
+                    first = self.replica.phase is Phase.ASKING and not self.replica.asked
+                    done += self.replica.asks(now) if there and first else []
+            elif isinstance(action, swim.Fenced):
+                done += self.replica.fenced(now)
+        return done
+
+
+def outgoing(action):
+    """(name, address, message, whether it is facts) of a Send of either module; None of any other action."""
+    if isinstance(action, swim.Send):
+        return action.to, action.address, action.message, False
+    if isinstance(action, replica.Send):
+        return action.to, "", action.message, action.guard
+    return None
--- /dev/null
+++ b/sprucegate/fleet/replica/replica.py
@@ -0,0 +1,671 @@
+"""How facts spread, are repaired, caught up with and let go. No I/O, no clock: (event, now) in, actions out.
+
+Own facts are told to others once they are on disk; what is said to have been seen is what is on disk. Three ways lead
+to the same state: a new fact goes to all neighbours at once; who hears another digest from a neighbour twice says what
+it has seen and gets what it lacks; of two that have seen the same and differ, ranges of keys are compared.
+"""
+
+import heapq
+from enum import Enum, auto
+from itertools import count
+from typing import NamedTuple
+from zlib import crc32
+
+import msgspec
+import xxhash
+
+from sprucegate.fleet.replica.facts import BUCKETS, FACTS_MOST, Fact, Facts, Joined, State, digest
+from sprucegate.fleet.replica.seen import Seen
+
+MS, S = 1_000_000, 1_000_000_000
+FAN_OUT = 4             # neighbours that a front chooses; as many choose it, on average
+HELD_EVERY = 250 * MS   # a digest to each neighbour
+HAVE_AGAIN = 500 * MS   # between two lists of what was seen to one peer: they cost bytes by the fleet's size
+SEEN_EVERY = 5 * S      # what was seen to one front at random, so that all can tell what may be let go
+NEIGHBOURS_FOR = 30 * S     # then others are chosen: a split of the choice must not last
+CALLER_FOR = 2 * S
+CHUNK = 200             # facts in one message
+FACT_BYTES, SPAN_BYTES = 90, 40     # of one on the way, about: what is sent is held to a rate by it
+ASKED = 3               # peers from which a front that returns gets what it lacks
+BLOCK = 4096            # counters that one of them is asked for in one piece
+ASK_EVERY = 50 * MS     # how it stands is looked at, while a front catches up
+STUCK = 500 * MS        # without progress: others are asked
+LET_GO_EVERY = 2 * S
+RANGES_AGAIN = 2 * S
+KEYS_MOST = 5000        # facts whose keys are compared in one go
+PURGE, WORD, HELD = "purge", "word", "held"
+
+
+class Tell(NamedTuple):
+    """New facts that spread (`transfer` 0), or the piece `at` of what one peer lacks."""
+
+    facts: list
+    transfer: int
+    at: int
+
+
+class Done(NamedTuple):
+    """The end of a transfer: once all its pieces are there, `claims` (lives, as of `Seen`) has been seen.
+
+    Not before: what replaced one of them, and so is not among its facts, may stand in any piece.
+    """
+
+    transfer: int
+    pieces: int
+    claims: list
+
+
+class Held(NamedTuple):
+    digest: int
+
+
+class Have(NamedTuple):
+    """What the sender has seen, on its disk; with `number` it asks for a share of the rest, `part` (which of how many).
+    """
+
+    lives: list
+    root: int
+    part: tuple
+    number: int
+
+
+class Mark(NamedTuple):
+    """What the answering front had seen when it was asked: who asked is as new as that once it has seen it all.
+
+    `live`: it has itself caught up with others, or went on alone.
+    """
+
+    number: int
+    lives: list
+    live: bool
+
+
+class Ranges(NamedTuple):
+    digests: list
+
+
+class Keys(NamedTuple):
+    """The sender's facts of some ranges, by key, dot and digest."""
+
+    ranges: list
+    facts: list
+    answer: bool
+
+
+class Repair(NamedTuple):
+    """Facts that differ under one key between fronts that have seen the same."""
+
+    facts: list
+
+
+class Send(NamedTuple):
+    to: str
+    message: tuple
+    guard: bool = False     # facts: bounded apart from what the protocol itself says
+
+
+class Write(NamedTuple):
+    """To be kept and synced; then `synced(number)` is called, or `not_kept` with the fault."""
+
+    number: int
+    record: tuple           # (facts, claims, keys let go)
+
+
+class Act(NamedTuple):
+    """A fact that others told and that holds from here on."""
+
+    fact: Fact
+
+
+class LetGo(NamedTuple):
+    """A fact that is held no more: of no use any longer, or lifted and let go elsewhere."""
+
+    fact: Fact
+
+
+class Live(NamedTuple):
+    """As new as the peers asked were ("caught-up"), or "alone"; what it took."""
+
+    how: str
+    asked: list
+
+
+class Note(NamedTuple):
+    """An event for the log."""
+
+    event: str
+    said: dict
+
+
+class Doubted(NamedTuple):
+    """A dot of this front's own life has another content elsewhere: it has to be another life."""
+
+    by: str
+
+
+class Plan:
+    """What one peer is to get, and what it may then take as seen."""
+
+    def __init__(self, number, spans, claims):
+        self.number, self.spans, self.claims, self.pieces = number, spans, claims, 0
+
+
+class Transfer:
+    """What comes from one peer: the pieces that are there, and its end where that came first."""
+
+    def __init__(self, number):
+        self.number, self.pieces, self.done = number, set(), None
+
+
+class Phase(Enum):
+    IDLE = auto()
+    ASKING = auto()
+    TOGETHER = auto()
+    ALONE = auto()
+
+
+_packed = msgspec.msgpack.Encoder().encode
+
+
+class Replica:
+    def __init__(self, name, life, chance, now, rate=8 << 20, purge_life=60 * S, word_life=86_400 * S,
+                 alone_after=5 * S, most=FACTS_MOST):
+        """`rate`: bytes a second for all that catch up from here; lives: ns after which a purge, and the word of a
+        server that is gone, may be let go."""
+        self.name, self.life, self.chance = name, life, chance
+        self.rate, self.alone_after = rate, alone_after
+        self.lives = {PURGE: purge_life, WORD: word_life}
+        self.facts, self.counter, self.phase = Facts(most), 0, Phase.IDLE
+        self.ageing, self.order, self.transfers = [], count(), count(1)     # (when, order, key) of what may be let go
+        self.unsaved, self.writing, self.number = ([], [], []), None, 0
+        self.on_disk, self.kept = Seen(), True      # seen, as far as it is synced; whether the disk takes it
+        self.waiting = []                    # own facts, until they are on disk
+        self.peers, self.gone = {}, {}       # names there -> what they were last known to have seen; not there
+        self.epoch, self.neighbours, self.callers = 0, [], {}
+        self.differs, self.have_at, self.ranges_at = {}, {}, {}
+        self.plans, self.tokens, self.tokens_at = {}, 0, now
+        self.coming, self.repaired_at = {}, -S       # peer -> Transfer; when a repair last brought something
+        self.asked, self.marks, self.ask_number, self.ask_until, self.ask_at, self.moved = {}, {}, 0, 0, 0, now
+        self.waiting_too = {}                # peers that answered -> whether they still catch up as well
+        self.cached, self.changes, self.full, self.bytes_out = (-1, 0), 0, False, 0
+        self.timers = {"held": now, "seen": now + SEEN_EVERY, "let_go": now + LET_GO_EVERY, "choose": now}
+
+    # Asked.
+
+    def digest(self):
+        """Of all that is held and was seen: equal where two fronts have nothing to tell each other."""
+        if self.cached[0] != self.changes:
+            seen = xxhash.xxh64_intdigest(_packed(self.facts.seen.told()))
+            self.cached = self.changes, self.facts.root() ^ seen
+        return self.cached[1]
+
+    def next_due(self):
+        due = min(self.timers.values())
+        if self.plans:
+            due = min(due, self.tokens_at + CHUNK * FACT_BYTES * S // self.rate)
+        return min(due, self.ask_at) if self.phase is Phase.ASKING else due
+
+    def to(self, now):
+        """Whom new facts go to: those chosen and those that chose this front."""
+        self.callers = {name: at for name, at in self.callers.items() if now - at < CALLER_FOR}
+        return list(dict.fromkeys([*self.neighbours, *[n for n in self.callers if n in self.peers]]))
+
+    # What happens.
+
+    def loaded(self, facts, lives, now):
+        """What the disk had, before anything else happens."""
+        self.facts.seen = Seen(lives)
+        for fact in facts:
+            self.facts.seen.add(fact.dot)
+            mine = self.facts.held.get(fact.key)
+            if mine is None or (mine.value, mine.dot) < (fact.value, fact.dot):
+                if mine is not None:
+                    self.facts.let_go(fact.key)
+                self.facts.put(fact)
+        for fact in self.facts.held.values():
+            self._ages(fact, now)
+        self.on_disk, self.changes = self.facts.seen.copy(), self.changes + 1
+
+    def told(self, key, value, now):
+        """A fact of this front's own. Nothing is made of what is known already."""
+        if key[0] == WORD:
+            state = value[0]
+            mine = self.facts.held.get(key)
+            if mine is not None and mine.value[2] == state or mine is None and state == State.LIFTED:
+                return self._orphans(key, now) if state == State.LIFTED else []
+            value = self.life, self.counter + 1, state
+        elif (mine := self.facts.held.get(key)) is not None and mine.value >= value:
+            return []
+        done = self._own(key, value, now)
+        if key[0] == WORD and value[2] == State.LIFTED:
+            done += self._orphans(key, now)
+        return done + self._saved()
+
+    def heard(self, sender, message, now):
+        match message:
+            case Tell():
+                return self._tell(sender, message, now)
+            case Done():
+                return self._done(sender, message, now)
+            case Held():
+                self.callers[sender] = now
+                return self.compared(sender, message.digest, now)
+            case Have():
+                return self._have(sender, message, now)
+            case Mark():
+                if message.number == self.ask_number and self.phase is Phase.ASKING:
+                    self.marks[sender], self.moved = Seen(message.lives), now
+                    self.waiting_too[sender] = not message.live
+                return self._caught_up(now)
+            case Ranges():
+                return self._ranges(sender, message)
+            case Keys():
+                return self._keys(sender, message, now)
+            case Repair():
+                done = [a for fact in message.facts for a in self._joined(sender, fact, now, repair=True)]
+                return done + self._saved()
+        return []
+
+    def stands(self, name, there, now):
+        """A member came, or went: what it had seen counts no more for what may be let go once it is fenced."""
+        if there and name not in self.peers and name != self.name:
+            self.peers[name] = self.gone.pop(name, None) or Seen()
+            self._choose(now)
+            if self.phase is Phase.ALONE:
+                return self.asks(now)
+        elif not there and name in self.peers:
+            self.gone[name] = self.peers.pop(name)
+            while len(self.gone) > 1000:
+                del self.gone[next(iter(self.gone))]
+            for table in (self.plans, self.coming, self.differs, self.have_at, self.ranges_at, self.callers):
+                table.pop(name, None)
+            if name in self.neighbours:
+                self._choose(now)
+        return []
+
+    def fenced(self, now):
+        """The others went on without this front: what they let go is learnt before anything is told."""
+        return [Send(peer, self._have_message()) for peer in self.chance.pick("fenced", sorted(self.peers), ASKED)]
+
+    def renewed(self, name, life):
+        """This front is another life from here on; what waited for the disk goes out as it is."""
+        self.name, self.life, self.counter = name, life, 0
+
+    def synced(self, number, now):
+        if self.writing is None or self.writing[0] != number:
+            return []
+        self.on_disk, released = self.writing[1], self.writing[2]
+        self.writing, self.kept = None, True
+        done = self._spread(released, "", now)
+        return done + self._saved() + self._caught_up(now)
+
+    def not_kept(self, number, fault, now):
+        """The disk fails. A guard fact makes others more careful, so it goes on; what was seen is not said any more."""
+        released, self.writing, was, self.kept = self.writing[2] if self.writing else [], None, self.kept, False
+        released += self.waiting
+        self.waiting = []
+        note = [Note("fleet_not_kept", {"error": fault})] if was else []
+        return note + self._spread(released, "", now) + self._caught_up(now)
+
+    def due(self, now):
+        done = []
+        for what in [what for what, at in self.timers.items() if at <= now]:
+            done += getattr(self, "_due_" + what)(now)
+        return done + self._feed(now) + (self._asking(now) if self.phase is Phase.ASKING else [])
+
+    # Own facts and the disk.
+
+    def _own(self, key, value, now):
+        self.counter += 1
+        fact = Fact(key, value, (self.name, self.life, self.counter))
+        joined, _ = self.facts.join(fact)
+        if joined is Joined.FULL:
+            self.counter -= 1
+            return self._no_room(fact)
+        if joined is Joined.NEW:
+            self._keep(fact, now)
+            self.waiting.append(fact)
+        return []
+
+    def _orphans(self, key, now):
+        """This front heard its source lift it: so falls the word of one who heard the same and is there no more."""
+        for owner in sorted(self.gone):
+            theirs = self.facts.held.get((*key[:4], owner))
+            if theirs is not None and theirs.value[2] != State.LIFTED:
+                self._own(theirs.key, (*theirs.value[:2], int(State.LIFTED)), now)
+        return self._saved()
+
+    def _keep(self, fact, now):
+        self.changes += 1
+        self.unsaved[0].append(fact)
+        self._ages(fact, now)
+        for plan in self.plans.values():
+            # Or its end could claim a counter whose fact this one replaces, and the peer had neither.
+            plan.spans.append((*fact.dot[:2], fact.dot[2], fact.dot[2] + 1))
+
+    def _saved(self):
+        """One write at a time: what comes meanwhile goes out with the next one."""
+        if self.writing is not None or not any(self.unsaved):
+            return []
+        if not self.kept:
+            # Kept as a mere list of what a later snapshot has anyway, it would grow for as long as the disk is full.
+            self.unsaved = [], [], []
+            return []
+        self.number += 1
+        record, self.unsaved = self.unsaved, ([], [], [])
+        self.writing, self.waiting = (self.number, self.facts.seen.copy(), self.waiting), []
+        return [Write(self.number, record)]
+
+    def disk_is_back(self, now):
+        """All that is held was written anew, as a snapshot."""
+        self.kept, self.on_disk = True, self.facts.seen.copy()
+        return self._caught_up(now)
+
+    def _no_room(self, fact):
+        first, self.full = not self.full, True
+        return [Note("fleet_full", {"facts": len(self.facts.held), "key": list(fact.key)})] if first else []
+
+    # Spread.
+
+    def _spread(self, facts, sender, now):
+        if not facts:
+            return []
+        message = Tell(facts, 0, 0)
+        return [Send(peer, message, True) for peer in self.to(now) if peer != sender]
+
+    def _tell(self, sender, message, now):
+        done = [a for fact in message.facts for a in self._joined(sender, fact, now)]
+        if message.transfer:
+            coming = self._coming(sender, message.transfer, now)
+            coming.pieces.add(message.at)
+            return done + self._whole(sender, coming) + self._saved()    # who else lacks it asks as well
+        return done + self._spread([a.fact for a in done if isinstance(a, Act)], sender, now) + self._saved()
+
+    def _done(self, sender, message, now):
+        coming = self._coming(sender, message.transfer, now)
+        coming.done = message
+        return self._whole(sender, coming) + self._saved() + self._caught_up(now)
+
+    def _coming(self, sender, number, now):
+        self.moved = self.repaired_at = now
+        if sender not in self.coming or self.coming[sender].number != number:
+            self.coming[sender] = Transfer(number)
+        return self.coming[sender]
+
+    def _whole(self, sender, coming):
+        if coming.done is None or len(coming.pieces) < coming.done.pieces:
+            return []
+        for owner, life, ends in coming.done.claims:
+            for first, past in zip(ends[::2], ends[1::2], strict=True):
+                self.facts.seen.span(owner, life, first, past)
+                self.unsaved[1].append((owner, life, first, past))
+        self.changes += 1
+        del self.coming[sender]
+        return []
+
+    def _joined(self, sender, fact, now, repair=False):
+        mine = self.facts.held.get(fact.key)
+        joined, _ = self.facts.join(fact)
+        if joined is Joined.NEW:
+            self._keep(fact, now)
+            return [Act(fact)]
+        if joined is Joined.FULL:
+            return self._no_room(fact)
+        if joined is Joined.OLD:
+            if mine is None or fact.dot != mine.dot:
+                self.unsaved[1].append((*fact.dot[:2], fact.dot[2], fact.dot[2] + 1))
+                self.changes += 1
+            if not repair or mine is None or mine.value >= fact.value:
+                return []
+        return self._twice(sender, fact, now)
+
+    def _twice(self, sender, fact, now):
+        """One dot, two contents. Neither may be lost, others have seen the dot: both go on under dots of this front."""
+        done = [Note("fleet_dot_twice", {"dot": list(fact.dot), "key": list(fact.key), "by": sender})]
+        mine, there = self.facts.held.get(fact.key), self.facts.at.get(fact.dot[:2], {}).get(fact.dot[2])
+        if there is not None and (there != fact.key or mine.value > fact.value):
+            if fact.dot[0] not in (self.name, sender) and fact.dot[0] in self.peers:
+                done.append(Send(fact.dot[0], Repair([self.facts.held[there], fact]), True))
+            self._out_under_own(self.facts.held[there], now)
+        if mine is None or mine.value < fact.value:
+            done += [*self._own(fact.key, fact.value, now), Act(fact)]
+        if fact.dot[:2] == (self.name, self.life):
+            done.append(Doubted(sender))
+        return done + self._saved()
+
+    def _out_under_own(self, fact, now):
+        """The same fact under a dot of this front's own, which no one has seen yet."""
+        self.counter += 1
+        fresh = Fact(fact.key, fact.value, (self.name, self.life, self.counter))
+        self.facts.let_go(fact.key)
+        self.facts.join(fresh)
+        self._keep(fresh, now)
+        self.waiting.append(fresh)
+
+    # Repair.
+
+    def _have_message(self, part=(0, 1), number=0):
+        return Have(self.on_disk.told(), self.facts.root(), part, number)
+
+    def _due_held(self, now):
+        self.timers["held"] = now + HELD_EVERY
+        return [Send(peer, Held(self.digest())) for peer in self.to(now)]
+
+    def compared(self, sender, theirs, now):
+        """A peer's digest, from a neighbour or with a probe."""
+        if theirs == self.digest() or sender not in self.peers:
+            self.differs.pop(sender, None)
+            return []
+        # What is just spreading differs as well: only what differs twice is asked after, and from one peer at a time.
+        first = sender not in self.differs
+        self.differs[sender] = now
+        if first or now - self.have_at.get(sender, -S) < HAVE_AGAIN or now - self.repaired_at < HELD_EVERY:
+            return []
+        self.have_at[sender] = self.repaired_at = now
+        return [Send(sender, self._have_message())]
+
+    def _due_seen(self, now):
+        self.timers["seen"] = now + SEEN_EVERY
+        return [Send(peer, self._have_message()) for peer in self.chance.pick("seen", sorted(self.peers))]
+
+    def _have(self, sender, message, now):
+        theirs = Seen(message.lives)
+        if sender in self.peers:
+            self.peers[sender] = theirs
+        live = self.phase in (Phase.TOGETHER, Phase.ALONE)
+        done = [Send(sender, Mark(message.number, self.on_disk.told(), live))] if message.number else []
+        lacks = _share(theirs.lacks(self.on_disk), message.part)
+        if lacks:
+            # A share makes no claims: what replaced one of its facts may come with another peer's share.
+            claims = Seen()
+            for span in lacks if message.part[1] <= 1 else ():
+                claims.span(*span)
+            self.plans[sender] = Plan(next(self.transfers), lacks, claims.told())
+            return done + self._feed(now)
+        self.plans.pop(sender, None)
+        if message.number:
+            return done
+        if not self.facts.seen.covers(theirs):
+            if now - self.have_at.get(sender, -S) >= HAVE_AGAIN:
+                self.have_at[sender] = now
+                done.append(Send(sender, self._have_message()))
+        elif message.root != self.facts.root() and now - self.ranges_at.get(sender, -S) >= RANGES_AGAIN:
+            self.ranges_at[sender] = now
+            done.append(Send(sender, Ranges(list(self.facts.ranges))))
+        return done
+
+    def _feed(self, now):
+        """Facts for those that lack some, in turn, held to the rate."""
+        if not self.plans:
+            self.tokens_at = now
+            return []
+        burst = CHUNK * FACT_BYTES * 2
+        self.tokens = min(burst, self.tokens + (now - self.tokens_at) * self.rate // S)
+        self.tokens_at, done = now, []
+        while self.plans and self.tokens > 0:
+            peer = next(iter(self.plans))
+            plan, facts = self.plans.pop(peer), []
+            looked = 0
+            while plan.spans and len(facts) < CHUNK and looked < CHUNK:
+                owner, life, first, past = plan.spans.pop()
+                found, upto = self.facts.between(owner, life, first, past, CHUNK - len(facts))
+                facts += found
+                looked += 1
+                if upto < past:
+                    plan.spans.append((owner, life, upto, past))
+            cost = len(facts) * FACT_BYTES
+            if facts:
+                done.append(Send(peer, Tell(facts, plan.number, plan.pieces), True))
+                plan.pieces += 1
+            if plan.spans:
+                self.plans[peer] = plan      # at the end: the next one's turn
+            else:
+                done.append(Send(peer, Done(plan.number, plan.pieces, plan.claims), True))
+                cost += len(plan.claims) * SPAN_BYTES
+            self.tokens -= cost
+            self.bytes_out += cost
+        return done
+
+    def _ranges(self, sender, message):
+        if len(message.digests) != BUCKETS:
+            return []
+        chosen, size, own = [], 0, self.facts
+        for at in [at for at in range(BUCKETS) if message.digests[at] != own.ranges[at]]:
+            size += len(own.in_range[at])
+            if size <= KEYS_MOST or not chosen:
+                chosen.append(at)
+        return [Send(sender, self._keys_of(chosen, True))] if chosen else []
+
+    def _keys_of(self, ranges, answer):
+        facts = [(f.key, f.dot, digest(f)) for f in self.facts.keys_in(set(ranges))]
+        return Keys(ranges, facts, answer)
+
+    def _keys(self, sender, message, now):
+        """What differs goes there; a word that the other has seen and let go is let go here as well."""
+        chosen, theirs = {at for at in message.ranges if 0 <= at < BUCKETS}, {k: h for k, _, h in message.facts}
+        differ, done, seen = [], [], self.peers.get(sender) or Seen()
+        for fact in self.facts.keys_in(chosen):
+            if fact.key not in theirs:
+                if fact.key[0] == WORD and seen.has(fact.dot):
+                    done += [*self._forget(fact.key), Act(fact._replace(value=(*fact.value[:2], int(State.LIFTED))))]
+            elif theirs[fact.key] != digest(fact):
+                differ.append(fact)
+        if differ:
+            done.append(Send(sender, Repair(differ), True))
+        if message.answer:
+            done.append(Send(sender, self._keys_of(sorted(chosen), False)))
+        return done + self._saved()
+
+    # Letting go.
+
+    def _due_let_go(self, now):
+        """What has outlived its use, once all that are there have seen it; who is fenced learns it by its dot."""
+        self.timers["let_go"], done = now + LET_GO_EVERY, []
+        while self.ageing and self.ageing[0][0] <= now:
+            key = heapq.heappop(self.ageing)[2]
+            fact = self.facts.held.get(key)
+            if fact is None or self._life(fact) is None:
+                continue                     # a newer one of this key has a time of its own
+            if self.on_disk.has(fact.dot) and all(seen.has(fact.dot) for seen in self.peers.values()):
+                done += self._forget(key)
+            else:
+                heapq.heappush(self.ageing, (now + SEEN_EVERY, next(self.order), key))
+        return done + self._saved()
+
+    def _life(self, fact):
+        """How long it is of use (ns); None where that has no end: a drain that stands, a removal that is held."""
+        if fact.key[0] == PURGE or fact.key[0] == WORD and fact.value[2] == State.LIFTED:
+            return self.lives[PURGE]
+        return self.lives[WORD] if fact.key[0] == WORD and fact.value[2] == State.GONE else None
+
+    def _ages(self, fact, now):
+        if (life := self._life(fact)) is not None:
+            heapq.heappush(self.ageing, (now + life, next(self.order), fact.key))
+
+    def _forget(self, key):
+        fact = self.facts.held[key]
+        self.facts.let_go(key)
+        self.unsaved[2].append(key)
+        self.changes += 1
+        self.full = False
+        return [LetGo(fact)]
+
+    # Neighbours.
+
+    def _due_choose(self, now):
+        self.epoch += 1
+        return self._choose(now)
+
+    def _choose(self, now):
+        """By hash, so that fronts choose apart; others after a while."""
+        self.timers["choose"] = now + NEIGHBOURS_FOR
+        ranked = sorted(self.peers, key=lambda name: (crc32(f"{self.name}/{name}/{self.epoch}".encode()) * 2654435761
+                                                      % 2**32, name))
+        self.neighbours = ranked[:FAN_OUT]
+        return []
+
+    # Catching up.
+
+    def asks(self, now):
+        """This front returns: it is live once it has seen what those that it asks had seen when they were asked."""
+        self.phase, self.ask_until, self.moved = Phase.ASKING, now + self.alone_after, now
+        return self._ask(now)
+
+    def _ask(self, now):
+        self.ask_number += 1
+        # Against many that return at once and ask each other: those known to wait as well come last.
+        names = sorted(self.peers, key=lambda name: (self.waiting_too.get(name, False), self.chance(name)))[:ASKED]
+        self.asked, self.marks, self.moved = dict.fromkeys(names), {}, now
+        return [Send(name, self._have_message((at, len(names)), self.ask_number)) for at, name in enumerate(names)]
+
+    def _asking(self, now):
+        # A time of its own: by those that have passed while it waits for more, it would be due without end.
+        self.ask_at = now + ASK_EVERY
+        if done := self._caught_up(now):
+            return done
+        if now >= self.ask_until and not (self.marks and now - self.moved < self.alone_after):
+            self.phase = Phase.ALONE
+            return [Live("alone", [])]
+        if now - self.moved < STUCK:
+            return []
+        uncovered = [name for name, mark in self.marks.items()
+                     if name in self.peers and not self.facts.seen.covers(mark)]
+        if uncovered:
+            # Shares overlap where peers had seen different things: the rest from each that still has some.
+            self.moved = now
+            return [Send(name, self._have_message((0, 1), self.ask_number)) for name in uncovered]
+        return self._ask(now)
+
+    def _caught_up(self, now):
+        """Live once it covers every mark of those asked that are still there, and one at least; on disk as well."""
+        if self.phase is not Phase.ASKING or not self.marks:
+            return []
+        there = [name for name in self.asked if name in self.peers]
+        if now >= self.ask_until:
+            there = [name for name in there if name in self.marks]       # one that is heard but doesn't hear
+        if not there or any(name not in self.marks for name in there):
+            return []
+        if now < self.ask_until and all(self.waiting_too[n] for n in there) and any(
+                not self.waiting_too.get(name, False) for name in self.peers):
+            return []                        # none of them can tell more than this one, and others may
+        seen = self.on_disk if self.kept else self.facts.seen
+        if not all(seen.covers(self.marks[name]) for name in there):
+            return []
+        self.phase = Phase.TOGETHER
+        return [Live("caught-up", there)]
+
+
+def _share(spans, part):
+    """The part of the spans, cut in blocks, that one of several peers is asked for."""
+    which, of = part
+    if of <= 1:
+        return spans
+    found = []
+    for owner, life, first, past in spans:
+        start = crc32(owner.encode()) + life
+        while first < past:
+            upto = min(past, (first // BLOCK + 1) * BLOCK)
+            if (start + first // BLOCK) % of == which:
+                found.append((owner, life, first, upto))
+            first = upto
+    return found
--- /dev/null
+++ b/standins/fleet/schedules.py
@@ -0,0 +1,126 @@
+"""Fault schedules by seed for the deterministic driver: troubles for a while, then all is well and time to settle.
+
+    python -m standins.fleet.schedules --seeds 100 --size 5 --loss 0.1
+"""
+
+import argparse
+import json
+import random
+import sys
+import time
+
+from sprucegate.fleet.replica.facts import State
+from standins.fleet import checkers
+from standins.fleet.simulated import MS, Fleet, S
+
+TROUBLES = ("kill", "pause", "split", "one-way", "kind", "disk-full", "crash-at", "put-back", "lift-gone")
+KINDS = ("Tell", "Done", "Have", "Held", "Ping", "Ack", "All", "Keys", "Ranges")
+
+
+def played(seed, size, loss=0.0, span=12 * S, settle=25 * S, facts=30, quiet=False, make=Fleet):
+    """A fleet after one schedule, dumped. `quiet`: no trouble but loss."""
+    chance = random.Random(seed * 7919 + size)
+    life = 3 * S if seed % 4 == 0 else 600 * S       # in some, facts are let go while there is trouble
+    fleet = make(size, seed, loss, twice=loss / 3, slow=loss / 3, alone_after=2 * S, purge_life=life, word_life=life)
+    fleet.start()
+    names = list(fleet.fronts)
+    fleet.run(2 * S)
+    servers = [0x10 + n for n in range(4)]
+    for n in range(facts):
+        when, name = 2 * S + int(chance.random() * span), chance.choice(names)
+        what = chance.random()
+        if what < 0.5:
+            fleet.at(when, fleet.purged, name, chance.randrange(facts // 2), n)
+        else:
+            server, source = chance.choice(servers), chance.choice(("bus", "file"))
+            fleet.at(when, fleet.drained, name, server, State.DRAINING if what < 0.9 else State.GONE, 0, source)
+            if chance.random() < 0.7:
+                fleet.at(when + int(chance.random() * 4 * S), fleet.drained, name, server, State.LIFTED, 0, source)
+    for _ in range(0 if quiet else chance.randrange(1, 6)):
+        _trouble(fleet, chance, names, 2 * S + int(chance.random() * span), span)
+    fleet.run(2 * S + span + 6 * S)
+    fleet.heal()
+    fleet.network.loss = 0.0
+    for name, front in fleet.fronts.items():
+        if front.paused:
+            fleet.pause(name, False)
+        front.disk.faults, front.disk.crash_at = {}, None
+        if not front.up:
+            fleet.start(name)
+    fleet.run(fleet.now + settle)
+    fleet.dump()
+    return fleet
+
+
+def _trouble(fleet, chance, names, when, span):
+    what, name, lasts = chance.choice(TROUBLES), chance.choice(names), int(chance.random() * span / 2)
+    front = fleet.fronts[name]
+
+    def restart():
+        if not front.up:
+            fleet.start(name)
+
+    if what == "kill":
+        fleet.at(when, fleet.kill, name)
+        fleet.at(when + lasts, restart)
+    elif what == "pause":
+        fleet.at(when, fleet.pause, name, True)
+        fleet.at(when + min(lasts, 6 * S), fleet.pause, name, False)
+    elif what in ("split", "one-way"):
+        side = chance.sample(names, chance.randrange(1, len(names)))
+        fleet.at(when, fleet.split, side, [n for n in names if n not in side], what == "split")
+        fleet.at(when + lasts, fleet.heal)
+    elif what == "kind":
+        kind = chance.choice(KINDS)
+        for other in names:
+            fleet.at(when, fleet.network.cut.add, (name, other, kind))
+        fleet.at(when + lasts, fleet.heal)
+    elif what == "disk-full":
+        def full():
+            calls = front.disk.calls
+            front.disk.faults = {n: OSError(28, "no space left") for n in range(calls, calls + 40)}
+        fleet.at(when, full)
+    elif what == "crash-at":
+        def crash():
+            front.disk.crash_at = front.disk.calls + chance.randrange(1, 12)
+        fleet.at(when, crash)
+        fleet.at(when + lasts, restart)
+    elif what == "put-back":
+        def back():
+            if front.up:
+                kept = front.disk.after_crash()
+                fleet.at(fleet.now + lasts, returned, kept)
+
+        def returned(kept):
+            if front.up:
+                fleet.kill(name)
+            fleet.note(name, "folder-put-back")
+            front.disk = kept
+            restart()
+        fleet.at(when, back)
+    elif what == "lift-gone":
+        # One that drained goes for long; another hears the same source lift it.
+        other = chance.choice(names)
+        fleet.at(when, fleet.drained, name, 0x20, State.DRAINING)
+        fleet.at(when, fleet.drained, other, 0x20, State.DRAINING)
+        fleet.at(when + 200 * MS, fleet.kill, name)
+        fleet.at(when + 8 * S, fleet.drained, other, 0x20, State.LIFTED)
+        fleet.at(when + 8 * S + lasts, restart)
+
+
+def main(given):
+    flags = argparse.ArgumentParser(description=__doc__.split("\n")[0])
+    for name, kind, default in (("seeds", int, 20), ("first", int, 0), ("size", int, 5), ("loss", float, 0.0)):
+        flags.add_argument("--" + name, type=kind, default=default)
+    wanted, begun, bad = flags.parse_args(given), time.monotonic(), 0
+    for seed in range(wanted.first, wanted.first + wanted.seeds):
+        found = checkers.broken(played(seed, wanted.size, wanted.loss).trace)
+        bad += bool(found)
+        if found:
+            print(json.dumps({"seed": seed, "broken": len(found), "first": found[0]}))
+    print(json.dumps({"schedules": wanted.seeds, "broken": bad, "seconds": round(time.monotonic() - begun, 1)}))
+    return bool(bad)
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/tests/test_fleet_simulated.py
@@ -0,0 +1,167 @@
+"""Whole fleets in the deterministic driver: fault schedules, and each checker of a promise seen to cry out."""
+
+import pytest
+from hypothesis import given
+from hypothesis import settings as profile
+from hypothesis import strategies as st
+
+from sprucegate.fleet.keeping import Keeping
+from sprucegate.fleet.members.swim import Members
+from sprucegate.fleet.replica import replica
+from sprucegate.fleet.replica.facts import Fact, Facts, Joined, State
+from sprucegate.fleet.replica.seen import Seen
+from standins.fleet import checkers
+from standins.fleet.schedules import played
+from standins.fleet.simulated import Fleet, S
+
+SPANS = st.lists(st.tuples(st.integers(1, 30), st.integers(1, 30)), max_size=12)
+
+
+@given(SPANS, SPANS)
+@profile(max_examples=300, deadline=None, derandomize=True)
+def test_what_was_seen_is_a_set_of_counters(ours, theirs):
+    def made(spans):
+        seen, plain = Seen(), set()
+        for first, past in spans:
+            seen.span("a", 1, first, past)
+            plain |= set(range(first, past))
+        return seen, plain
+
+    (seen, plain), (other, others) = made(ours), made(theirs)
+    assert {n for n in range(40) if seen.has(("a", 1, n))} == plain
+    assert {n for _, _, a, b in seen.lacks(other) for n in range(a, b)} == others - plain
+    assert Seen(seen.told()).told() == seen.told() and seen.covers(other) is (others <= plain)
+    assert all(a < b for _, _, ends in seen.told() for a, b in zip(ends, ends[1:], strict=False))
+
+
+@given(st.lists(st.tuples(st.integers(0, 3), st.integers(0, 9), st.integers(0, 2)), max_size=20), st.randoms())
+@profile(max_examples=200, deadline=None, derandomize=True)
+def test_facts_join_to_the_same_in_any_order_and_any_number_of_times(said, order):
+    facts = [Fact(("purge", "object", key), (value,), (f"n{owner}", 1, at))
+             for at, (key, value, owner) in enumerate(said, 1)]
+    one, other = Facts(), Facts()
+    for fact in facts:
+        one.join(fact)
+    mixed = facts * 2
+    order.shuffle(mixed)
+    for fact in mixed:
+        other.join(fact)
+    assert one.held == other.held and one.root() == other.root() and one.seen.told() == other.seen.told()
+    assert all(one.held[f.key].value >= f.value for f in facts)
+
+
+@pytest.mark.parametrize(("size", "loss"), [(3, 0.3), (5, 0.0), (5, 0.1), (9, 0.1)])
+@pytest.mark.parametrize("first", range(0, 40, 10))
+def test_schedules_of_faults_break_no_promise(size, loss, first):
+    for seed in range(first, first + 10):
+        assert not checkers.broken(played(seed, size, loss).trace), (seed, size, loss)
+
+
+def test_the_same_seed_is_the_same_to_the_bit():
+    assert played(11, 5, 0.1).trace == played(11, 5, 0.1).trace
+
+
+# Each checker is seen to fail: a defect is sown, and within a few schedules it is found under its number.
+
+def _not_joined(monkeypatch):
+    whole = replica.Replica._joined
+
+    def joined(self, sender, fact, now, repair=False):
+        if fact.key[0] == "purge" and fact.key[2] % 5 == 0:
+            self.facts.seen.add(fact.dot)
+            return []
+        return whole(self, sender, fact, now, repair)
+    monkeypatch.setattr(replica.Replica, "_joined", joined)
+
+
+def _last_one_wins(monkeypatch):
+    def join(self, fact):
+        mine = self.held.get(fact.key)
+        if self.seen.has(fact.dot):
+            return Joined.OLD, mine
+        self.seen.add(fact.dot)
+        if mine is not None:
+            self._out(mine)
+        self.put(fact)
+        return Joined.NEW, mine
+    monkeypatch.setattr(Facts, "join", join)
+
+
+def _start_not_counted(monkeypatch):
+    whole = Keeping.start
+    monkeypatch.setattr(Keeping, "start", lambda self, least=0: whole(self, least) and 1 + least)
+
+
+def _sync_dropped(monkeypatch):
+    whole, times = Keeping.write, []
+
+    def write(self, record):
+        times.append(0)
+        return None if len(times) % 3 == 0 else whole(self, record)
+    monkeypatch.setattr(Keeping, "write", write)
+
+
+def _let_go_early(monkeypatch):
+    monkeypatch.setattr(replica.Replica, "_due_let_go", _due_let_go_at_once)
+    monkeypatch.setattr(replica.Replica, "_keys", lambda self, sender, message, now: [])
+
+
+def _due_let_go_at_once(self, now):
+    self.timers["let_go"], done = now + replica.LET_GO_EVERY, []
+    for key in [k for k, f in self.facts.held.items() if k[0] == "word" and f.value[2] == State.LIFTED]:
+        done += self._forget(key)
+    return done + self._saved()
+
+
+def _live_at_once(monkeypatch):
+    def caught_up(self, now):
+        if self.phase is not replica.Phase.ASKING or not self.marks:
+            return []
+        self.phase = replica.Phase.TOGETHER
+        return [replica.Live("caught-up", list(self.marks))]
+    monkeypatch.setattr(replica.Replica, "_caught_up", caught_up)
+
+
+@pytest.mark.parametrize(("number", "sow"), [
+    (1, _not_joined), (2, _last_one_wins), (3, _not_joined), (5, _start_not_counted),
+    (6, _sync_dropped), (7, _let_go_early), (8, _live_at_once)])
+def test_a_sown_defect_makes_its_checker_cry_out(monkeypatch, number, sow):
+    sow(monkeypatch)
+    for seed in range(60):
+        if any(at == number for at, _ in checkers.broken(played(seed, 4, 0.1).trace)):
+            return
+    raise AssertionError(f"checker {number} found nothing")
+
+
+def paused_and_half_cut(seed):
+    """Ten fronts: one stands still for 6 s, one hears and isn't heard for 6 s, one is heard and hears nothing."""
+    fleet = Fleet(10, seed, loss=0.02)
+    fleet.start()
+    fleet.run(3 * S)
+    others = [n for n in fleet.fronts if n not in ("n1", "n2", "n3")]
+    fleet.pause("n1", True)
+    for name, out in (("n2", True), ("n3", False)):
+        fleet.note(name, "cut")
+        for other in others:
+            fleet.split([name] if out else [other], [other] if out else [name], both=False)
+    fleet.run(9 * S)
+    fleet.pause("n1", False)
+    fleet.heal()
+    for name in ("n2", "n3"):
+        fleet.note(name, "healed")
+    fleet.run(30 * S)
+    return fleet
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_one_that_stands_still_or_is_half_cut_takes_no_other_down(seed):
+    fleet = paused_and_half_cut(seed)
+    assert not checkers.falsely_gone(fleet.trace, 5 * S)
+    for front in fleet.fronts.values():
+        assert len(front.peer.members.alive()) == 9, front.name
+
+
+def test_the_checker_of_false_ends_cries_out(monkeypatch):
+    # A suspect that is not heard: nobody takes its refutation.
+    monkeypatch.setattr(Members, "_of_own", lambda self, word: [])
+    assert any(checkers.falsely_gone(paused_and_half_cut(seed).trace, 5 * S) for seed in range(3))
