--- a/sprucegate/assembly/run.py
+++ b/sprucegate/assembly/run.py
@@ -26,9 +26,18 @@
         # Here and not above: a front without it loads none of its libraries.
         from sprucegate.membership.service import Membership
         driver.membership = Membership(driver, wanted, wanted.membership)
+    if wanted.fleet is not None:
+        from sprucegate.fleet.service import Fleet
+        if driver.membership is None:
+            from sprucegate.membership.merged import Merged
+            from sprucegate.membership.view import View
+            driver.membership = Merged(driver, View(("bus",), 0, driver.clock()))
+        driver.fleet = Fleet(driver, wanted.fleet, wanted.name, wanted.seed, driver.membership)
+        # Before the first list: it may lift a drain of this front's own that the last run left.
+        await driver.fleet.load()
     for _, news in wanted.known:
         driver.told(news)
-    if driver.membership is not None:
+    if wanted.membership is not None:
         await driver.membership.start()
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -36,7 +45,7 @@
         listener.bind(wanted.listen)
     except OSError as fault:
         log("listen_failed", address="{}:{}".format(*wanted.listen), error=str(fault))
-        if driver.membership is not None:
+        if wanted.membership is not None:
             driver.membership.stop()         # or its reading process would outlive the front
         return 1
     listener.listen(1024)
@@ -47,14 +56,20 @@
     now = driver.clock()
     for place in driver.servers.places.values():
         driver.servers.warm(place, now)
-    driver.ready = True
     subscription = Subscription(driver, wanted, pool)
     subscription.start()
     loop.add_signal_handler(signal.SIGHUP, reload, subscription, wanted, log)
     tasks = [loop.create_task(take_in.accept(listener)),
              loop.create_task(housekeeping(driver, take_in, pool, log))]
+    if driver.fleet is not None:
+        # What comes meanwhile is served; but nobody is told to send here before its guard facts are there.
+        driver.fleet.start()
+        await _either(driver.fleet.up, stop)
+    driver.ready = True
     log("ready", listen="{}:{}".format(*wanted.listen), caches=len(driver.servers.places), last=wanted.offset)
     await stop.wait()
+    if driver.fleet is not None:
+        driver.fleet.leave()
     log("stopping", gets=len(driver.open))
     await asyncio.sleep(STILL_COMING)
     tasks[0].cancel()
@@ -70,17 +85,26 @@
     for client in list(take_in.clients):
         take_in.close(client)
     driver.servers.stop()
-    if driver.membership is not None:
+    if driver.fleet is not None:
+        await driver.fleet.stop()
+    if wanted.membership is not None:
         driver.membership.stop()
     log("stopped", **driver.book.taken())
     return 0
 
 
+async def _either(one, other):
+    tasks = [asyncio.ensure_future(event.wait()) for event in (one, other)]
+    await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+    for task in tasks:
+        task.cancel()
+
+
 def reload(subscription, started_with, log):
     """SIGHUP: what can change under load is taken over whole; a faulty file changes nothing."""
     try:
         wanted = configuration.read(os.environ)._replace(
-            servers=started_with.servers, membership=started_with.membership)
+            servers=started_with.servers, membership=started_with.membership, fleet=started_with.fleet)
     except Exception as fault:           # whatever a file can hold, the front goes on with the old one
         log("reload_failed", error=f"{type(fault).__name__}: {fault}")
         return
--- /dev/null
+++ b/sprucegate/fleet/links/codec.py
@@ -0,0 +1,142 @@
+"""What fronts say to each other as bytes: checksummed records with msgpack inside. Opens no socket.
+
+A record is [kind, fields ...]; `KINDS` has the numbers, which are of this format. A peer that sends what can't be
+read loses its connection: `Unreadable` says why.
+"""
+
+import msgspec
+
+from sprucegate.fleet.members import swim
+from sprucegate.fleet.replica import replica
+from sprucegate.fleet.replica.facts import Fact, State
+from sprucegate.state import records
+
+VERSION = 1
+FRAME_MOST = 8 << 20        # bytes: what a fleet has seen, with the gaps of a transfer under way
+GREETING_MOST = 1024
+KINDS = (None, swim.Ping, swim.Ack, swim.PingFor, swim.Nack, swim.All, replica.Tell, replica.Done, replica.Held,
+         replica.Have, replica.Mark, replica.Ranges, replica.Keys, replica.Repair)
+NUMBERS = {kind: number for number, kind in enumerate(KINDS) if kind}
+
+
+class Unreadable(Exception):
+    """The connection's bytes are no frames of ours; the text says why."""
+
+
+class Greeting(msgspec.Struct, array_like=True, frozen=True):
+    """The first record in both directions. `role` is "front", or "operator" for a question from the command line."""
+
+    format: int
+    fleet: str
+    role: str
+    name: str
+    address: str
+    life: int
+
+
+class Question(msgspec.Struct, array_like=True, frozen=True):
+    """What the command line asks of a front."""
+
+    what: str
+    given: list[str]
+
+
+_Key, _Dot = tuple, tuple[str, int, int]
+_Lives = list[tuple[str, int, list[int]]]
+SHAPES = {
+    swim.Ping: tuple[int, str, int, list[swim.Member]], swim.Ack: tuple[int, int, list[swim.Member]],
+    swim.PingFor: tuple[int, str, list[swim.Member]], swim.Nack: tuple[int],
+    swim.All: tuple[list[swim.Member], bool], replica.Tell: tuple[list[Fact], int, int],
+    replica.Done: tuple[int, int, _Lives], replica.Held: tuple[int],
+    replica.Have: tuple[_Lives, int, tuple[int, int], int], replica.Mark: tuple[int, _Lives, bool],
+    replica.Ranges: tuple[list[int]], replica.Keys: tuple[list[int], list[tuple[_Key, _Dot, int]], bool],
+    replica.Repair: tuple[list[Fact]],
+}
+_encode = msgspec.msgpack.Encoder().encode
+_number = msgspec.msgpack.Decoder(tuple[int, msgspec.Raw]).decode
+_decoders = {kind: msgspec.msgpack.Decoder(shape).decode for kind, shape in SHAPES.items()}
+_greeting = msgspec.msgpack.Decoder(Greeting).decode
+_question = msgspec.msgpack.Decoder(Question).decode
+KEYS = {replica.PURGE: (str, int), replica.WORD: (int, int, str, str), replica.HELD: (str,)}
+VALUES = {replica.PURGE: 1, replica.WORD: 3, replica.HELD: 1}
+
+
+def frame(message):
+    return records.record(_encode((NUMBERS[type(message)], tuple(message))))
+
+
+def greeting(said):
+    return records.record(_encode(said))
+
+
+def question(said):
+    return records.record(_encode(said))
+
+
+def message(payload):
+    """The message of one record, checked."""
+    try:
+        number, raw = _number(payload)
+        if not 0 < number < len(KINDS):
+            raise Unreadable(f"a message of kind {number}, which format {VERSION} lacks")
+        made = KINDS[number](*_decoders[KINDS[number]](raw))
+    except msgspec.MsgspecError as fault:
+        raise Unreadable(f"a message that can't be read: {fault}") from None
+    if isinstance(made, replica.Tell | replica.Repair):
+        for fact in made.facts:
+            _checked(fact)
+    if isinstance(made, replica.Done | replica.Have | replica.Mark):
+        for _, _, ends in (made.claims if isinstance(made, replica.Done) else made.lives):
+            if len(ends) % 2 or any(a >= b for a, b in zip(ends, ends[1:], strict=False)):
+                raise Unreadable("counters that are no intervals")
+    return made
+
+
+def greeted(payload):
+    try:
+        return _greeting(payload)
+    except msgspec.MsgspecError as fault:
+        raise Unreadable(f"no greeting: {fault}") from None
+
+
+def asked(payload):
+    try:
+        return _question(payload)
+    except msgspec.MsgspecError as fault:
+        raise Unreadable(f"no question: {fault}") from None
+
+
+def _checked(fact):
+    kind = fact.key[0] if fact.key else None
+    shape = KEYS.get(kind)
+    if (shape is None or len(fact.key) != 1 + len(shape) or len(fact.dot) != 3
+            or not all(type(part) is wanted for part, wanted in zip(fact.key[1:], shape, strict=True))
+            or len(fact.value) != VALUES[kind] or not all(type(part) is int for part in fact.value)
+            or [type(part) for part in fact.dot] != [str, int, int] or fact.dot[2] < 1
+            or kind == replica.WORD and fact.value[2] not in list(State)):
+        raise Unreadable(f"a fact of no known kind: {str(fact.key)[:80]}")
+
+
+class Reader:
+    """Bytes as they come to the payloads of whole records."""
+
+    def __init__(self):
+        self.held, self.most = bytearray(), GREETING_MOST
+
+    def feed(self, data):
+        self.held += data
+        found, at = [], 0
+        while len(self.held) - at >= records.HEAD.size:
+            length, _ = records.HEAD.unpack_from(self.held, at)
+            if length > self.most:
+                raise Unreadable(f"a record of {length} bytes, more than {self.most}")
+            if len(self.held) - at < records.HEAD.size + length:
+                break
+            scanned = records.scan(memoryview(self.held)[at:at + records.HEAD.size + length])
+            if scanned.fault:
+                raise Unreadable(scanned.fault)
+            found += scanned.records
+            at += records.HEAD.size + length
+            self.most = FRAME_MOST           # the greeting is short, whatever comes after it need not be
+        del self.held[:at]
+        return found
--- /dev/null
+++ b/sprucegate/fleet/links/links.py
@@ -0,0 +1,194 @@
+"""Connections among fronts: one to each peer that something is said to, few at a time, bounded by the fan-out.
+
+A peer of another fleet, another format, or with bytes that can't be read loses its connection, with one log event.
+Nothing here is waited for by a GET. Errors stay at the connection: what was queued on it is repaired by digests.
+"""
+
+import asyncio
+import socket
+import time
+
+from sprucegate.fleet.links import codec
+from sprucegate.fleet.links.outgoing import Outgoing
+
+OUT_MOST, IN_MOST = 12, 64  # connections: those of this front's own choice, and those that chose it
+GREET = 2.0                 # seconds for the greeting
+IDLE = 30.0                 # seconds without a byte either way, after which one is closed
+READ = 256 << 10
+
+
+class Connection:
+    def __init__(self, links, sock, address=""):
+        self.links, self.sock, self.address = links, sock, address
+        self.name, self.out, self.wake, self.used, self.bytes = "", Outgoing(), asyncio.Event(), time.monotonic(), 0
+        self.task, self.writer = None, None
+
+    def put(self, message, guard):
+        self.out.put(message, guard)
+        self.used = time.monotonic()
+        self.wake.set()
+
+    async def writes(self):
+        loop = asyncio.get_running_loop()
+        while True:
+            await self.wake.wait()
+            self.wake.clear()
+            while self.out:
+                data = self.out.take()
+                await loop.sock_sendall(self.sock, data)
+                self.bytes += len(data)
+                self.links.bytes_out += len(data)
+
+
+class Links:
+    def __init__(self, listen, log, greeting, heard, asked):
+        """`greeting()` gives this front's; `heard(name, message)` and `asked(question)` take what comes."""
+        self.listen, self.log, self.greeting, self.heard, self.asked = listen, log, greeting, heard, asked
+        self.loop, self.listener, self.task = asyncio.get_running_loop(), None, None
+        self.dialled, self.taken, self.by_name = {}, set(), {}
+        self.bytes_out, self.bytes_in, self.refused = 0, 0, 0
+
+    def start(self):
+        """None, or why it can't listen."""
+        self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            self.listener.bind(self.listen)
+        except OSError as fault:
+            self.listener.close()
+            return str(fault)
+        self.listener.listen(64)
+        self.listener.setblocking(False)
+        self.task = self.loop.create_task(self._accept())
+        return None
+
+    def stop(self):
+        for task in [self.task, *[c.task for c in [*self.dialled.values(), *self.taken]]]:
+            if task is not None:
+                task.cancel()
+        if self.listener is not None:
+            self.listener.close()
+
+    def send(self, name, address, message, guard):
+        """To the peer of that name, over a connection that is there, or one dialled at its address."""
+        connection = self.by_name.get(name) or self.dialled.get(address)
+        if connection is None:
+            if not address or not self._room():
+                return
+            connection = self.dialled[address] = Connection(self, None, address)
+            connection.task = self.loop.create_task(self._dial(connection))
+        connection.put(message, guard)
+
+    def sweep(self):
+        """Those that were idle for long are closed, so that neighbours of the past cost nothing."""
+        now = time.monotonic()
+        for connection in [c for c in [*self.dialled.values(), *self.taken] if now - c.used > IDLE]:
+            connection.task.cancel()
+
+    def _room(self):
+        if len(self.dialled) < OUT_MOST:
+            return True
+        idle = min([c for c in self.dialled.values() if not c.out], key=lambda c: c.used, default=None)
+        if idle is None:
+            return False
+        self._forget(idle)
+        idle.task.cancel()
+        return True
+
+    async def _dial(self, connection):
+        host, _, port = connection.address.rpartition(":")
+        connection.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        connection.sock.setblocking(False)
+        try:
+            async with asyncio.timeout(GREET):
+                await self.loop.sock_connect(connection.sock, (host, int(port)))
+                await self.loop.sock_sendall(connection.sock, codec.greeting(self.greeting()))
+        except (OSError, TimeoutError, ValueError):
+            return self._close(connection)   # it is down or cut off: membership finds that by itself
+        except asyncio.CancelledError:
+            self._close(connection)
+            raise
+        await self._serve(connection)
+
+    async def _accept(self):
+        while True:
+            try:
+                sock, _ = await self.loop.sock_accept(self.listener)
+            except OSError as fault:
+                self.log("fleet_accept_failed", error=str(fault))
+                await asyncio.sleep(0.1)
+                continue
+            if len(self.taken) >= IN_MOST:
+                sock.close()
+                continue
+            sock.setblocking(False)
+            connection = Connection(self, sock)
+            self.taken.add(connection)
+            connection.task = self.loop.create_task(self._serve(connection, taken=True))
+
+    async def _serve(self, connection, taken=False):
+        """Reads one connection to its end."""
+        sock, reader = connection.sock, codec.Reader()
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            greeted = False
+            while True:
+                async with asyncio.timeout(None if greeted else GREET):
+                    data = await self.loop.sock_recv(sock, READ)
+                if not data:
+                    return
+                connection.used = time.monotonic()
+                self.bytes_in += len(data)
+                for payload in reader.feed(data):
+                    if not greeted:
+                        greeted = True
+                        if not await self._greeted(connection, codec.greeted(payload), taken):
+                            continue
+                        connection.writer = self.loop.create_task(self._writes(connection))
+                    elif connection.name:
+                        self.heard(connection.name, codec.message(payload))
+                    else:
+                        return await self.loop.sock_sendall(sock, self.asked(codec.asked(payload)))
+        except codec.Unreadable as fault:
+            self.refused += 1
+            self.log("fleet_peer_refused", peer=connection.name or connection.address or "unknown", error=str(fault))
+        except (OSError, TimeoutError):
+            pass                             # its end; what it brought stands
+        finally:
+            self._close(connection)
+
+    async def _greeted(self, connection, said, taken):
+        """Whether it is a front of this fleet; an operator's question comes next otherwise."""
+        own = self.greeting()
+        if said.format != own.format:
+            raise codec.Unreadable(f"format {said.format}, not {own.format}")
+        if said.fleet != own.fleet:
+            raise codec.Unreadable(f"fleet {said.fleet[:60]!r}, not {own.fleet!r}")
+        if taken:
+            await self.loop.sock_sendall(connection.sock, codec.greeting(own))
+        if said.role == "operator":
+            return False
+        connection.name = said.name
+        if said.name != own.name:            # a twin of this front is heard, but never taken for it
+            self.by_name[said.name] = connection
+        return True
+
+    async def _writes(self, connection):
+        try:
+            await connection.writes()
+        except OSError:
+            connection.task.cancel()
+
+    def _forget(self, connection):
+        self.taken.discard(connection)
+        if self.dialled.get(connection.address) is connection:
+            del self.dialled[connection.address]
+        if self.by_name.get(connection.name) is connection:
+            del self.by_name[connection.name]
+
+    def _close(self, connection):
+        self._forget(connection)
+        if connection.writer is not None:
+            connection.writer.cancel()
+        if connection.sock is not None:
+            connection.sock.close()
--- a/sprucegate/fleet/replica/replica.py
+++ b/sprucegate/fleet/replica/replica.py
@@ -179,6 +179,7 @@
         self.ageing, self.order, self.transfers = [], count(), count(1)     # (when, order, key) of what may be let go
         self.unsaved, self.writing, self.number = ([], [], []), None, 0
         self.on_disk, self.kept = Seen(), True      # seen, as far as it is synced; whether the disk takes it
+        self.capturing = False               # a snapshot is under way after the disk failed
         self.waiting = []                    # own facts, until they are on disk
         self.peers, self.gone = {}, {}       # names there -> what they were last known to have seen; not there
         self.epoch, self.neighbours, self.callers = 0, [], {}
@@ -349,17 +350,25 @@
             return []
         if not self.kept:
             # Kept as a mere list of what a later snapshot has anyway, it would grow for as long as the disk is full.
-            self.unsaved = [], [], []
+            if not self.capturing:
+                self.unsaved = [], [], []
             return []
         self.number += 1
         record, self.unsaved = self.unsaved, ([], [], [])
         self.writing, self.waiting = (self.number, self.facts.seen.copy(), self.waiting), []
         return [Write(self.number, record)]
 
-    def disk_is_back(self, now):
-        """All that is held was written anew, as a snapshot."""
-        self.kept, self.on_disk = True, self.facts.seen.copy()
-        return self._caught_up(now)
+    def captured(self):
+        """(facts, what was seen) for a snapshot; where the disk failed, what comes from here on follows it."""
+        self.capturing = not self.kept
+        if self.capturing:
+            self.unsaved = [], [], []
+        return list(self.facts.held.values()), self.facts.seen.told()
+
+    def disk_is_back(self, lives, now):
+        """That snapshot is on disk."""
+        self.kept, self.capturing, self.on_disk = True, False, Seen(lives)
+        return self._saved() + self._caught_up(now)
 
     def _no_room(self, fact):
         first, self.full = not self.full, True
--- /dev/null
+++ b/sprucegate/fleet/service.py
@@ -0,0 +1,313 @@
+"""A fleet in a front: links, disk and timers round the decisions, and what holds handed to the front.
+
+Imported only where the operator's file has `fleet`. No GET waits for anything here. The disk is written in one thread;
+the decisions' clock is monotonic.
+"""
+
+import asyncio
+import os
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import orjson
+
+from sprucegate.fleet.keeping import PIECE, Keeping, Unreadable, packed
+from sprucegate.fleet.links import codec
+from sprucegate.fleet.links.links import Links
+from sprucegate.fleet.members.swim import Doubled, Fenced, Standing, Stands
+from sprucegate.fleet.peer import Peer, outgoing
+from sprucegate.fleet.replica.facts import State
+from sprucegate.fleet.replica.replica import (
+    PURGE,
+    WORD,
+    Act,
+    Doubted,
+    LetGo,
+    Live,
+    Note,
+    Phase,
+    Write,
+)
+from sprucegate.interface import State as Listed
+from sprucegate.state.disk import Disk
+
+S = 1_000_000_000
+AGAIN = 1.0             # seconds until a disk that failed is tried again
+SWEEP = 5.0
+SHOWN_MOST = 1000       # facts in one answer to an operator
+STATES = {Listed.DRAINING: State.DRAINING, Listed.SERVING: State.LIFTED, Listed.GONE: State.GONE}
+
+
+class Fleet:
+    """What the driver calls: `purged` and `listed`. Neither waits, neither raises for what other fronts do."""
+
+    def __init__(self, driver, node, name, seed, merged, disk=None):
+        self.driver, self.node, self.log, self.merged = driver, node, driver.log, merged
+        self.name, self.seed, self.loop = name, seed, asyncio.get_running_loop()
+        self.keeping, self.pool = Keeping(disk or Disk(), node.state), ThreadPoolExecutor(1, "fleet-disk")
+        self.peer, self.links, self.timer, self.up = None, None, None, asyncio.Event()
+        self.tasks, self.snapping, self.stopped, self.waiting = set(), False, False, []
+        self.being = int.from_bytes(os.urandom(4), "big")
+        merged.view.news = []
+
+    # Start and end.
+
+    async def load(self):
+        """What the disk has, in force before the first list of servers is taken."""
+        try:
+            start, kept = await self._disk(self._opened)
+        except (OSError, Unreadable, ValueError) as fault:
+            # Without a count of starts it may not speak: it serves by what it hears itself, as without a fleet.
+            self.log("fleet_off", error=f"{type(fault).__name__}: {fault}")
+            return
+        for why in kept.refused:
+            self.log("fleet_state_refused", error=why)
+        now = time.monotonic_ns()
+        address, life = self.node.advertise or self.node.listen, start << 32 | self.being
+        self.peer = Peer(self.name, address, life, self.node.join, self.seed, now, rate=self.node.catch_up,
+                         purge_life=self.node.purge_life, word_life=self.node.word_life,
+                         alone_after=self.node.alone_after)
+        facts = list(kept.facts.values())
+        self.peer.loaded(facts, kept.lives, now)
+        for at, fact in enumerate(facts):
+            self._in_force(fact, loaded=True)
+            if at % PIECE == 0:
+                await asyncio.sleep(0)
+        self.log("fleet_loaded", start=start, facts=len(facts), age_s=kept.age // S)
+
+    def _opened(self):
+        start = self.keeping.start()
+        return start, self.keeping.open(time.time_ns())
+
+    def start(self):
+        if self.peer is None:
+            return self.up.set()
+        self.links = Links(self.node.address, self.log, self._greeting, self._heard, self._asked)
+        if fault := self.links.start():
+            self.log("fleet_listen_failed", address=self.node.listen, error=fault)
+        self.do(self.peer.starts(time.monotonic_ns()))
+        waiting, self.waiting = self.waiting, []
+        for key, value in waiting:           # heard with the first list
+            self._told(key, value)
+        self._later(self._sweeps())
+
+    def leave(self):
+        """SIGTERM: the others need not find out by themselves. This front hears and tells until its end."""
+        if self.peer is not None and self.links is not None:
+            self.do(self.peer.leaves(time.monotonic_ns()))
+
+    async def stop(self):
+        self.stopped = True
+        if self.timer is not None:
+            self.timer.cancel()
+        for task in self.tasks:
+            task.cancel()
+        if self.links is not None:
+            self.links.stop()
+        await self.loop.run_in_executor(self.pool, self.keeping.close)
+        self.pool.shutdown(wait=False)
+
+    # What the front hears.
+
+    def purged(self, obj, group, at):
+        self._told((PURGE, "object", obj) if obj >= 0 else (PURGE, "group", group), (at,))
+
+    def listed(self):
+        """Drains and removals that a source of this front's own told since the last call."""
+        news, self.merged.view.news = self.merged.view.news, []
+        if self.peer is None:
+            return
+        held = self.peer.replica.facts.held
+        for source, server, started, state in news:
+            # A removal by a file may be meant for this front alone; the bus is everybody's.
+            if state is Listed.GONE and source != "bus":
+                continue
+            key = (WORD, server, started, source, self.peer.replica.name)
+            if state is not Listed.SERVING or key in held:
+                self._told(key, (int(STATES[state]),))
+
+    def _told(self, key, value):
+        if self.peer is None:
+            return
+        if self.links is None:
+            self.waiting.append((key, value))
+            return
+        self.do(self.peer.told(key, value, time.monotonic_ns()))
+
+    # What is decided.
+
+    def do(self, actions):
+        for action in actions:
+            if (sent := outgoing(action)) is not None:
+                name, address, message, guard = sent
+                member = self.peer.members.known.get(name)
+                self.links.send(name, address or (member.address if member else ""), message, guard)
+                continue
+            match action:
+                case Write():
+                    self._later(self._writes(action))
+                case Act():
+                    self._in_force(action.fact)
+                case Live():
+                    self.log("fleet_" + action.how.replace("-", "_"), asked=action.asked,
+                             facts=len(self.peer.replica.facts.held))
+                    self.up.set()
+                case Note():
+                    self.log(action.event, **action.said)
+                case Stands():
+                    member, before = action.member, action.before
+                    self.log("fleet_member", member=member.name, standing=Standing(member.standing).name.lower(),
+                             before=Standing(before.standing).name.lower() if before else None, by=member.by,
+                             life=f"{member.life:x}", address=member.address)
+                case Fenced():
+                    self.log("fleet_fenced")
+                case Doubled():
+                    self.log("fleet_name_twice", own=f"{action.own:x}", other=f"{action.other:x}", alias=action.alias)
+                    self._later(self._renew(action.least, action.alias))
+                case Doubted():
+                    self._later(self._renew(0, ""))
+                case LetGo():
+                    pass                     # the front's own table forgets by age as well
+        if not self.stopped and self.peer is not None:
+            self._arm()
+
+    def _arm(self):
+        if self.timer is not None:
+            self.timer.cancel()
+        wait = max(0, self.peer.next_due() - time.monotonic_ns()) / S
+        self.timer = self.loop.call_later(wait, self._due)
+
+    def _due(self):
+        self.do(self.peer.due(time.monotonic_ns()))
+
+    def _heard(self, name, message):
+        self.do(self.peer.heard(name, message, time.monotonic_ns()))
+
+    def _in_force(self, fact, loaded=False):
+        """A guard fact that holds from here on, whoever said it."""
+        now = self.driver.clock()
+        if not loaded and self.peer.replica.phase is not Phase.ASKING:
+            self.log("fleet_told", kind=fact.key[0], key=fact.key[1:], by=fact.dot[0])
+        if fact.key[0] == PURGE:
+            _, kind, at = fact.key
+            obj, group = (at, -1) if kind == "object" else (-1, at)
+            self.driver.router.purged(obj, group, max(0, now - fact.value[0]), now)
+        elif fact.key[0] == WORD:
+            _, server, started, source, owner = fact.key
+            own = owner == self.peer.replica.name
+            if own and not loaded:
+                return                       # its own sources say here what holds
+            self.merged.word(server, started, source if own else f"{source}@{owner}",
+                             fact.value[2] != State.LIFTED, now)
+
+    # The disk.
+
+    def _disk(self, deed, *given):
+        return self.loop.run_in_executor(self.pool, deed, *given)
+
+    async def _writes(self, action):
+        fault = await self._disk(self.keeping.write, action.record)
+        now = time.monotonic_ns()
+        if fault is not None:
+            self.do(self.peer.not_kept(action.number, fault, now))
+            self.loop.call_later(AGAIN, lambda: self._later(self._snapshot()))
+            return
+        self.do(self.peer.synced(action.number, now))
+        if self.keeping.full(self.node.log_most):
+            self._later(self._snapshot())
+
+    async def _snapshot(self):
+        """All that is held, packed in pieces between turns of the loop and written in the thread."""
+        if self.snapping or self.stopped:
+            return
+        self.snapping, replica = True, self.peer.replica
+        try:
+            fault = await self._disk(self.keeping.begin_snapshot)
+            pieces, repairing = [], not replica.kept
+            held, lives = replica.captured()
+            for at in range(0, len(held), PIECE):
+                pieces.append(packed(held[at:at + PIECE]))
+                await asyncio.sleep(0)
+            if fault is None:
+                fault = await self._disk(self.keeping.finish_snapshot, lives, pieces, time.time_ns())
+        finally:
+            self.snapping = False
+        if fault is not None:
+            self.log("fleet_snapshot_failed", error=fault)
+            self.loop.call_later(AGAIN, lambda: self._later(self._snapshot()))
+        elif repairing:
+            self.do(replica.disk_is_back(lives, time.monotonic_ns()))
+            self.log("fleet_kept_again", facts=len(held))
+
+    async def _renew(self, least, alias):
+        while True:
+            try:
+                start = await self._disk(self.keeping.start, least)
+                break
+            except (OSError, Unreadable) as fault:
+                self.log("fleet_not_kept", error=str(fault))
+                await asyncio.sleep(AGAIN)
+        self.peer.renewed(start, alias)
+        self.log("fleet_renewed", name=self.peer.members.own.name, life=f"{self.peer.members.own.life:x}")
+
+    def _later(self, deed):
+        task = self.loop.create_task(self._guarded(deed))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _guarded(self, deed):
+        try:
+            await deed
+        except Exception as fault:           # the front goes on whatever breaks here
+            self.driver.fault(fault)
+
+    async def _sweeps(self):
+        while True:
+            await asyncio.sleep(SWEEP)
+            self.links.sweep()
+
+    # Questions.
+
+    def _greeting(self):
+        own = self.peer.members.own
+        return codec.Greeting(codec.VERSION, self.node.name, "front", own.name, own.address, own.life)
+
+    def _asked(self, question):
+        answers = {"status": self._status, "facts": self._facts, "why": self._why}
+        if question.what not in answers:
+            return orjson.dumps({"ok": False, "error": f"{question.what} is not known"})
+        return orjson.dumps({"ok": True, "at": time.time_ns(), "front": self.peer.members.own.name,
+                             **answers[question.what](question.given)})
+
+    def _status(self, _):
+        replica, members = self.peer.replica, self.peer.members
+        lag = {name: sum(past - first for _, _, first, past in seen.lacks(replica.facts.seen))
+               for name, seen in replica.peers.items()}
+        kinds = {}
+        for key in replica.facts.held:
+            kinds[key[0]] = kinds.get(key[0], 0) + 1
+        return {"fleet": self.node.name, "phase": "caught up" if replica.phase is Phase.TOGETHER else
+                replica.phase.name.lower(), "kept": replica.kept, "health": members.health, "facts": kinds,
+                "bytes_out": self.links.bytes_out, "bytes_in": self.links.bytes_in, "refused": self.links.refused,
+                "connections": len(self.links.dialled) + len(self.links.taken),
+                "members": [{"name": m.name, "address": m.address, "standing": Standing(m.standing).name.lower(),
+                             "by": m.by, "life": f"{m.life:x}", "lag": lag.get(name)}
+                            for name, m in sorted(members.known.items())]}
+
+    def _facts(self, given):
+        held = self.peer.replica.facts.held.values()
+        chosen = sorted([f for f in held if not given or f.key[0] == given[0]], key=lambda f: tuple(map(str, f.key)))
+        return {"count": len(chosen), "root": f"{self.peer.replica.facts.root():016x}",
+                "facts": [_shown(fact) for fact in chosen[:SHOWN_MOST]]}
+
+    def _why(self, given):
+        found = [_shown(f) for f in self.peer.replica.facts.held.values() if set(given) <= set(map(str, f.key))]
+        return {"facts": found[:SHOWN_MOST]}
+
+
+def _shown(fact):
+    kind, *rest = fact.key
+    said = {"kind": kind, "key": rest, "by": fact.dot[0], "life": f"{fact.dot[1]:x}", "counter": fact.dot[2]}
+    if kind == WORD:
+        return {**said, "state": State(fact.value[2]).name.lower()}
+    return {**said, "value": fact.value[0]}
--- a/sprucegate/front/driver.py
+++ b/sprucegate/front/driver.py
@@ -29,7 +29,7 @@
         self.servers = Servers(self, pool, wanted.settings, wanted.descriptors // 3, wanted.servers)
         self.most = wanted.settings.get("max_open", 1 << 30)
         self.open, self.ids, self.limits, self.order = {}, {}, [], count()
-        self.timer, self.armed, self.membership = None, None, None
+        self.timer, self.armed, self.membership, self.fleet = None, None, None, None
         self.copies = Copies(min(OWN_BYTES, int(wanted.memory_mb * 2**20) // 3), wanted.link)
 
     # What happens.
@@ -124,7 +124,11 @@
                 news = self.membership.merged(news, now)
             if news is not None:
                 self.apply(news)
+            if self.fleet is not None:
+                self.fleet.listed()
         elif news is not None:
+            if self.fleet is not None:
+                self.fleet.purged(news.object, news.group, news.at)
             self.router.purged(news.object, news.group, now - news.at, now)
         self.arm(now)
 
--- a/sprucegate/front/lifecycle/configuration.py
+++ b/sprucegate/front/lifecycle/configuration.py
@@ -36,6 +36,7 @@
     settings: dict          # for the module, under its own names
     servers: object = None  # what the operator's file says of them; None: all speak lines
     membership: object = None   # and of sources of the list; None: the bus alone
+    fleet: object = None    # and of other fronts; None: this one is alone
 
 
 def _pick(data, key, kind, default=REQUIRED):
--- a/sprucegate/membership/service.py
+++ b/sprucegate/membership/service.py
@@ -12,9 +12,9 @@
 from sprucegate.membership import reading
 from sprucegate.membership.gate import Gate
 from sprucegate.membership.listfile import Faulty
-from sprucegate.membership.view import Server, View
+from sprucegate.membership.merged import Merged, hosts_of
+from sprucegate.membership.view import View
 from sprucegate.membership.worker import flat, server_of
-from sprucegate.servers.hosts import Hosts
 from sprucegate.state.disk import Disk
 from sprucegate.state.snapshots import Snapshots
 
@@ -27,13 +27,13 @@
 S = 1_000_000_000
 
 
-class Membership:
-    """Between the sources and the driver. `driver.apply(hosts)` is what takes a change."""
+class Membership(Merged):
+    """Between the sources and the driver, with a list that is watched."""
 
     def __init__(self, driver, wanted, node, disk=None):
-        self.driver, self.wanted, self.node, self.log = driver, wanted, node, driver.log
-        self.loop, now = asyncio.get_running_loop(), driver.clock()
-        self.view, self.gate = View(node.order, node.ramp, now), Gate(node.most_removed, node.hold)
+        super().__init__(driver, View(node.order, node.ramp, driver.clock()))
+        self.wanted, self.node, self.log = wanted, node, driver.log
+        self.loop, self.gate = asyncio.get_running_loop(), Gate(node.most_removed, node.hold)
         self.snapshots = Snapshots(disk or Disk(), node.state, "servers", node.keep) if node.state else None
         self.queue, self.handing = [], None
         self.wake, self.digest, self.refused, self.unsettled = asyncio.Event(), "", None, None
@@ -44,15 +44,14 @@
 
     def merged(self, hosts, now):
         """What the bus tells, through the view: Hosts to apply now, or None."""
-        servers = [Server(entry, *hosts.names[entry.id]) for entry in hosts.entries]
-        change = self.view.told("bus", servers, hosts.whole, now)
+        change = self._told(hosts, now)
         if change is None:
             return None
         self.dirty = True
         if self.queue:                       # in order behind what is being handed over
-            self._hand_over(change)
+            self.hand_over(change)
             return None
-        return _hosts(change.servers)
+        return hosts_of(change.servers)
 
     # Start and end.
 
@@ -182,17 +181,19 @@
             for change in self.view.changes("file", servers, whole, self.driver.clock(), PIECE):
                 if change is not None:
                     changed += len(change.servers)
-                    self._hand_over(change)
+                    self.hand_over(change)
                 await asyncio.sleep(TURN)
         self.dirty = True
+        if self.driver.fleet is not None:
+            self.driver.fleet.listed()
         if changed:
             self.log("servers_taken", generation=self.view.generation, changed=changed, entries=len(self.view.rows))
         if changed > MANY:
             # What such a list built stays: the collector need not walk it, which would take longer than a turn.
             gc.freeze()
 
-    def _hand_over(self, change):
-        self.queue += [_hosts(change.servers[at:at + PIECE]) for at in range(0, len(change.servers), PIECE)]
+    def hand_over(self, change):
+        self.queue += [hosts_of(change.servers[at:at + PIECE]) for at in range(0, len(change.servers), PIECE)]
         if self.tasks and self.handing is None:
             self._piece()
 
@@ -238,7 +239,7 @@
                 self.log("servers_hold_over")
                 await self._file_told(passed.servers, True)
             if (change := self.view.due(now)) is not None:
-                self._hand_over(change)
+                self.hand_over(change)
             await self._confirm()
 
     async def _confirm(self):
@@ -294,10 +295,5 @@
             self.log("snapshot_failed", error=fault, generation=generation)
 
 
-def _hosts(servers):
-    return Hosts(False, [server.entry for server in servers],
-                 {server.entry.id: (server.name, server.address) for server in servers})
-
-
 def _name(names, at):
     return next((name for name, index in names.items() if index == at), str(at))
--- a/sprucegate/membership/view.py
+++ b/sprucegate/membership/view.py
@@ -59,6 +59,7 @@
         self.lists = {source: {} for source in order}
         self.rows, self.drains, self.ramps = {}, OrderedDict(), {}
         self.begun, self.missing = now, OrderedDict()     # ids that were here and went, for the ramp
+        self.news = None                     # a list, where others are to know: (source, id, start, State)
 
     # What happens.
 
@@ -87,14 +88,15 @@
         for begin in range(0, max(1, len(removed) + len(servers)), piece):
             touched = removed[begin:begin + piece]
             for at in touched:
-                listed.pop(at, None)
+                self._tells(source, listed.pop(at), State.GONE)
             from_here = max(0, begin - len(removed))
             for server in servers[from_here:max(0, begin + piece - len(removed))]:
                 at = server.entry.id
                 touched.append(at)
                 if server.entry.state is State.GONE:
-                    listed.pop(at, None)
+                    self._tells(source, listed.pop(at, server), State.GONE)
                     continue
+                self._tells(source, server, server.entry.state)
                 listed[at] = server
                 self._drained(source, server, now)
             made = self._worked_out(touched, now)
@@ -117,6 +119,9 @@
             self.drains.move_to_end(at)
         else:
             self.drains.pop(at, None)
+        self._bounded()
+
+    def _bounded(self):
         while len(self.drains) > DRAINS_MOST:
             # One that no source lists goes first: forgetting one that is listed would let it serve.
             oldest = next((d for d in self.drains if not any(d in one for one in self.lists.values())), None)
@@ -124,6 +129,30 @@
                 break
             del self.drains[oldest]
 
+    def _tells(self, source, server, state):
+        if self.news is not None:
+            self.news.append((source, server.entry.id, server.entry.started, state))
+
+    def word(self, at, started, source, draining, now):
+        """Another front's word, `source` says whose and of what source: held and lifted as any source's drain.
+
+        It never lifts another's, and one of an earlier start than a server's that is listed is of another server.
+        """
+        if any(at in one and one[at].entry.started > started for one in self.lists.values()):
+            return None
+        drains = tuple(d for d in self.drains.get(at, ()) if d.source != source)
+        if draining:
+            drains += (Drain(source, now, started),)
+        if drains:
+            self.drains[at] = drains
+            self.drains.move_to_end(at)
+        else:
+            self.drains.pop(at, None)
+        self._bounded()
+        made = self._worked_out([at], now)
+        self.generation += bool(made)
+        return Change(self.generation, made) if made else None
+
     def due(self, now):
         """The ramps' next steps."""
         made = self._worked_out([at for at, (begun, step) in self.ramps.items()
--- a/sprucegate/operator/commands.py
+++ b/sprucegate/operator/commands.py
@@ -9,6 +9,7 @@
 import orjson
 
 from sprucegate.operator import file
+from sprucegate.operator.fleet import fleet
 from sprucegate.operator.servers import servers
 
 
@@ -53,7 +54,8 @@
     # As the platform's front: what the start built stays.
     gc.freeze()
     gc.set_threshold(20_000, 20, 100)
-    sys.exit(uvloop.run(serve(wanted._replace(servers=servers, membership=said.membership), structured(wanted.name))))
+    wanted = wanted._replace(servers=servers, membership=said.membership, fleet=said.fleet)
+    sys.exit(uvloop.run(serve(wanted, structured(wanted.name))))
 
 
 @main.command()
@@ -74,6 +76,7 @@
 
 
 main.add_command(servers)
+main.add_command(fleet)
 
 
 @main.command()
--- a/sprucegate/operator/file.py
+++ b/sprucegate/operator/file.py
@@ -19,7 +19,7 @@
 
 from sprucegate.documents import places
 from sprucegate.documents.places import Faulty
-from sprucegate.servers.http2.limits import MS, Limits, S, Share, number, time
+from sprucegate.servers.http2.limits import MS, Limits, S, Share, number, size, time
 
 SIZE_MOST = 1 << 20     # bytes of the file
 TIMES = {"us": 1000, "ms": 1_000_000, "s": 1_000_000_000, "min": 60_000_000_000, "h": 3_600_000_000_000}
@@ -67,9 +67,39 @@
         return None
 
 
+class FleetNode(Struct, forbid_unknown_fields=True, frozen=True, rename="kebab"):
+    """The fronts that this one acts with. Times in ns, sizes in bytes."""
+
+    name: Annotated[str, Meta(min_length=1, max_length=60)]
+    listen: Annotated[str, Meta(min_length=1)]                  # HOST:PORT
+    advertise: str = ""                                         # where the others reach it, if that is not `listen`
+    join: Annotated[list[str], Meta(max_length=100)] = []       # addresses of some others; the rest is told
+    state: Annotated[str, Meta(min_length=1)] = "fleet"         # folder, of this front alone
+    alone_after: time(100 * MS, 600 * S) = 5 * S                # without another front it goes on alone
+    catch_up: size(64 << 10, 1 << 30) = 8 << 20                 # bytes a second, for all that catch up from here
+    purge_life: time(S, 86_400 * S) = 60 * S                    # after which a purge has been done everywhere
+    word_life: time(S, 365 * 86_400 * S) = 86_400 * S           # after which a server that went is forgotten
+    log_most: size(64 << 10, 256 << 20) = 16 << 20              # after which a new snapshot is written
+
+    def contradiction(self):
+        for key, values in (("listen", [self.listen]), ("advertise", [self.advertise or self.listen]),
+                            ("join", self.join)):
+            for value in values:
+                host, _, port = value.rpartition(":")
+                if not host or not port.isdigit() or not 0 < int(port) < 65_536:
+                    return key, f"must be HOST:PORT, not {value[:60]!r}"
+        return None
+
+    @property
+    def address(self):
+        host, _, port = self.listen.rpartition(":")
+        return host, int(port)
+
+
 class OperatorFile(Struct, forbid_unknown_fields=True, frozen=True):
     servers: ServersNode = ServersNode()
     membership: MembershipNode | None = None
+    fleet: FleetNode | None = None
 
 
 class Servers:
@@ -90,10 +120,10 @@
         return isinstance(other, Servers) and self.node == other.node
 
 
-LEAVES = {"servers.http2": Limits, "membership": MembershipNode}        # blocks of `key value` lines
+LEAVES = {"servers.http2": Limits, "membership": MembershipNode, "fleet": FleetNode}     # blocks of `key value` lines
 UNITS = {f"{block}.{one.encode_name}": (getattr(one.type, "__metadata__", (Meta(),))[0].extra or {}).get("unit")
          for block, struct in LEAVES.items() for one in msgspec.structs.fields(struct)}
-SEVERAL = ("membership.order",)
+SEVERAL = ("membership.order", "fleet.join")
 
 
 BLOCKS = ("servers", *LEAVES)
@@ -221,7 +251,7 @@
             builder.fault(builder.lines[key], "servers.speak",
                           f"{which[0]} {which[1]!r} is named on line {seen[which]} already")
         seen[which] = builder.lines[key]
-    for block, node in (("servers.http2", made.servers.http2), ("membership", made.membership)):
+    for block, node in (("servers.http2", made.servers.http2), ("membership", made.membership), ("fleet", made.fleet)):
         if node is not None and (found := node.contradiction()):
             key = f"{block}.{found[0]}"
             builder.fault(builder.lines.get(key, builder.lines.get(block, 1)), key, found[1])
--- /dev/null
+++ b/standins/fleet/rig.py
@@ -0,0 +1,273 @@
+"""Real fronts as processes with relays between them, stand-in caches, an origin and a bus; troubles by calls.
+
+    with Rig(folder, 3) as rig:
+        rig.start_all()
+        rig.purge(["n0"], 0x7f3a, at)
+        rig.until("n2", "holds", lambda: ...)
+"""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+
+from standins.processes import Process
+
+S = 1_000_000_000
+SETTINGS = {
+    "allowed": {"cancel": True, "connectTimeout": 200_000, "keepalive": 15_000_000, "attemptsCap": 6},
+    "categories": [{"name": "media", "aim": 400_000, "effect": "pure", "worth": 2.0, "deadline": 3_000_000}],
+    "failureDomains": ["here"], "shapes": ["std", "parent", "origin"], "myZone": 0,
+    "specifics": {"clientKbPerS": 1000.0, "shieldKind": 1, "storeKind": 2, "classFresh": [0], "usableAfter": [0],
+                  "neighbours": "location"},
+}
+
+
+def free_port():
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        return free.getsockname()[1]
+
+
+class Lines:
+    """A process that takes commands as lines and prints its addresses first."""
+
+    def __init__(self, module, *flags, count):
+        self.process = subprocess.Popen([sys.executable, "-m", module, *flags], stdin=subprocess.PIPE,
+                                        stdout=subprocess.PIPE, text=True)
+        self.addresses = [self.process.stdout.readline().strip() for _ in range(count)]
+
+    def say(self, **said):
+        self.process.stdin.write(json.dumps(said) + "\n")
+        self.process.stdin.flush()
+
+    def stop(self):
+        self.process.kill()
+        self.process.wait()
+        self.process.stdin.close()
+        self.process.stdout.close()
+
+
+class RealFront:
+    """One front's files, and its process while it has one; `lines` has its log."""
+
+    def __init__(self, rig, name, number):
+        self.rig, self.name, self.number, self.process = rig, name, number, None
+        self.folder = rig.folder / name
+        self.folder.mkdir()
+        self.port, self.fleet_port = free_port(), free_port()
+        self.lines, self.fresh = [], threading.Condition()
+
+    def configure(self, bus, advertise, join):
+        known = [{"offset": 1, "topology": {"seq": 1, "whole": True, "hosts": self.rig.hosts}}]
+        (self.folder / "config.json").write_text(json.dumps({
+            "flow_bytes_per_s": 1e7, "link_bytes_per_s": 1e8, "seed": f"{self.number + 7:x}", "name": self.name,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": SETTINGS,
+            "listen": f"127.0.0.1:{self.port}", "bus": bus, "known": {"offset": 1, "batch": known}}))
+        seeds = " ".join(f'"{address}"' for address in join)
+        (self.folder / "front.kdl").write_text(
+            f'fleet {{\n    name "rig"\n    listen "127.0.0.1:{self.fleet_port}"\n    advertise "{advertise}"\n'
+            f'    join {seeds}\n    state "{self.folder / "state"}"\n    alone-after (s)2\n{self.rig.kdl}}}\n')
+
+    def start(self):
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "sprucegate", "front", "--file", str(self.folder / "front.kdl")],
+            stdout=subprocess.PIPE, env={**os.environ, "BALANCER_CONFIG": str(self.folder / "config.json")})
+        threading.Thread(target=self._read, args=(self.process,), daemon=True).start()
+
+    def _read(self, process):
+        for line in process.stdout:
+            with self.fresh:
+                self.lines.append(json.loads(line))
+                self.fresh.notify_all()
+
+    def seen(self, event, since=0, **wanted):
+        return [line for line in self.lines[since:] if line["event"] == event
+                and all(line.get(k) == v for k, v in wanted.items())]
+
+    def until(self, event, since=0, patience=20, **wanted):
+        """The first such line of its log from `since` (a count of lines) on."""
+        end = time.monotonic() + patience
+        with self.fresh:
+            while not (found := self.seen(event, since, **wanted)):
+                left = end - time.monotonic()
+                assert left > 0, (self.name, event, wanted, self.lines[-5:])
+                self.fresh.wait(left)
+        return found[0]
+
+    def signal(self, number):
+        self.process.send_signal(number)
+
+    def kill(self):
+        self.process.kill()
+        self.process.wait()
+        self.process.stdout.close()
+
+    def ask(self, what, *given):
+        """What the command line gets of it; None where it does not answer."""
+        from sprucegate.fleet.links import codec
+        from sprucegate.state import records
+        data = b""
+        try:
+            with socket.create_connection(("127.0.0.1", self.fleet_port), 3) as sock:
+                sock.sendall(codec.greeting(codec.Greeting(codec.VERSION, "rig", "operator", "", "", 0))
+                             + codec.question(codec.Question(what, list(given))))
+                while piece := sock.recv(1 << 16):
+                    data += piece
+            length, _ = records.HEAD.unpack_from(data)
+            return json.loads(data[records.HEAD.size + length:])
+        except (OSError, ValueError, records.struct.error):
+            return None
+
+    def holds(self):
+        """{(kind, key...): value or state} of the facts that it tells of, a thousand at most."""
+        said = self.ask("facts")
+        return {(f["kind"], *f["key"]): f.get("state", f.get("value")) for f in said["facts"]} if said else {}
+
+    def live(self):
+        """The status of GET /status/live; 0 where nobody listens."""
+        try:
+            with socket.create_connection(("127.0.0.1", self.port), 2) as sock:
+                sock.sendall(b"GET /status/live HTTP/1.1\r\nHost: a\r\n\r\n")
+                return int(sock.recv(4096).split()[1])
+        except (OSError, IndexError, ValueError):
+            return 0
+
+
+class Rig:
+    def __init__(self, folder, size, caches=2, seed=0, kdl=""):
+        self.folder, self.kdl, self.offset, self.relay = folder, kdl, 1, None
+        self.twins, self.twin_bus, self.twin_relay = [], None, None
+        self.boxes = [Process("lines", service=0.001, made=1, ran=folder / f"ran-{at}") for at in range(caches + 1)]
+        self.hosts = [self.host(at, "std" if at < caches else "origin") for at in range(caches + 1)]
+        self.names = [f"n{at}" for at in range(size)]
+        self.fronts = {name: RealFront(self, name, at) for at, name in enumerate(self.names)}
+        self.bus = Lines("standins.bus", "--count", str(size), count=size)
+        self.relay = Lines("standins.fleet.relay", "--seed", str(seed), *[
+            f"{f.name}=127.0.0.1:{f.fleet_port}" for f in self.fronts.values()], count=size)
+        for front, bus, advertise in zip(self.fronts.values(), self.bus.addresses, self.relay.addresses, strict=True):
+            front.configure(bus, advertise, self.relay.addresses[:3])
+
+    def host(self, at, kind, health="up"):
+        return {"host": f"s-{at + 16:02x}", "dial": self.boxes[at].address, "site": "here", "class": kind, "block": 0,
+                "health": health, "share": 1.0, "born_ms": 0}
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        for front in [*self.fronts.values(), *self.twins]:
+            if front.process is not None and front.process.poll() is None:
+                front.signal(signal.SIGCONT)
+                front.kill()
+        for one in (self.bus, self.relay, self.twin_bus, self.twin_relay):
+            if one is not None:
+                one.stop()
+        for box in self.boxes:
+            box.stop()
+
+    # What happens.
+
+    def start_all(self, patience=30):
+        for front in self.fronts.values():
+            front.start()
+        for front in self.fronts.values():
+            front.until("ready", patience=patience)
+        self.together(patience)
+
+    def together(self, patience=30, names=None):
+        """Waits until each of those is known as alive by all of them."""
+        names = list(names or self.names)
+
+        def all_there():
+            for name in names:
+                said = self.fronts[name].ask("status")
+                if said is None or not {m["name"] for m in said["members"] if m["standing"] == "alive"} >= set(names):
+                    return False
+            return True
+        self.wait(all_there, patience)
+
+    def wait(self, what, patience=20):
+        """Asks again until it is so: what is waited for has no event of its own."""
+        end = time.monotonic() + patience
+        while not what():
+            assert time.monotonic() < end, what
+            time.sleep(0.01)
+
+    def tell(self, names, **event):
+        self.bus.say(to=[self.names.index(name) for name in names], event=event)
+
+    def purge(self, names, obj, at):
+        """`at`: Unix ms."""
+        self.tell(names, ban={"url": f"{obj:x}", "ts": at})
+
+    def purge_at(self, front, obj, at):
+        """To one front, which may be a twin."""
+        (self.bus if front in self.fronts.values() else self.twin_bus).say(
+            to=[front.number if front in self.fronts.values() else 0], event={"ban": {"url": f"{obj:x}", "ts": at}})
+
+    def twin(self, name):
+        """Another process of that name, with a folder, ports, a bus and a relay of its own; not yet started."""
+        (self.folder / "twin").mkdir()
+        twin, self.folder = None, self.folder / "twin"
+        try:
+            twin = RealFront(self, name, 0)
+        finally:
+            self.folder = self.folder.parent
+        self.twin_bus = Lines("standins.bus", count=1)
+        self.twin_relay = Lines("standins.fleet.relay", f"{name}=127.0.0.1:{twin.fleet_port}", count=1)
+        twin.configure(self.twin_bus.addresses[0], self.twin_relay.addresses[0], self.relay.addresses[:2])
+        self.twins.append(twin)
+        return twin
+
+    def ran(self, box):
+        """GETs that a cache has run so far."""
+        with open(self.folder / f"ran-{box}") as file:
+            return sum(1 for _ in file)
+
+    def health(self, names, box, health):
+        kind = "std" if box < len(self.boxes) - 1 else "origin"
+        self.offset += 1
+        self.tell(names, topology={"seq": self.offset, "whole": False, "hosts": [self.host(box, kind, health)]})
+
+    def trouble(self, do, **said):
+        self.relay.say(do=do, **said)
+        assert self.relay.process.stdout.readline() == "set\n"
+
+    def split(self, one, other):
+        self.trouble("cut", **{"from": one, "to": other})
+        self.trouble("cut", **{"from": other, "to": one})
+
+    def all_hold(self, key, value, names=None, patience=20):
+        """Waits until those hold at least that; the names of none are left out."""
+        def so():
+            return all(_at_least(self.fronts[name].holds().get(key), value) for name in names or self.names)
+        self.wait(so, patience)
+
+    def get(self, name, obj, call_id, sock=None):
+        """Status and body of one GET through a front."""
+        own = sock or socket.create_connection(("127.0.0.1", self.fronts[name].port), timeout=5)
+        own.sendall(f"GET /svc/media/{obj:016x}/slice-1 HTTP/1.1\r\nHost: a\r\nX-Call-Id: {call_id:016x}\r\n"
+                    "X-Patience-Ms: 1500\r\nX-Set: 17\r\nX-Heap-Kb: 4.5\r\nContent-Length: 0\r\n\r\n".encode())
+        head = b""
+        while b"\r\n\r\n" not in head:
+            if not (piece := own.recv(65_536)):
+                return 0, b""
+            head += piece
+        head, _, body = head.partition(b"\r\n\r\n")
+        size = next((int(v) for k, _, v in (line.partition(b":") for line in head.split(b"\r\n")[1:])
+                     if k.lower() == b"content-length"), 0)
+        while len(body) < size:
+            body += own.recv(65_536)
+        if sock is None:
+            own.close()
+        return int(head.split()[1]), body
+
+
+def _at_least(held, value):
+    if held is None:
+        return False
+    return held >= value if isinstance(value, int) else held == value
--- a/standins/fleet/simulated.py
+++ b/standins/fleet/simulated.py
@@ -171,13 +171,13 @@
             if self.peer.replica.writing is not None:
                 return
             fault = self.keeping.begin_snapshot()
-            held, lives = list(self.peer.replica.facts.held.values()), self.peer.replica.facts.seen.told()
+            held, lives = self.peer.replica.captured()
             if fault is None:
                 pieces = [packed(held[at:at + PIECE]) for at in range(0, len(held), PIECE)]
                 fault = self.keeping.finish_snapshot(lives, pieces, self.fleet.now)
             if fault is None and not self.peer.replica.kept:
                 self.fleet.note(self.name, "kept", [(f.key, f.value) for f in held])
-                self.done(self.peer.replica.disk_is_back(self.fleet.now))
+                self.done(self.peer.replica.disk_is_back(lives, self.fleet.now))
         except Crashed:
             return self.crash()
         if fault is not None and not self.peer.replica.kept:
--- a/standins/lines.py
+++ b/standins/lines.py
@@ -10,6 +10,7 @@
 import signal
 import socket
 import sys
+import time
 
 import uvloop
 
@@ -47,8 +48,9 @@
     def _answer(self, call_id):
         if self.open.pop(call_id, None) and self.sock.fileno() >= 0:
             self.server.note(call_id)
-            self.outgoing += b"%b served etag=t1,remark=cached %d\r\n%b\r\n" % (
-                call_id, self.server.size, b"x" * self.server.size)
+            made = b"made=%d," % int(time.time() * 1000) if self.server.made else b""
+            self.outgoing += b"%b served etag=t1,%bremark=cached %d\r\n%b\r\n" % (
+                call_id, made, self.server.size, b"x" * self.server.size)
             if not self.flushing:
                 self.flushing = True
                 self.loop.call_soon(self._flush)
@@ -80,10 +82,11 @@
 
 
 class Server:
-    def __init__(self, port=0, seed=0, service=0.0, size=5, ran=None, steady=False):
+    def __init__(self, port=0, seed=0, service=0.0, size=5, ran=None, steady=False, made=False):
         self.port, self.service, self.size, self.chance = port, service, size, random.Random(seed)
         self.file = os.open(ran, os.O_WRONLY | os.O_CREAT | os.O_APPEND) if ran else None
-        self.made = self.count = 0
+        self.connections = self.count = 0
+        self.made = made                     # whether it tells when its copies were made: just now
         self.steady = steady
 
     def wait(self):
@@ -107,21 +110,21 @@
         task = loop.create_task(self._accept(listener, loop))
         await stop.wait()
         task.cancel()
-        print(f"ran {self.count} connections {self.made} closes 0", flush=True)
+        print(f"ran {self.count} connections {self.connections} closes 0", flush=True)
 
     async def _accept(self, listener, loop):
         while True:
             sock, _ = await loop.sock_accept(listener)
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self.made += 1
+            self.connections += 1
             Peer(self, sock)
 
 
 def main(given):
     flags = argparse.ArgumentParser(prog="python -m standins.lines", description=__doc__.split("\n")[0])
     for name, kind, default in (("port", int, 0), ("seed", int, 0), ("service", float, 0.0), ("size", int, 5),
-                                ("ran", str, None), ("steady", int, 0)):
+                                ("ran", str, None), ("steady", int, 0), ("made", int, 0)):
         flags.add_argument("--" + name, type=kind, default=default)
     uvloop.run(Server(**vars(flags.parse_args(given))).serve())
 
--- /dev/null
+++ b/tests/test_fleet_rig.py
@@ -0,0 +1,294 @@
+"""Real fronts with relays between them: what was told to one holds at all, whoever is killed, cut off or lying."""
+
+import os
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import pytest
+
+from sprucegate.fleet.links import codec
+from sprucegate.state import records
+from standins.fleet.rig import Rig
+
+THING = 0x7F3A9C21E0B4D655
+
+
+def stamp():
+    return int(time.time() * 1000)
+
+
+def purged(at):
+    return at * 1_000_000
+
+
+@pytest.fixture
+def three(tmp_path):
+    with Rig(tmp_path, 3) as rig:
+        rig.start_all()
+        yield rig
+
+
+@pytest.mark.parametrize("sent", [True, False])
+def test_a_purge_told_to_one_that_is_killed_holds_at_all(three, sent):
+    rig, at = three, stamp()
+    if not sent:
+        rig.split(["n0"], ["n1", "n2"])
+    rig.purge(["n0"], 5, at)
+    rig.all_hold(("purge", "object", 5), purged(at), ["n0"])
+    if sent:
+        rig.fronts["n1"].until("fleet_told")
+    rig.fronts["n0"].kill()
+    if not sent:
+        assert not rig.fronts["n1"].holds() and not rig.fronts["n2"].holds()
+        rig.trouble("heal")
+        rig.fronts["n0"].start()             # it was on its disk before it could be told
+    rig.all_hold(("purge", "object", 5), purged(at), None if not sent else ["n1", "n2"])
+
+
+def test_own_copies_older_than_a_purge_told_elsewhere_answer_no_more(three):
+    rig, sock = three, socket.create_connection(("127.0.0.1", three.fronts["n1"].port), timeout=5)
+
+    def own():
+        line = len(rig.fronts["n1"].lines)
+        for n in range(5):
+            assert rig.get("n1", THING, own.calls + n, sock)[0] == 200
+        own.calls += 5
+        return rig.fronts["n1"].until("second", line).get("gets_own", 0)
+    own.calls = 1
+    rig.wait(lambda: own() > 0)
+    line, at = len(rig.fronts["n1"].lines), stamp()
+    rig.purge(["n0"], THING, at)
+    rig.fronts["n1"].until("fleet_told", line, kind="purge")
+    ran = rig.fronts["n1"].until("second", len(rig.fronts["n1"].lines))["at"]
+    line = len(rig.fronts["n1"].lines)
+    assert rig.get("n1", THING, 90_001, sock)[0] == 200
+    second = rig.fronts["n1"].until("second", line)
+    assert second["at"] > ran and second["gets_returned"] == 1 and "gets_own" not in second
+
+
+def test_one_that_was_cut_off_gets_what_came_meanwhile_and_tells_what_it_heard(three):
+    rig, at = three, stamp()
+    rig.split(["n2"], ["n0", "n1"])
+    rig.purge(["n0"], 5, at)
+    rig.health(["n1"], 0, "draining")
+    rig.purge(["n2"], 6, at)
+    rig.all_hold(("word", 16, 0, "bus", "n1"), "draining", ["n0", "n1"])
+    rig.fronts["n0"].until("fleet_member", member="n2", standing="gone", patience=40)
+    assert set(rig.fronts["n2"].holds()) == {("purge", "object", 6)}
+    rig.trouble("heal")
+    for key, value in ((("purge", "object", 5), purged(at)), (("purge", "object", 6), purged(at)),
+                       (("word", 16, 0, "bus", "n1"), "draining")):
+        rig.all_hold(key, value)
+    rig.together()
+
+
+@pytest.mark.parametrize("heard", [True, False])
+def test_cut_one_way_only(three, heard):
+    rig, at = three, stamp()
+    pair = {"from": ["n2"], "to": ["n0", "n1"]} if heard else {"from": ["n0", "n1"], "to": ["n2"]}
+    rig.trouble("cut", **pair)
+    teller, hearers = ("n0", ["n0", "n1", "n2"]) if heard else ("n2", ["n0", "n1", "n2"])
+    rig.purge([teller], 5, at)
+    rig.all_hold(("purge", "object", 5), purged(at), hearers)
+    rig.trouble("heal")
+    rig.together()
+
+
+def test_drains_of_both_halves_hold_after_they_join_and_are_lifted_by_their_own(three):
+    rig = three
+    rig.split(["n2"], ["n0", "n1"])
+    rig.health(["n0"], 0, "draining")
+    rig.health(["n2"], 0, "draining")
+    rig.all_hold(("word", 16, 0, "bus", "n0"), "draining", ["n0", "n1"])
+    rig.all_hold(("word", 16, 0, "bus", "n2"), "draining", ["n2"])
+    rig.trouble("heal")
+    for owner in ("n0", "n2"):
+        rig.all_hold(("word", 16, 0, "bus", owner), "draining")
+    rig.health(["n0"], 0, "up")
+    rig.all_hold(("word", 16, 0, "bus", "n0"), "lifted")
+    assert all(f.holds()[("word", 16, 0, "bus", "n2")] == "draining" for f in rig.fronts.values())
+    # n1 heard of neither by its own bus, and sends the server nothing until the second is lifted as well.
+    assert sent_to(rig, "n1", 0, 100) == 0
+    rig.health(["n2"], 0, "up")
+    rig.all_hold(("word", 16, 0, "bus", "n2"), "lifted")
+    assert sent_to(rig, "n1", 0, 1000) > 0
+
+
+def sent_to(rig, name, box, first):
+    """How many of 60 GETs of other objects through that front are run at one of the caches."""
+    before = rig.ran(box)
+    with socket.create_connection(("127.0.0.1", rig.fronts[name].port), timeout=5) as sock:
+        for n in range(first, first + 60):
+            assert rig.get(name, n * 7919 + 1, (1 << 32) + n, sock)[0] == 200
+    return rig.ran(box) - before
+
+
+def test_a_front_with_last_weeks_folder_gets_a_new_life_and_brings_nothing_back(three):
+    rig, at, front = three, stamp(), three.fronts["n2"]
+    rig.health(["n2"], 0, "draining")
+    rig.all_hold(("word", 16, 0, "bus", "n2"), "draining")
+    front.kill()
+    shutil.copytree(front.folder / "state", front.folder / "old")
+    front.start()
+    front.until("ready", len(front.lines))
+    rig.together()
+    rig.health(["n2"], 0, "up")              # offset 3 of its bus: it hears 2 and 3 anew at each start
+    rig.all_hold(("word", 16, 0, "bus", "n2"), "lifted")
+    rig.purge(["n2"], 6, at)
+    rig.all_hold(("purge", "object", 6), purged(at))
+    front.kill()
+    shutil.rmtree(front.folder / "state")
+    shutil.move(front.folder / "old", front.folder / "state")
+    since = len(front.lines)
+    front.start()
+    front.until("ready", since)
+    rig.all_hold(("purge", "object", 6), purged(at))
+    rig.all_hold(("word", 16, 0, "bus", "n2"), "lifted")
+    assert sent_to(rig, "n1", 0, 100) > 0
+
+
+def test_two_processes_of_one_name_are_told_apart(three):
+    rig, twin = three, three.twin("n2")
+    twin.start()
+    twin.until("ready")
+    rig.wait(lambda: rig.fronts["n2"].seen("fleet_name_twice") or twin.seen("fleet_name_twice"), 30)
+    seen = [line for f in (rig.fronts["n2"], twin) for line in f.seen("fleet_name_twice")]
+    assert seen and all(line["own"] != line["other"] for line in seen)
+    at = stamp()
+    for number, teller in enumerate((twin, rig.fronts["n2"]), 70):
+        rig.purge_at(teller, number, at)
+        rig.all_hold(("purge", "object", number), purged(at))
+        rig.wait(lambda key=("purge", "object", number): key in twin.holds())
+
+
+def test_one_that_stood_still_takes_no_other_down_and_is_back(three):
+    rig, at, still = three, stamp(), three.fronts["n1"]
+    rig.purge(["n1"], 4, at)
+    still.signal(signal.SIGSTOP)
+    rig.purge(["n0"], 5, at)
+    rig.all_hold(("purge", "object", 5), purged(at), ["n0", "n2"])
+    rig.fronts["n0"].until("fleet_member", member="n1", standing="suspect", patience=20)
+    time.sleep(5)                            # what is looked at is a process that stands still for seconds
+    still.signal(signal.SIGCONT)
+    for number in (4, 5):
+        rig.all_hold(("purge", "object", number), purged(at))
+    rig.together()
+    assert not still.seen("fleet_member", standing="gone")
+
+
+def greeting(version, fleet):
+    return codec.greeting(codec.Greeting(version, fleet, "front", "x", "", 1))
+
+
+@pytest.mark.parametrize(("data", "why"), [
+    (b"GET / HTTP/1.1\r\nHost: a\r\n\r\n", "more than"),
+    (b"\xff\xff\xff\xff" + bytes(100), "more than"),
+    (records.record(b"\x00" * 40), "no greeting"),
+    (records.record(b"x" * 40)[:-1] + b"y", "checksum"),
+    (greeting(codec.VERSION + 1, "rig"), "format"),
+    (greeting(codec.VERSION, "other"), "fleet"),
+    (greeting(codec.VERSION, "rig") + records.record(b"\x92\x63\xc0"), "kind"),
+    (greeting(codec.VERSION, "rig") + codec.frame(
+        codec.replica.Tell([codec.Fact(("bogus", 1), (1,), ("x", 1, 1))], 0, 0)), "no known kind"),
+])
+def test_a_peer_that_misbehaves_loses_its_own_connection_alone(one_front, data, why):
+    rig, front = one_front, one_front.fronts["n0"]
+    since = len(front.lines)
+    with socket.create_connection(("127.0.0.1", front.fleet_port), timeout=5) as sock:
+        sock.sendall(data)
+        while sock.recv(4096):
+            pass
+    assert why in front.until("fleet_peer_refused", since)["error"]
+    assert front.ask("status")["ok"] and rig.get("n0", THING, since + 1)[0] == 200
+
+
+@pytest.fixture(scope="module")
+def one_front(tmp_path_factory):
+    with Rig(tmp_path_factory.mktemp("one"), 1) as rig:
+        rig.fronts["n0"].start()
+        rig.fronts["n0"].until("fleet_alone")
+        rig.fronts["n0"].until("ready")
+        yield rig
+
+
+def test_a_fifth_of_the_frames_lost_doubled_turned_round_and_torn(three):
+    rig, at = three, stamp()
+    everyone = {"from": rig.names, "to": rig.names}
+    rig.trouble("loss", share=0.2, **everyone)
+    rig.trouble("twice", share=0.1, **everyone)
+    rig.trouble("swap", share=0.1, **everyone)
+    for number in range(40):
+        rig.purge([rig.names[number % 3]], number, at)
+        if number % 10 == 5:
+            rig.trouble("tear", **everyone)
+    for number in range(40):
+        rig.all_hold(("purge", "object", number), purged(at))
+
+
+def test_what_was_let_go_while_one_was_away_does_not_come_back(tmp_path):
+    with Rig(tmp_path, 3, kdl="    purge-life (s)1\n") as rig:
+        rig.start_all()
+        rig.health(["n0"], 0, "draining")
+        rig.all_hold(("word", 16, 0, "bus", "n0"), "draining")
+        rig.split(["n2"], ["n0", "n1"])
+        rig.fronts["n0"].until("fleet_member", member="n2", standing="gone", patience=40)
+        rig.fronts["n1"].until("fleet_member", member="n2", standing="gone", patience=40)
+        rig.health(["n0"], 0, "up")
+        rig.wait(lambda: not rig.fronts["n0"].holds() and not rig.fronts["n1"].holds(), 40)
+        assert rig.fronts["n2"].holds() == {("word", 16, 0, "bus", "n0"): "draining"}
+        rig.trouble("heal")
+        rig.wait(lambda: not rig.fronts["n2"].holds(), 40)
+        assert not rig.fronts["n0"].holds() and not rig.fronts["n1"].holds()
+        assert sent_to(rig, "n2", 0, 100) > 0
+
+
+def test_seven_of_ten_killed_and_returned_at_once_under_gets(tmp_path):
+    with Rig(tmp_path, 10) as rig:
+        rig.start_all()
+        at, calls, answers = stamp(), iter(range(1, 1 << 30)), []
+        for number in range(100):
+            rig.purge([rig.names[number % 10]], number, at)
+        rig.all_hold(("purge", "object", 99), purged(at))
+        away = rig.names[3:]
+        for name in away:
+            rig.fronts[name].kill()
+        rig.purge(["n0"], 500, at)
+        since = {name: len(rig.fronts[name].lines) for name in away}
+        for name in away:
+            rig.fronts[name].start()
+        for name in away:
+            answers += [rig.get(one, THING + n, next(calls))[0] for one in rig.names[:3] for n in range(5)]
+            rig.fronts[name].until("ready", since[name], patience=40)
+            held = rig.fronts[name].holds()
+            assert len(held) == 101 and held[("purge", "object", 500)] == purged(at)
+            assert rig.fronts[name].live() == 200
+        assert set(answers) == {200}
+        rig.together()
+
+
+def test_a_front_alone_serves_and_joins_who_comes_later(tmp_path):
+    with Rig(tmp_path, 2) as rig:
+        one, other = rig.fronts.values()
+        one.start()
+        one.until("fleet_alone")
+        one.until("ready")
+        at = stamp()
+        rig.purge(["n0"], 5, at)
+        rig.all_hold(("purge", "object", 5), purged(at), ["n0"])
+        other.start()
+        other.until("fleet_caught_up")
+        assert other.holds() == {("purge", "object", 5): purged(at)}
+        one.until("fleet_caught_up")
+
+
+def test_a_front_without_fleet_imports_nothing_of_it(tmp_path):
+    (tmp_path / "empty.kdl").write_text("servers {\n}\n")
+    for command in ([], ["front", "--file", str(tmp_path / "empty.kdl")]):
+        done = subprocess.run([sys.executable, "-X", "importtime", "-m", "sprucegate", *command], capture_output=True,
+                              text=True, env={**os.environ, "BALANCER_CONFIG": str(tmp_path / "none")}, timeout=30)
+        assert done.returncode == 2 and "uvloop" in done.stderr
+        assert "sprucegate.fleet" not in done.stderr
