--- a/sprucegate/fleet/links/codec.py
+++ b/sprucegate/fleet/links/codec.py
@@ -9,13 +9,14 @@
 from sprucegate.fleet.members import swim
 from sprucegate.fleet.replica import replica
 from sprucegate.fleet.replica.facts import Fact, State
+from sprucegate.interface import Believed, Resting
 from sprucegate.state import records
 
 VERSION = 1
 FRAME_MOST = 8 << 20        # bytes: what a fleet has seen, with the gaps of a transfer under way
 GREETING_MOST = 1024
 KINDS = (None, swim.Ping, swim.Ack, swim.PingFor, swim.Nack, swim.All, replica.Tell, replica.Done, replica.Held,
-         replica.Have, replica.Mark, replica.Ranges, replica.Keys, replica.Repair)
+         replica.Have, replica.Mark, replica.Ranges, replica.Keys, replica.Repair, replica.Evidence)
 NUMBERS = {kind: number for number, kind in enumerate(KINDS) if kind}
 
 
@@ -50,7 +51,7 @@
     replica.Done: tuple[int, int, _Lives], replica.Held: tuple[int],
     replica.Have: tuple[_Lives, int, tuple[int, int], int], replica.Mark: tuple[int, _Lives, bool],
     replica.Ranges: tuple[list[int]], replica.Keys: tuple[list[int], list[tuple[_Key, _Dot, int]], bool],
-    replica.Repair: tuple[list[Fact]],
+    replica.Repair: tuple[list[Fact]], replica.Evidence: tuple[int, list[Believed], list[Resting]],
 }
 _encode = msgspec.msgpack.Encoder().encode
 _number = msgspec.msgpack.Decoder(tuple[int, msgspec.Raw]).decode
--- a/sprucegate/fleet/links/outgoing.py
+++ b/sprucegate/fleet/links/outgoing.py
@@ -3,7 +3,7 @@
 from collections import OrderedDict, deque
 
 from sprucegate.fleet.links import codec
-from sprucegate.fleet.replica.replica import CHUNK, Tell
+from sprucegate.fleet.replica.replica import CHUNK, Evidence, Tell
 
 SAID_MOST = 512 << 10       # bytes of what the protocol itself says
 PIECES_MOST = 4 << 20       # bytes of transfers
@@ -15,9 +15,10 @@
     def __init__(self):
         self.said, self.pieces, self.facts = deque(), deque(), OrderedDict()
         self.said_bytes = self.piece_bytes = self.dropped = 0
+        self.evidence = None                 # the latest alone: an older one is worth nothing beside it
 
     def __bool__(self):
-        return bool(self.said or self.pieces or self.facts)
+        return bool(self.said or self.pieces or self.facts or self.evidence)
 
     def put(self, message, guard):
         if isinstance(message, Tell) and not message.transfer:
@@ -28,6 +29,9 @@
                 self.facts.popitem(last=False)
                 self.dropped += 1
             return
+        if isinstance(message, Evidence):
+            self.evidence = message
+            return
         data = codec.frame(message)
         if guard:
             if self.piece_bytes + len(data) > PIECES_MOST:
@@ -43,7 +47,7 @@
             self.dropped += 1
 
     def take(self):
-        """The next bytes: what the protocol says, then facts that spread, then transfers."""
+        """The next bytes: what the protocol says, then facts that spread, then transfers, evidence last."""
         out, size = [], 0
         while size < ONCE:
             if self.said:
@@ -55,6 +59,8 @@
             elif self.pieces:
                 data = self.pieces.popleft()
                 self.piece_bytes -= len(data)
+            elif self.evidence is not None:
+                data, self.evidence = codec.frame(self.evidence), None
             else:
                 break
             out.append(data)
--- a/sprucegate/fleet/replica/replica.py
+++ b/sprucegate/fleet/replica/replica.py
@@ -69,6 +69,14 @@
     number: int
 
 
+class Evidence(NamedTuple):
+    """What one front has seen of caches and parents, told at `at` (Unix ns): worth less as it ages, never kept."""
+
+    at: int
+    believed: list
+    resting: list
+
+
 class Mark(NamedTuple):
     """What the answering front had seen when it was asked: who asked is as new as that once it has seen it all.
 
--- a/sprucegate/fleet/service.py
+++ b/sprucegate/fleet/service.py
@@ -22,18 +22,24 @@
     WORD,
     Act,
     Doubted,
+    Evidence,
     LetGo,
     Live,
     Note,
     Phase,
+    Send,
     Write,
 )
+from sprucegate.interface import Believed, Resting
 from sprucegate.interface import State as Listed
 from sprucegate.state.disk import Disk
 
 S = 1_000_000_000
 AGAIN = 1.0             # seconds until a disk that failed is tried again
 SWEEP = 5.0
+EVIDENCE_EVERY = 1.0    # seconds
+EVIDENCE_BYTES = 45     # of one row on the way, about
+EVIDENCE_OLD = 2 * S    # past it, or that far ahead: a front that stood still, or clocks apart, tell nothing
 SHOWN_MOST = 1000       # facts in one answer to an operator
 STATES = {Listed.DRAINING: State.DRAINING, Listed.SERVING: State.LIFTED, Listed.GONE: State.GONE}
 
@@ -47,6 +53,7 @@
         self.keeping, self.pool = Keeping(disk or Disk(), node.state), ThreadPoolExecutor(1, "fleet-disk")
         self.peer, self.links, self.timer, self.up = None, None, None, asyncio.Event()
         self.tasks, self.snapping, self.stopped, self.waiting = set(), False, False, []
+        self.rows_out, self.rows_in = 0, 0   # of evidence
         self.being = int.from_bytes(os.urandom(4), "big")
         merged.view.news = []
 
@@ -90,6 +97,8 @@
         for key, value in waiting:           # heard with the first list
             self._told(key, value)
         self._later(self._sweeps())
+        if self.node.evidence:
+            self._later(self._tells())
 
     def leave(self):
         """SIGTERM: the others need not find out by themselves. This front hears and tells until its end."""
@@ -180,7 +189,26 @@
     def _due(self):
         self.do(self.peer.due(time.monotonic_ns()))
 
+    async def _tells(self):
+        """What the rules find worth telling, to the neighbours that this front tells of purges."""
+        while True:
+            await asyncio.sleep(EVIDENCE_EVERY)
+            said = self.driver.router.tells(self.node.evidence // EVIDENCE_BYTES, self.driver.clock())
+            if said:
+                message = Evidence(self.driver.clock(), [one for one in said if isinstance(one, Believed)],
+                                   [one for one in said if isinstance(one, Resting)])
+                self.rows_out += len(said)
+                self.do([Send(name, message) for name in self.peer.replica.to(time.monotonic_ns())])
+
+    def _hears(self, message):
+        now = self.driver.clock()
+        if abs(now - message.at) <= EVIDENCE_OLD:
+            self.rows_in += len(message.resting) + len(message.believed)
+            self.driver.router.hears(message.resting + message.believed, max(0, now - message.at), now)
+
     def _heard(self, name, message):
+        if isinstance(message, Evidence):
+            return self._hears(message)
         self.do(self.peer.heard(name, message, time.monotonic_ns()))
 
     def _in_force(self, fact, loaded=False):
@@ -289,6 +317,7 @@
         return {"fleet": self.node.name, "phase": "caught up" if replica.phase is Phase.TOGETHER else
                 replica.phase.name.lower(), "kept": replica.kept, "health": members.health, "facts": kinds,
                 "bytes_out": self.links.bytes_out, "bytes_in": self.links.bytes_in, "refused": self.links.refused,
+                "evidence_out": self.rows_out, "evidence_in": self.rows_in,
                 "connections": len(self.links.dialled) + len(self.links.taken),
                 "members": [{"name": m.name, "address": m.address, "standing": Standing(m.standing).name.lower(),
                              "by": m.by, "life": f"{m.life:x}", "lag": lag.get(name)}
--- a/sprucegate/interface.py
+++ b/sprucegate/interface.py
@@ -120,5 +120,25 @@
     payload: bytes
 
 
+class Believed(NamedTuple):
+    """One front's own belief, for other fronts: `left` and `ago` (ns) count from when it was told."""
+
+    object: int
+    part: int
+    cache: int
+    started: int
+    left: int
+    ago: int
+
+
+class Resting(NamedTuple):
+    """A place that a front has set aside, as a cache or as a source, and how long still (ns)."""
+
+    cache: int
+    started: int
+    as_source: bool
+    left: int
+
+
 class Subscribe(NamedTuple):
     """Ask discovery for the list and its changes."""
--- a/sprucegate/operator/file.py
+++ b/sprucegate/operator/file.py
@@ -77,6 +77,7 @@
     state: Annotated[str, Meta(min_length=1)] = "fleet"         # folder, of this front alone
     alone_after: time(100 * MS, 600 * S) = 5 * S                # without another front it goes on alone
     catch_up: size(64 << 10, 1 << 30) = 8 << 20                 # bytes a second, for all that catch up from here
+    evidence: size(0, 10 << 20) = 32 << 10                      # bytes a second to each neighbour; 0: guard facts alone
     purge_life: time(S, 86_400 * S) = 60 * S                    # after which a purge has been done everywhere
     word_life: time(S, 365 * 86_400 * S) = 86_400 * S           # after which a server that went is forgotten
     log_most: size(64 << 10, 256 << 20) = 16 << 20              # after which a new snapshot is written
--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -11,6 +11,7 @@
 from statistics import median, median_low
 from zlib import crc32
 
+from sprucegate import interface
 from sprucegate.interface import Cancel, Errored, Forward, Found, Outcome, Shed, State, Subscribe
 
 MS, S, NEVER = 1_000_000, 1_000_000_000, -1 << 62
@@ -46,6 +47,7 @@
 OWN_WAIT = 5 * MS * 100 * MS    # queue on the own link times sending: past it a cache answers sooner
 CONNECTIONS = 4         # to one cache: each more is read on its own, and costs the CPU where GETs are many
 STALLED = 150 * MS      # an answer begun and then silent so long won't be finished
+HEARD = 0.5             # of what is left of another front's belief or rest: it saw another part of the GETs
 ANSWER_MARGIN = 20 * MS # kept before the end of a viewer's time
 
 SOURCE_FAULTS = (Found.SOURCE_REFUSED, Found.SOURCE_BROKEN, Found.ORIGIN_FAILED)
@@ -210,6 +212,7 @@
         self.widest = Counter()              # most weight that a role's group has had
         self.paces = OrderedDict()           # object -> its last sending times
         self.table, self.slot_of, self.purges = [], OrderedDict(), {}    # purges by ("object" or "group", id)
+        self.told_at = NEVER                 # other fronts of this one's beliefs
         self.waiting, self.order = [], count()   # (due, order, Get or None for a list to ask for)
         self.carried, self.further = deque(maxlen=256), deque(maxlen=100)   # (time, work) returned; if so
         self.spents = defaultdict(lambda: deque(maxlen=64))    # by delivery service, the last sending times
@@ -355,6 +358,34 @@
         memory.holders = {at: memory.holders[at] for _, at in kept}
         return {self.nodes[at]: -expiry for expiry, at in sorted(kept)}
 
+    def tells(self, most, now):
+        """What other fronts can use: who is set aside, then beliefs renewed since then, most asked first."""
+        said = [interface.Resting(n.id, n.started, by is n.as_source, by.until - now)
+                for n in self.nodes.values() for by in (n.as_cache, n.as_source) if by.until > now]
+        since, self.told_at = self.told_at, now
+        fresh = [(-sum(m.counts[:2]), key, at, held) for key, slot in self.slot_of.items()
+                 for m in [self.table[slot]] for at, held in m.holders.items()
+                 if held[1] > since and held[0] - now > 2 * MARGIN and at in self.nodes]
+        for _, (obj, part), at, (end, of, start) in heapq.nsmallest(max(0, most - len(said)), fresh):
+            said.append(interface.Believed(obj, part, self.nodes[at].id, start, end - now, now - of))
+        return said[:most]
+
+    def hears(self, said, age, now):
+        """Another front's words, `age` ns old: nothing beside what was seen here, else part of the rest."""
+        for one in said:
+            node = self.nodes.get(self.index_of.get(one.cache))
+            left = int(HEARD * (one.left - age))
+            if node is None or node.started != one.started or left <= 0:
+                continue
+            if isinstance(one, interface.Resting):
+                by = node.as_source if one.as_source else node.as_cache
+                if not any(now - at < SAMPLE_AGE for at, _ in by.ends):
+                    by.until, by.trial = max(by.until, now + min(left, 8 * REST)), True
+            elif (one.object, one.part) in self.slot_of or len(self.table) < TABLE:
+                # One that a full table lacks is not what this front is asked for.
+                holders = self.memory(one, now).holders
+                holders.setdefault(node.index, (now + min(left, CAP), now - one.ago - age, node.started))
+
     def take(self, asked, now):
         self.now, memory = now, self.memory(asked, now)
         # Repeats stretch beliefs. Unmarked ones are told by how soon they follow a GET given up here.
--- /dev/null
+++ b/tests/test_fleet_links.py
@@ -0,0 +1,141 @@
+"""What fronts say as bytes, what waits to be sent, and what of it lasts: pure, and over a disk that fails."""
+
+import msgspec
+import pytest
+
+from sprucegate.fleet.keeping import Keeping, packed
+from sprucegate.fleet.links import codec
+from sprucegate.fleet.links.outgoing import FACTS_MOST, PIECES_MOST, SAID_MOST, Outgoing
+from sprucegate.fleet.members import swim
+from sprucegate.fleet.replica import replica
+from sprucegate.fleet.replica.facts import Fact, Facts, Joined
+from sprucegate.interface import Believed, Resting
+from sprucegate.state import records
+from standins.disk import Crashed, FaultyDisk
+
+MEMBER = swim.Member("n0", "127.0.0.1:1", 1 << 40, 2, 1, "n1")
+FACTS = [Fact(("purge", "object", 5), (7,), ("n0", 1, 1)), Fact(("word", 16, 0, "bus", "n0"), (1, 2, 0), ("n0", 1, 2))]
+LIVES = [("n0", 1, [1, 3, 5, 9])]
+MESSAGES = [
+    swim.Ping(1, "n1", 2**63, [MEMBER]), swim.Ack(1, 0, []), swim.PingFor(2, "n1", []), swim.Nack(3),
+    swim.All([MEMBER], True), replica.Tell(FACTS, 4, 1), replica.Done(4, 2, LIVES), replica.Held(2**64 - 1),
+    replica.Have(LIVES, 9, (0, 2), 1), replica.Mark(1, LIVES, True), replica.Ranges([0] * 256),
+    replica.Keys([3], [(FACTS[0].key, FACTS[0].dot, 11)], False), replica.Repair(FACTS),
+    replica.Evidence(5, [Believed(1, 0, 12, 0, 7, 8)], [Resting(12, 0, True, 9)])]
+
+
+def test_each_message_comes_as_it_went_whole_or_byte_by_byte():
+    data = b"".join(map(codec.frame, MESSAGES))
+    for size in (1, 7, len(data)):
+        reader, found = codec.Reader(), []
+        reader.most = codec.FRAME_MOST
+        for at in range(0, len(data), size):
+            found += [codec.message(payload) for payload in reader.feed(data[at:at + size])]
+        assert found == MESSAGES and {type(m) for m in MESSAGES} == set(codec.KINDS[1:])
+
+
+def test_every_changed_byte_of_a_frame_is_found():
+    data = codec.frame(MESSAGES[5])
+    for at in range(len(data)):
+        reader = codec.Reader()
+        with pytest.raises(codec.Unreadable):
+            reader.feed(data[:at] + bytes([data[at] ^ 0x55]) + data[at + 1:])
+            raise codec.Unreadable("more is waited for") if at < 4 else AssertionError(at)
+
+
+@pytest.mark.parametrize("fact", [
+    ((), (1,), ("a", 1, 1)), (("purge", "object", "x"), (1,), ("a", 1, 1)),
+    (("purge", "object", 1), (1, 2), ("a", 1, 1)),
+    (("purge", "object", 1), ("1",), ("a", 1, 1)), (("word", 1, 0, "bus", "a"), (1, 1, 9), ("a", 1, 1)),
+    (("purge", "object", 1), (1,), ("a", 1, 0)), (("purge", "object", True), (1,), ("a", 1, 1))])
+def test_a_fact_that_is_none_is_unreadable(fact):
+    payload = msgspec.msgpack.encode((codec.NUMBERS[replica.Tell], ([fact], 0, 0)))
+    with pytest.raises(codec.Unreadable):
+        codec.message(payload)
+
+
+def test_counters_that_are_no_intervals_are_unreadable():
+    for ends in ([1], [3, 2], [1, 1]):
+        with pytest.raises(codec.Unreadable):
+            codec.message(codec.frame(replica.Done(1, 1, [("a", 1, ends)]))[records.HEAD.size:])
+
+
+def sent(out):
+    reader = codec.Reader()
+    reader.most = codec.FRAME_MOST
+    return [codec.message(payload) for payload in reader.feed(out.take())]
+
+
+def test_what_waits_is_in_order_of_weight_and_the_latest_word_of_a_key_replaces_an_older_one():
+    out = Outgoing()
+    out.put(replica.Evidence(1, [], []), False)
+    out.put(replica.Evidence(2, [], []), False)
+    out.put(replica.Tell(FACTS, 7, 0), True)
+    out.put(replica.Tell([FACTS[0]], 0, 0), True)
+    out.put(replica.Tell([FACTS[0]._replace(value=(9,))], 0, 0), True)
+    out.put(swim.Nack(1), False)
+    assert sent(out) == [swim.Nack(1), replica.Tell([FACTS[0]._replace(value=(9,))], 0, 0), replica.Tell(FACTS, 7, 0),
+                         replica.Evidence(2, [], [])]
+    assert not out
+
+
+def test_what_waits_is_bounded():
+    out = Outgoing()
+    for n in range(FACTS_MOST + 100):
+        out.put(replica.Tell([Fact(("purge", "object", n), (7,), ("n0", 1, n + 1))], 0, 0), True)
+    assert len(out.facts) == FACTS_MOST and out.dropped == 100
+    for _ in range(2000):
+        out.put(replica.Ranges([2**60] * 256), False)
+        out.put(replica.Tell(FACTS * 100, 1, 0), True)
+    assert out.said_bytes <= SAID_MOST and out.piece_bytes <= PIECES_MOST
+
+
+def test_a_full_table_takes_no_new_key_and_has_not_seen_it():
+    facts = Facts(1)
+    assert facts.join(FACTS[0])[0] is Joined.NEW and facts.join(FACTS[1])[0] is Joined.FULL
+    assert not facts.seen.has(FACTS[1].dot)
+    assert facts.join(Fact(FACTS[0].key, (8,), ("n0", 1, 3)))[0] is Joined.NEW
+
+
+@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize("crash_at", range(1, 60))
+def test_a_crash_at_any_disk_call_loses_nothing_that_was_synced(crash_at, seed):
+    """Through starts, logs and snapshots: what `write` called good is there, and the start rises."""
+    disk, good, starts = FaultyDisk(seed), [], []
+    at = 0
+    disk.crash_at = crash_at
+    for _ in range(4):
+        keeping = Keeping(disk, "/f")
+        try:
+            starts.append(keeping.start())
+            kept = keeping.open(1)
+            assert {f.key for f in good} <= set(kept.facts), "lost"
+            for _ in range(3):
+                at += 1
+                fact = Fact(("purge", "object", at), (1,), ("n0", starts[-1], at))
+                if keeping.write(([fact], [], [])) is None:
+                    good.append(fact)
+            held = [*kept.facts.values(), *good]
+            assert keeping.begin_snapshot() is None
+            keeping.finish_snapshot([(f.dot[0], f.dot[1], [f.dot[2], f.dot[2] + 1]) for f in held], [packed(held)], 1)
+            disk = disk.after_crash()
+        except Crashed:
+            disk = disk.after_crash()
+    assert starts == sorted(set(starts))
+
+
+@pytest.mark.parametrize("at", range(1, 25))
+def test_a_full_disk_at_any_call_is_a_value_or_an_oserror_and_the_former_state_stands(at):
+    disk = FaultyDisk()
+    keeping = Keeping(disk, "/f")
+    keeping.start()
+    keeping.open(1)
+    assert keeping.write((FACTS, [], [])) is None
+    disk.faults = {disk.calls + n: OSError(28, "no space left") for n in range(at, at + 4)}
+    for _ in range(3):
+        if keeping.begin_snapshot() is None:
+            keeping.finish_snapshot(LIVES, [packed(FACTS)], 1)
+        keeping.write(([FACTS[0]], [], []))
+    disk.faults = {}
+    fresh = Keeping(disk.after_crash(), "/f")
+    assert set(fresh.open(1).facts) == {f.key for f in FACTS}
--- a/tests/test_fleet_rig.py
+++ b/tests/test_fleet_rig.py
@@ -246,6 +246,14 @@
         assert sent_to(rig, "n2", 0, 100) > 0
 
 
+def test_beliefs_go_to_the_neighbours(three):
+    with socket.create_connection(("127.0.0.1", three.fronts["n0"].port), timeout=5) as sock:
+        for n in range(40):
+            assert three.get("n0", THING + n % 10, n + 1, sock)[0] == 200
+    three.wait(lambda: all(three.fronts[name].ask("status")["evidence_in"] >= 10 for name in ("n1", "n2")))
+    assert not three.fronts["n1"].holds()                # evidence is no fact
+
+
 def test_seven_of_ten_killed_and_returned_at_once_under_gets(tmp_path):
     with Rig(tmp_path, 10) as rig:
         rig.start_all()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -3,7 +3,7 @@
 import pytest
 from helpers import CACHES, NOW, ORIGIN, PARENTS, asked, believed, entry, node, router
 
-from sprucegate.interface import Errored, Forward, Found, Outcome, Shed, State
+from sprucegate.interface import Believed, Errored, Forward, Found, Outcome, Resting, Shed, State
 from sprucegate.rules import (
     ANSWER_MARGIN,
     CAP,
@@ -581,3 +581,54 @@
     for obj in range(5000):
         made.memory(asked(obj=1000 + obj), NOW)
     assert len(made.paces) <= 4096
+
+
+def told(*said):
+    """A front that has heard those words 100 ms after they were said, and a GET for the object that they name."""
+    made, ask = router(), asked()
+    made.hears(list(said), 100 * MS, NOW)
+    return made, ask
+
+
+def test_a_belief_that_is_told_is_worth_half_of_what_is_left_and_voided_by_a_purge():
+    made, ask = told(Believed(99, 0, 12, 0, 4 * S, S))
+    assert made.holders(ask, made.memory(ask, NOW), NOW) == {node(made, 12): NOW + 1950 * MS}
+    made.purged(99, -1, 500 * MS, NOW)
+    assert made.holders(ask, made.memory(ask, NOW), NOW) == {}
+
+
+def test_a_belief_that_is_told_stands_behind_an_own_one_and_another_start_of_its_cache():
+    made, ask = told()
+    believed(made, ask, 12, expiry=NOW + S)
+    made.hears([Believed(99, 0, 12, 0, 8 * S, 0), Believed(99, 0, 13, 7, 8 * S, 0), Believed(99, 0, 77, 0, 8 * S, 0)],
+               0, NOW)
+    assert made.holders(ask, made.memory(ask, NOW), NOW) == {node(made, 12): NOW + S}
+
+
+def test_what_is_told_fills_a_miss_from_the_sibling_that_another_front_knows():
+    made, ask = told()
+    first = made.take(ask, NOW).route(NOW)[0].cache
+    other = next(c for c in CACHES if c != first)
+    made.hears([Believed(99, 0, other, 0, 8 * S, 0)], 0, NOW)
+    assert made.take(asked("r-2"), NOW).route(NOW)[0].source == other
+
+
+def test_rest_that_is_told_holds_where_nothing_was_seen_here_and_never_lifts_an_own_one():
+    made, _ = told(Resting(21, 0, True, 4 * S), Resting(22, 0, True, -S))
+    assert node(made, 21).as_source.until == NOW + 1950 * MS and not node(made, 22).as_source.until
+    node(made, 22).as_source.ends.append((NOW, True))
+    made.hears([Resting(22, 0, True, 4 * S), Resting(21, 0, True, MS)], 0, NOW)
+    assert not node(made, 22).as_source.until and node(made, 21).as_source.until == NOW + 1950 * MS
+
+
+def test_beliefs_are_told_once_the_most_asked_first_and_those_near_their_end_not_at_all():
+    made = router()
+    for obj, times, expiry in ((1, 1, 8 * S), (2, 5, 8 * S), (3, 9, S)):
+        ask = asked(obj=obj)
+        for _ in range(times):
+            made.take(ask, NOW)
+        believed(made, ask, 12, expiry=NOW + expiry)
+    node(made, 13).as_cache.until = NOW + S
+    assert made.tells(9, NOW) == [Resting(13, 0, False, S), Believed(2, 0, 12, 0, 8 * S, MS),
+                                  Believed(1, 0, 12, 0, 8 * S, MS)]
+    assert made.tells(9, NOW + 1) == [Resting(13, 0, False, S - 1)] and len(router().tells(0, NOW)) == 0
