--- a/sprucegate/fleet/replica/replica.py
+++ b/sprucegate/fleet/replica/replica.py
@@ -396,7 +396,9 @@
             coming = self._coming(sender, message.transfer, now)
             coming.pieces.add(message.at)
             return done + self._whole(sender, coming) + self._saved()    # who else lacks it asks as well
-        return done + self._spread([a.fact for a in done if isinstance(a, Act)], sender, now) + self._saved()
+        # What a full table has no room for is obeyed and not passed on: it would go round for ever.
+        new = [a.fact for a in done if isinstance(a, Act) and a.fact.key in self.facts.held]
+        return done + self._spread(new, sender, now) + self._saved()
 
     def _done(self, sender, message, now):
         coming = self._coming(sender, message.transfer, now)
@@ -427,7 +429,7 @@
             self._keep(fact, now)
             return [Act(fact)]
         if joined is Joined.FULL:
-            return self._no_room(fact)
+            return [*self._no_room(fact), Act(fact)]
         if joined is Joined.OLD:
             if mine is None or fact.dot != mine.dot:
                 self.unsaved[1].append((*fact.dot[:2], fact.dot[2], fact.dot[2] + 1))
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -3,6 +3,7 @@
 import msgspec
 import pytest
 
+from sprucegate.fleet.chance import Chance
 from sprucegate.fleet.keeping import Keeping, packed
 from sprucegate.fleet.links import codec
 from sprucegate.fleet.links.outgoing import FACTS_MOST, PIECES_MOST, SAID_MOST, Outgoing
@@ -90,6 +91,18 @@
     assert out.said_bytes <= SAID_MOST and out.piece_bytes <= PIECES_MOST
 
 
+def test_a_front_with_a_full_table_obeys_what_it_is_told_and_passes_it_on_to_nobody():
+    made = replica.Replica("n1", 1, Chance("n1", 1), 0, most=1)
+    made.stands("n0", True, 0)
+    made.stands("n2", True, 0)
+    done = made.heard("n0", replica.Tell([FACTS[0]], 0, 0), 0)
+    assert [a.to for a in done if isinstance(a, replica.Send)] == ["n2"]
+    for _ in range(2):
+        done = made.heard("n0", replica.Tell([FACTS[1]], 0, 0), 0)
+        assert [a.fact for a in done if isinstance(a, replica.Act)] == [FACTS[1]]
+        assert not any(isinstance(a, replica.Send) for a in done)
+
+
 def test_a_full_table_takes_no_new_key_and_has_not_seen_it():
     facts = Facts(1)
     assert facts.join(FACTS[0])[0] is Joined.NEW and facts.join(FACTS[1])[0] is Joined.FULL
