--- a/sprucegate/fleet/service.py
+++ b/sprucegate/fleet/service.py
@@ -18,6 +18,7 @@
 from sprucegate.fleet.peer import Peer, outgoing
 from sprucegate.fleet.replica.facts import State
 from sprucegate.fleet.replica.replica import (
+    HELD,
     PURGE,
     WORD,
     Act,
@@ -135,6 +136,22 @@
             if state is not Listed.SERVING or key in held:
                 self._told(key, (int(STATES[state]),))
 
+    def held(self, digest, confirmed):
+        """A list that takes away too much, by its digest: held by this front's gate, or confirmed at it."""
+        if digest:
+            self._told((HELD, digest), (int(confirmed),))
+
+    def holds(self, digest):
+        """Whether some front holds that list and none has been told to let it through."""
+        return self._removal(digest) == (0,)
+
+    def confirms(self, digest):
+        return self._removal(digest) == (1,)
+
+    def _removal(self, digest):
+        fact = self.peer.replica.facts.held.get((HELD, digest)) if self.peer is not None else None
+        return None if fact is None else fact.value
+
     def _told(self, key, value):
         if self.peer is None:
             return
--- a/sprucegate/membership/service.py
+++ b/sprucegate/membership/service.py
@@ -35,7 +35,7 @@
         self.wanted, self.node, self.log = wanted, node, driver.log
         self.loop, self.gate = asyncio.get_running_loop(), Gate(node.most_removed, node.hold)
         self.snapshots = Snapshots(disk or Disk(), node.state, "servers", node.keep) if node.state else None
-        self.queue, self.handing = [], None
+        self.queue, self.handing, self.held_digest = [], None, ""
         self.wake, self.digest, self.refused, self.unsettled = asyncio.Event(), "", None, None
         self.worker, self.dirty, self.tasks, self.seen, self.events = None, False, [], None, 0
         self.polled, self.telling = False, asyncio.Lock()
@@ -165,7 +165,12 @@
 
     async def _taken(self, servers):
         now = self.driver.clock()
-        passed = self.gate.offered(self.view.lists["file"], servers, now)
+        fleet, digest = self.driver.fleet, self.digest
+        held = fleet is not None and fleet.holds(digest)
+        passed = self.gate.offered(self.view.lists["file"], servers, now, held)
+        self.held_digest = digest if passed.held is not None else ""
+        if self.held_digest and fleet is not None:
+            fleet.held(digest, confirmed=False)
         await asyncio.sleep(0)
         if passed.held is not None:
             held = passed.held
@@ -243,7 +248,12 @@
             await self._confirm()
 
     async def _confirm(self):
-        """`servers confirm NUMBER` leaves its number in the state folder."""
+        """`servers confirm NUMBER` leaves its number in the state folder; or it was left at another front."""
+        fleet = self.driver.fleet
+        if self.gate.held is not None and fleet is not None and fleet.confirms(self.held_digest):
+            passed = self.gate.confirmed(self.gate.held.number)
+            self.log("servers_confirmed", number=0)
+            return await self._file_told(passed.servers, True)
         if self.gate.held is None or not self.node.state:
             return
         try:
@@ -253,6 +263,8 @@
             return
         if (passed := self.gate.confirmed(number)) is not None:
             self.log("servers_confirmed", number=number)
+            if self.driver.fleet is not None:
+                self.driver.fleet.held(self.held_digest, confirmed=True)
             await self._file_told(passed.servers, True)
 
     async def _run(self):
--- a/standins/fleet/rig.py
+++ b/standins/fleet/rig.py
@@ -70,7 +70,8 @@
         seeds = " ".join(f'"{address}"' for address in join)
         (self.folder / "front.kdl").write_text(
             f'fleet {{\n    name "rig"\n    listen "127.0.0.1:{self.fleet_port}"\n    advertise "{advertise}"\n'
-            f'    join {seeds}\n    state "{self.folder / "state"}"\n    alone-after (s)2\n{self.rig.kdl}}}\n')
+            f'    join {seeds}\n    state "{self.folder / "state"}"\n    alone-after (s)2\n{self.rig.kdl}}}\n'
+            + self.rig.more.format(name=self.name))
 
     def start(self):
         self.process = subprocess.Popen(
@@ -138,8 +139,9 @@
 
 
 class Rig:
-    def __init__(self, folder, size, caches=2, seed=0, kdl=""):
-        self.folder, self.kdl, self.offset, self.relay = folder, kdl, 1, None
+    def __init__(self, folder, size, caches=2, seed=0, kdl="", more=""):
+        """`kdl` goes into each `fleet` block, `more` beside it, with {name} for the front's."""
+        self.folder, self.kdl, self.more, self.offset, self.relay = folder, kdl, more, 1, None
         self.twins, self.twin_bus, self.twin_relay = [], None, None
         self.boxes = [Process("lines", service=0.001, made=1, ran=folder / f"ran-{at}") for at in range(caches + 1)]
         self.hosts = [self.host(at, "std" if at < caches else "origin") for at in range(caches + 1)]
--- a/tests/test_fleet_rig.py
+++ b/tests/test_fleet_rig.py
@@ -246,6 +246,31 @@
         assert sent_to(rig, "n2", 0, 100) > 0
 
 
+def test_a_removal_held_at_one_front_is_held_at_all_and_let_through_by_one_word(tmp_path):
+    more = (f'membership {{{{\n    file "{tmp_path}/list.kdl"\n    state "{tmp_path}/{{name}}/servers"\n'
+            "    most-removed 0.6\n    hold (min)10\n}}\n")
+    with Rig(tmp_path, 2, caches=3, more=more) as rig:
+        def write(*boxes):
+            rows = [f'    server "gone-{at + 64:02x}" address="127.0.0.1:{at + 1}" location="here" kind="std"\n'
+                    for at in boxes]
+            (tmp_path / "fresh").write_text("servers {\n" + "".join(rows) + "}\n")
+            os.rename(tmp_path / "fresh", tmp_path / "list.kdl")
+        write(0, 1, 2)
+        rig.start_all()
+        write(0)
+        held = rig.fronts["n0"].until("servers_held")
+        assert held["share"] > 0.6
+        rig.fronts["n1"].until("servers_held")
+        kinds = {key for key in rig.fronts["n0"].holds() if key[0] == "held"}
+        assert len(kinds) == 1
+        done = subprocess.run([sys.executable, "-m", "sprucegate", "servers", "confirm", str(held["number"]),
+                               "--file", str(rig.fronts["n0"].folder / "front.kdl")], capture_output=True, timeout=30)
+        assert done.returncode == 0
+        for front in rig.fronts.values():
+            front.until("servers_confirmed")
+        rig.all_hold(next(iter(kinds)), 1)
+
+
 def test_beliefs_go_to_the_neighbours(three):
     with socket.create_connection(("127.0.0.1", three.fronts["n0"].port), timeout=5) as sock:
         for n in range(40):
--- a/tests/test_fleet_simulated.py
+++ b/tests/test_fleet_simulated.py
@@ -10,7 +10,7 @@
 from sprucegate.fleet.replica import replica
 from sprucegate.fleet.replica.facts import Fact, Facts, Joined, State
 from sprucegate.fleet.replica.seen import Seen
-from standins.fleet import checkers
+from standins.fleet import checkers, explore
 from standins.fleet.schedules import played
 from standins.fleet.simulated import Fleet, S
 
@@ -165,3 +165,37 @@
     # A suspect that is not heard: nobody takes its refutation.
     monkeypatch.setattr(Members, "_of_own", lambda self, word: [])
     assert any(checkers.falsely_gone(paused_and_half_cut(seed).trace, 5 * S) for seed in range(3))
+
+
+def test_every_interleaving_of_a_small_instance_keeps_what_was_seen():
+    states, settled = explore.explored(5)
+    assert states > 900 and settled > 600
+    assert explore.explored(4, ("a", "b", "c"), losses=0, crashes=0)[0] > 100
+
+
+def _claims_before_the_pieces(monkeypatch):
+    whole = replica.Replica._whole
+
+    def at_once(self, sender, coming):
+        coming.pieces |= set(range(coming.done.pieces if coming.done else 0))
+        return whole(self, sender, coming)
+    monkeypatch.setattr(replica.Replica, "_whole", at_once)
+
+
+def _said_before_it_is_synced(monkeypatch):
+    synced = replica.Replica.synced
+
+    def early(self, number, now):
+        done = synced(self, number, now)
+        self.on_disk = self.facts.seen.copy()
+        return done
+    monkeypatch.setattr(replica.Replica, "synced", early)
+
+
+@pytest.mark.parametrize(("what", "sow", "depth"), [
+    ("a", _claims_before_the_pieces, 7), ("b", _said_before_it_is_synced, 6)])
+def test_the_explorer_finds_a_sown_defect(monkeypatch, what, sow, depth):
+    sow(monkeypatch)
+    with pytest.raises(explore.Broken) as found:
+        explore.explored(depth)
+    assert found.value.args[0] == what
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -153,6 +153,14 @@
     assert gate.offered(current, list(current.values()), NOW).whole and gate.due(NOW + 999 * S) is None
 
 
+def test_a_smaller_loss_is_held_too_where_another_front_holds_the_same_list():
+    gate, current = Gate(0.5, 60 * S), {s.entry.id: s for s in [server(f"s-{n}", location=0) for n in range(8)]}
+    fewer = list(current.values())[:6]
+    assert gate.offered(current, fewer, NOW, held=True).held.share == 0.25
+    assert gate.offered(current, fewer, NOW).whole
+    assert gate.offered(current, list(current.values()), NOW, held=True).whole    # nothing is taken away here
+
+
 GOOD = render([server("s-1"), server("s-2", DRAIN, 2.5, 5_000_000, location=1), server("s-3", held=True)],
               LOCATIONS, KINDS)
 
