Two processes of one name find out: answers go back where they were asked, and bear the asker's own later life

Seen: on a busy machine the test of two processes of one name failed in two of five runs; the twin never heard of the other's later life. Checked: its probes came through and were answered, but over the connection of the other process, as connections were found by name alone (Links.send), and a word on the receiver itself was left out of what is borne (Members._bear). Change: what answers a message goes over the connection that brought it, own words are borne too, and after an alias all connections greet anew.

--- a/sprucegate/fleet/links/links.py
+++ b/sprucegate/fleet/links/links.py
@@ -46,7 +46,7 @@
         self.listen, self.log, self.greeting, self.heard, self.asked = listen, log, greeting, heard, asked
         self.loop, self.listener, self.task = asyncio.get_running_loop(), None, None
         self.dialled, self.taken, self.by_name = {}, set(), {}
-        self.bytes_out, self.bytes_in, self.refused = 0, 0, 0
+        self.bytes_out, self.bytes_in, self.refused, self.reading = 0, 0, 0, None
 
     def start(self):
         """None, or why it can't listen."""
@@ -71,7 +71,9 @@
 
     def send(self, name, address, message, guard):
         """To the peer of that name, over a connection that is there, or one dialled at its address."""
-        connection = self.by_name.get(name) or self.dialled.get(address)
+        # An answer goes back where the question came from: two processes may bear that name.
+        answered = self.reading if self.reading is not None and self.reading.name == name else None
+        connection = answered or self.by_name.get(name) or self.dialled.get(address)
         if connection is None:
             if not address or not self._room():
                 return
@@ -79,6 +81,11 @@
             connection.task = self.loop.create_task(self._dial(connection))
         connection.put(message, guard)
 
+    def greet_again(self):
+        """This front has another name: on what is open the others would take it for the twin that keeps the old one."""
+        for connection in [*self.dialled.values(), *self.taken]:
+            connection.task.cancel()
+
     def sweep(self):
         """Those that were idle for long are closed, so that neighbours of the past cost nothing."""
         now = time.monotonic()
@@ -146,7 +153,12 @@
                             continue
                         connection.writer = self.loop.create_task(self._writes(connection))
                     elif connection.name:
-                        self.heard(connection.name, codec.message(payload))
+                        message = codec.message(payload)
+                        self.reading = connection
+                        try:
+                            self.heard(connection.name, message)
+                        finally:
+                            self.reading = None
                     else:
                         return await self.loop.sock_sendall(sock, self.asked(codec.asked(payload)))
         except codec.Unreadable as fault:
--- a/sprucegate/fleet/members/swim.py
+++ b/sprucegate/fleet/members/swim.py
@@ -355,7 +355,8 @@
             del self.news[name]
         suspect = self.known.get(to)
         borne = [suspect] if suspect is not None and suspect.standing != Standing.ALIVE else []
-        names = sorted([n for n in self.news if n in self.known and n != to], key=lambda n: (self.news[n], n))
+        # Its own as well: a twin of that member learns by it that there is a later life.
+        names = sorted([n for n in self.news if n in self.known], key=lambda n: (self.news[n], n))
         for name in names[:self.pace.news - len(borne)]:
             self.news[name] += 1
             borne.append(self.known[name])
--- a/sprucegate/fleet/service.py
+++ b/sprucegate/fleet/service.py
@@ -293,6 +293,8 @@
                 self.log("fleet_not_kept", error=str(fault))
                 await asyncio.sleep(AGAIN)
         self.peer.renewed(start, alias)
+        if alias:
+            self.links.greet_again()
         self.log("fleet_renewed", name=self.peer.members.own.name, life=f"{self.peer.members.own.life:x}")
 
     def _later(self, deed):
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -152,3 +152,12 @@
     disk.faults = {}
     fresh = Keeping(disk.after_crash(), "/f")
     assert set(fresh.open(1).facts) == {f.key for f in FACTS}
+
+
+def test_an_answer_tells_a_process_of_a_later_life_under_its_name():
+    # Against two of one name: the one that others no longer took for it heard nothing of why.
+    own = swim.Member("n0", "127.0.0.1:1", 1 << 32, 0, 0, "n0")
+    members = swim.Members(own, [], Chance("n0", 1), 0)
+    members.heard("n2", swim.All([MEMBER._replace(name="n2", life=2 << 32, standing=0)], False), 0)
+    (answer,) = members.heard("n2", swim.Ping(7, "n0", 0, []), 0)
+    assert answer.message.number == 7 and [m.life for m in answer.message.news if m.name == "n2"] == [2 << 32]
