Paces are told among fronts as well, with the age of the sample that they rest on

Seen, before it was believed: a pace told on as new would go round among three fronts for ever, each taking it as fresh once its own had aged. Change: Resting bears the pace and the age of its last sample; Router.hears takes it where no pace was seen here, as old as it is. Result: a test of three fronts that tell each other finds it gone with the sample's 10 s.

--- a/sprucegate/interface.py
+++ b/sprucegate/interface.py
@@ -132,12 +132,17 @@
 
 
 class Resting(NamedTuple):
-    """A place that a front has set aside, as a cache or as a source, and how long still (ns)."""
+    """A place that a front finds slow (in thousandths of its usual pace) or has set aside.
+
+    `left`: how long still; `ago`: since the last sample of its pace (ns).
+    """
 
     cache: int
     started: int
     as_source: bool
     left: int
+    slow: int
+    ago: int
 
 
 class Subscribe(NamedTuple):
--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -360,8 +360,11 @@
 
     def tells(self, most, now):
         """What other fronts can use: who is set aside, then beliefs renewed since then, most asked first."""
-        said = [interface.Resting(n.id, n.started, by is n.as_source, by.until - now)
-                for n in self.nodes.values() for by in (n.as_cache, n.as_source) if by.until > now]
+        # With the age of what it rests on: told on as new, a pace would go round among fronts for good.
+        said = [interface.Resting(n.id, n.started, by is n.as_source, max(0, by.until - now),
+                                  int(1000 * slow), now - by.speeds[-1][0] if slow else 0)
+                for n in self.nodes.values() for by in (n.as_cache, n.as_source)
+                for slow in [by.slowness(now)] if by.until > now or slow > UNLIKE]
         since, self.told_at = self.told_at, now
         fresh = [(-sum(m.counts[:2]), key, at, held) for key, slot in self.slot_of.items()
                  for m in [self.table[slot]] for at, held in m.holders.items()
@@ -375,13 +378,15 @@
         for one in said:
             node = self.nodes.get(self.index_of.get(one.cache))
             left = int(HEARD * (one.left - age))
-            if node is None or node.started != one.started or left <= 0:
+            if node is None or node.started != one.started:
                 continue
             if isinstance(one, interface.Resting):
                 by = node.as_source if one.as_source else node.as_cache
-                if not any(now - at < SAMPLE_AGE for at, _ in by.ends):
+                if one.slow and not any(now - at < SAMPLE_AGE for at, *_ in by.speeds):
+                    by.speeds.extend([(now - age - one.ago, one.slow / 1000, 1)] * 3)  # as few as tell a pace
+                if left > 0 and not any(now - at < SAMPLE_AGE for at, _ in by.ends):
                     by.until, by.trial = max(by.until, now + min(left, 8 * REST)), True
-            elif (one.object, one.part) in self.slot_of or len(self.table) < TABLE:
+            elif left > 0 and ((one.object, one.part) in self.slot_of or len(self.table) < TABLE):
                 # One that a full table lacks is not what this front is asked for.
                 holders = self.memory(one, now).holders
                 holders.setdefault(node.index, (now + min(left, CAP), now - one.ago - age, node.started))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -614,10 +614,10 @@
 
 
 def test_rest_that_is_told_holds_where_nothing_was_seen_here_and_never_lifts_an_own_one():
-    made, _ = told(Resting(21, 0, True, 4 * S), Resting(22, 0, True, -S))
+    made, _ = told(Resting(21, 0, True, 4 * S, 0, 0), Resting(22, 0, True, -S, 0, 0))
     assert node(made, 21).as_source.until == NOW + 1950 * MS and not node(made, 22).as_source.until
     node(made, 22).as_source.ends.append((NOW, True))
-    made.hears([Resting(22, 0, True, 4 * S), Resting(21, 0, True, MS)], 0, NOW)
+    made.hears([Resting(22, 0, True, 4 * S, 0, 0), Resting(21, 0, True, MS, 0, 0)], 0, NOW)
     assert not node(made, 22).as_source.until and node(made, 21).as_source.until == NOW + 1950 * MS
 
 
@@ -629,6 +629,27 @@
             made.take(ask, NOW)
         believed(made, ask, 12, expiry=NOW + expiry)
     node(made, 13).as_cache.until = NOW + S
-    assert made.tells(9, NOW) == [Resting(13, 0, False, S), Believed(2, 0, 12, 0, 8 * S, MS),
+    assert made.tells(9, NOW) == [Resting(13, 0, False, S, 0, 0), Believed(2, 0, 12, 0, 8 * S, MS),
                                   Believed(1, 0, 12, 0, 8 * S, MS)]
-    assert made.tells(9, NOW + 1) == [Resting(13, 0, False, S - 1)] and len(router().tells(0, NOW)) == 0
+    assert made.tells(9, NOW + 1) == [Resting(13, 0, False, S - 1, 0, 0)] and len(router().tells(0, NOW)) == 0
+
+
+def test_a_pace_that_is_told_counts_where_none_was_seen_here_and_ages_from_when_it_was_told():
+    made, _ = told(Resting(12, 0, False, 0, 2500, 0))
+    by = node(made, 12).as_cache
+    assert by.slowness(NOW) == 2.5 and not by.until and not by.slowness(NOW + 10 * S - 100 * MS)
+    made.hears([Resting(12, 0, False, 0, 9000, 0)], 0, NOW)
+    assert by.slowness(NOW) == 2.5
+    assert made.tells(9, NOW) == [Resting(12, 0, False, 0, 2500, 100 * MS)]
+
+
+def test_a_pace_that_goes_round_among_fronts_ends_with_the_sample_that_it_came_from():
+    fronts, now = [router() for _ in range(3)], NOW
+    fronts[0].hears([Resting(12, 0, False, 0, 2500, 0)], 0, NOW)
+    for now in range(NOW, NOW + 12 * S, S):
+        for one in fronts:
+            said = one.tells(9, now)
+            for other in fronts:
+                if other is not one:
+                    other.hears(said, MS, now)
+    assert not any(node(one, 12).as_cache.slowness(now) for one in fronts)
