--- a/standins/bus.py
+++ b/standins/bus.py
@@ -45,9 +45,10 @@
             writer.close()
 
 
-async def main(count):
+async def main(count, first):
     ports = [Port() for _ in range(count)]
-    servers = [await asyncio.start_server(port.serve, "127.0.0.1", 0) for port in ports]
+    servers = [await asyncio.start_server(port.serve, "127.0.0.1", first + at if first else 0)
+               for at, port in enumerate(ports)]
     for server in servers:
         print(f"127.0.0.1:{server.sockets[0].getsockname()[1]}", flush=True)
     loop, lines = asyncio.get_running_loop(), asyncio.StreamReader()
@@ -61,4 +62,6 @@
 if __name__ == "__main__":
     flags = argparse.ArgumentParser(prog="python -m standins.bus", description=__doc__.split("\n")[0])
     flags.add_argument("--count", type=int, default=1)
-    uvloop.run(main(flags.parse_args().count))
+    flags.add_argument("--port", type=int, default=0, help="the first one's; free ones without it")
+    given = flags.parse_args()
+    uvloop.run(main(given.count, given.port))
