The agreed log among keepers, decided without I/O: Raft under schedules of faults, and explored

Need: the first part of releases agreed across the fleet. Nothing of it is in a front yet. Each checker was seen to cry out at a sown defect. Two schedules were first called lost by the checker for keepers that were removed while away: it now goes by the leader's word on who votes.

--- /dev/null
+++ b/sprucegate/fleet/agreement/__init__.py
@@ -0,0 +1,1 @@
+"""One log among a few keepers, that all agree on. No I/O."""
--- /dev/null
+++ b/standins/fleet/keepers.py
@@ -0,0 +1,358 @@
+"""Keepers of the agreed log under a time, a network and disks by seed, and checkers that read their trace alone.
+
+    python -m standins.fleet.keepers --seeds 200 --size 3
+"""
+
+import argparse
+import heapq
+import json
+import random
+import sys
+import time
+from itertools import count
+
+from sprucegate.fleet.agreement.keeper import (
+    Apply,
+    Config,
+    Current,
+    Install,
+    Keeper,
+    Leads,
+    Send,
+    VoteAnswer,
+    Write,
+)
+from sprucegate.fleet.chance import Chance
+
+MS, S = 1_000_000, 1_000_000_000
+COMPACT = 30            # entries after which a keeper makes a snapshot: small, so that schedules have some
+
+
+class Box:
+    """One keeper's process and its disk: records that are synced, and those that are being written."""
+
+    def __init__(self, world, name, config):
+        self.world, self.name, self.config = world, name, config
+        self.disk, self.pending, self.up, self.paused, self.generation = [], [], False, False, 0
+        self.keeper, self.state, self.lying, self.full = None, [], [], False
+
+    def start(self):
+        self.generation, self.up, self.paused, self.pending, self.lying = self.generation + 1, True, False, [], []
+        term, vote, snapshot, entries = 0, "", None, []
+        for record in self.disk:
+            term, vote = record.term, record.vote
+            if record.snapshot is not None:
+                snapshot, entries = record.snapshot, []
+            elif record.cut:
+                entries = [e for e in entries if e.index < record.cut]
+            entries += record.entries
+        chance = Chance(self.name, self.world.seed + self.generation)
+        self.keeper = Keeper(self.name, self.config, chance, self.world.now)
+        self.keeper.loaded(term, vote, snapshot, entries)
+        self.state = list(snapshot[3]) if snapshot is not None else []
+        self.world.note(self.name, "start")
+        self.done([])
+
+    def crash(self, chance):
+        """What was being written may be there up to some record; nothing of it was promised."""
+        self.disk += self.pending[:chance.randrange(len(self.pending) + 1)]
+        self.up, self.pending, self.keeper = False, [], None
+        self.generation += 1
+        self.world.note(self.name, "crash")
+
+    def event(self, deed, *given):
+        if not self.up:
+            return
+        if self.paused:
+            self.lying.append((deed, given))
+            return
+        self.done(deed(*given))
+
+    def done(self, actions):
+        world = self.world
+        for action in actions:
+            match action:
+                case Send():
+                    if isinstance(action.message, VoteAnswer) and action.message.granted and not action.message.pre:
+                        world.note(self.name, "votes", action.message.term, action.to)
+                    world.send(self.name, action.to, action.message)
+                case Write():
+                    self.pending.append(action)
+                    if self.full:
+                        world.later(MS, self, self._not_kept, self.generation)
+                    else:
+                        world.later(int((0.2 + 3 * world.chance.random()) * MS), self, self._synced, self.generation,
+                                    action.number)
+                case Apply():
+                    for entry in action.entries:
+                        self.state.append(entry.data)
+                        world.note(self.name, "applies", entry.index, entry.term, entry.data)
+                case Install():
+                    self.state = list(action.state)
+                    world.note(self.name, "installs", action.index)
+                case Leads():
+                    world.note(self.name, "leads" if action.on else "leads-no-more", action.term)
+                    if action.on:
+                        world.note(self.name, "votes", action.term, self.name)
+                case Current():
+                    world.note(self.name, "current", action.token, action.index)
+        keeper = self.keeper
+        if keeper.applied - keeper.base >= COMPACT:
+            return self.done(keeper.compacted(keeper.applied, list(self.state)))
+        world.wake(self)
+
+    def _synced(self, generation, number):
+        if generation != self.generation or not self.up:
+            return []
+        while self.pending and self.pending[0].number <= number:
+            self.disk.append(self.pending.pop(0))
+        return self.keeper.synced(number, self.world.now)
+
+    def _not_kept(self, generation):
+        return self.keeper.not_kept(self.world.now) if generation == self.generation and self.up else []
+
+
+class World:
+    def __init__(self, size, seed, loss=0.0, spare=0):
+        self.seed, self.chance, self.now, self.trace, self.loss = seed, random.Random(seed), 0, [], loss
+        self.events, self.order, self.cut, self.armed = [], count(), set(), {}
+        names = [f"k{at}" for at in range(size + spare)]
+        first = Config(tuple(names[:size]), ())
+        self.boxes = {name: Box(self, name, first if at < size else Config((), ())) for at, name in enumerate(names)}
+        self.numbers = count(1)
+
+    def note(self, name, what, *more):
+        self.trace.append((self.now, name, what, *more))
+
+    def later(self, wait, box, deed, *given):
+        heapq.heappush(self.events, (self.now + wait, next(self.order), box.event, (deed, *given)))
+
+    def at(self, when, deed, *given):
+        heapq.heappush(self.events, (when, next(self.order), deed, given))
+
+    def send(self, sender, to, message):
+        if (sender, to) in self.cut or to not in self.boxes:
+            return
+        for _ in range(2 if self.chance.random() < self.loss / 3 else 1):
+            if self.chance.random() >= self.loss:
+                wait = 1 + 4 * self.chance.random() + (200 if self.chance.random() < self.loss / 3 else 0)
+                heapq.heappush(self.events, (self.now + int(wait * MS), next(self.order), self._comes,
+                                             (sender, to, message)))
+
+    def _comes(self, sender, to, message):
+        box = self.boxes[to]
+        if box.up:
+            # By call, so that one that stood still takes what came at the time when it wakes.
+            box.event(lambda: box.keeper.heard(sender, message, self.now))
+
+    def wake(self, box):
+        due = box.keeper.next_due()
+        if self.armed.get(box.name) != (box.generation, due):
+            self.armed[box.name] = box.generation, due
+            at = max(due, self.now + 1)
+            heapq.heappush(self.events, (at, next(self.order), self._due, (box, box.generation, due)))
+
+    def _due(self, box, generation, due):
+        if box.up and self.armed.get(box.name) == (generation, due):
+            self.armed.pop(box.name)
+            box.event(lambda: box.keeper.due(self.now))
+
+    def run(self, until):
+        while self.events and self.events[0][0] <= until:
+            at, _, deed, given = heapq.heappop(self.events)
+            self.now = max(self.now, at)
+            deed(*given)
+        self.now = max(self.now, until)
+
+    # What a schedule does.
+
+    def leaders(self):
+        return [box for box in self.boxes.values() if box.up and not box.paused and box.keeper.role.name == "LEADER"]
+
+    def propose(self):
+        for box in self.leaders():
+            number = next(self.numbers)
+            index, actions = box.keeper.propose(number, self.now)
+            if index:
+                self.note(box.name, "proposes", index, box.keeper.term, number)
+            box.done(actions)
+
+    def read(self):
+        for box in self.leaders():
+            token = next(self.numbers)
+            self.note(box.name, "asks", token)
+            box.done(box.keeper.read(token, self.now))
+
+    def pause(self, name, on):
+        box = self.boxes[name]
+        if on and box.up:
+            box.paused = True
+        elif not on and box.paused:
+            box.paused = False
+            lying, box.lying = box.lying, []
+            for deed, given in lying:
+                box.event(deed, *given)
+
+    def restart(self, name):
+        if not self.boxes[name].up:
+            self.boxes[name].start()
+
+    def change(self):
+        """A spare joins as learner, then votes; one of the first goes: a step at a time, as far as may be."""
+        for box in self.leaders():
+            config = box.keeper.config()
+            spare = [n for n in self.boxes if n not in config.voters]
+            learners = [n for n in config.learners if n not in config.voters]
+            if learners and len(config.voters) <= 3:
+                step = (*config.voters, learners[0]), ()
+            elif len(config.voters) > 3:
+                gone = self.chance.choice([n for n in config.voters])
+                step = tuple(n for n in config.voters if n != gone), ()
+            elif spare:
+                step = config.voters, (self.chance.choice(spare),)
+            else:
+                continue
+            index, actions = box.keeper.change(*step, self.now)
+            if index:
+                self.note(box.name, "changes", index, step)
+            box.done(actions)
+
+
+def played(seed, size=3, loss=0.0, span=12 * S, spare=0):
+    """A world after faults for a while and time to settle."""
+    world = World(size, seed, loss, spare)
+    chance = random.Random(seed * 31 + size)
+    names = list(world.boxes)
+    for box in world.boxes.values():
+        box.start()
+    for at in range(0, span, 40 * MS):
+        world.at(at + int(chance.random() * 40 * MS), world.propose)
+        if chance.random() < 0.3:
+            world.at(at, world.read)
+    for _ in range(chance.randrange(2, 9)):
+        when, lasts, name = S + int(chance.random() * span), int(chance.random() * 3 * S), chance.choice(names)
+        what = chance.choice(("kill", "kill-leader", "pause", "split", "one-way", "move", "change", "full"))
+        if what == "kill":
+            world.at(when, lambda n=name: world.boxes[n].crash(chance) if world.boxes[n].up else None)
+            world.at(when + lasts, world.restart, name)
+        elif what == "kill-leader":
+            def kill(lasts=lasts):
+                for box in world.leaders()[:1]:
+                    box.crash(chance)
+                    world.at(world.now + lasts, world.restart, box.name)
+            world.at(when, kill)
+        elif what == "pause":
+            world.at(when, world.pause, name, True)
+            world.at(when + lasts, world.pause, name, False)
+        elif what in ("split", "one-way"):
+            side = chance.sample(names, chance.randrange(1, len(names)))
+            cut = {(a, b) for a in side for b in names if b not in side}
+            world.at(when, world.cut.update, cut | ({(b, a) for a, b in cut} if what == "split" else set()))
+            world.at(when + lasts, world.cut.clear)
+        elif what == "move":
+            world.at(when, lambda n=name: [b.done(b.keeper.moves(n, world.now)) for b in world.leaders()])
+        elif what == "change" and spare:
+            for step in range(6):
+                world.at(when + step * 400 * MS, world.change)
+        elif what == "full":
+            world.at(when, setattr, world.boxes[name], "full", True)
+            world.at(when + lasts, setattr, world.boxes[name], "full", False)
+            world.at(when + lasts + 1, lambda n=name: world.boxes[n].up and world.boxes[n].crash(chance))
+            world.at(when + lasts + 2, world.restart, name)
+    world.run(span + 4 * S)
+    world.cut.clear()
+    world.loss = 0.0
+    for name, box in world.boxes.items():
+        box.full = False
+        world.pause(name, False)
+        if box.up and box.keeper.failed:
+            box.crash(chance)
+        world.restart(name)
+    world.run(world.now + 4 * S)
+    world.propose()
+    world.run(world.now + 2 * S)
+    # By the leader's word: one that was removed while it was away doesn't know of it.
+    voters = {name for box in world.leaders() for name in box.keeper.config().voters}
+    world.note("", "voters", sorted(voters))
+    for name, box in world.boxes.items():
+        if name in voters:
+            world.note(name, "dump", box.keeper.applied, list(box.state))
+    return world
+
+
+# Checkers: of a trace alone.
+
+def two_leaders(trace):
+    """At most one leader a term."""
+    leads, found = {}, []
+    for at, name, what, *more in trace:
+        if what == "leads" and leads.setdefault(more[0], name) != name:
+            found.append(f"{at} {name} leads term {more[0]}, as {leads[more[0]]} did")
+    return found
+
+
+def votes_twice(trace):
+    """A keeper gives one vote a term, whatever happens to it between."""
+    given, found = {}, []
+    for at, name, what, *more in trace:
+        if what == "votes" and given.setdefault((name, more[0]), more[1]) != more[1]:
+            found.append(f"{at} {name} votes for {more[1]} in term {more[0]}, after {given[name, more[0]]}")
+    return found
+
+
+def applied_apart(trace):
+    """Whatever is applied at an index is the same at all keepers and for ever: committed entries are not lost."""
+    applied, found = {}, []
+    for at, name, what, *more in trace:
+        if what == "applies" and applied.setdefault(more[0], tuple(more[1:])) != tuple(more[1:]):
+            found.append(f"{at} {name} applies {more[1:]} at {more[0]}, where {applied[more[0]]} was")
+    return found
+
+
+def lost(trace):
+    """At the end every voter's state has all that was ever applied anywhere, in that order."""
+    applied = {more[0]: more[2] for _, _, what, *more in trace if what == "applies"}
+    wanted = [applied[index] for index in sorted(applied)]
+    if not any(what == "dump" for _, _, what, *_ in trace):
+        return ["no leader at the end"]
+    return [f"{name} ends with {len(more[1])} of {len(wanted)} entries" for _, name, what, *more in trace
+            if what == "dump" and more[1] != wanted]
+
+
+def stale_reads(trace):
+    """A read sees all that was applied anywhere before it was asked for."""
+    top, asked, found = 0, {}, []
+    for at, name, what, *more in trace:
+        if what == "applies":
+            top = max(top, more[0])
+        elif what == "asks":
+            asked[more[0]] = top
+        elif what == "current" and 0 <= more[1] < asked[more[0]]:
+            found.append(f"{at} {name} reads at {more[1]}, {asked[more[0]]} was applied before it asked")
+    return found
+
+
+ALL = (two_leaders, votes_twice, applied_apart, lost, stale_reads)
+
+
+def broken(trace):
+    return [(check.__name__, text) for check in ALL for text in check(trace)]
+
+
+def main(given):
+    flags = argparse.ArgumentParser(prog="python -m standins.fleet.keepers", description=__doc__.split("\n")[0])
+    for name, kind, default in (("seeds", int, 50), ("first", int, 0), ("size", int, 3), ("loss", float, 0.0),
+                                ("spare", int, 0)):
+        flags.add_argument("--" + name, type=kind, default=default)
+    wanted, begun, bad = flags.parse_args(given), time.monotonic(), 0
+    for seed in range(wanted.first, wanted.first + wanted.seeds):
+        found = broken(played(seed, wanted.size, wanted.loss, spare=wanted.spare).trace)
+        bad += bool(found)
+        if found:
+            print(json.dumps({"seed": seed, "broken": len(found), "first": found[0]}))
+    print(json.dumps({"schedules": wanted.seeds, "broken": bad, "seconds": round(time.monotonic() - begun, 1)}))
+    return bool(bad)
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/tests/test_fleet_agreement.py
@@ -0,0 +1,177 @@
+"""The agreed log in the deterministic driver: schedules of faults, and each checker seen to cry out."""
+
+import pytest
+
+from sprucegate.fleet.agreement import keeper
+from sprucegate.fleet.agreement.keeper import Config, Current, Entry, Keeper, Leads, Send, Vote, VoteAnswer, Write
+from standins.fleet import explore_keepers, keepers
+from standins.fleet.keepers import broken, played
+
+THREE = Config(("a", "b", "c"), ())
+
+
+@pytest.mark.parametrize(("size", "loss", "spare"), [(3, 0.0, 0), (3, 0.1, 2), (5, 0.2, 0), (5, 0.05, 1)])
+def test_schedules_of_faults_break_nothing_and_the_log_goes_on(size, loss, spare):
+    for seed in range(25):
+        trace = played(seed, size, loss, spare=spare).trace
+        assert not broken(trace), (seed, size, loss, spare)
+        proposed = {more[2] for _, _, what, *more in trace if what == "proposes"}
+        applied = {more[2] for _, _, what, *more in trace if what == "applies"}
+        assert len(proposed & applied) > 50
+
+
+def test_the_same_seed_is_the_same_to_the_bit():
+    assert played(7, 5, 0.1).trace == played(7, 5, 0.1).trace
+
+
+def _write_dropped(monkeypatch):
+    """Every third write is said to be synced, and is not."""
+    whole = keepers.Box._synced
+
+    def synced(self, generation, number):
+        if self.up and self.pending and number % 3 == 0:
+            self.pending = [one for one in self.pending if one.number != number]
+        return whole(self, generation, number)
+    monkeypatch.setattr(keepers.Box, "_synced", synced)
+
+
+def _vote_given_again(monkeypatch):
+    whole = Keeper._vote
+
+    def vote(self, sender, asked, now):
+        if not asked.pre and asked.term == self.term:
+            self.vote, self.role = "", keeper.Role.FOLLOWER
+        return whole(self, sender, asked, now)
+    monkeypatch.setattr(Keeper, "_vote", vote)
+
+
+def _no_majority_needed(monkeypatch):
+    monkeypatch.setattr(Keeper, "_quorum", lambda self, names: True)
+
+
+def _read_at_once(monkeypatch):
+    def read(self, token, now):
+        return [Current(token, self.committed if self.role is keeper.Role.LEADER else -1)]
+    monkeypatch.setattr(Keeper, "read", read)
+    # Without it a leader that stood still steps down before it can be asked.
+    monkeypatch.setattr(Keeper, "_quorum", lambda self, names: 2 * len({*names, self.name} & set(
+        self.config().voters)) > len(self.config().voters) or self.role is keeper.Role.LEADER)
+
+
+def _counts_itself_before_its_disk(monkeypatch):
+    whole = Keeper._commits
+
+    def commits(self, now):
+        self.committed = max(self.committed, self.last()) if self.role is keeper.Role.LEADER else self.committed
+        return whole(self, now)
+    monkeypatch.setattr(Keeper, "_commits", commits)
+
+
+@pytest.mark.parametrize(("name", "sow"), [
+    ("votes_twice", _vote_given_again), ("two_leaders", _no_majority_needed), ("applied_apart", _write_dropped),
+    ("lost", _counts_itself_before_its_disk), ("stale_reads", _read_at_once)])
+def test_a_sown_defect_makes_its_checker_cry_out(monkeypatch, name, sow):
+    sow(monkeypatch)
+    for seed in range(150):
+        try:
+            if any(found == name for found, _ in broken(played(seed, 3, 0.1).trace)):
+                return
+        except (AssertionError, IndexError, ValueError):
+            continue                         # a defect may end a run before its checker reads it
+    raise AssertionError(f"{name} found nothing")
+
+
+def leader(entries=(), term=1, config=THREE):
+    """Keeper a, elected by b; its own and b's disks have all."""
+    made = Keeper("a", config, lambda _: 0.0, 0)
+    made.loaded(term - 1, "", None, list(entries))
+    made.due(made.next_due())
+    now = made.next_due()
+    made.heard("b", VoteAnswer(term, True, True), now)
+    done = made.synced(made.number, now)
+    assert any(isinstance(a, Send) and isinstance(a.message, Vote) for a in done)
+    done = made.heard("b", VoteAnswer(term, False, True), now)
+    assert any(isinstance(a, Leads) and a.on for a in done)
+    made.synced(made.number, now)
+    return made, now
+
+
+def test_a_vote_is_not_said_before_it_is_on_disk_and_given_once():
+    made = Keeper("c", THREE, lambda _: 0.0, 0)
+    done = made.heard("a", Vote(3, 0, 0, False, False), keeper.S)
+    assert [type(a) for a in done] == [Write, Write] and done[-1].vote == "a"
+    assert [a.message.granted for a in made.synced(2, keeper.S)] == [True]
+    again = made.heard("b", Vote(3, 5, 2, False, False), keeper.S)
+    assert [a.message.granted for a in again if isinstance(a, Send)] == [False]
+
+
+def test_one_that_hears_a_leader_helps_nobody_to_depose_it():
+    made = Keeper("c", THREE, lambda _: 0.0, 0)
+    made.heard("a", keeper.Append(1, 0, 0, [], 0, 1), keeper.S)
+    made.synced(made.number, keeper.S)
+    (answer,) = made.heard("b", Vote(9, 9, 9, True, False), keeper.S + 100 * keeper.MS)
+    assert not answer.message.granted and made.term == 1
+    assert made.heard("b", Vote(9, 9, 9, False, False), keeper.S + 100 * keeper.MS) == [] and made.term == 1
+
+
+def test_an_entry_of_an_older_term_is_committed_only_with_one_of_the_leaders_own():
+    # Figure 3.7 of the thesis: a majority has it on disk, and it can still be replaced.
+    made, now = leader([Entry(1, 1, "data", "old")], term=3)
+    made.heard("b", keeper.AppendAnswer(3, True, 1, 0), now)
+    assert made.committed == 0
+    made.heard("b", keeper.AppendAnswer(3, True, 2, 0), now)
+    assert made.committed == 2
+
+
+def test_members_change_one_at_a_time_and_not_before_an_entry_of_the_leaders_own_term():
+    made, now = leader()
+    assert made.change(("a", "b", "c"), ("d",), now)[0] == 0     # nothing of its term is committed yet
+    made.heard("b", keeper.AppendAnswer(1, True, 1, 0), now)
+    assert made.change(("a", "b", "c", "d"), (), now)[0] == 0    # no learner yet
+    assert made.change(("a", "b", "c"), ("d",), now)[0] == 2
+    assert made.change(("a", "b", "c", "d"), (), now)[0] == 0    # the last change is not committed
+    made.synced(made.number, now)
+    made.heard("b", keeper.AppendAnswer(1, True, 2, 0), now)
+    assert made.change(("a", "d"), (), now)[0] == 0              # two at once
+    assert made.change(("a", "b", "c", "d"), (), now)[0] == 3
+
+
+def test_a_leader_that_hears_no_majority_leads_no_more_and_tells_its_reads():
+    made, now = leader()
+    made.heard("b", keeper.AppendAnswer(1, True, 1, 0), now)
+    made.read("t", now)
+    done = made.due(now + 400 * keeper.MS)
+    assert Leads(False, 1) in done and Current("t", -1) in done
+    assert made.propose("x", now)[0] == 0
+
+
+def test_a_disk_that_fails_ends_leading_and_all_promises():
+    made, now = leader()
+    assert Leads(False, 1) in made.not_kept(now)
+    assert made.heard("b", Vote(9, 9, 9, False, False), now + keeper.S) == [] and made.due(now + 9 * keeper.S) == []
+
+
+def test_leadership_goes_on_to_one_that_has_the_whole_log():
+    made, now = leader()
+    made.heard("b", keeper.AppendAnswer(1, True, 1, 0), now)
+    assert made.moves("b", now) == [Send("b", keeper.Stand(1))]
+    assert made.propose("x", now)[0] == 0
+    other = Keeper("b", THREE, lambda _: 0.0, 0)
+    other.heard("a", keeper.Append(1, 0, 0, [Entry(1, 1, "nothing", None)], 1, 1), now)
+    other.synced(other.number, now)
+    done = other.heard("a", keeper.Stand(1), now)
+    done += other.synced(other.number, now)
+    assert {a.to for a in done if isinstance(a, Send) and a.message.moved} == {"a", "c"}
+
+
+def test_every_interleaving_of_three_keepers_to_a_depth_keeps_the_log():
+    assert explore_keepers.explored(6) > 1000
+    assert explore_keepers.explored(6, contested=True) > 1000
+
+
+@pytest.mark.parametrize(("what", "sow"), [("leaders", _no_majority_needed), ("votes", _vote_given_again)])
+def test_the_explorer_finds_a_sown_defect(monkeypatch, what, sow):
+    sow(monkeypatch)
+    with pytest.raises(explore_keepers.Broken) as found:
+        explore_keepers.explored(7, contested=what == "votes")
+    assert found.value.args[0] == what
