--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -170,3 +170,30 @@
     assert orjson.loads(rest.splitlines()[-1])["lines_dropped"] > 0
     os.close(near)
     os.close(far)
+
+
+FLEET = """fleet {
+    name "east"
+    listen "127.0.0.1:7100"
+    join "127.0.0.1:7101" "127.0.0.1:7102"
+    catch-up (MiB)1
+}
+"""
+
+
+def test_a_fleet_has_its_defaults_and_several_addresses():
+    node = file.parse(FLEET, "f").fleet
+    assert (node.address, node.join, node.catch_up) == (("127.0.0.1", 7100), ["127.0.0.1:7101", "127.0.0.1:7102"], 1 << 20)
+    assert (node.alone_after, node.evidence, node.advertise) == (5 * S, 32 << 10, "") and file.parse("", "f").fleet is None
+
+
+@pytest.mark.parametrize("old, new, line, key", [
+    ("127.0.0.1:7100", "nowhere", 3, "fleet.listen"), ("127.0.0.1:7102", "127.0.0.1:0", 4, "fleet.join"),
+    ("    name \"east\"\n", "", 1, "fleet"), ("name \"east\"", "name \"\"", 2, "fleet.name"),
+    ("catch-up (MiB)1", "catch-up 1", 5, "fleet.catch-up"), ("catch-up (MiB)1", "catch-up (B)9", 5, "fleet.catch-up"),
+    ("catch-up (MiB)1", "advertise \"x\"", 5, "fleet.advertise"), ("catch-up", "catchup", 5, "fleet.catchup"),
+])
+def test_a_fault_in_a_fleet_is_told_with_its_line_and_key(old, new, line, key):
+    with pytest.raises(file.Faulty) as fault:
+        file.parse(FLEET.replace(old, new), "f")
+    assert (fault.value.line, fault.value.key) == (line, key)
