--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -183,8 +183,9 @@
 
 def test_a_fleet_has_its_defaults_and_several_addresses():
     node = file.parse(FLEET, "f").fleet
-    assert (node.address, node.join, node.catch_up) == (("127.0.0.1", 7100), ["127.0.0.1:7101", "127.0.0.1:7102"], 1 << 20)
-    assert (node.alone_after, node.evidence, node.advertise) == (5 * S, 32 << 10, "") and file.parse("", "f").fleet is None
+    assert (node.address, node.join) == (("127.0.0.1", 7100), ["127.0.0.1:7101", "127.0.0.1:7102"])
+    assert (node.catch_up, node.alone_after, node.evidence, node.advertise) == (1 << 20, 5 * S, 32 << 10, "")
+    assert file.parse("", "f").fleet is None
 
 
 @pytest.mark.parametrize("old, new, line, key", [
