The rig's fronts take ports that the system gives nobody else

Seen: with 50 fronts the bus stand-in got greetings of fronts. At fault: free_port asked the system for a port and let it go, and bus and relay, which start before the fronts, were given some of them. A front of a test that could not listen would have failed now and then. Change: ports below the system's own range, tried in turn.

--- a/standins/bus.py
+++ b/standins/bus.py
@@ -23,7 +23,10 @@
         self.fresh = asyncio.Event()
 
     async def serve(self, reader, writer):
-        head = await reader.readuntil(b"\r\n\r\n")
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+        except asyncio.IncompleteReadError:
+            return writer.close()            # it ended before it asked
         last = int(head.lower().split(b"last-event-id:")[1].split(b"\r\n")[0])
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n:\n\n")
         try:
--- a/standins/fleet/relay.py
+++ b/standins/fleet/relay.py
@@ -91,8 +91,8 @@
         tasks = [asyncio.ensure_future(_pump(troubles, (dialler, target), reader, there)),
                  asyncio.ensure_future(_pump(troubles, (target, dialler), back, writer))]
         await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-    except (OSError, asyncio.IncompleteReadError, msgspec.MsgspecError, IndexError):
-        pass
+    except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError, msgspec.MsgspecError, IndexError):
+        pass                                 # the end of either side, or of this process, ends the pair
     finally:
         for task in tasks:
             task.cancel()
--- a/standins/fleet/rig.py
+++ b/standins/fleet/rig.py
@@ -6,6 +6,7 @@
         rig.until("n2", "holds", lambda: ...)
 """
 
+import itertools
 import json
 import os
 import signal
@@ -27,9 +28,19 @@
 }
 
 
+PORTS = itertools.cycle(range(10_000, 32_000))
+for _ in range(os.getpid() * 97 % 22_000):
+    next(PORTS)                              # test processes side by side begin apart
+
+
 def free_port():
-    with socket.create_server(("127.0.0.1", 0)) as free:
-        return free.getsockname()[1]
+    """One below those that the system gives out by itself: bus and relay would be given it before its front has it."""
+    for port in PORTS:
+        try:
+            with socket.create_server(("127.0.0.1", port)):
+                return port
+        except OSError:
+            continue
 
 
 class Lines:
