--- a/sprucegate/fleet/links/links.py
+++ b/sprucegate/fleet/links/links.py
@@ -15,6 +15,7 @@
 GREET = 2.0                 # seconds for the greeting
 IDLE = 30.0                 # seconds without a byte either way, after which one is closed
 READ = 256 << 10
+SLOW = 256 << 10            # bytes
 
 
 class Connection:
@@ -81,6 +82,10 @@
             connection.task = self.loop.create_task(self._dial(connection))
         connection.put(message, guard)
 
+    def slow(self):
+        """Peers for which more of a transfer waits than is sent in one go."""
+        return {name: None for name, one in self.by_name.items() if one.out.piece_bytes > SLOW}
+
     def greet_again(self):
         """This front has another name: on what is open the others would take it for the twin that keeps the old one."""
         for connection in [*self.dialled.values(), *self.taken]:
--- a/sprucegate/fleet/replica/replica.py
+++ b/sprucegate/fleet/replica/replica.py
@@ -27,6 +27,7 @@
 CHUNK = 200             # facts in one message
 FACT_BYTES, SPAN_BYTES = 90, 40     # of one on the way, about: what is sent is held to a rate by it
 ASKED = 3               # peers from which a front that returns gets what it lacks
+SLOW_FOR = 10 * MS      # until a peer that takes nothing is looked at again
 BLOCK = 4096            # counters that one of them is asked for in one piece
 ASK_EVERY = 50 * MS     # how it stands is looked at, while a front catches up
 STUCK = 500 * MS        # without progress: others are asked
@@ -193,8 +194,10 @@
         self.epoch, self.neighbours, self.callers = 0, [], {}
         self.differs, self.have_at, self.ranges_at = {}, {}, {}
         self.plans, self.tokens, self.tokens_at = {}, 0, now
+        self.slow = ()                       # peers that have not taken what waits for them: told from outside
         self.coming, self.repaired_at = {}, -S       # peer -> Transfer; when a repair last brought something
         self.asked, self.marks, self.ask_number, self.ask_until, self.ask_at, self.moved = {}, {}, 0, 0, 0, now
+        self.sharing = {}                    # asked ones whose share is not there yet
         self.waiting_too = {}                # peers that answered -> whether they still catch up as well
         self.cached, self.changes, self.full, self.bytes_out = (-1, 0), 0, False, 0
         self.timers = {"held": now, "seen": now + SEEN_EVERY, "let_go": now + LET_GO_EVERY, "choose": now}
@@ -211,7 +214,8 @@
     def next_due(self):
         due = min(self.timers.values())
         if self.plans:
-            due = min(due, self.tokens_at + CHUNK * FACT_BYTES * S // self.rate)
+            wait = SLOW_FOR if all(name in self.slow for name in self.plans) else CHUNK * FACT_BYTES * S // self.rate
+            due = min(due, self.tokens_at + wait)
         return min(due, self.ask_at) if self.phase is Phase.ASKING else due
 
     def to(self, now):
@@ -403,6 +407,7 @@
     def _done(self, sender, message, now):
         coming = self._coming(sender, message.transfer, now)
         coming.done = message
+        self.sharing.pop(sender, None)
         return self._whole(sender, coming) + self._saved() + self._caught_up(now)
 
     def _coming(self, sender, number, now):
@@ -464,7 +469,9 @@
     # Repair.
 
     def _have_message(self, part=(0, 1), number=0):
-        return Have(self.on_disk.told(), self.facts.root(), part, number)
+        # To ask for the rest, what is here: by what is on disk all that is being written would be sent once more.
+        seen = self.facts.seen if number else self.on_disk
+        return Have(seen.told(), self.facts.root(), part, number)
 
     def _due_held(self, now):
         self.timers["held"] = now + HELD_EVERY
@@ -478,7 +485,9 @@
         # What is just spreading differs as well: only what differs twice is asked after, and from one peer at a time.
         first = sender not in self.differs
         self.differs[sender] = now
-        if first or now - self.have_at.get(sender, -S) < HAVE_AGAIN or now - self.repaired_at < HELD_EVERY:
+        if first or self.phase is Phase.ASKING or now - self.repaired_at < HELD_EVERY:
+            return []
+        if now - self.have_at.get(sender, -S) < HAVE_AGAIN:
             return []
         self.have_at[sender] = self.repaired_at = now
         return [Send(sender, self._have_message())]
@@ -489,7 +498,7 @@
 
     def _have(self, sender, message, now):
         theirs = Seen(message.lives)
-        if sender in self.peers:
+        if sender in self.peers and not message.number:
             self.peers[sender] = theirs
         live = self.phase in (Phase.TOGETHER, Phase.ALONE)
         done = [Send(sender, Mark(message.number, self.on_disk.told(), live))] if message.number else []
@@ -503,9 +512,11 @@
             return done + self._feed(now)
         self.plans.pop(sender, None)
         if message.number:
-            return done
+            return [*done, Send(sender, Done(next(self.transfers), 0, []), True)]
         if not self.facts.seen.covers(theirs):
-            if now - self.have_at.get(sender, -S) >= HAVE_AGAIN:
+            # While it catches up, or a transfer comes, one more list would have all of it sent twice.
+            under_way = self.phase is Phase.ASKING or now - self.repaired_at < HAVE_AGAIN
+            if not under_way and now - self.have_at.get(sender, -S) >= HAVE_AGAIN:
                 self.have_at[sender] = now
                 done.append(Send(sender, self._have_message()))
         elif message.root != self.facts.root() and now - self.ranges_at.get(sender, -S) >= RANGES_AGAIN:
@@ -521,8 +532,11 @@
         burst = CHUNK * FACT_BYTES * 2
         self.tokens = min(burst, self.tokens + (now - self.tokens_at) * self.rate // S)
         self.tokens_at, done = now, []
-        while self.plans and self.tokens > 0:
-            peer = next(iter(self.plans))
+        while self.tokens > 0:
+            # What a slow peer has not taken yet would be dropped at the bound of its queue, and sent all over again.
+            peer = next((name for name in self.plans if name not in self.slow), None)
+            if peer is None:
+                break
             plan, facts = self.plans.pop(peer), []
             looked = 0
             while plan.spans and len(facts) < CHUNK and looked < CHUNK:
@@ -635,6 +649,7 @@
         # Against many that return at once and ask each other: those known to wait as well come last.
         names = sorted(self.peers, key=lambda name: (self.waiting_too.get(name, False), self.chance(name)))[:ASKED]
         self.asked, self.marks, self.moved = dict.fromkeys(names), {}, now
+        self.sharing = dict.fromkeys(names)
         return [Send(name, self._have_message((at, len(names)), self.ask_number)) for at, name in enumerate(names)]
 
     def _asking(self, now):
@@ -645,14 +660,16 @@
         if now >= self.ask_until and not (self.marks and now - self.moved < self.alone_after):
             self.phase = Phase.ALONE
             return [Live("alone", [])]
-        if now - self.moved < STUCK:
+        if now - self.moved < STUCK and (self.sharing or not self.marks):
             return []
         uncovered = [name for name, mark in self.marks.items()
                      if name in self.peers and not self.facts.seen.covers(mark)]
+        if self.marks and not uncovered and all(n in self.marks for n in self.asked if n in self.peers):
+            return []                        # it is all here, and being written
         if uncovered:
             # Shares overlap where peers had seen different things: the rest from each that still has some.
-            self.moved = now
-            return [Send(name, self._have_message((0, 1), self.ask_number)) for name in uncovered]
+            self.moved, self.sharing = now, dict.fromkeys(uncovered[:1])
+            return [Send(uncovered[0], self._have_message((0, 1), self.ask_number))]
         return self._ask(now)
 
     def _caught_up(self, now):
--- a/sprucegate/fleet/service.py
+++ b/sprucegate/fleet/service.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import gc
 import os
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -82,6 +83,8 @@
             self._in_force(fact, loaded=True)
             if at % PIECE == 0:
                 await asyncio.sleep(0)
+        # What was loaded stays: the collector need not walk it, which would hold up the loop for a tenth of a second.
+        gc.freeze()
         self.log("fleet_loaded", start=start, facts=len(facts), age_s=kept.age // S)
 
     def _opened(self):
@@ -181,6 +184,7 @@
                 case Live():
                     self.log("fleet_" + action.how.replace("-", "_"), asked=action.asked,
                              facts=len(self.peer.replica.facts.held))
+                    gc.freeze()              # as after the loading
                     self.up.set()
                 case Note():
                     self.log(action.event, **action.said)
@@ -209,6 +213,7 @@
 
     def _due(self):
         try:
+            self.peer.replica.slow = self.links.slow()
             self.do(self.peer.due(time.monotonic_ns()))
         except Exception as fault:           # without a next time this front would fall silent for good
             self.driver.fault(fault)
--- a/standins/fleet/simulated.py
+++ b/standins/fleet/simulated.py
@@ -107,7 +107,7 @@
         if (sent := outgoing(action)) is not None:
             name, address, message, _ = sent
             to = name if name in fleet.fronts else fleet.by_address.get(address or self._address(name))
-            if isinstance(message, Have | Mark):
+            if isinstance(message, Mark) or isinstance(message, Have) and not message.number:
                 fleet.note(self.name, "says-seen", message.lives)
             if isinstance(message, Tell | Done):
                 fleet.bytes += sum(20 + len(str(f)) for f in (message.facts if isinstance(message, Tell) else []))
