Fronts that return together are live by those that stayed, not by each other

Seen, by reading the change before: fronts that start together, know only each other and hold nothing could take each other for all there is and be live at once. A test of seven that return with empty folders and reach those that stayed a second late shows it. At fault: Replica._caught_up accepted peers that all waited as well. Change: not while an address of the file is unmet, until `alone-after`; those are tried four times as often for half a minute.

--- a/sprucegate/fleet/members/swim.py
+++ b/sprucegate/fleet/members/swim.py
@@ -17,6 +17,7 @@
 from sprucegate.fleet.members.pace import Pace
 
 MEMBERS_MOST = 1000
+HURRY = 30_000_000_000      # ns after the start
 
 
 class Standing(IntEnum):
@@ -127,7 +128,7 @@
         self.news = {}                       # name -> how often its word was borne
         self.held, self.renewals, self.doubtful = 0, 0, False
         self.met = False                     # whether any other front has ever been heard
-        self.due_at = now
+        self.begun = now
         for what, wait in (("probe", 0), ("sync", self.pace.sync), ("reach", 0)):
             self._arm(now + wait, what, None)
 
@@ -143,6 +144,11 @@
     def next_due(self):
         return self.timers[0][0] if self.timers else None
 
+    def unmet(self):
+        """Addresses of the file at which no member is known."""
+        addresses = {m.address for m in self.known.values()}
+        return [address for address in self.seeds if address not in addresses]
+
     # What happens.
 
     def due(self, now):
@@ -267,11 +273,12 @@
 
     def _reach(self, _, now):
         """Against splits that outlast a suspicion: one that is gone, or a first address, is tried ever again."""
-        self._arm(now + self.pace.reach * (1 if self.met else 0.25) // 1, "reach", None)
-        addresses = {m.address for m in self.known.values()}
-        lost = sorted([m.address for m in self.known.values() if m.standing == Standing.GONE]
-                      + [s for s in self.seeds if s not in addresses or not self.met])
-        tries = 1 if self.met else len(lost)
+        unmet = self.unmet()
+        # Against fronts that start together and meet but each other: those of the file are tried at once, for a while.
+        hurried = not self.met or unmet and now - self.begun < HURRY
+        self._arm(now + self.pace.reach // (4 if hurried else 1), "reach", None)
+        lost = sorted([m.address for m in self.known.values() if m.standing == Standing.GONE] + unmet)
+        tries = len(lost) if hurried else 1
         return [Send("", address, All(self._all(), True)) for address in self.chance.pick("reach", lost, tries)]
 
     # How a word is taken.
--- a/sprucegate/fleet/peer.py
+++ b/sprucegate/fleet/peer.py
@@ -28,6 +28,7 @@
         """From here on others are looked for, and asked once one is there."""
         self.replica.phase, self.replica.ask_until = Phase.ASKING, now + self.replica.alone_after
         self.replica.moved = now
+        self.replica.unmet = bool(self.members.unmet())
         return self.due(now)
 
     def told(self, key, value, now):
@@ -46,7 +47,10 @@
         if self.members.next_due() <= now:
             self.members.held = self.replica.digest()
             done = self._followed(self.members.due(now), now)
-        return done + (self.replica.due(now) if self.replica.next_due() <= now else [])
+        if self.replica.next_due() <= now:
+            self.replica.unmet = self.replica.phase is Phase.ASKING and bool(self.members.unmet())
+            done += self.replica.due(now)
+        return done
 
     def next_due(self):
         return min(self.members.next_due(), self.replica.next_due())
--- a/sprucegate/fleet/replica/replica.py
+++ b/sprucegate/fleet/replica/replica.py
@@ -197,6 +197,7 @@
         self.slow = ()                       # peers that have not taken what waits for them: told from outside
         self.coming, self.repaired_at = {}, -S       # peer -> Transfer; when a repair last brought something
         self.asked, self.marks, self.ask_number, self.ask_until, self.ask_at, self.moved = {}, {}, 0, 0, 0, now
+        self.unmet = False                   # whether some of the file's fronts are not known yet: told from outside
         self.sharing = {}                    # asked ones whose share is not there yet
         self.waiting_too = {}                # peers that answered -> whether they still catch up as well
         self.cached, self.changes, self.full, self.bytes_out = (-1, 0), 0, False, 0
@@ -664,7 +665,7 @@
             return []
         uncovered = [name for name, mark in self.marks.items()
                      if name in self.peers and not self.facts.seen.covers(mark)]
-        if self.marks and not uncovered and all(n in self.marks for n in self.asked if n in self.peers):
+        if not uncovered and any(not self.on_disk.covers(mark) for mark in self.marks.values()) and self.kept:
             return []                        # it is all here, and being written
         if uncovered:
             # Shares overlap where peers had seen different things: the rest from each that still has some.
@@ -681,8 +682,9 @@
             there = [name for name in there if name in self.marks]       # one that is heard but doesn't hear
         if not there or any(name not in self.marks for name in there):
             return []
-        if now < self.ask_until and all(self.waiting_too[n] for n in there) and any(
-                not self.waiting_too.get(name, False) for name in self.peers):
+        if now < self.ask_until + self.alone_after and all(self.waiting_too[n] for n in there) and (
+                any(not self.waiting_too.get(name, False) for name in self.peers)
+                or self.unmet and now < self.ask_until):
             return []                        # none of them can tell more than this one, and others may
         seen = self.on_disk if self.kept else self.facts.seen
         if not all(seen.covers(self.marks[name]) for name in there):
--- a/tests/test_fleet_simulated.py
+++ b/tests/test_fleet_simulated.py
@@ -268,3 +268,29 @@
     fleet.run(130 * S)
     fleet.dump()
     assert not fleet.fronts["n2"].holds() and not checkers.broken(fleet.trace)
+
+
+def test_fronts_that_return_together_are_live_by_those_that_stayed_and_not_by_each_other():
+    for seed in range(6):
+        fleet = Fleet(10, seed, alone_after=2 * S)
+        fleet.start()
+        fleet.run(4 * S)
+        for number in range(50):
+            fleet.purged(f"n{number % 3}", number, number)
+        fleet.run(6 * S)
+        away = [f"n{at}" for at in range(3, 10)]
+        for name in away:
+            fleet.kill(name)
+            fleet.fronts[name].disk = type(fleet.fronts[name].disk)()        # with nothing of what they had
+            fleet.note(name, "folder-put-back")
+        fleet.run(7 * S)
+        since = len(fleet.trace)
+        # First among themselves: those that stayed are reached a little later.
+        fleet.split(away, ["n0", "n1", "n2"])
+        fleet.start(*away)
+        fleet.run(fleet.now + S)
+        fleet.heal()
+        fleet.run(fleet.now + 10 * S)
+        live = {x[1]: x for x in fleet.trace[since:] if x[2] == "live"}
+        assert set(live) >= set(away)
+        assert all(live[name][3] == "caught-up" and len(live[name][-1]) == 50 for name in away), seed
