A front that returns meets others for 100 ms before it asks some of them

Seen, in the deterministic driver: seven of ten that return at once all asked the first front that any of them had heard of, which fed them all. At fault: asks() at the first member known. Change: it waits 100 ms from the first.

--- a/sprucegate/fleet/peer.py
+++ b/sprucegate/fleet/peer.py
@@ -81,7 +81,7 @@
                     self.replica.gone.pop(before.name, None)
                 if there != (action.member.name in self.replica.peers):
                     done += self.replica.stands(action.member.name, there, now)
-                    first = self.replica.phase is Phase.ASKING and not self.replica.asked
+                    first = self.replica.phase is Phase.ASKING and not self.replica.meet_at
                     done += self.replica.asks(now) if there and first else []
             elif isinstance(action, swim.Fenced):
                 done += self.replica.fenced(now)
--- a/sprucegate/fleet/replica/replica.py
+++ b/sprucegate/fleet/replica/replica.py
@@ -30,6 +30,7 @@
 SLOW_FOR = 10 * MS      # until a peer that takes nothing is looked at again
 BLOCK = 4096            # counters that one of them is asked for in one piece
 ASK_EVERY = 50 * MS     # how it stands is looked at, while a front catches up
+MEET = 100 * MS         # from the first peer that is met until some are asked
 STUCK = 500 * MS        # without progress: others are asked
 LET_GO_EVERY = 2 * S
 RANGES_AGAIN = 2 * S
@@ -197,6 +198,7 @@
         self.slow = ()                       # peers that have not taken what waits for them: told from outside
         self.coming, self.repaired_at = {}, -S       # peer -> Transfer; when a repair last brought something
         self.asked, self.marks, self.ask_number, self.ask_until, self.ask_at, self.moved = {}, {}, 0, 0, 0, now
+        self.meet_at = 0                     # until when peers are met before some are asked; 0: none was met
         self.unmet = False                   # whether some of the file's fronts are not known yet: told from outside
         self.sharing = {}                    # asked ones whose share is not there yet
         self.waiting_too = {}                # peers that answered -> whether they still catch up as well
@@ -643,7 +645,9 @@
     def asks(self, now):
         """This front returns: it is live once it has seen what those that it asks had seen when they were asked."""
         self.phase, self.ask_until, self.moved = Phase.ASKING, now + self.alone_after, now
-        return self._ask(now)
+        # Not at once: all that return together would ask the first that any of them hears of.
+        self.asked, self.marks, self.meet_at = {}, {}, now + MEET
+        return []
 
     def _ask(self, now):
         self.ask_number += 1
@@ -661,6 +665,8 @@
         if now >= self.ask_until and not (self.marks and now - self.moved < self.alone_after):
             self.phase = Phase.ALONE
             return [Live("alone", [])]
+        if not self.asked:
+            return self._ask(now) if self.peers and now >= self.meet_at else []
         if now - self.moved < STUCK and (self.sharing or not self.marks):
             return []
         uncovered = [name for name, mark in self.marks.items()
