--- a/benchmarks/replication.py
+++ b/benchmarks/replication.py
@@ -117,12 +117,12 @@
     return (int(fields[11]) + int(fields[12])) / 100
 
 
-def filled(folder, count):
+def filled(folder, count, now):
     """A front's folder with that many purges, as its own snapshot would be."""
     keeping = Keeping(Disk(), str(folder))
     start = keeping.start()
     keeping.open(0)
-    now = time.time_ns()                     # purges of just now: old ones the front would put by at once
+    # Purges of just now, old ones the front would put by at once; the same at all, or each dot had several contents.
     facts = [Fact(("purge", "object", n), (now - n,), ("n0", start << 32, n + 1)) for n in range(count)]
     assert keeping.begin_snapshot() is None
     pieces = [packed(facts[at:at + PIECE]) for at in range(0, count, PIECE)]
@@ -148,9 +148,9 @@
 def catch_up(count, size, away):
     """Seconds to live, bytes over the least, longest answer of one that feeds; `away` of `size` return at once."""
     with tempfile.TemporaryDirectory() as folder, Rig(pathlib.Path(folder), size, kdl="    purge-life (h)1\n") as rig:
-        least = 0
+        least, now = 0, time.time_ns()
         for name in rig.names[:size - away]:
-            least = filled(rig.fronts[name].folder / "state", count)
+            least = filled(rig.fronts[name].folder / "state", count, now)
         for name in rig.names[:size - away]:
             rig.fronts[name].start()
         for name in rig.names[:size - away]:
--- a/sprucegate/fleet/links/links.py
+++ b/sprucegate/fleet/links/links.py
@@ -48,6 +48,7 @@
         self.loop, self.listener, self.task = asyncio.get_running_loop(), None, None
         self.dialled, self.taken, self.by_name = {}, set(), {}
         self.bytes_out, self.bytes_in, self.refused, self.reading = 0, 0, 0, None
+        self.sent = {}                       # messages by kind
 
     def start(self):
         """None, or why it can't listen."""
@@ -80,6 +81,8 @@
                 return
             connection = self.dialled[address] = Connection(self, None, address)
             connection.task = self.loop.create_task(self._dial(connection))
+        kind = type(message).__name__.lower()
+        self.sent[kind] = self.sent.get(kind, 0) + 1
         connection.put(message, guard)
 
     def slow(self):
--- a/sprucegate/fleet/replica/replica.py
+++ b/sprucegate/fleet/replica/replica.py
@@ -667,7 +667,9 @@
             return [Live("alone", [])]
         if not self.asked:
             return self._ask(now) if self.peers and now >= self.meet_at else []
-        if now - self.moved < STUCK and (self.sharing or not self.marks):
+        # On a busy machine a transfer that has begun only stands still: asked for anew, all on the way comes twice.
+        patience = min(6 * STUCK, self.alone_after // 2) if self.coming else STUCK
+        if now - self.moved < patience and (self.sharing or not self.marks):
             return []
         uncovered = [name for name, mark in self.marks.items()
                      if name in self.peers and not self.facts.seen.covers(mark)]
--- a/sprucegate/fleet/service.py
+++ b/sprucegate/fleet/service.py
@@ -352,7 +352,7 @@
         return {"fleet": self.node.name, "phase": "caught up" if replica.phase is Phase.TOGETHER else
                 replica.phase.name.lower(), "kept": replica.kept, "health": members.health, "facts": kinds,
                 "bytes_out": self.links.bytes_out, "bytes_in": self.links.bytes_in, "refused": self.links.refused,
-                "evidence_out": self.rows_out, "evidence_in": self.rows_in,
+                "sent": self.links.sent, "evidence_out": self.rows_out, "evidence_in": self.rows_in,
                 "connections": len(self.links.dialled) + len(self.links.taken),
                 "members": [{"name": m.name, "address": m.address, "standing": Standing(m.standing).name.lower(),
                              "by": m.by, "life": f"{m.life:x}", "lag": lag.get(name)}
