Many twins in one message are one note and one repair to their owner

Need: a copied disk has thousands of dots with other contents; each made a log line and a message. Change: Replica puts those of one message together, the repair bounded at a piece.

--- a/sprucegate/fleet/replica/replica.py
+++ b/sprucegate/fleet/replica/replica.py
@@ -260,7 +260,7 @@
     def heard(self, sender, message, now):
         match message:
             case Tell():
-                return self._tell(sender, message, now)
+                return _together(self._tell(sender, message, now))
             case Done():
                 return self._done(sender, message, now)
             case Held():
@@ -279,7 +279,7 @@
                 return self._keys(sender, message, now)
             case Repair():
                 done = [a for fact in message.facts for a in self._joined(sender, fact, now, repair=True)]
-                return done + self._saved()
+                return _together(done + self._saved())
         return []
 
     def stands(self, name, there, now):
@@ -701,6 +701,21 @@
         return [Live("caught-up", there)]
 
 
+def _together(actions):
+    """Of many twins in one message one note and one repair to each owner: a copied disk has thousands."""
+    notes = [a for a in actions if isinstance(a, Note) and a.event == "fleet_dot_twice"]
+    if len(notes) < 2:
+        return actions
+    repairs, rest = {}, []
+    for action in actions:
+        if isinstance(action, Send) and isinstance(action.message, Repair):
+            repairs.setdefault(action.to, []).extend(action.message.facts)
+        elif action not in notes:
+            rest.append(action)
+    note = notes[0]._replace(said={**notes[0].said, "count": len(notes)})
+    return [note, *rest, *[Send(to, Repair(facts[:CHUNK]), True) for to, facts in repairs.items()]]
+
+
 def _share(spans, part):
     """The part of the spans, cut in blocks, that one of several peers is asked for."""
     which, of = part
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -161,3 +161,19 @@
     members.heard("n2", swim.All([MEMBER._replace(name="n2", life=2 << 32, standing=0)], False), 0)
     (answer,) = members.heard("n2", swim.Ping(7, "n0", 0, []), 0)
     assert answer.message.number == 7 and [m.life for m in answer.message.news if m.name == "n2"] == [2 << 32]
+
+
+def test_many_twins_in_one_message_are_one_note_and_one_repair_to_their_owner():
+    made = replica.Replica("n1", 1, Chance("n1", 1), 0)
+    for name in ("n0", "n2"):
+        made.stands(name, True, 0)
+    ours = [Fact(("purge", "object", n), (5,), ("n2", 1, n + 1)) for n in range(150)]
+    made.heard("n0", replica.Tell(ours, 0, 0), 0)
+    made.synced(1, 0)
+    done = made.heard("n0", replica.Tell([f._replace(value=(5 + f.key[2] % 2 * 2 - 1,)) for f in ours], 0, 0), 0)
+    assert [a.said["count"] for a in done if isinstance(a, replica.Note)] == [150]
+    assert [(a.to, len(a.message.facts)) for a in done if isinstance(a, replica.Send)
+            and isinstance(a.message, replica.Repair)] == [("n2", 150)]
+    # The later floor of each holds, and all stand under dots that nobody has seen with another content.
+    assert all(fact.value == (6,) if key[2] % 2 else fact.value == (5,) for key, fact in made.facts.held.items())
+    assert {fact.dot[:2] for fact in made.facts.held.values()} == {("n1", 1)}
