--- a/standins/fleet/keepers.py
+++ b/standins/fleet/keepers.py
@@ -3,12 +3,9 @@
     python -m standins.fleet.keepers --seeds 200 --size 3
 """
 
-import argparse
 import heapq
-import json
 import random
 import sys
-import time
 from itertools import count
 
 from sprucegate.fleet.agreement.keeper import (
@@ -23,6 +20,7 @@
     Write,
 )
 from sprucegate.fleet.chance import Chance
+from standins.fleet.schedules import reported
 
 MS, S = 1_000_000, 1_000_000_000
 COMPACT = 30            # entries after which a keeper makes a snapshot: small, so that schedules have some
@@ -339,20 +337,6 @@
     return [(check.__name__, text) for check in ALL for text in check(trace)]
 
 
-def main(given):
-    flags = argparse.ArgumentParser(prog="python -m standins.fleet.keepers", description=__doc__.split("\n")[0])
-    for name, kind, default in (("seeds", int, 50), ("first", int, 0), ("size", int, 3), ("loss", float, 0.0),
-                                ("spare", int, 0)):
-        flags.add_argument("--" + name, type=kind, default=default)
-    wanted, begun, bad = flags.parse_args(given), time.monotonic(), 0
-    for seed in range(wanted.first, wanted.first + wanted.seeds):
-        found = broken(played(seed, wanted.size, wanted.loss, spare=wanted.spare).trace)
-        bad += bool(found)
-        if found:
-            print(json.dumps({"seed": seed, "broken": len(found), "first": found[0]}))
-    print(json.dumps({"schedules": wanted.seeds, "broken": bad, "seconds": round(time.monotonic() - begun, 1)}))
-    return bool(bad)
-
-
 if __name__ == "__main__":
-    sys.exit(main(sys.argv[1:]))
+    sys.exit(reported(sys.argv[1:], __doc__, lambda seed, wanted: broken(
+        played(seed, wanted.size, wanted.loss, spare=wanted.spare).trace), size=3, spare=0))
--- a/standins/fleet/schedules.py
+++ b/standins/fleet/schedules.py
@@ -108,13 +108,14 @@
         fleet.at(when + 8 * S + lasts, restart)
 
 
-def main(given):
-    flags = argparse.ArgumentParser(description=__doc__.split("\n")[0])
-    for name, kind, default in (("seeds", int, 20), ("first", int, 0), ("size", int, 5), ("loss", float, 0.0)):
-        flags.add_argument("--" + name, type=kind, default=default)
+def reported(given, text, broken, **more):
+    """The schedules that the command line asks for, played and checked by `broken(seed, flags)`; whether any broke."""
+    flags = argparse.ArgumentParser(description=text.split("\n")[0])
+    for name, default in {"seeds": 50, "first": 0, "size": 5, "loss": 0.0, **more}.items():
+        flags.add_argument("--" + name, type=type(default), default=default)
     wanted, begun, bad = flags.parse_args(given), time.monotonic(), 0
     for seed in range(wanted.first, wanted.first + wanted.seeds):
-        found = checkers.broken(played(seed, wanted.size, wanted.loss).trace)
+        found = broken(seed, wanted)
         bad += bool(found)
         if found:
             print(json.dumps({"seed": seed, "broken": len(found), "first": found[0]}))
@@ -123,4 +124,5 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main(sys.argv[1:]))
+    sys.exit(reported(sys.argv[1:], __doc__, lambda seed, wanted: checkers.broken(
+        played(seed, wanted.size, wanted.loss).trace)))
