What a front is told while its disk fails goes out to the others at once

At fault: Replica.told, as _saved writes nothing while the disk fails. Change: it goes out at once, and what is left at the next turn.

--- a/sprucegate/fleet/replica/replica.py
+++ b/sprucegate/fleet/replica/replica.py
@@ -255,7 +255,7 @@
         done = self._own(key, value, now)
         if key[0] == WORD and value[2] == State.LIFTED:
             done += self._orphans(key, now)
-        return done + self._saved()
+        return done + self._saved() + self._unkept(now)
 
     def heard(self, sender, message, now):
         match message:
@@ -318,16 +318,22 @@
     def not_kept(self, number, fault, now):
         """The disk fails. A guard fact makes others more careful, so it goes on; what was seen is not said any more."""
         released, self.writing, was, self.kept = self.writing[2] if self.writing else [], None, self.kept, False
-        released += self.waiting
-        self.waiting = []
+        self.waiting = released + self.waiting
         note = [Note("fleet_not_kept", {"error": fault})] if was else []
-        return note + self._spread(released, "", now) + self._caught_up(now)
+        return note + self._unkept(now) + self._caught_up(now)
+
+    def _unkept(self, now):
+        """Own facts that come while the disk fails: no write follows that would let them go out."""
+        if self.kept:
+            return []
+        released, self.waiting = self.waiting, []
+        return self._spread(released, "", now)
 
     def due(self, now):
         done = []
         for what in [what for what, at in self.timers.items() if at <= now]:
             done += getattr(self, "_due_" + what)(now)
-        return done + self._feed(now) + (self._asking(now) if self.phase is Phase.ASKING else [])
+        return done + self._unkept(now) + self._feed(now) + (self._asking(now) if self.phase is Phase.ASKING else [])
 
     # Own facts and the disk.
 
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -177,3 +177,13 @@
     # The later floor of each holds, and all stand under dots that nobody has seen with another content.
     assert all(fact.value == (6,) if key[2] % 2 else fact.value == (5,) for key, fact in made.facts.held.items())
     assert {fact.dot[:2] for fact in made.facts.held.values()} == {("n1", 1)}
+
+
+def test_what_is_told_while_the_disk_fails_goes_out_and_is_not_said_to_have_been_seen():
+    made = replica.Replica("n1", 1, Chance("n1", 1), 0)
+    made.stands("n0", True, 0)
+    made.told(("purge", "object", 1), (5,), 0)
+    made.not_kept(1, "no space left", 0)
+    done = made.told(("purge", "object", 2), (5,), 0)
+    assert [a.message.facts[0].key[2] for a in done if isinstance(a, replica.Send)] == [2]
+    assert not made.waiting and made.on_disk.told() == []
