Purges that grow old together are let go a few at a time; held lists hold at a start too

A storm of 100,000 dots with two contents each held up a front's answers for 0.5 to 1 s. Ruled out: the collector (told that facts stay, the stall was the same). The line at fault was in Router.purged: purges that were told at once grow old at once, and the next one told walked through all of them (0.8 s). Any installation that purges in bursts met it, fleet or not. At most four are let go with each one told now.

Besides: repairs go in pieces of 50 facts, digests of facts are kept and not made anew, records of one read are worked on for 3 ms at most before GETs come in between, an operator's question walks the table a range a turn.

A list that takes away too much and is held at one front's gate was let through by a front that just started, as its watched list was read before the others were asked. With servers of its last run a front now hears the others first; without any it has nothing that could be held. Test fails without the change.

--- a/sprucegate/assembly/run.py
+++ b/sprucegate/assembly/run.py
@@ -37,8 +37,12 @@
         await driver.fleet.load()
     for _, news in wanted.known:
         driver.told(news)
-    if wanted.membership is not None:
-        await driver.membership.start()
+    listed = wanted.membership is None
+    if not listed:
+        # Other fronts may hold a list that takes away too much: with servers of the last run they are heard first.
+        listed = not await driver.membership.recovers() or wanted.fleet is None
+        if listed:
+            await driver.membership.start()
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
@@ -65,6 +69,8 @@
         # What comes meanwhile is served; but nobody is told to send here before its guard facts are there.
         driver.fleet.start()
         await _either(driver.fleet.up, stop)
+        if not listed:
+            await driver.membership.start()
     driver.ready = True
     log("ready", listen="{}:{}".format(*wanted.listen), caches=len(driver.servers.places), last=wanted.offset)
     await stop.wait()
--- a/sprucegate/fleet/links/links.py
+++ b/sprucegate/fleet/links/links.py
@@ -15,6 +15,7 @@
 GREET = 2.0                 # seconds for the greeting
 IDLE = 30.0                 # seconds without a byte either way, after which one is closed
 READ = 256 << 10
+TURN = 0.003                # seconds of work on what one read brought, after which GETs come in between
 SLOW = 256 << 10            # bytes
 
 
@@ -43,7 +44,7 @@
 
 class Links:
     def __init__(self, listen, log, greeting, heard, asked):
-        """`greeting()` gives this front's; `heard(name, message)` and `asked(question)` take what comes."""
+        """`greeting()` gives this front's; `heard(name, message)` and the awaited `asked(question)` take what comes."""
         self.listen, self.log, self.greeting, self.heard, self.asked = listen, log, greeting, heard, asked
         self.loop, self.listener, self.task = asyncio.get_running_loop(), None, None
         self.dialled, self.taken, self.by_name = {}, set(), {}
@@ -154,7 +155,11 @@
                     return
                 connection.used = time.monotonic()
                 self.bytes_in += len(data)
+                begun = time.monotonic()
                 for payload in reader.feed(data):
+                    if time.monotonic() - begun > TURN:
+                        await asyncio.sleep(0)
+                        begun = time.monotonic()
                     if not greeted:
                         greeted = True
                         if not await self._greeted(connection, codec.greeted(payload), taken):
@@ -168,7 +173,7 @@
                         finally:
                             self.reading = None
                     else:
-                        return await self.loop.sock_sendall(sock, self.asked(codec.asked(payload)))
+                        return await self.loop.sock_sendall(sock, await self.asked(codec.asked(payload)))
         except codec.Unreadable as fault:
             self.refused += 1
             self.log("fleet_peer_refused", peer=connection.name or connection.address or "unknown", error=str(fault))
--- a/sprucegate/fleet/replica/facts.py
+++ b/sprucegate/fleet/replica/facts.py
@@ -61,9 +61,10 @@
 
     def __init__(self, most=FACTS_MOST):
         self.most, self.held, self.seen = most, {}, Seen()
+        self.kinds = {}                      # how many are held, by kind
         self.counters, self.at = {}, {}      # (owner, life) -> counters, sorted; -> {counter: key}
         self.ranges = [0] * BUCKETS          # xor of the digests of the facts in each
-        self.in_range = [{} for _ in range(BUCKETS)]    # key -> None; a set of tuples has no order to rely on
+        self.in_range = [{} for _ in range(BUCKETS)]    # key -> digest: a packed fact is not hashed anew to be compared
 
     def root(self):
         return xxhash.xxh64_intdigest(b"".join(one.to_bytes(8, "big") for one in self.ranges))
@@ -99,11 +100,12 @@
         return [self.held[at[n]] for n in taken if n < past], min(past, upto)
 
     def keys_in(self, chosen):
-        """The facts whose keys lie in those ranges."""
-        return [self.held[key] for at in sorted(chosen) for key in self.in_range[at]]
+        """(fact, digest) of those whose keys lie in those ranges."""
+        return [(self.held[key], hashed) for at in sorted(chosen) for key, hashed in self.in_range[at].items()]
 
     def put(self, fact):
         self.held[fact.key] = fact
+        self.kinds[fact.key[0]] = self.kinds.get(fact.key[0], 0) + 1
         owner = fact.dot[:2]
         counters = self.counters.setdefault(owner, [])
         if not counters or counters[-1] < fact.dot[2]:
@@ -112,16 +114,16 @@
             insort(counters, fact.dot[2])
         self.at.setdefault(owner, {})[fact.dot[2]] = fact.key
         at = key_range(fact.key)
-        self.in_range[at][fact.key] = None
-        self.ranges[at] ^= digest(fact)
+        self.in_range[at][fact.key] = hashed = digest(fact)
+        self.ranges[at] ^= hashed
 
     def _out(self, fact):
         del self.held[fact.key]
+        self.kinds[fact.key[0]] -= 1
         owner, counters = fact.dot[:2], self.counters[fact.dot[:2]]
         del counters[bisect_left(counters, fact.dot[2])]
         del self.at[owner][fact.dot[2]]
         if not counters:
             del self.counters[owner], self.at[owner]
         at = key_range(fact.key)
-        del self.in_range[at][fact.key]
-        self.ranges[at] ^= digest(fact)
+        self.ranges[at] ^= self.in_range[at].pop(fact.key)
--- a/sprucegate/fleet/replica/replica.py
+++ b/sprucegate/fleet/replica/replica.py
@@ -14,7 +14,7 @@
 import msgspec
 import xxhash
 
-from sprucegate.fleet.replica.facts import BUCKETS, FACTS_MOST, Fact, Facts, Joined, State, digest
+from sprucegate.fleet.replica.facts import BUCKETS, FACTS_MOST, Fact, Facts, Joined, State
 from sprucegate.fleet.replica.seen import Seen
 
 MS, S = 1_000_000, 1_000_000_000
@@ -28,13 +28,14 @@
 FACT_BYTES, SPAN_BYTES = 90, 40     # of one on the way, about: what is sent is held to a rate by it
 ASKED = 3               # peers from which a front that returns gets what it lacks
 SLOW_FOR = 10 * MS      # until a peer that takes nothing is looked at again
+TWINS = 50              # facts in one repair: each with another content under its dot costs 0.1 ms
 BLOCK = 4096            # counters that one of them is asked for in one piece
 ASK_EVERY = 50 * MS     # how it stands is looked at, while a front catches up
 MEET = 100 * MS         # from the first peer that is met until some are asked
 STUCK = 500 * MS        # without progress: others are asked
 LET_GO_EVERY = 2 * S
-RANGES_AGAIN = 2 * S
-KEYS_MOST = 5000        # facts whose keys are compared in one go
+RANGES_AGAIN = 500 * MS
+KEYS_MOST = 1500        # facts whose keys are compared in one go: one turn of the loop on either side
 PURGE, WORD, HELD = "purge", "word", "held"
 
 
@@ -579,21 +580,21 @@
         return [Send(sender, self._keys_of(chosen, True))] if chosen else []
 
     def _keys_of(self, ranges, answer):
-        facts = [(f.key, f.dot, digest(f)) for f in self.facts.keys_in(set(ranges))]
+        facts = [(f.key, f.dot, hashed) for f, hashed in self.facts.keys_in(set(ranges))]
         return Keys(ranges, facts, answer)
 
     def _keys(self, sender, message, now):
         """What differs goes there; a word that the other has seen and let go is let go here as well."""
         chosen, theirs = {at for at in message.ranges if 0 <= at < BUCKETS}, {k: h for k, _, h in message.facts}
         differ, done, seen = [], [], self.peers.get(sender) or Seen()
-        for fact in self.facts.keys_in(chosen):
+        for fact, hashed in self.facts.keys_in(chosen):
             if fact.key not in theirs:
                 if fact.key[0] == WORD and seen.has(fact.dot):
                     done += [*self._forget(fact.key), Act(fact._replace(value=(*fact.value[:2], int(State.LIFTED))))]
-            elif theirs[fact.key] != digest(fact):
+            elif theirs[fact.key] != hashed:
                 differ.append(fact)
-        if differ:
-            done.append(Send(sender, Repair(differ), True))
+        # In pieces: each fact takes a new dot over there, and thousands in one turn would hold up its GETs.
+        done += [Send(sender, Repair(differ[at:at + TWINS]), True) for at in range(0, len(differ), TWINS)]
         if message.answer:
             done.append(Send(sender, self._keys_of(sorted(chosen), False)))
         return done + self._saved()
--- a/sprucegate/fleet/service.py
+++ b/sprucegate/fleet/service.py
@@ -40,6 +40,7 @@
 AGAIN = 1.0             # seconds until a disk that failed is tried again
 SWEEP = 5.0
 TOLD_EACH = 20          # facts of one message that have a line each in the log
+STAY = 2000             # new facts after which the collector is told that they stay
 EVIDENCE_EVERY = 1.0    # seconds
 EVIDENCE_BYTES = 45     # of one row on the way, about
 EVIDENCE_OLD = 2 * S    # past it, or that far ahead: a front that stood still, or clocks apart, tell nothing
@@ -58,6 +59,7 @@
         self.tasks, self.snapping, self.stopped, self.waiting = set(), False, False, []
         self.rows_out, self.rows_in = 0, 0   # of evidence
         self.being = int.from_bytes(os.urandom(4), "big")
+        self.fresh = 0                       # facts since the collector was told
         merged.view.news = []
 
     # Start and end.
@@ -170,6 +172,12 @@
         told = sum(isinstance(action, Act) for action in actions)
         if told > TOLD_EACH:                 # a transfer: a line for each would be a log of the whole table
             self.log("fleet_told", kind="several", key=[], count=told)
+        self.fresh += told
+        if self.fresh > STAY:
+            # Facts come by the thousand from a copied disk: the collector would walk through all of them.
+            self.fresh = 0
+            gc.collect(1)
+            gc.freeze()
         for action in actions:
             if (sent := outgoing(action)) is not None:
                 name, address, message, guard = sent
@@ -335,22 +343,21 @@
         own = self.peer.members.own
         return codec.Greeting(codec.VERSION, self.node.name, "front", own.name, own.address, own.life)
 
-    def _asked(self, question):
+    async def _asked(self, question):
         answers = {"status": self._status, "facts": self._facts, "why": self._why}
         if question.what not in answers:
             return orjson.dumps({"ok": False, "error": f"{question.what} is not known"})
-        return orjson.dumps({"ok": True, "at": time.time_ns(), "front": self.peer.members.own.name,
-                             **answers[question.what](question.given)})
+        said = await answers[question.what](question.given)
+        return orjson.dumps({"ok": True, "at": time.time_ns(), "front": self.peer.members.own.name, **said})
 
-    def _status(self, _):
+    async def _status(self, _):
         replica, members = self.peer.replica, self.peer.members
         lag = {name: sum(past - first for _, _, first, past in seen.lacks(replica.facts.seen))
                for name, seen in replica.peers.items()}
-        kinds = {}
-        for key in replica.facts.held:
-            kinds[key[0]] = kinds.get(key[0], 0) + 1
+        kinds = {kind: count for kind, count in replica.facts.kinds.items() if count}
         return {"fleet": self.node.name, "phase": "caught up" if replica.phase is Phase.TOGETHER else
-                replica.phase.name.lower(), "kept": replica.kept, "health": members.health, "facts": kinds,
+                replica.phase.name.lower(), "root": f"{replica.facts.root():016x}", "kept": replica.kept,
+                "health": members.health, "facts": kinds,
                 "bytes_out": self.links.bytes_out, "bytes_in": self.links.bytes_in, "refused": self.links.refused,
                 "sent": self.links.sent, "evidence_out": self.rows_out, "evidence_in": self.rows_in,
                 "connections": len(self.links.dialled) + len(self.links.taken),
@@ -358,15 +365,23 @@
                              "by": m.by, "life": f"{m.life:x}", "lag": lag.get(name)}
                             for name, m in sorted(members.known.items())]}
 
-    def _facts(self, given):
-        held = self.peer.replica.facts.held.values()
-        chosen = sorted([f for f in held if not given or f.key[0] == given[0]], key=lambda f: tuple(map(str, f.key)))
-        return {"count": len(chosen), "root": f"{self.peer.replica.facts.root():016x}",
-                "facts": [_shown(fact) for fact in chosen[:SHOWN_MOST]]}
-
-    def _why(self, given):
-        found = [_shown(f) for f in self.peer.replica.facts.held.values() if set(given) <= set(map(str, f.key))]
-        return {"facts": found[:SHOWN_MOST]}
+    async def _facts(self, given):
+        count, found = await self._found(lambda key: not given or key[0] == given[0])
+        return {"count": count, "root": f"{self.peer.replica.facts.root():016x}", "facts": found}
+
+    async def _why(self, given):
+        wanted = set(given)
+        return {"facts": (await self._found(lambda key: wanted <= set(map(str, key))))[1]}
+
+    async def _found(self, chosen):
+        """(how many, the first of them), a range of keys a turn: a question must not hold up GETs."""
+        facts, count, found = self.peer.replica.facts, 0, []
+        for keys in facts.in_range:
+            of_range = [key for key in keys if chosen(key)]
+            count += len(of_range)
+            found += [facts.held[key] for key in of_range[:SHOWN_MOST - len(found)]]
+            await asyncio.sleep(0)
+        return count, [_shown(fact) for fact in sorted(found, key=lambda fact: tuple(map(str, fact.key)))]
 
 
 def _shown(fact):
--- a/sprucegate/membership/service.py
+++ b/sprucegate/membership/service.py
@@ -39,6 +39,7 @@
         self.wake, self.digest, self.refused, self.unsettled = asyncio.Event(), "", None, None
         self.worker, self.dirty, self.tasks, self.seen, self.events = None, False, [], None, 0
         self.polled, self.telling = False, asyncio.Lock()
+        self.serving, self.kept = False, None        # whether changes go on by pieces; entries of the snapshot
 
     # The bus.
 
@@ -55,21 +56,36 @@
 
     # Start and end.
 
+    async def recovers(self):
+        """The last good snapshot, where there is one: whether the front has servers by it."""
+        if (kept := self._recovered()) is None:
+            return False
+        # First, so that a list that takes away too much is held at a restart as well.
+        await self._file_told([server_of(row) for row in kept["file"]], True)
+        self._all_handed()
+        self.kept = len(kept["file"])
+        return True
+
     async def start(self):
-        """The list of the file, or of the last good snapshot, before the front is ready."""
-        if (kept := self._recovered()) is not None:
-            # First, so that a list that takes away too much is held at a restart as well.
-            await self._file_told([server_of(row) for row in kept["file"]], True)
+        """The list of the file, before the front is ready."""
         loaded = await self._loaded()
         if isinstance(loaded, list):
             await self._taken(loaded)
-        elif kept is not None:
-            self.log("servers_from_snapshot", generation=self.view.generation, entries=len(kept["file"]))
+        elif self.kept is not None:
+            self.log("servers_from_snapshot", generation=self.view.generation, entries=self.kept)
+        if not self.serving:
+            self._all_handed()
         while self.queue:
-            self.driver.apply(self.queue.pop(0))
+            await asyncio.sleep(TURN)
         await asyncio.to_thread(int)         # the first thread takes a tenth of a second: now, not in service
         self.tasks = [self.loop.create_task(each()) for each in (self._watch, self._poll, self._run, self._keep)]
 
+    def _all_handed(self):
+        """What waits at once, and from here on in pieces: words of other fronts come before the first reading."""
+        while self.queue:
+            self.driver.apply(self.queue.pop(0))
+        self.serving = True
+
     def stop(self):
         for task in self.tasks:
             task.cancel()
@@ -199,7 +215,7 @@
 
     def hand_over(self, change):
         self.queue += [hosts_of(change.servers[at:at + PIECE]) for at in range(0, len(change.servers), PIECE)]
-        if self.tasks and self.handing is None:
+        if self.serving and self.handing is None:
             self._piece()
 
     def _piece(self):
--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -296,8 +296,10 @@
 
     def purged(self, obj, group, age, now):
         # Beliefs and own copies from before a purge are void too, and may outlive the old copies at caches.
-        while self.purge_order and now - self.purge_order[0][0] > self.get("purge_done", 0) + OWN_AGE:
-            at, key = heapq.heappop(self.purge_order)    # of 100,000 that come at once few are old
+        for _ in range(4):                   # 100,000 told at once are old at once: all in one call took 1 s
+            if not self.purge_order or now - self.purge_order[0][0] <= self.get("purge_done", 0) + OWN_AGE:
+                break
+            at, key = heapq.heappop(self.purge_order)
             if self.purges.get(key) == at:
                 del self.purges[key]
         key = ("object", obj) if obj >= 0 else ("group", group)
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -179,6 +179,16 @@
     assert {fact.dot[:2] for fact in made.facts.held.values()} == {("n1", 1)}
 
 
+def test_facts_that_differ_go_in_pieces_that_hold_up_nobody():
+    one, other = (replica.Replica(name, 1, Chance(name, 1), 0) for name in ("n1", "n2"))
+    for made, value in ((one, 5), (other, 6)):
+        facts = [Fact(("purge", "object", n), (value,), ("n0", 1, n + 1)) for n in range(700)]
+        made.heard("n0", replica.Tell(facts, 0, 0), 0)
+    keys = one.heard("n2", replica.Ranges(list(other.facts.ranges)), 0)[0].message
+    repairs = [a.message.facts for a in other.heard("n1", keys, 0) if isinstance(a.message, replica.Repair)]
+    assert sum(map(len, repairs)) == 700 and max(map(len, repairs)) <= replica.TWINS
+
+
 def test_what_is_told_while_the_disk_fails_goes_out_and_is_not_said_to_have_been_seen():
     made = replica.Replica("n1", 1, Chance("n1", 1), 0)
     made.stands("n0", True, 0)
