Who may go out, releases in waves and their gates, as the agreed log makes them

First part of drains and releases on top of the agreed log; decisions without I/O, nothing of it in a front yet.

Machines that shared one state in memory were the driver's fault, found by `machines_apart`; states are packed now as on the way.

--- a/sprucegate/fleet/agreement/keeper.py
+++ b/sprucegate/fleet/agreement/keeper.py
@@ -176,6 +176,11 @@
     def next_due(self):
         return self.due_at
 
+    def in_touch(self, now):
+        """Whether it leads, and a majority answered within an election time."""
+        heard = [n for n, at in self.heard_at.items() if now - at <= self.pace.election]
+        return self.role is Role.LEADER and self._quorum(heard)
+
     # What happens.
 
     def loaded(self, term, vote, snapshot, entries):
@@ -190,7 +195,7 @@
             self.due_at = max(self.due_at, now + self.pace.beat) if self.failed else self.due_at
             return []
         if self.role is Role.LEADER:
-            if not self._quorum([n for n, at in self.heard_at.items() if now - at <= self.pace.election]):
+            if not self.in_touch(now):
                 return self._follows(self.term, "", now)     # cut off: another may lead on the other side
             if now >= self.moving_until:
                 self.moving = ""             # whoever was to take over did not
--- /dev/null
+++ b/sprucegate/fleet/rollout/follower.py
@@ -0,0 +1,25 @@
+"""What a front says to the log about boxes that go out and come back. No I/O, no clock."""
+
+from sprucegate.fleet.rollout.permits import Step
+
+S = 1_000_000_000
+AGAIN = S               # until a word that is not in the log is said anew
+
+
+class Words:
+    def __init__(self, name, life):
+        self.name, self.life, self.said = name, life, {}
+
+    def due(self, machine, drained, warm, now):
+        """Commands to propose. `drained`: boxes that this front sends nothing new and names no more as source;
+        `warm(box, start)`: whether it sees that start answer and sends it its part."""
+        found = []
+        for permit in machine.permits.of_box.values():
+            if permit.step is Step.GRANTED and permit.box in drained and self.name not in permit.drained:
+                found.append(["drained", permit.id, self.name, self.life])
+            elif permit.step is Step.COLD and self.name not in permit.warm and warm(permit.box, permit.start):
+                found.append(["warm", permit.id, permit.start, self.name, self.life])
+        self.said = {key: at for key, at in self.said.items() if now - at < AGAIN}
+        fresh = [c for c in found if tuple(c) not in self.said]
+        self.said.update((tuple(c), now) for c in fresh)
+        return fresh
--- /dev/null
+++ b/sprucegate/fleet/rollout/releases.py
@@ -0,0 +1,181 @@
+"""A release: versions to boxes in waves, each held against its gate before the next; halt, resume, and the way back.
+
+No I/O, no clock. It asks for permits like anybody else, one request a box, and has no other right.
+"""
+
+from enum import IntEnum
+from typing import NamedTuple
+
+from sprucegate.fleet.rollout.permits import Step
+
+
+class Phase(IntEnum):
+    RUNNING = 0
+    HALTED = 1
+    BACK = 2            # the released go back, in waves under the same budgets
+    DONE = 3
+    RETURNED = 4
+
+
+class Plan(NamedTuple):
+    """`waves`: boxes by name, the canary first. `bake`: ns for which a whole wave is watched before its gate passes."""
+
+    name: str
+    kind: str
+    version: str
+    former: str
+    waves: tuple
+    bake: int
+
+
+class Release:
+    def __init__(self, plan, by, phase=Phase.RUNNING, wave=0, why="", done=(), turn=0, passed=False, ahead=()):
+        self.plan, self.by, self.phase, self.wave, self.why = plan, by, Phase(phase), wave, why
+        self.done, self.turn, self.passed = list(done), turn, passed     # boxes at the new version; turn: of direction
+        self.ahead = list(ahead)             # on the way back: boxes still to go
+
+    def told(self):
+        plan = [*self.plan[:4], [list(wave) for wave in self.plan.waves], self.plan.bake]
+        return [plan, self.by, int(self.phase), self.wave, self.why, self.done, self.turn, self.passed, self.ahead]
+
+    @classmethod
+    def of(cls, told):
+        plan, *rest = told
+        return cls(Plan(*plan[:4], tuple(map(tuple, plan[4])), plan[5]), *rest)
+
+    def over(self):
+        return self.phase in (Phase.DONE, Phase.RETURNED)
+
+    def request(self, box):
+        """One id a box and direction, so that the same request given by two leaders is one."""
+        return f"{self.plan.name}/{self.turn}/{box}"
+
+    def version(self):
+        return self.plan.former if self.phase is Phase.BACK else self.plan.version
+
+
+class Releases:
+    def __init__(self, permits):
+        self.permits, self.releases = permits, {}
+        self.troubles = {}                   # what -> why: while there is one, releases wait by themselves
+
+    def told(self):
+        return [[one.told() for one in self.releases.values()], self.troubles]
+
+    def loaded(self, told):
+        self.releases = {one.plan.name: one for one in map(Release.of, told[0])}
+        self.troubles = dict(told[1])
+
+    def start(self, plan, by):
+        known = self.releases.get(plan.name)
+        if known is not None:
+            return "started already" if known.plan == plan else "another release bears that name"
+        other = next((r for r in self.releases.values() if not r.over() and r.plan.kind == plan.kind), None)
+        if other is not None:
+            return f"{other.plan.name} of the same kind is not over"
+        boxes = [box for wave in plan.waves for box in wave]
+        if not boxes or len(set(boxes)) < len(boxes):
+            return "a box stands in two waves, or none is named"
+        if missing := [box for box in boxes if box not in self.permits.boxes]:
+            return f"no such box: {missing[0]}"
+        while len(self.releases) >= 100 and (over := next((n for n, r in self.releases.items() if r.over()), None)):
+            del self.releases[over]
+        self.releases[plan.name] = Release(plan, by)
+        return "started"
+
+    def halt(self, name, by, why):
+        """No new permit from here on; who is out comes back by its own permit. Halting what is halted is no error."""
+        release = self.releases.get(name)
+        if release is None or release.over():
+            return "no such release is under way"
+        if release.phase is not Phase.HALTED:
+            release.phase, release.why = Phase.HALTED, f"{by}: {why}"
+            self._withdraw(release)
+        return "halted"
+
+    def resume(self, name, by):
+        release = self.releases.get(name)
+        if release is None or release.phase is not Phase.HALTED:
+            return "is not halted"
+        release.phase, release.why, release.passed = (Phase.BACK if release.ahead else Phase.RUNNING), "", False
+        release.turn += 1                    # what was withdrawn is asked for anew, under other ids
+        return "resumed"
+
+    def back(self, name, by):
+        """All that were released, the last one first. From a halt, from a run, and after the end."""
+        release = self.releases.get(name)
+        if release is None or release.phase is Phase.RETURNED:
+            return "no such release"
+        if release.phase is Phase.BACK:
+            return "goes back"
+        self._withdraw(release)
+        # What is out for it has the new version, or may have; it goes back once it is back from this one.
+        out = [p.box for p in self.permits.of_box.values() if p.release == name and p.version == release.plan.version]
+        release.ahead = [*reversed(release.done), *[box for box in out if box not in release.done]]
+        release.phase, release.why = Phase.BACK, f"{by} turned it back"
+        release.turn += 1
+        return "goes back"
+
+    def gate(self, name, turn, wave, passed, why):
+        """The leader's look at that wave; a word about another wave or direction comes too late."""
+        release = self.releases.get(name)
+        if release is None or release.phase is not Phase.RUNNING or (release.turn, release.wave) != (turn, wave):
+            return
+        if passed:
+            release.passed = True
+        else:
+            self.halt(name, "gate", why)
+
+    def may(self, permit):
+        """A halt holds back what was asked for and not granted, a trouble too, but for the way back."""
+        release = self.releases.get(permit.release)
+        return (release is None or release.phase is Phase.BACK
+                or release.phase is Phase.RUNNING and not self.troubles)
+
+    def trouble(self, what, why):
+        if why:
+            self.troubles[what] = why
+        else:
+            self.troubles.pop(what, None)
+
+    def moves(self):
+        """After each command: what follows of it. Deterministic, in the order of the releases."""
+        over, self.permits.over = self.permits.over, []
+        for release in self.releases.values():
+            self._taken(release, [p for p in over if p.release == release.plan.name and p.step is Step.BACK])
+            if release.phase is Phase.RUNNING:
+                wave = release.plan.waves[release.wave]
+                for box in wave:
+                    if box not in release.done:
+                        self._ask(release, box)
+                # One that was given up is waited for no more, and counts as nothing.
+                if release.passed and all(box in release.done or box not in self.permits.boxes for box in wave):
+                    release.wave, release.passed = release.wave + 1, False
+                    if release.wave == len(release.plan.waves):
+                        release.wave, release.phase = release.wave - 1, Phase.DONE
+                    else:
+                        for box in release.plan.waves[release.wave]:
+                            self._ask(release, box)
+            elif release.phase is Phase.BACK:
+                for box in release.ahead:
+                    self._ask(release, box)
+                if not release.ahead:
+                    release.phase = Phase.RETURNED
+
+    def _ask(self, release, box):
+        if box in self.permits.boxes and box not in self.permits.of_box:
+            self.permits.ask(release.request(box), box, release.by, "release", release.plan.name, release.version())
+
+    def _taken(self, release, back):
+        for permit in back:
+            if permit.version == release.plan.version and permit.box not in release.done:
+                release.done.append(permit.box)
+            elif permit.version == release.plan.former:
+                release.done = [box for box in release.done if box != permit.box]
+                release.ahead = [box for box in release.ahead if box != permit.box]
+        release.ahead = [box for box in release.ahead if box in self.permits.boxes]
+
+    def _withdraw(self, release):
+        for permit in list(self.permits.of_box.values()):
+            if permit.release == release.plan.name:
+                self.permits.withdraw(permit.id)
--- /dev/null
+++ b/sprucegate/fleet/rollout/rollout.py
@@ -0,0 +1,78 @@
+"""Permits and releases as one machine that a log drives: the same commands, the same state, at any keeper or front.
+
+A command is a list, its name first; times and counts in it are the leader's, who made it. What nobody knows here (a
+newer build's command) changes nothing and is said so.
+"""
+
+from sprucegate.fleet.rollout.permits import Box, Budget, Permits, Step, Warmth
+from sprucegate.fleet.rollout.releases import Plan, Releases
+
+FORMAT = 1
+ONCE_MOST = 1000        # requests of operators whose words are kept
+
+
+class Rollout:
+    def __init__(self):
+        self.index, self.permits, self.once = 0, Permits(), {}
+        self.releases = Releases(self.permits)
+        permits, releases = self.permits, self.releases
+        self.commands = {
+            "ask": permits.ask, "withdraw": permits.withdraw, "drained": permits.said_drained, "out": permits.went,
+            "renew": permits.renew, "late": permits.late, "started": permits.started, "warm": permits.said_warm,
+            "give-up": permits.give_up, "stands": permits.stands, "front": permits.front,
+            "boxes": lambda boxes: permits.listed([Box(*box) for box in boxes]), "limits": self._limits,
+            "release": lambda plan, by: releases.start(Plan(*plan[:4], tuple(map(tuple, plan[4])), plan[5]), by),
+            "halt": releases.halt, "resume": releases.resume, "back": releases.back, "gate": releases.gate,
+            "trouble": releases.trouble}
+
+    def told(self):
+        return [FORMAT, self.index, self.permits.told(), self.releases.told(), self.once]
+
+    def loaded(self, told):
+        """Returns whether it could be read."""
+        if told[0] != FORMAT:
+            return False
+        self.index = told[1]
+        self.permits.loaded(told[2])
+        self.releases.loaded(told[3])
+        self.once = dict(told[4])
+        return True
+
+    def apply(self, index, command):
+        """(the word for whoever asked, permits that are granted by it)."""
+        self.index = index
+        if not command:
+            return "", []                    # an entry of the log's own
+        if command[0] == "once":
+            # Given again as its answer was lost, perhaps to another leader: a halt must not undo a later resume.
+            _, id, wanted = command
+            if id in self.once:
+                return self.once[id], []
+            word, granted = self.apply(index, wanted)
+            self.once[id] = word
+            while len(self.once) > ONCE_MOST:
+                del self.once[next(iter(self.once))]
+            return word, granted
+        deed = self.commands.get(command[0])
+        if deed is None:
+            return f"{command[0]} is not known here", []
+        word = deed(*command[1:]) or "done"
+        self.permits.settled()
+        self.releases.moves()
+        return word, self.permits.grants(index, self.releases.may)
+
+    def _limits(self, budgets, warmth):
+        self.permits.budgets, self.permits.warmth = [Budget(*one) for one in budgets], Warmth(*warmth)
+
+    def drained(self):
+        """{box: index of its permit}: nothing new goes there, and it is named no more as source."""
+        return {p.box: p.index for p in self.permits.of_box.values() if Step.GRANTED <= p.step <= Step.OUT}
+
+    def waits(self):
+        """{id: why} of all that ask."""
+        found = self.permits.waits(self.releases.may)
+        for permit in self.permits.of_box.values():
+            if permit.step is Step.ASKED and not self.releases.may(permit):
+                release = self.releases.releases[permit.release]
+                found[permit.id] = "trouble", next(iter(self.releases.troubles), release.phase.name.lower()), 0, 0
+        return found
--- a/standins/fleet/keepers.py
+++ b/standins/fleet/keepers.py
@@ -47,7 +47,7 @@
         chance = Chance(self.name, self.world.seed + self.generation)
         self.keeper = Keeper(self.name, self.config, chance, self.world.now)
         self.keeper.loaded(term, vote, snapshot, entries)
-        self.state = list(snapshot[3]) if snapshot is not None else []
+        self.installs(0, snapshot[3] if snapshot is not None else [])
         self.world.note(self.name, "start")
         self.done([])
 
@@ -83,22 +83,40 @@
                                     action.number)
                 case Apply():
                     for entry in action.entries:
-                        self.state.append(entry.data)
                         world.note(self.name, "applies", entry.index, entry.term, entry.data)
+                    self.applies(action.entries)
                 case Install():
-                    self.state = list(action.state)
+                    self.installs(action.index, action.state)
                     world.note(self.name, "installs", action.index)
                 case Leads():
                     world.note(self.name, "leads" if action.on else "leads-no-more", action.term)
+                    self.leads(action.on)
                     if action.on:
                         world.note(self.name, "votes", action.term, self.name)
                 case Current():
                     world.note(self.name, "current", action.token, action.index)
         keeper = self.keeper
         if keeper.applied - keeper.base >= COMPACT:
-            return self.done(keeper.compacted(keeper.applied, list(self.state)))
+            return self.done(keeper.compacted(keeper.applied, self.whole()))
         world.wake(self)
 
+    # The machine that the log drives: here a list of all that was applied.
+
+    def applies(self, entries):
+        self.state += [entry.data for entry in entries]
+
+    def installs(self, index, state):
+        self.state = list(state)
+
+    def whole(self):
+        return list(self.state)
+
+    def leads(self, on):
+        pass
+
+    def comes(self, sender, message):
+        return self.keeper.heard(sender, message, self.world.now)
+
     def _synced(self, generation, number):
         if generation != self.generation or not self.up:
             return []
@@ -111,12 +129,15 @@
 
 
 class World:
+    made = Box
+
     def __init__(self, size, seed, loss=0.0, spare=0):
         self.seed, self.chance, self.now, self.trace, self.loss = seed, random.Random(seed), 0, [], loss
         self.events, self.order, self.cut, self.armed = [], count(), set(), {}
         names = [f"k{at}" for at in range(size + spare)]
         first = Config(tuple(names[:size]), ())
-        self.boxes = {name: Box(self, name, first if at < size else Config((), ())) for at, name in enumerate(names)}
+        self.boxes = {name: self.made(self, name, first if at < size else Config((), ()))
+                      for at, name in enumerate(names)}
         self.numbers = count(1)
 
     def note(self, name, what, *more):
@@ -141,7 +162,7 @@
         box = self.boxes[to]
         if box.up:
             # By call, so that one that stood still takes what came at the time when it wakes.
-            box.event(lambda: box.keeper.heard(sender, message, self.now))
+            box.event(box.comes, sender, message)
 
     def wake(self, box):
         due = box.keeper.next_due()
--- /dev/null
+++ b/standins/fleet/rollouts.py
@@ -0,0 +1,486 @@
+"""Keepers, fronts, caches and box agents under a time, a network and troubles by seed: who goes out, and when.
+
+    python -m standins.fleet.rollouts --seeds 200 --size 3 --fronts 6 --caches 12
+
+Caches here have a true state that no decision sees: down, up and cold, warm. Checkers read the trace alone.
+"""
+
+import random
+import sys
+
+import msgspec
+
+from sprucegate.fleet.agreement.following import Follow, Follower, Propose, Serving, State
+from sprucegate.fleet.agreement.keeper import Send
+from sprucegate.fleet.chance import Chance
+from sprucegate.fleet.rollout.follower import Words
+from sprucegate.fleet.rollout.leader import Leading, front_lease
+from sprucegate.fleet.rollout.permits import Box as Listed
+from sprucegate.fleet.rollout.permits import Step
+from sprucegate.fleet.rollout.rollout import Rollout
+from standins.fleet import keepers
+from standins.fleet.keepers import MS, S, World
+from standins.fleet.schedules import reported
+
+WARM = 2 * S            # from the start of a cache to its being truly warm
+PATIENCE = 4 * S
+RATES = {"bad-errors": (0.02, 0, 0.01, 0.1), "bad-slow": (0, 0, 0.3, 0.1)}      # errors, sheds, late, misses
+LIMITS = [[["fleet", "", "cache", 3, 500], ["location", "", "cache", 2, 500]], [100, 1000]]
+
+
+class KeeperBox(keepers.Box):
+    def installs(self, index, state):
+        machine = Rollout()
+        if state:
+            machine.loaded(msgspec.msgpack.decode(state))
+        self.serving = Serving(self.keeper, machine)
+        self.leading = None
+
+    def whole(self):
+        # Packed as on the way: a state that two machines share would be changed by both.
+        return msgspec.msgpack.encode(self.serving.machine.told())
+
+    def applies(self, entries):
+        now, machine = self.world.now, self.serving.machine
+        sends, granted = self.serving.applied(entries, now)
+        for permit in granted:
+            self.world.note(self.name, "grants", permit.id, permit.index, permit.box, permit.release)
+        self.state = machine
+        self.done(sends)
+
+    def leads(self, on):
+        self.leading = Leading(self.serving.machine, self.world.now, self.world.gate) if on else None
+        if on:
+            self.leading.boxes, self.leading.limits = self.world.listed, LIMITS
+        else:
+            self.done(self.serving.lost())
+        generation = self.generation
+        if on:
+            self.world.later(1, self, self._duties, generation, self.leading)
+
+    def _duties(self, generation, leading):
+        if generation != self.generation or self.leading is not leading:
+            return []
+        done, now = [], self.world.now
+        for command in leading.due(self.serving.heard_from, now):
+            done += self.keeper.propose(command, now)[1]
+        self.world.later(100 * MS, self, self._duties, generation, leading)
+        return done
+
+    def comes(self, sender, message):
+        if isinstance(message, Follow | Propose):
+            done = self.serving.heard(sender, message, self.world.now)
+            return [a._replace(message=a.message._replace(state=msgspec.msgpack.encode(a.message.state)))
+                    if isinstance(a, Send) and isinstance(a.message, State) else a for a in done]
+        return self.keeper.heard(sender, message, self.world.now)
+
+
+class Process:
+    """A front or an agent: follows the log, proposes, may be killed, paused and cut off."""
+
+    def __init__(self, world, name):
+        self.world, self.name, self.up, self.paused, self.lying, self.generation = world, name, False, False, [], 0
+
+    def start(self):
+        self.generation, self.up, self.paused, self.lying = self.generation + 1, True, False, []
+        life = self.generation if isinstance(self, Front) else 0
+        self.machine = Rollout()
+        self.follower = Follower(self.world.keepers, life, Chance(self.name, self.world.seed + self.generation),
+                                 self.world.now, front_lease())
+        self.words = Words(self.name, life)
+        self.begins()
+        self.world.later(1, self, self._due, self.generation)
+
+    def begins(self):
+        pass
+
+    def crash(self, _=None):
+        self.up, self.generation = False, self.generation + 1
+
+    def event(self, deed, *given):
+        if self.up and self.paused:
+            self.lying.append((deed, given))
+        elif self.up:
+            self.done(deed(*given) or [])
+
+    def comes(self, sender, message):
+        return self.follower.heard(sender, message, self.world.now)
+
+    def done(self, actions):
+        for action in actions:
+            if isinstance(action, Send):
+                self.world.send(self.name, action.to, action.message)
+            elif type(action).__name__ == "Applied":
+                for index, command in action.entries:
+                    self.machine.apply(index, command)
+            elif type(action).__name__ == "Replaced":
+                self.machine = Rollout()
+                self.machine.loaded(msgspec.msgpack.decode(action.state))
+
+    def _due(self, generation):
+        if generation != self.generation:
+            return []
+        self.world.later(50 * MS, self, self._due, generation)
+        done = self.follower.due(self.world.now)
+        for command in self.turn(self.world.now):
+            done += self.follower.propose(command, None, self.world.now, PATIENCE)
+        return done
+
+
+class Front(Process):
+    def begins(self):
+        self.drained = {}
+
+    def turn(self, now):
+        fresh = self.machine.drained()
+        for box in {**fresh, **self.drained}:
+            if (box in fresh) != (box in self.drained):
+                self.world.note(self.name, "drains" if box in fresh else "sends", box)
+        self.drained = fresh
+        if not self.follower.fenced(now):
+            self.world.note(self.name, "lease", self.follower.until)
+        down = [name for name, cache in self.world.caches.items() if cache.state == "down"]
+        rows = [[name, *cache.served(self.name), cache.starts] for name, cache in self.world.caches.items()]
+        self.follower.report = [rows, down, {}]
+        return self.words.due(self.machine, self.drained, self._warm, now)
+
+    def _warm(self, box, start):
+        cache = self.world.caches.get(box)
+        return cache is not None and cache.warm() and str(cache.started) == start
+
+
+class Agent(Process):
+    """Replaces its boxes by permit. `manner`: "slow", "lying" (says that it runs while it does not) or ""."""
+
+    def __init__(self, world, name, boxes, manner=""):
+        super().__init__(world, name)
+        self.boxes, self.manner, self.busy = boxes, manner, {}
+
+    def begins(self):
+        self.busy, self.renewed = {}, {}
+
+    def turn(self, now):
+        found, world = [], self.world
+        for permit in [p for p in self.machine.permits.of_box.values() if p.box in self.boxes]:
+            cache, id = world.caches[permit.box], permit.id
+            if now - self.renewed.get(id, -10 * S) > 5 * S and permit.step in (Step.GRANTED, Step.OUT, Step.COLD):
+                self.renewed[id] = now
+                found.append(["renew", id, self.name])
+            if now < self.busy.get(id, 0):
+                continue
+            if permit.step is Step.DRAINED:
+                self.busy[id] = now + 500 * MS
+                found.append(["out", id, self.name])
+            elif permit.step is Step.OUT:
+                self.busy[id] = now + 500 * MS
+                if cache.out_for != id:
+                    cache.stops(id)
+                    self.busy[id] = now + (3 * S if self.manner == "slow" else S)
+                    if self.manner == "lying" and cache.lies < 2:
+                        cache.lies += 1
+                        found.append(["started", id, "never"])
+                elif cache.state == "down":
+                    cache.starts_again(permit.version)
+                    found.append(["started", id, str(cache.started)])
+                else:
+                    found.append(["started", id, str(cache.started)])
+            elif permit.step is Step.COLD and cache.state == "down":
+                cache.starts_again(permit.version)
+                found.append(["started", id, str(cache.started)])
+                self.busy[id] = now + 500 * MS
+            elif permit.step is Step.COLD and str(cache.started) != permit.start:
+                found.append(["started", id, str(cache.started)])
+                self.busy[id] = now + 500 * MS
+        return found
+
+
+class Cache:
+    """What is true of a box: nobody decides by it."""
+
+    def __init__(self, world, name):
+        self.world, self.name, self.state, self.started, self.out_for = world, name, "up", -WARM, ""
+        self.version, self.starts, self.lies, self.gets = "1", 1, 0, {}
+
+    def warm(self):
+        return self.state == "up" and self.world.now - self.started >= WARM
+
+    def stops(self, id):
+        self.state, self.out_for = "down", id
+        self.world.note(self.name, "down", id)
+
+    def starts_again(self, version):
+        self.state, self.started, self.starts = "up", self.world.now, self.starts + 1
+        self.version = version or self.version
+        self.world.note(self.name, "up", self.out_for, self.version)
+        self.world.at(self.started + WARM, self._warmed, self.started)
+        if self.version == "bad-dies":
+            self.world.at(self.started + 3 * S, self._dies)
+
+    def _dies(self):
+        if self.version == "bad-dies" and self.state == "up":
+            self.state = "down"
+            self.world.note(self.name, "fails")
+            self.world.at(self.world.now + S, self.starts_again, "")
+
+    def _warmed(self, start):
+        if self.started == start and self.state == "up":
+            self.world.note(self.name, "warm")
+
+    def fails(self):
+        if self.state == "up" and not self.out_for:
+            self.state = "down"
+            self.world.note(self.name, "fails")
+
+    def recovers(self):
+        if self.state == "down" and not self.out_for:
+            self.starts_again("")
+
+    def served(self, front):
+        """GETs, errors, sheds, late, misses so far, by what the version does: 20 a second and front."""
+        seen = self.gets.setdefault(front, [self.world.now, 0.0, 0.0, 0.0, 0.0, 0.0])
+        if self.state == "up":
+            fresh = (self.world.now - seen[0]) / S * 20
+            noise = self.world.noise
+            rates = RATES.get(self.version, (0, 0, 0.01, 0.1))
+            for at, add in enumerate((1, *rates), 1):
+                seen[at] += fresh * (add if at == 1 else add * (1 + noise))
+        seen[0] = self.world.now
+        return [int(one) for one in seen[1:]]
+
+
+class Fleet(World):
+    made = KeeperBox
+
+    def __init__(self, size, fronts, caches, seed, loss=0.0, manners=(), noise=0.0, gate=None):
+        super().__init__(size, seed, loss)
+        self.gate, self.noise = gate, noise
+        self.keepers = list(self.boxes)
+        self.caches = {f"c{at}": Cache(self, f"c{at}") for at in range(caches)}
+        self.listed = {name: Listed(name, "cache", "abc"[at % 3], "std", "g", 1) for at, name in enumerate(self.caches)}
+        self.fronts = {f"n{at}": Front(self, f"n{at}") for at in range(fronts)}
+        names = list(self.caches)
+        self.agents = {f"a{at}": Agent(self, f"a{at}", set(names[at::3]), (*manners, "", "", "")[at])
+                       for at in range(3)}
+        self.boxes.update(self.fronts)
+        self.boxes.update(self.agents)
+        for box in self.boxes.values():
+            box.start()
+
+    def wake(self, box):
+        if isinstance(box, KeeperBox):
+            super().wake(box)
+
+    def leaders(self):
+        return [b for n in self.keepers if (b := self.boxes[n]).up and not b.paused and b.keeper.role.name == "LEADER"]
+
+    def operator(self, front, *command):
+        """An operator's request at a front, under an id of its own."""
+        box, id = self.fronts[front], f"op-{next(self.numbers)}"
+        self.note(front, "wants", id, list(command))
+        box.event(lambda: box.follower.propose(["once", id, list(command)], id, self.now, 10 * S))
+
+    def machine(self):
+        """The furthest state there is."""
+        return max((self.boxes[n].serving.machine for n in self.keepers if self.boxes[n].up), key=lambda m: m.index)
+
+
+def plan(caches, version="2", name="v2"):
+    names = list(caches)
+    return [name, "std", version, "1", [names[:1], names[1:4], names[4:]], 3 * S]
+
+
+def played(seed, size=3, fronts=6, caches=12, loss=0.0, span=40 * S, fleet=None):
+    """A release and hand drains under up to eight troubles, then time to settle."""
+    chance = random.Random(seed * 17 + size)
+    manners = chance.choice([(), ("slow",), ("lying", "slow")])
+    world = (fleet or Fleet)(size, fronts, caches, seed, loss, manners)
+    names = list(world.fronts)
+    world.at(2 * S, world.operator, chance.choice(names), "release", plan(world.caches), "op")
+    for _ in range(chance.randrange(1, 5)):
+        when, box = int((2 + chance.random() * 20) * S), chance.choice(list(world.caches))
+        world.at(when, world.operator, chance.choice(names), "ask", f"hand-{when}", box, "op", "by hand")
+    if chance.random() < 0.5:
+        when = int((3 + chance.random() * 15) * S)
+        world.at(when, world.operator, chance.choice(names), "halt", "v2", "op", "to look")
+        world.at(when + 3 * S, world.operator, chance.choice(names), chance.choice(["resume", "back"]), "v2", "op")
+    for _ in range(chance.randrange(2, 9)):
+        _trouble(world, chance, span)
+    world.run(span)
+    settle(world)
+    return world
+
+
+def _trouble(world, chance, span):
+    when, lasts = S + int(chance.random() * span * 0.8), int(chance.random() * 6 * S)
+    everyone = list(world.boxes)
+    name = chance.choice(everyone)
+    what = chance.choice(("kill", "kill-leader", "pause", "pause-leader", "split", "one-way", "fails", "full"))
+    if what == "kill":
+        world.at(when, lambda: world.boxes[name].crash(chance) if world.boxes[name].up else None)
+        world.at(when + lasts, world.restart, name)
+    elif what == "kill-leader":
+        def kill():
+            for box in world.leaders()[:1]:
+                box.crash(chance)
+                world.at(world.now + lasts, world.restart, box.name)
+        world.at(when, kill)
+    elif what == "pause":
+        world.at(when, world.pause, name, True)
+        world.at(when + lasts, world.pause, name, False)
+    elif what == "pause-leader":
+        def pause():
+            for box in world.leaders()[:1]:
+                world.pause(box.name, True)
+                world.at(world.now + lasts, world.pause, box.name, False)
+        world.at(when, pause)
+    elif what in ("split", "one-way"):
+        side = set(chance.sample(everyone, chance.randrange(1, len(everyone))))
+        cut = {(a, b) for a in side for b in everyone if b not in side}
+        world.at(when, world.cut.update, cut | ({(b, a) for a, b in cut} if what == "split" else set()))
+        world.at(when + lasts, world.cut.clear)
+    elif what == "fails":
+        cache = chance.choice(list(world.caches.values()))
+        world.at(when, cache.fails)
+        world.at(when + lasts, cache.recovers)
+    elif what == "full":
+        keeper = world.boxes[chance.choice(world.keepers)]
+        world.at(when, setattr, keeper, "full", True)
+        world.at(when + lasts, setattr, keeper, "full", False)
+        world.at(when + lasts + 1, lambda: keeper.up and keeper.crash(chance))
+        world.at(when + lasts + 2, world.restart, keeper.name)
+
+
+def settle(world, patience=240 * S):
+    world.cut.clear()
+    world.loss = 0.0
+    for name, box in world.boxes.items():
+        if isinstance(box, KeeperBox):
+            box.full = False
+        world.pause(name, False)
+        if isinstance(box, KeeperBox) and box.up and box.keeper.failed:
+            box.crash(world.chance)
+        world.restart(name)
+    for cache in world.caches.values():
+        cache.recovers()
+    # A halted release goes on by an operator's word alone.
+    until = world.now + patience
+    while world.now < until:
+        world.run(world.now + 5 * S)
+        machine = world.machine()
+        halted = [n for n, r in machine.releases.releases.items() if r.phase.name == "HALTED"]
+        if halted:
+            world.operator(next(iter(world.fronts)), "back", halted[0], "op")
+        elif not machine.permits.of_box and all(r.over() for r in machine.releases.releases.values()):
+            break
+    machine = world.machine()
+    for permit in machine.permits.of_box.values():
+        world.note("", "open", permit.id, permit.step.name, permit.box)
+    for name, release in machine.releases.releases.items():
+        world.note("", "release", name, release.phase.name)
+    for name in world.keepers:
+        if world.boxes[name].up:
+            world.note(name, "dump-machine", world.boxes[name].serving.machine.index,
+                       repr(world.boxes[name].serving.machine.told()[2:]))
+
+
+# Checkers: of a trace alone.
+
+def out_at(trace, place_of):
+    """Yields (when, box, boxes that are truly out by a permit) at each stop of a box."""
+    out = {}
+    for at, name, what, *more in trace:
+        if what == "down":
+            out[name] = more[0]
+            yield at, name, dict(out)
+        elif what == "warm":
+            out.pop(name, None)
+
+
+def over_budget(trace, count=3, each=2, places="abc"):
+    """By the true state: never more than `count` out by permit in the fleet, nor `each` in a location."""
+    def place(box):
+        return places[int(box[1:]) % len(places)]
+    found = []
+    for at, name, out in out_at(trace, place):
+        there = [box for box in out if place(box) == place(name)]
+        if len(out) > count or len(there) > each:
+            found.append(f"{at} {name} goes down while {sorted(out)} are out")
+    return found
+
+
+def last_gone(trace, caches, places="abc"):
+    """A location keeps one of its kind that no permit took."""
+    found = []
+    for at, name, out in out_at(trace, None):
+        there = [f"c{n}" for n in range(caches) if places[n % len(places)] == places[int(name[1:]) % len(places)]]
+        if all(box in out for box in there):
+            found.append(f"{at} {name} is the last of its location to go")
+    return found
+
+
+def sent_to_drained(trace):
+    """A box goes down only once no front whose lease stands would send to it."""
+    drains, until, found, gone = {}, {}, [], set()
+    for at, name, what, *more in trace:
+        if what == "lease":
+            until[name] = more[0]
+            drains.setdefault(name, set())
+        elif what == "drains":
+            drains.setdefault(name, set()).add(more[0])
+        elif what == "sends":
+            drains.setdefault(name, set()).discard(more[0])
+        elif what == "down":
+            found += [f"{at} {name} goes down while {front} sends to it" for front in drains
+                      if until.get(front, 0) > at and name not in drains[front] and front not in gone]
+    return found
+
+
+def granted_halted(trace):
+    """From a halt's entry to the next resume or way back no permit of that release."""
+    halted, found, seen, given = {}, [], set(), set()
+    for at, _, what, *more in trace:
+        if what == "applies" and more[2] and more[0] not in seen:
+            index, command = more[0], more[2]
+            seen.add(index)
+            if command[0] == "once":
+                if command[1] in given:
+                    continue                 # given again, perhaps after a later word: it has no second effect
+                given.add(command[1])
+                command = command[2]
+            if command[0] in ("halt", "resume", "back"):
+                halted.setdefault(command[1], []).append((index, command[0]))
+        elif what == "grants" and more[3] in halted:
+            before = [deed for index, deed in halted[more[3]] if index <= more[1]]
+            if before and before[-1] == "halt":
+                found.append(f"{at} {more[0]} is granted under {more[1]} after a halt")
+    return found
+
+
+def without_end(trace):
+    """At the end of it all no permit is open and no release under way."""
+    return [f"{more}" for _, _, what, *more in trace
+            if what == "open" or what == "release" and more[1] not in ("DONE", "RETURNED")]
+
+
+def machines_apart(trace):
+    """Keepers at the same index hold the same state."""
+    said, found = {}, []
+    for at, name, what, *more in trace:
+        if what == "dump-machine" and said.setdefault(more[0], more[1]) != more[1]:
+            found.append(f"{at} {name} differs at {more[0]}")
+    return found
+
+
+ALL = (keepers.two_leaders, keepers.votes_twice, over_budget, sent_to_drained, granted_halted, without_end,
+       machines_apart)
+
+
+def broken(trace, caches=12):
+    return ([(check.__name__, text) for check in ALL for text in check(trace)]
+            + [("last_gone", text) for text in last_gone(trace, caches)])
+
+
+if __name__ == "__main__":
+    sys.exit(reported(sys.argv[1:], __doc__, lambda seed, wanted: broken(
+        played(seed, wanted.size, wanted.fronts, wanted.caches, wanted.loss).trace, wanted.caches),
+        size=3, fronts=6, caches=12))
