A keeper's term, vote and log last, and one whose folder was put back is another member

Checked by a crash at every call of the simulated disk and a fault at each of the first sixty.

fitness.py: a folder that was put back, or lost, can't tell so by itself. Each start is counted and kept by most of the other keepers before anything is said; a start that is known already comes back under another name, and the leader takes it in in three steps, one at a time. With three keepers both others have to answer; an operator's word stands in for one that is gone. Tests: two keepers' words, one too few, a confirmation only once it is on disk.

--- a/tests/test_fleet_agreement.py
+++ b/tests/test_fleet_agreement.py
@@ -1,9 +1,24 @@
-"""The agreed log in the deterministic driver: schedules of faults, and each checker seen to cry out."""
+"""The agreed log: schedules of faults, each checker seen to cry out, what lasts on disk, who may vote by it."""
 
 import pytest
 
 from sprucegate.fleet.agreement import keeper
-from sprucegate.fleet.agreement.keeper import Config, Current, Entry, Keeper, Leads, Send, Vote, VoteAnswer, Write
+from sprucegate.fleet.agreement.fitness import Begins, Begun, Fit, Fitness, Keep, PutBack, takes_in
+from sprucegate.fleet.agreement.keeper import (
+    Config,
+    Current,
+    Entry,
+    Keeper,
+    Leads,
+    Role,
+    Send,
+    Vote,
+    VoteAnswer,
+    Write,
+)
+from sprucegate.fleet.chance import Chance
+from sprucegate.fleet.ledger import Ledger
+from standins.disk import Crashed, FaultyDisk
 from standins.fleet import explore_keepers, keepers
 from standins.fleet.keepers import broken, played
 
@@ -175,3 +190,156 @@
     with pytest.raises(explore_keepers.Broken) as found:
         explore_keepers.explored(7, contested=what == "votes")
     assert found.value.args[0] == what
+
+
+# What lasts, and who may vote by it.
+
+def written(ledger, number, term, vote, cut, entries, snapshot=None):
+    return ledger.write(Write(number, term, vote, cut, entries, snapshot), 0)
+
+
+def entries(first, past, term=1):
+    return [Entry(n, term, "data", ["ask", n]) for n in range(first, past)]
+
+
+def test_a_ledger_gives_back_what_was_written():
+    disk = FaultyDisk()
+    one = Ledger(disk, "/k")
+    assert one.begin("k0") == ("k0", 1)
+    one.open(0)
+    written(one, 1, 1, "k1", 0, entries(1, 5))
+    written(one, 2, 2, "", 4, entries(4, 6, term=2))         # a cut, and another term's entries
+    one.close()
+    two = Ledger(disk.after_crash(), "/k")
+    assert two.begin("k7") == ("k0", 2)      # who it is stands in the folder
+    kept = two.open(0)
+    assert (kept.term, kept.vote, kept.refused) == (2, "", [])
+    assert kept.entries == entries(1, 4) + entries(4, 6, term=2)
+    config = Config(("k0", "k1"), ("k2",))
+    assert written(two, 3, 2, "k0", 4, entries(4, 6, term=2), (3, 1, config, b"state")) is None
+    assert written(two, 4, 2, "k0", 0, [Entry(6, 2, "config", config)]) is None
+    two.close()
+    kept = Ledger(two.disk.after_crash(), "/k").open(0)
+    assert kept.snapshot == (3, 1, config, b"state")
+    assert kept.entries == [*entries(4, 6, term=2), Entry(6, 2, "config", config)]
+
+
+def test_a_crash_at_any_call_of_the_disk_loses_nothing_that_was_synced():
+    config, at = Config(("k0",), ()), 0
+    while True:
+        at += 1
+        disk, sure = FaultyDisk(seed=at, crash_at=at), 0
+        one = Ledger(disk, "/k")
+        try:
+            one.begin("k0")
+            one.open(0)
+            for n in range(1, 9):
+                snapshot = (n - 2, 1, config, n) if n in (4, 7) else None
+                fresh = entries(n, n + 1) if snapshot is None else entries(n - 1, n + 1)
+                assert written(one, n, 1, f"k{n}", n - 1 if snapshot else 0, fresh, snapshot) is None
+                sure = n
+        except Crashed:
+            pass
+        after = Ledger(disk.after_crash(), "/k")
+        after.begin("k0")
+        kept = after.open(0)
+        last = kept.entries[-1].index if kept.entries else kept.snapshot[0] if kept.snapshot else 0
+        assert last >= sure, at
+        assert not sure or kept.vote in (f"k{sure}", f"k{sure + 1}"), at
+        if sure == 8:
+            return
+
+
+@pytest.mark.parametrize("call", range(1, 60))
+def test_a_disk_that_fails_is_told_and_never_taken_for_a_sync(call):
+    disk = FaultyDisk(faults={call: OSError(28, "no space left")})
+    one, sure = Ledger(disk, "/k"), 0
+    try:
+        one.begin("k0")
+        one.open(0)
+    except OSError:
+        return
+    for n in range(1, 9):
+        snapshot = (n - 1, 1, Config(("k0",), ()), n) if n == 5 else None
+        if written(one, n, 1, "", n if snapshot else 0, entries(n, n + 1), snapshot) is not None:
+            break                            # the keeper steps down and writes no more
+        sure = n
+    kept = Ledger(disk.after_crash(), "/k").open(0)
+    assert (kept.entries[-1].index if kept.entries else 0) >= sure
+
+
+def test_a_ledger_put_aside_begins_as_another_member():
+    disk = FaultyDisk()
+    one = Ledger(disk, "/k")
+    one.begin("k0")
+    one.open(0)
+    written(one, 1, 3, "k1", 0, entries(1, 5))
+    one.anew("k0~ab")
+    kept = one.open(0)
+    assert (kept.term, kept.vote, kept.entries, kept.snapshot) == (0, "", [], None)
+    one.close()
+    assert Ledger(disk.after_crash(), "/k").begin("k0") == ("k0~ab", 2)
+
+
+def fits(*names):
+    return {name: Fitness(name, 1, at, [n for n in names if n != name], {}, 0) for at, name in enumerate(names)}
+
+
+def told(keepers, at_most=50):
+    """Messages carried until there are none; what each keeper came to."""
+    events, todo = {}, [(n, a) for n, k in keepers.items() for a in k.due(k.at)]
+    while todo and at_most:
+        at_most -= 1
+        name, action = todo.pop(0)
+        if isinstance(action, Send):
+            if action.to in keepers:
+                todo += [(action.to, a) for a in keepers[action.to].heard(name, action.message, 0)]
+        elif isinstance(action, Keep):
+            todo += [(name, a) for a in keepers[name].kept(action.number, 0)]
+        else:
+            events.setdefault(name, []).append(action)
+    return events
+
+
+def test_keepers_that_begin_together_are_fit_by_each_others_word():
+    keepers = fits("k0", "k1", "k2")
+    assert {n: type(e[0]) for n, e in told(keepers).items()} == {"k0": Fit, "k1": Fit, "k2": Fit}
+
+
+@pytest.mark.parametrize("start, being, said", [(2, 9, Fit), (1, 9, PutBack), (1, 0, Fit)])
+def test_a_start_that_others_know_already_is_no_new_one(start, being, said):
+    keepers = fits("k0", "k1", "k2")
+    told(keepers)
+    # A folder that was lost or put back counts its start as one that was; the very same question again is no other.
+    keepers["k0"] = Fitness("k0", start, being, ["k1", "k2"], {}, 0)
+    found = told({n: keepers[n] for n in ("k0", "k1", "k2")})["k0"][0]
+    assert type(found) is said
+    if said is PutBack:
+        assert found.name == "k0~9"
+
+
+def test_one_other_of_two_is_not_enough_but_for_an_operators_word():
+    keepers = fits("k0", "k1", "k2")
+    del keepers["k2"]
+    assert told(keepers) == {} and not keepers["k0"].fit
+    assert Fitness("k0", 1, 1, ["k1", "k2"], {}, 0, trusted=True).fit
+
+
+def test_a_start_is_confirmed_only_once_it_is_on_disk():
+    one = fits("k0", "k1")["k0"]
+    kept = one.heard("k1", Begins(1, 1), 0)
+    assert [type(a) for a in kept] == [Keep] and one.heard("k1", Begins(1, 1), 0)[0].number == 2
+    assert one.kept(1, 0) == [] and one.kept(2, 0) == [Send("k1", Begun(1, 1, True))]
+
+
+def test_a_newcomer_takes_the_place_of_its_former_self_in_three_steps():
+    keeper = Keeper("k1", Config(("k0", "k1", "k2"), ()), Chance("k1", 1), 0)
+    keeper.role, steps = Role.LEADER, []
+    for _ in range(6):
+        step = takes_in(keeper, {"k0~9": 0, "stranger": 0}, 0)
+        if step is None:
+            break
+        steps.append(step)
+        keeper.base_config = Config(*step)
+        keeper.match["k0~9"] = keeper.committed
+    assert steps == [(("k0", "k1", "k2"), ("k0~9",)), (("k0", "k1", "k2", "k0~9"), ()), (("k1", "k2", "k0~9"), ())]
