--- a/sprucegate/assembly/run.py
+++ b/sprucegate/assembly/run.py
@@ -32,7 +32,7 @@
             from sprucegate.membership.merged import Merged
             from sprucegate.membership.view import View
             driver.membership = Merged(driver, View(("bus",), 0, driver.clock()))
-        driver.fleet = Fleet(driver, wanted.fleet, wanted.name, wanted.seed, driver.membership)
+        driver.fleet = Fleet(driver, wanted.fleet, wanted.name, wanted.seed, driver.membership, wanted.agreement)
         # Before the first list: it may lift a drain of this front's own that the last run left.
         await driver.fleet.load()
     for _, news in wanted.known:
@@ -110,7 +110,8 @@
     """SIGHUP: what can change under load is taken over whole; a faulty file changes nothing."""
     try:
         wanted = configuration.read(os.environ)._replace(
-            servers=started_with.servers, membership=started_with.membership, fleet=started_with.fleet)
+            servers=started_with.servers, membership=started_with.membership, fleet=started_with.fleet,
+            agreement=started_with.agreement)
     except Exception as fault:           # whatever a file can hold, the front goes on with the old one
         log("reload_failed", error=f"{type(fault).__name__}: {fault}")
         return
--- /dev/null
+++ b/sprucegate/fleet/agreed.py
@@ -0,0 +1,365 @@
+"""The agreed log in a process: a keeper's disk and timers, a front's following, and the questions of operators.
+
+A front that has `agreement` in its file follows the log; one that the file names among the keepers votes as well.
+`sprucegate fleet keeper` does nothing else. No GET waits for any of it; the disk is written in one thread.
+"""
+
+import asyncio
+import os
+import time
+from collections import deque
+from concurrent.futures import ThreadPoolExecutor
+
+import msgspec
+
+from sprucegate.fleet.agreement import fitness, following
+from sprucegate.fleet.agreement.fitness import Begins, Begun, Fit, Fitness, Keep, PutBack, base, takes_in
+from sprucegate.fleet.agreement.following import Applied, Follow, Follower, Propose, Replaced, Serving, Word
+from sprucegate.fleet.agreement.keeper import Apply, Config, Current, Install, Keeper, Leads, Send, Write
+from sprucegate.fleet.chance import Chance
+from sprucegate.fleet.ledger import Ledger, Unreadable
+from sprucegate.fleet.links import agreed as codec
+from sprucegate.fleet.links.codec import Routed
+from sprucegate.fleet.rollout import commands
+from sprucegate.fleet.rollout.follower import Words
+from sprucegate.fleet.rollout.leader import Leading, front_lease
+from sprucegate.fleet.rollout.permits import Step
+from sprucegate.fleet.rollout.releases import Phase
+from sprucegate.fleet.rollout.rollout import Rollout
+from sprucegate.state.disk import Disk
+
+S = 1_000_000_000
+TICK = 0.02             # seconds between two looks at what is due
+DUTIES = 0.1
+AGAIN = 1.0             # until a disk that failed is tried again
+COMPACT = 2000          # entries after which a snapshot is made
+PATIENCE = 2 * S        # of an operator's request
+SHOWN_MOST = 500        # permits in one answer
+
+
+class Voting:
+    """One keeper: what it decides, its disk, and what it answers. `send(to, message)` goes to a process by name."""
+
+    def __init__(self, name, node, seed, log, send, disk=None, trusted=False, alone=False):
+        self.base, self.node, self.seed, self.log, self.send = name, node, seed, log, send
+        self.loop, self.pool = asyncio.get_running_loop(), ThreadPoolExecutor(1, "keeper-disk")
+        self.ledger, self.trusted, self.alone = Ledger(disk or Disk(), node.state), trusted or alone, alone
+        self.keeper = self.serving = self.leading = self.fitness = None
+        self.writes, self.writing, self.newcomers, self.duties_at, self.stopped = deque(), None, {}, 0.0, False
+
+    async def begins(self):
+        """From the folder; without one that can be read, or written, it is tried again and votes by nothing."""
+        while not self.stopped:
+            try:
+                name, start, known, kept = await self._disk(self._opened)
+                break
+            except (OSError, Unreadable, ValueError) as fault:
+                self.log("keeper_off", error=f"{type(fault).__name__}: {fault}")
+                await asyncio.sleep(AGAIN)
+        else:
+            return
+        for why in kept.refused:
+            self.log("keeper_state_refused", error=why)
+        now = time.monotonic_ns()
+        others = [one for one in self.node.addresses if one != self.base]
+        being = int.from_bytes(os.urandom(4), "big")
+        self.fitness = Fitness(name, start, being, others, known, now, self.trusted)
+        first = Config(tuple(self.node.addresses), ()) if name == self.base else Config((), ())
+        self.keeper = Keeper(name, first, Chance(name, self.seed ^ being), now)
+        machine = Rollout()
+        if kept.snapshot is not None and not machine.loaded(msgspec.msgpack.decode(kept.snapshot[3])):
+            self.log("keeper_off", error="the state is of another format")
+            self.keeper = None
+            return
+        self.keeper.loaded(kept.term, kept.vote, kept.snapshot, kept.entries)
+        self.serving = Serving(self.keeper, machine)
+        self.log("keeper_begins", keeper=name, start=start, term=kept.term, last=self.keeper.last())
+        if self.fitness.fit:
+            self.log("keeper_fit", keeper=name, by="an operator" if self.trusted else "itself alone")
+        if self.alone:
+            self.alone = False
+            self.log("keeper_alone", keeper=name, last=self.keeper.last())
+            self.do(self.keeper.alone())
+
+    def _opened(self):
+        name, start = self.ledger.begin(self.base)
+        return name, start, self.ledger.known(), self.ledger.open(time.time_ns())
+
+    def due(self, now):
+        if self.keeper is None:
+            return
+        self.do(self.fitness.due(now, self.keeper.name in self.keeper.config().voters))
+        if self.keeper is None or not self.fitness.fit:
+            return
+        if self.keeper.next_due() <= now:
+            self.do(self.keeper.due(now))
+        if self.leading is not None and now - self.duties_at >= DUTIES * S:
+            self.duties_at = now
+            for command in self.leading.due(self.serving.heard_from, now):
+                self.do(self.keeper.propose(command, now)[1])
+            if (step := takes_in(self.keeper, self.newcomers, self.node.addresses, now)) is not None:
+                index, actions = self.keeper.change(*step, now)
+                if index:
+                    self.log("keepers_change", voters=list(step[0]), learners=list(step[1]))
+                self.do(actions)
+
+    def heard(self, sender, to, message):
+        now = time.monotonic_ns()
+        if self.keeper is None:
+            return
+        if isinstance(message, Begins | Begun):
+            if isinstance(message, Begins):
+                self.newcomers[sender] = now
+                while len(self.newcomers) > fitness.KNOWN_MOST:
+                    del self.newcomers[next(iter(self.newcomers))]
+            return self.do(self.fitness.heard(sender, message, now))
+        if not self.fitness.fit or to != self.keeper.name:
+            return                           # what its former self was told is not its own
+        if isinstance(message, Follow | Propose):
+            return self.do(self.serving.heard(sender, message, now))
+        self.do(self.keeper.heard(sender, message, now))
+
+    def do(self, actions):
+        todo = deque(actions)
+        while todo:
+            action, now = todo.popleft(), time.monotonic_ns()
+            match action:
+                case Send():
+                    self.send(self.keeper.name, action.to, action.message)
+                case Write():
+                    self._write(action)
+                case Keep():
+                    self.writes.append(action)
+                    self._next_write()
+                case Apply():
+                    sends, granted = self.serving.applied(action.entries, now)
+                    for permit in granted:
+                        if self.leading is not None:
+                            self.log("permit_granted", permit=permit.id, box=permit.box, by=permit.by,
+                                     index=permit.index)
+                    todo.extend(sends)
+                    if self.keeper.applied - self.keeper.base >= COMPACT:
+                        state = msgspec.msgpack.encode(self.serving.machine.told())
+                        todo.extend(self.keeper.compacted(self.keeper.applied, state))
+                case Install():
+                    self.serving.installed(action.index, msgspec.msgpack.decode(action.state))
+                case Leads():
+                    self.log("keeper_leads" if action.on else "keeper_leads_no_more", keeper=self.keeper.name,
+                             term=action.term)
+                    self.leading = Leading(self.serving.machine, now, self.node.gate) if action.on else None
+                    if not action.on:
+                        todo.extend(self.serving.lost())
+                case Fit():
+                    self.log("keeper_fit", keeper=self.keeper.name, by=action.by)
+                    self.fitness.at = now
+                case PutBack():
+                    self.log("keeper_put_back", keeper=self.keeper.name, name=action.name, by=action.by)
+                    self.keeper, self.writes = None, deque()
+                    self.loop.create_task(self._anew(action.name))
+                    return
+                case Current():
+                    pass                     # what operators are told is a follower's state, with its age
+
+    # The disk: one write at a time, in order.
+
+    def _write(self, action):
+        # As it is now: the lists of a log that goes on are not read by another thread.
+        self.writes.append(action._replace(entries=list(action.entries)))
+        self._next_write()
+
+    def _next_write(self):
+        if self.writing is None and self.writes and not self.stopped:
+            self.writing = self.loop.create_task(self._written(self.writes.popleft(), self.keeper))
+
+    async def _written(self, action, keeper):
+        if isinstance(action, Keep):
+            fault = await self._disk(self.ledger.knows, action.known)
+        else:
+            fault = await self._disk(self.ledger.write, action, time.time_ns())
+        self.writing = None
+        if keeper is not self.keeper:
+            return                           # another member by now
+        now = time.monotonic_ns()
+        if fault is None:
+            self.do(self.fitness.kept(action.number, now) if isinstance(action, Keep)
+                    else self.keeper.synced(action.number, now))
+            return self._next_write()
+        self.log("keeper_not_kept", keeper=self.keeper.name, error=fault)
+        self.do(self.keeper.not_kept(now))
+        self.keeper, self.leading, self.writes = None, None, deque()
+        await asyncio.sleep(AGAIN)
+        await self.begins()                  # as after a crash: by what the disk has, and a start that others confirm
+
+    async def _anew(self, name):
+        while not self.stopped:
+            try:
+                await self._disk(self.ledger.anew, name)
+                break
+            except OSError as fault:
+                self.log("keeper_off", error=f"{type(fault).__name__}: {fault}")
+                await asyncio.sleep(AGAIN)
+        self.trusted = False
+        await self.begins()
+
+    def _disk(self, deed, *given):
+        return self.loop.run_in_executor(self.pool, deed, *given)
+
+    async def stop(self):
+        """A leader hands its place on first, so that nobody waits for an election."""
+        if self.keeper is not None and self.leading is not None:
+            others = [n for n, m in self.keeper.match.items() if m == max(self.keeper.match.values(), default=0)]
+            self.do(self.keeper.moves(others[0], time.monotonic_ns()) if others else [])
+            await asyncio.sleep(0.1)
+        self.stopped = True
+        await self._disk(self.ledger.close)
+        self.pool.shutdown(wait=False)
+
+    def shown(self):
+        if self.keeper is None or not self.fitness.fit:
+            return {"name": self.base, "role": "not fit to vote" if self.keeper else "off"}
+        config = self.keeper.config()
+        return {"name": self.keeper.name, "role": self.keeper.role.name.lower(), "term": self.keeper.term,
+                "leader": self.keeper.leader, "voters": list(config.voters), "learners": list(config.learners),
+                "committed": self.keeper.committed, "last": self.keeper.last()}
+
+
+class Agreed:
+    """What a process has of the agreed log. `face` is a front's side (see `Face` in service.py), None for a keeper."""
+
+    def __init__(self, name, life, node, seed, log, links, face=None, disk=None, **trusted):
+        self.name, self.life, self.node, self.log, self.links, self.face = name, life, node, log, links, face
+        self.loop, self.tasks, self.words_at, self.waiting, self.counter = asyncio.get_running_loop(), [], 0, {}, 0
+        self.voting = Voting(name, node, seed, log, self._send, disk, **trusted) if name in node.addresses else None
+        self.machine = Rollout()
+        chance = Chance(f"{name}/follows", seed ^ life)
+        self.follower = Follower(list(node.addresses), life, chance, time.monotonic_ns(),
+                                 front_lease()) if face is not None else None
+        self.words, self.fenced, self.stale = Words(name, life), True, False
+
+    async def start(self):
+        if self.voting is not None:
+            self.tasks.append(self.loop.create_task(self.voting.begins()))
+        self.tasks.append(self.loop.create_task(self._ticks()))
+
+    async def stop(self):
+        if self.voting is not None:
+            await self.voting.stop()
+        for task in self.tasks:
+            task.cancel()
+
+    async def _ticks(self):
+        while True:
+            await asyncio.sleep(TICK)
+            try:
+                now = time.monotonic_ns()
+                if self.voting is not None:
+                    self.voting.due(now)
+                if self.follower is not None:
+                    self._follows(now)
+            except Exception as fault:       # one look is lost by it, not the process
+                self.log("agreed_fault", error=f"{type(fault).__name__}: {fault}")
+
+    # To and fro.
+
+    def _send(self, sender, to, message):
+        number, data = codec.packed(message)
+        process = base(to)
+        if process == self.name:
+            self.loop.call_soon(self.heard, Routed(sender, to, number, data))
+        else:
+            self.links.send(process, self.node.addresses.get(process, ""), Routed(sender, to, number, data), False)
+
+    def heard(self, routed):
+        try:
+            message = codec.unpacked(routed.number, routed.data)
+        except codec.Unreadable as fault:
+            return self.log("agreed_refused", peer=routed.sender, error=str(fault))
+        if isinstance(message, following.Entries | following.State | following.Proposed):
+            if self.follower is not None:
+                self._do(self.follower.heard(base(routed.sender), message, time.monotonic_ns()))
+        elif self.voting is not None:
+            self.voting.heard(routed.sender, self._addressed(routed.to, message), message)
+
+    def _addressed(self, to, message):
+        """A front knows keepers by the file's names; whom it means is whoever votes there now."""
+        own = self.voting.keeper.name if self.voting.keeper is not None else ""
+        return own if isinstance(message, Follow | Propose) and base(to) == base(own) else to
+
+    # A front's side.
+
+    def _follows(self, now):
+        fenced = self.follower.fenced(now)
+        if fenced != self.fenced:
+            self.fenced = fenced
+            self.log("keepers_lost" if fenced else "keepers_found", index=self.follower.index)
+        self.follower.report = self.face.report()
+        self._do(self.follower.due(now))
+        if now - self.words_at >= DUTIES * S and not self.stale:
+            self.words_at = now
+            for command in (self.words.view(self.machine, self.face.boxes(), self.node.limits(self.face.floor()), now)
+                            + self.words.due(self.machine, self.face.drained, self.face.warm, now)):
+                self._do(self.follower.propose(command, None, now, PATIENCE))
+
+    def _do(self, actions):
+        for action in actions:
+            match action:
+                case Send():
+                    self._send(self.name, action.to, action.message)
+                case Applied():
+                    for index, command in action.entries:
+                        word, _ = self.machine.apply(index, command)
+                        if word.endswith("is not known here") and not self.stale:
+                            # A newer build's: what it says of boxes is no longer known, so nothing is said to it.
+                            self.stale = True
+                            self.log("agreed_newer", error=word)
+                    self.face.holds(self.machine)
+                case Replaced():
+                    machine = Rollout()
+                    self.stale = not machine.loaded(action.state)
+                    self.machine = machine if not self.stale else self.machine
+                    self.face.holds(self.machine)
+                case Word():
+                    if (waiter := self.waiting.pop(action.token, None)) is not None and not waiter.done():
+                        waiter.set_result((action.word, action.index))
+
+    # Operators.
+
+    async def propose(self, command):
+        """The word for an operator's request, or an error, within PATIENCE; given again it has no second effect."""
+        if fault := commands.fault(command):
+            return {"ok": False, "error": fault}
+        inner = command[2] if command[0] == "once" else command
+        if inner[0] not in commands.BY_OPERATORS:
+            return {"ok": False, "error": f"{inner[0]} is not an operator's to say"}
+        if self.follower is None:
+            return {"ok": False, "error": "a keeper takes no requests; ask a front"}
+        self.counter += 1
+        token, waiter = f"w{self.counter}", self.loop.create_future()
+        self.waiting[token] = waiter
+        self._do(self.follower.propose(command, token, time.monotonic_ns(), PATIENCE))
+        word, index = await waiter
+        if not word:
+            return {"ok": False, "error": "no majority of the keepers could be asked in time; the same request may be "
+                                          "given again", "quorum": False}
+        return {"ok": True, "word": word, "index": index}
+
+    def shown(self):
+        machine, permits = self.machine, self.machine.permits
+        out, waits = permits.out(), machine.waits()
+        now = time.monotonic_ns()
+        fields = [p for p in permits.permits.values() if p.step <= Step.COLD]
+        return {
+            "index": machine.index, "voting": self.voting.shown() if self.voting else None,
+            "leader": self.follower.leader if self.follower else "", "fenced": self.fenced,
+            "heard_ms": (now - self.follower.until + front_lease()) // 1_000_000 if self.follower else None,
+            "fronts": sorted(permits.fronts), "out": out, "boxes": len(permits.boxes),
+            "budgets": [list(b) for b in permits.budgets], "troubles": machine.releases.troubles,
+            "permits": [{"id": p.id, "box": p.box, "by": p.by, "why": p.why, "release": p.release, "version": p.version,
+                         "step": p.step.name.lower(), "index": p.index, "drained": p.drained, "warm": p.warm,
+                         "start": p.start, "holder": p.holder, "overdue": p.overdue, "waits": waits.get(p.id)}
+                        for p in fields[:SHOWN_MOST]],
+            "ended": {id: permits.permits[id].step.name.lower() for id in permits.ended[-SHOWN_MOST:]},
+            "releases": [{"name": n, "by": r.by, "phase": Phase(r.phase).name.lower(), "wave": r.wave, "why": r.why,
+                          "waves": [list(w) for w in r.plan.waves], "done": r.done, "ahead": r.ahead,
+                          "version": r.plan.version, "former": r.plan.former}
+                         for n, r in machine.releases.releases.items()]}
--- a/sprucegate/fleet/agreement/fitness.py
+++ b/sprucegate/fleet/agreement/fitness.py
@@ -59,7 +59,7 @@
 
 class Fitness:
     def __init__(self, name, start, being, others, known, now, trusted=False):
-        """`others`: who else is to vote, by the operator's file; `trusted`: an operator's word that the folder is whole."""
+        """`others`: who else votes, by the operator's file; `trusted`: an operator's word that it is whole."""
         self.name, self.start, self.being, self.others, self.known = name, start, being, list(others), dict(known)
         self.by, self.fit, self.at, self.number, self.held = [], trusted or not others, now, 0, []
 
@@ -69,11 +69,12 @@
     def next_due(self):
         return self.at
 
-    def due(self, now):
-        if self.fit or now < self.at:
+    def due(self, now, member=True):
+        """Asks until it is fit; goes on to say that it is there while it is no `member`, so that it is taken in."""
+        if self.fit and member or now < self.at:
             return []
         self.at = now + AGAIN
-        return [Send(name, Begins(self.start, self.being)) for name in self.others if name not in self.by]
+        return [Send(name, Begins(self.start, self.being)) for name in self.others if self.fit or name not in self.by]
 
     def heard(self, sender, message, now):
         if isinstance(message, Begins):
@@ -114,14 +115,17 @@
         return [Keep(self.number, dict(self.known))]
 
 
-def takes_in(keeper, newcomers, now):
+def takes_in(keeper, newcomers, names, now):
     """(voters, learners) of the next step by which a newcomer takes the place of its former self, or None.
 
-    `newcomers`: name -> when it was last heard. One step at a time: it learns, it votes, its former self goes.
+    `newcomers`: name -> when it was last heard; `names`: who is to vote, by the file. One step at a time: it learns, it
+    votes, its former self goes; so does one that the file names no more.
     """
     config = keeper.config()
     if keeper.role is not Role.LEADER:
         return None
+    if dropped := [v for v in config.voters if base(v) not in names and v != keeper.name]:
+        return tuple(v for v in config.voters if v != dropped[0]), config.learners
     for name in config.voters:
         older = [v for v in config.voters if v != name and base(v) == base(name) and len(v) < len(name)]
         if older:
@@ -131,8 +135,7 @@
         if twin and now - newcomers.get(name, -HERE) > HERE:
             return tuple(v for v in config.voters if v != name), config.learners
     for name, at in sorted(newcomers.items()):
-        known = any(base(v) == base(name) for v in config.voters)
-        if now - at > HERE or name in config.voters or not known:
+        if now - at > HERE or name in config.voters or base(name) not in names:
             continue
         if name not in config.learners:
             return config.voters, (*[n for n in config.learners if base(n) != base(name)], name)
--- a/sprucegate/fleet/agreement/keeper.py
+++ b/sprucegate/fleet/agreement/keeper.py
@@ -190,6 +190,13 @@
             self.committed = self.applied = self.base
         self.synced_to = self.last()
 
+    def alone(self):
+        """An operator's word that the others are gone for good: this one is all. What only they had is lost."""
+        self.term, self.vote = self.term + 1, ""
+        entry = Entry(self.last() + 1, self.term, CONFIG, Config((self.name,), ()))
+        self.log.append(entry)
+        return [self._write(entries=[entry])]
+
     def due(self, now):
         if now < self.due_at or self.failed:
             self.due_at = max(self.due_at, now + self.pace.beat) if self.failed else self.due_at
--- /dev/null
+++ b/sprucegate/fleet/face.py
@@ -0,0 +1,147 @@
+"""A front's side of the agreed log: what it drains, what it tells of boxes and says that it sees. Nothing waits."""
+
+from typing import NamedTuple
+
+from sprucegate.fleet.members.swim import Standing as Member
+from sprucegate.fleet.rollout.gates import Limits
+from sprucegate.fleet.rollout.permits import Box, Step
+from sprucegate.interface import Found, Outcome
+
+SOURCE = "permit"       # whose word a drain by permit is, in the view
+MISSED = 3              # forwards in a row that did not reach a box, until it is told of
+HITS = (Found.HIT, Found.STALE_HIT, Found.JOINED)
+FORGOTTEN = 5000        # boxes that are counted
+
+
+class Node(NamedTuple):
+    """What the operator's file says: `addresses` of the keepers, this one's folder, limits by the settings' floor."""
+
+    addresses: dict
+    state: str
+    limits: object
+    gate: Limits = Limits()
+
+
+class Face:
+    def __init__(self, driver, merged, members):
+        """`members()`: {name: member} of the fronts."""
+        self.driver, self.merged, self.members = driver, merged, members
+        self.placed, self.wanted, self.counts, self.missed = {}, {}, {}, {}
+        self.cold, self.starts = {}, {}      # box -> (start, since, GETs until then); -> (started, how often)
+        self.places = {value: name for name, value in driver.wanted.locations.items()}
+        self.kinds = {value: name for name, value in driver.wanted.kinds.items()}
+
+    def floor(self):
+        return self.driver.router.get("cold_share", 0.1)
+
+    def _rows(self):
+        """Caches and parents of the view by name; the origin never goes out by a permit."""
+        origin = self.driver.router.get("origin_kind", -1)
+        return {row.server.name: row for row in self.merged.view.rows.values()
+                if row.standing.name != "GONE" and row.server.entry.kind != origin}
+
+    def boxes(self):
+        found = {name: Box(name, "cache", self.places.get(row.server.entry.location, ""),
+                           self.kinds.get(row.server.entry.kind, ""), str(row.server.entry.cell), 1)
+                 for name, row in self._rows().items()}
+        for name, member in self.members().items():
+            if member.standing <= Member.SUSPECT:
+                found[name] = Box(name, "front", "", "front", "", 1)
+        return found
+
+    # Drains.
+
+    def holds(self, machine):
+        """What the log drains is drained in the view; what it drains no more is lifted there, as its own word alone."""
+        self.wanted, now = machine.drained(), self.driver.clock()
+        rows = self._rows()
+        for box in [b for b in self.placed if b not in self.wanted]:
+            at, started = self.placed.pop(box)
+            self.merged.word(at, started, SOURCE, False, now)
+        for box in self.wanted:
+            row = rows.get(box)
+            if row is None:
+                continue
+            which = row.server.entry.id, row.server.entry.started
+            if self.placed.get(box) != which:
+                # Of the start that is listed: one that comes back while its permit says out is not used either.
+                self.placed[box] = which
+                self.merged.word(*which, SOURCE, True, now)
+        for permit in machine.permits.of_box.values():
+            if permit.step is Step.COLD and self.cold.get(permit.box, ("",))[0] != permit.start:
+                self.cold[permit.box] = permit.start, now, self.counts.get(permit.box, [0])[0]
+                place = self._place(permit.box, rows)
+                if place is not None:
+                    self.missed.pop(permit.box, None)
+                    self.driver.servers.warm(place, now)
+        open_now = machine.permits.of_box
+        self.cold = {box: one for box, one in self.cold.items() if box in open_now}
+
+    def _place(self, box, rows):
+        row = rows.get(box)
+        return self.driver.servers.places.get(row.server.entry.id) if row is not None else None
+
+    @property
+    def drained(self):
+        """Boxes that get nothing new from here and are named no more as source: all of the change is handed over."""
+        if getattr(self.merged, "queue", None):
+            return {}
+        rows = self._rows()
+        return {box: index for box, index in self.wanted.items()
+                if box not in rows or rows[box].standing.name == "DRAINING"}
+
+    # What it sees.
+
+    def forwarded(self, cache, outcome, found, took, objective):
+        """One forward's end at a box, for the gates of releases."""
+        place = self.driver.servers.places.get(cache)
+        if place is None or outcome is Outcome.CANCELLED:
+            return
+        if outcome in (Outcome.UNREACHABLE, Outcome.NOT_SENT):
+            self.missed[place.name] = self.missed.get(place.name, 0) + 1
+            return
+        self.missed.pop(place.name, None)
+        row = self.counts.setdefault(place.name, [0, 0, 0, 0, 0])
+        row[0] += 1
+        row[1] += outcome in (Outcome.ERROR, Outcome.RESET, Outcome.TIMED_OUT)
+        row[2] += outcome is Outcome.FULL
+        row[3] += outcome is Outcome.RETURNED and took > objective
+        row[4] += outcome is Outcome.RETURNED and found not in HITS
+        while len(self.counts) > FORGOTTEN:
+            del self.counts[next(iter(self.counts))]
+
+    def report(self):
+        rows = self._rows()
+        for name, row in rows.items():
+            started, times = self.starts.get(name, (row.server.entry.started, 1))
+            self.starts[name] = row.server.entry.started, times + (row.server.entry.started != started)
+        down = [name for name, times in self.missed.items() if times >= MISSED and name in rows]
+        return [[[name, *self.counts.get(name, (0, 0, 0, 0, 0)), self.starts[name][1]] for name in rows], down,
+                self._troubles()]
+
+    def _troubles(self):
+        """The origin is in trouble where the rules' own brake holds it back."""
+        nodes = self.driver.router.groups["origin"]
+        now = self.driver.clock()
+        return {"origin": "rests"} if nodes and all(now < node.as_cache.until for node in nodes) else {}
+
+    def warm(self, box, start):
+        """Whether that start answers here and has had its time: cold credit is earned by then at every front."""
+        seen, rows, now = self.cold.get(box), self._rows(), self.driver.clock()
+        if box in self.members() or box not in rows:
+            return box in self.members() and self.driver.ready
+        if seen is None or seen[0] != start or self.missed.get(box):
+            return False
+        place, router = self._place(box, rows), self.driver.router
+        if place is None or rows[box].standing.name != "SERVING":
+            return False
+        if rows[box].server.entry.kind == router.get("parent_kind", -1):
+            need = router.get("parent_warm_time", 0)
+        else:
+            need = router.get("warm_time", 0)
+        answered = self.counts.get(box, [0])[0] > seen[2]
+        if not answered and not place.transport.open_connections(place):
+            self.driver.servers.warm(place, now)     # no GET came that way: a connection says as much
+            return False
+        return now - seen[1] >= need
+
--- a/sprucegate/fleet/links/codec.py
+++ b/sprucegate/fleet/links/codec.py
@@ -4,6 +4,8 @@
 read loses its connection: `Unreadable` says why.
 """
 
+from typing import NamedTuple
+
 import msgspec
 
 from sprucegate.fleet.members import swim
@@ -12,11 +14,21 @@
 from sprucegate.interface import Believed, Resting
 from sprucegate.state import records
 
+
+class Routed(NamedTuple):
+    """A word of the agreed log, as `links/agreed` packs it: by members' names."""
+
+    sender: str
+    to: str
+    number: int
+    data: bytes
+
+
 VERSION = 1
 FRAME_MOST = 8 << 20        # bytes: what a fleet has seen, with the gaps of a transfer under way
 GREETING_MOST = 1024
 KINDS = (None, swim.Ping, swim.Ack, swim.PingFor, swim.Nack, swim.All, replica.Tell, replica.Done, replica.Held,
-         replica.Have, replica.Mark, replica.Ranges, replica.Keys, replica.Repair, replica.Evidence)
+         replica.Have, replica.Mark, replica.Ranges, replica.Keys, replica.Repair, replica.Evidence, Routed)
 NUMBERS = {kind: number for number, kind in enumerate(KINDS) if kind}
 
 
@@ -52,6 +64,7 @@
     replica.Have: tuple[_Lives, int, tuple[int, int], int], replica.Mark: tuple[int, _Lives, bool],
     replica.Ranges: tuple[list[int]], replica.Keys: tuple[list[int], list[tuple[_Key, _Dot, int]], bool],
     replica.Repair: tuple[list[Fact]], replica.Evidence: tuple[int, list[Believed], list[Resting]],
+    Routed: tuple[str, str, int, bytes],
 }
 _encode = msgspec.msgpack.Encoder().encode
 _number = msgspec.msgpack.Decoder(tuple[int, msgspec.Raw]).decode
--- a/sprucegate/fleet/rollout/follower.py
+++ b/sprucegate/fleet/rollout/follower.py
@@ -19,7 +19,23 @@
                 found.append(["drained", permit.id, self.name, self.life])
             elif permit.step is Step.COLD and self.name not in permit.warm and warm(permit.box, permit.start):
                 found.append(["warm", permit.id, permit.start, self.name, self.life])
+        return self._fresh(found, now)
+
+    def view(self, machine, boxes, limits, now):
+        """Boxes and limits as this front's lists and file have them, said by the first of the live fronts alone."""
+        permits, found = machine.permits, []
+        if not permits.fronts or min(permits.fronts) != self.name:
+            return []
+        if limits != [[list(b) for b in permits.budgets], list(permits.warmth)]:
+            found.append(["limits", *limits])
+        out = permits.out()
+        known = [list(b) for b in permits.boxes.values() if b.name not in out or b.name in boxes]
+        if sorted(known) != sorted(map(list, boxes.values())):
+            found.append(["boxes", [list(b) for b in boxes.values()]])
+        return self._fresh(found, now)
+
+    def _fresh(self, found, now):
         self.said = {key: at for key, at in self.said.items() if now - at < AGAIN}
-        fresh = [c for c in found if tuple(c) not in self.said]
-        self.said.update((tuple(c), now) for c in fresh)
+        fresh = [c for c in found if repr(c) not in self.said]
+        self.said.update((repr(c), now) for c in fresh)
         return fresh
--- a/sprucegate/fleet/rollout/leader.py
+++ b/sprucegate/fleet/rollout/leader.py
@@ -24,34 +24,22 @@
 
 
 class Leading:
-    """Made when a keeper begins to lead. `boxes`, `limits`: what its own front's view and file say, or None."""
+    """Made when a keeper begins to lead."""
 
     def __init__(self, machine, now, gate=None):
         self.machine, self.since, self.gate = machine, now, gate or gates.Limits()
-        self.boxes = self.limits = None
         self.under_way = {}                  # command as text -> when proposed
         self.renewed_at, self.waves, self.looked = {}, {}, {}
 
     def due(self, heard, now):
         """Commands to propose. `heard`: front -> (life, when, report)."""
         self.under_way = {c: at for c, at in self.under_way.items() if now - at < AGAIN}
-        wanted = (self._view() + self._fronts(heard, now) + self._permits(now) + self._failed(heard)
-                  + self._troubles(heard) + self._gates(heard, now))
+        wanted = (self._fronts(heard, now) + self._permits(now) + self._failed(heard) + self._troubles(heard)
+                  + self._gates(heard, now))
         fresh = [c for c in wanted if repr(c) not in self.under_way]
         self.under_way.update((repr(c), now) for c in fresh)
         return fresh
 
-    def _view(self):
-        permits, found = self.machine.permits, []
-        if self.limits is not None and self.limits != [[list(b) for b in permits.budgets], list(permits.warmth)]:
-            found.append(["limits", *self.limits])
-        if self.boxes is not None:
-            out = permits.out()
-            known = [list(b) for b in permits.boxes.values() if b.name not in out or b.name in self.boxes]
-            if sorted(known) != sorted(map(list, self.boxes.values())):
-                found.append(["boxes", [list(b) for b in self.boxes.values()]])
-        return found
-
     def _fronts(self, heard, now):
         known, found = self.machine.permits.fronts, []
         for name, (life, at, _) in sorted(heard.items()):
--- a/sprucegate/fleet/rollout/permits.py
+++ b/sprucegate/fleet/rollout/permits.py
@@ -112,6 +112,7 @@
     def out(self):
         """{box: why} of all that take a place: by permit, or by themselves."""
         taken = dict(self.down)
+        taken.update({b.name: "lost" for b in self.boxes.values() if b.role == "front" and b.name not in self.fronts})
         taken.update({p.box: p.step.name.lower() for p in self.of_box.values() if p.step in TAKES})
         return {name: why for name, why in taken.items() if name in self.boxes}
 
@@ -267,7 +268,8 @@
 
     def listed(self, boxes):
         """All boxes that the leader's view has. One that is out stays until it is back or given up."""
-        fresh, out = {box.name: box for box in boxes}, self.out()
+        fresh = {box.name: box for box in boxes}
+        out = {*self.down, *[p.box for p in self.of_box.values() if p.step in TAKES]}
         kept = {name: box for name, box in self.boxes.items() if name in out and name not in fresh}
         self.boxes = fresh | kept
         self.down = {name: why for name, why in self.down.items() if name in self.boxes}
--- a/sprucegate/fleet/service.py
+++ b/sprucegate/fleet/service.py
@@ -51,11 +51,12 @@
 class Fleet:
     """What the driver calls: `purged` and `listed`. Neither waits, neither raises for what other fronts do."""
 
-    def __init__(self, driver, node, name, seed, merged, disk=None):
+    def __init__(self, driver, node, name, seed, merged, agreement=None, disk=None):
         self.driver, self.node, self.log, self.merged = driver, node, driver.log, merged
         self.name, self.seed, self.loop = name, seed, asyncio.get_running_loop()
         self.keeping, self.pool = Keeping(disk or Disk(), node.state), ThreadPoolExecutor(1, "fleet-disk")
         self.peer, self.links, self.timer, self.up = None, None, None, asyncio.Event()
+        self.agreement, self.agreed, self.face = agreement, None, None
         self.tasks, self.snapping, self.stopped, self.waiting = set(), False, False, []
         self.rows_out, self.rows_in = 0, 0   # of evidence
         self.being = int.from_bytes(os.urandom(4), "big")
@@ -104,6 +105,8 @@
         for key, value in waiting:           # heard with the first list
             self._told(key, value)
         self._later(self._sweeps())
+        if self.agreement is not None:
+            self._later(self._agrees())
         if self.node.evidence:
             self._later(self._tells())
 
@@ -112,8 +115,25 @@
         if self.peer is not None and self.links is not None:
             self.do(self.peer.leaves(time.monotonic_ns()))
 
+    async def _agrees(self):
+        # Here and not above: a front without it loads nothing of it.
+        from sprucegate.fleet.agreed import Agreed
+        from sprucegate.fleet.face import Face, Node
+        agreement, rollout = self.agreement
+        self.face = Face(self.driver, self.merged, lambda: self.peer.members.known)
+        own = self.peer.members.own
+        self.agreed = Agreed(own.name, own.life, Node(agreement.addresses, agreement.state, rollout.limits), self.seed,
+                             self.log, self.links, self.face)
+        await self.agreed.start()
+
+    def forwarded(self, cache, outcome, found, took, asked):
+        if self.face is not None:
+            self.face.forwarded(cache, outcome, found, took, self.driver.router.objective(asked))
+
     async def stop(self):
         self.stopped = True
+        if self.agreed is not None:
+            await self.agreed.stop()
         if self.timer is not None:
             self.timer.cancel()
         for task in self.tasks:
@@ -248,6 +268,8 @@
         try:
             if isinstance(message, Evidence):
                 return self._hears(message)
+            if isinstance(message, codec.Routed):
+                return self.agreed.heard(message) if self.agreed is not None else None
             self.do(self.peer.heard(name, message, time.monotonic_ns()))
         except Exception as fault:           # one message is lost by it, and repaired as a lost one is
             self.driver.fault(fault)
@@ -345,6 +367,8 @@
 
     async def _asked(self, question):
         answers = {"status": self._status, "facts": self._facts, "why": self._why}
+        if self.agreed is not None:
+            answers |= {"agreed": self._shown_agreed, "propose": self._propose}
         if question.what not in answers:
             return orjson.dumps({"ok": False, "error": f"{question.what} is not known"})
         said = await answers[question.what](question.given)
@@ -365,6 +389,16 @@
                              "by": m.by, "life": f"{m.life:x}", "lag": lag.get(name)}
                             for name, m in sorted(members.known.items())]}
 
+    async def _shown_agreed(self, _):
+        return self.agreed.shown()
+
+    async def _propose(self, given):
+        try:
+            command = orjson.loads(given[0])
+        except (IndexError, orjson.JSONDecodeError):
+            return {"ok": False, "error": "no command"}
+        return await self.agreed.propose(command)
+
     async def _facts(self, given):
         count, found = await self._found(lambda key: not given or key[0] == given[0])
         return {"count": count, "root": f"{self.peer.replica.facts.root():016x}", "facts": found}
--- a/sprucegate/front/driver.py
+++ b/sprucegate/front/driver.py
@@ -86,6 +86,8 @@
         now, get = at or self.clock(), out.get
         out.ended = True
         self.book.count(f"forwards_{outcome.name.lower()}")
+        if self.fleet is not None:
+            self.fleet.forwarded(out.cache, outcome, found, now - out.at, get.asked)
         finished = get.answered or get.client.get is not get
         decided = get.handle.ended(out.number, outcome, found, now - out.at, waited, load, finished, now)
         if decided:
@@ -154,7 +156,7 @@
         for one in decided:
             match one:
                 case Forward():
-                    out = get.forwards[one.number] = OpenForward(get, one.number, now, now + one.timeout)
+                    out = get.forwards[one.number] = OpenForward(get, one.number, one.cache, now, now + one.timeout)
                     self.servers.forward(out, one)
                     heapq.heappush(self.limits, (out.limit, next(self.order), out))
                     self.armed_by(out.limit)
--- a/sprucegate/front/lifecycle/configuration.py
+++ b/sprucegate/front/lifecycle/configuration.py
@@ -37,6 +37,7 @@
     servers: object = None  # what the operator's file says of them; None: all speak lines
     membership: object = None   # and of sources of the list; None: the bus alone
     fleet: object = None    # and of other fronts; None: this one is alone
+    agreement: object = None    # and of the agreed log, with the limits of going out; None: nothing is agreed
 
 
 def _pick(data, key, kind, default=REQUIRED):
--- a/sprucegate/front/memory/gets.py
+++ b/sprucegate/front/memory/gets.py
@@ -4,10 +4,10 @@
 
 
 class OpenForward:
-    __slots__ = ("get", "number", "at", "limit", "transport", "connection", "progress", "ended")
+    __slots__ = ("get", "number", "cache", "at", "limit", "transport", "connection", "progress", "ended")
 
-    def __init__(self, get, number, at, limit):
-        self.get, self.number, self.at, self.limit = get, number, at, limit
+    def __init__(self, get, number, cache, at, limit):
+        self.get, self.number, self.cache, self.at, self.limit = get, number, cache, at, limit
         self.transport, self.connection, self.progress, self.ended = None, None, Progress.NOT_SENT, False
 
 
--- a/sprucegate/operator/commands.py
+++ b/sprucegate/operator/commands.py
@@ -10,6 +10,7 @@
 
 from sprucegate.operator import file
 from sprucegate.operator.fleet import fleet
+from sprucegate.operator.rollout import COMMANDS
 from sprucegate.operator.servers import servers
 
 
@@ -54,7 +55,8 @@
     # As the platform's front: what the start built stays.
     gc.freeze()
     gc.set_threshold(20_000, 20, 100)
-    wanted = wanted._replace(servers=servers, membership=said.membership, fleet=said.fleet)
+    wanted = wanted._replace(servers=servers, membership=said.membership, fleet=said.fleet,
+                             agreement=said.agreement and (said.agreement, said.rollout))
     sys.exit(uvloop.run(serve(wanted, structured(wanted.name))))
 
 
@@ -77,6 +79,8 @@
 
 main.add_command(servers)
 main.add_command(fleet)
+for command in COMMANDS:
+    fleet.add_command(command)
 
 
 @main.command()
--- a/sprucegate/operator/file.py
+++ b/sprucegate/operator/file.py
@@ -97,10 +97,68 @@
         return host, int(port)
 
 
+class AgreementNode(Struct, forbid_unknown_fields=True, frozen=True, rename="kebab"):
+    """Who keeps the agreed log, NAME=HOST:PORT each; a front whose name is among them votes. Stands on `fleet`."""
+
+    keepers: Annotated[list[str], Meta(min_length=1, max_length=7)]
+    state: Annotated[str, Meta(min_length=1)] = "keeper"        # folder, of this keeper alone
+
+    def contradiction(self):
+        for value in self.keepers:
+            name, _, address = value.partition("=")
+            host, _, port = address.rpartition(":")
+            if not name or "~" in name or not host or not port.isdigit() or not 0 < int(port) < 65_536:
+                return "keepers", f"must be NAME=HOST:PORT, not {value[:60]!r}"
+        if len(self.addresses) != len(self.keepers):
+            return "keepers", "names one twice"
+        if len(self.keepers) % 2 == 0:
+            return "keepers", "wants an odd number: with an even one a split has no larger side"
+        return None
+
+    @property
+    def addresses(self):
+        return dict(one.split("=", 1) for one in self.keepers)
+
+
+class RolloutNode(Struct, forbid_unknown_fields=True, frozen=True, rename="kebab"):
+    """How many may be out at once. A budget is "SCOPE[=OF] ROLE COUNT SHARE": `fleet cache 3 0.5`."""
+
+    budgets: Annotated[list[str], Meta(min_length=1, max_length=100)]
+    spare: Share = 0.5                                          # of its part that one which stays may get besides
+
+    def contradiction(self):
+        for value in self.budgets:
+            try:
+                _budget(value)
+            except ValueError as fault:
+                return "budgets", f"{value[:60]!r}: {fault}"
+        return None
+
+    def limits(self, floor):
+        return [[_budget(value) for value in self.budgets], [int(floor * 1000), int(self.spare * 1000)]]
+
+
+def _budget(value):
+    words = value.split()
+    if len(words) != 4:
+        raise ValueError("wants SCOPE[=OF] ROLE COUNT SHARE")
+    scope, _, of = words[0].partition("=")
+    if scope not in ("fleet", "location", "kind", "group"):
+        raise ValueError("the scope is fleet, location, kind or group")
+    if words[1] not in ("cache", "front", "any"):
+        raise ValueError("the role is cache, front or any")
+    count, share = int(words[2]), float(words[3])
+    if not 0 < count < 100_000 or not 0 < share <= 1:
+        raise ValueError("wants a count above 0 and a share from 0 to 1")
+    return [scope, of, "" if words[1] == "any" else words[1], count, int(share * 1000)]
+
+
 class OperatorFile(Struct, forbid_unknown_fields=True, frozen=True):
     servers: ServersNode = ServersNode()
     membership: MembershipNode | None = None
     fleet: FleetNode | None = None
+    agreement: AgreementNode | None = None
+    rollout: RolloutNode | None = None
 
 
 class Servers:
@@ -121,10 +179,11 @@
         return isinstance(other, Servers) and self.node == other.node
 
 
-LEAVES = {"servers.http2": Limits, "membership": MembershipNode, "fleet": FleetNode}     # blocks of `key value` lines
+LEAVES = {"servers.http2": Limits, "membership": MembershipNode, "fleet": FleetNode, "agreement": AgreementNode,
+          "rollout": RolloutNode}           # blocks of `key value` lines
 UNITS = {f"{block}.{one.encode_name}": (getattr(one.type, "__metadata__", (Meta(),))[0].extra or {}).get("unit")
          for block, struct in LEAVES.items() for one in msgspec.structs.fields(struct)}
-SEVERAL = ("membership.order", "fleet.join")
+SEVERAL = ("membership.order", "fleet.join", "agreement.keepers", "rollout.budgets")
 
 
 BLOCKS = ("servers", *LEAVES)
@@ -252,7 +311,11 @@
             builder.fault(builder.lines[key], "servers.speak",
                           f"{which[0]} {which[1]!r} is named on line {seen[which]} already")
         seen[which] = builder.lines[key]
-    for block, node in (("servers.http2", made.servers.http2), ("membership", made.membership), ("fleet", made.fleet)):
+    for block, node in (("servers.http2", made.servers.http2), ("membership", made.membership), ("fleet", made.fleet),
+                        ("agreement", made.agreement), ("rollout", made.rollout)):
         if node is not None and (found := node.contradiction()):
             key = f"{block}.{found[0]}"
             builder.fault(builder.lines.get(key, builder.lines.get(block, 1)), key, found[1])
+    for block, needs in (("agreement", "fleet"), ("rollout", "agreement"), ("agreement", "rollout")):
+        if getattr(made, block) is not None and getattr(made, needs) is None:
+            builder.fault(builder.lines.get(block, 1), block, f"stands on a `{needs}` block, which is not there")
--- a/sprucegate/operator/fleet.py
+++ b/sprucegate/operator/fleet.py
@@ -36,8 +36,8 @@
     return node
 
 
-def _ask(node, address, what, given, as_json):
-    """The front's answer; a front that can't be asked is exit 1."""
+def _ask(node, address, what, given, as_json, whole=False, quiet=False):
+    """The front's answer; a front that can't be asked is exit 1, or None with `quiet`; `whole`: a refusal as well."""
     from sprucegate.fleet.links import codec
     host, _, port = (address or node.listen).rpartition(":")
     if not host or not port.isdigit():
@@ -53,8 +53,10 @@
         length, _ = records.HEAD.unpack_from(data)
         answer = orjson.loads(data[records.HEAD.size + length:])
     except (OSError, ValueError, records.struct.error) as fault:
+        if quiet:
+            return None
         _fail(f"{host}:{port}: no answer ({type(fault).__name__}: {fault})", as_json, 1)
-    if not answer.get("ok"):
+    if not answer.get("ok") and not whole:
         _fail(answer.get("error", "refused"), as_json, 1)
     return answer
 
--- a/standins/fleet/rig.py
+++ b/standins/fleet/rig.py
@@ -149,20 +149,48 @@
             return 0
 
 
+class RealKeeper(RealFront):
+    """A keeper of the agreed log, and nothing else."""
+
+    def __init__(self, rig, name):
+        super().__init__(rig, name, 0)
+
+    def configure(self):
+        (self.folder / "front.kdl").write_text(
+            f'fleet {{\n    name "rig"\n    listen "127.0.0.1:{self.fleet_port}"\n}}\n'
+            + self.rig.more.format(name=self.name))
+
+    def start(self, *flags):
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "sprucegate", "fleet", "keeper", self.name, "--file",
+             str(self.folder / "front.kdl"), *flags], stdout=subprocess.PIPE)
+        threading.Thread(target=self._read, args=(self.process,), daemon=True).start()
+
+
 class Rig:
-    def __init__(self, folder, size, caches=2, seed=0, kdl="", more=""):
-        """`kdl` goes into each `fleet` block, `more` beside it, with {name} for the front's."""
+    def __init__(self, folder, size, caches=2, seed=0, kdl="", more="", keepers=0, budgets='"fleet cache 1 1.0"'):
+        """`kdl` goes into each `fleet` block, `more` beside it, with {name} for the front's; `keepers`: processes k0,
+        k1, ... that keep the agreed log, with those budgets."""
         self.folder, self.kdl, self.more, self.offset, self.relay = folder, kdl, more, 1, None
-        self.twins, self.twin_bus, self.twin_relay = [], None, None
+        self.twins, self.twin_bus, self.twin_relay, self.requests = [], None, None, 0
         self.boxes = [Process("lines", service=0.001, made=1, ran=folder / f"ran-{at}") for at in range(caches + 1)]
         self.hosts = [self.host(at, "std" if at < caches else "origin") for at in range(caches + 1)]
         self.names = [f"n{at}" for at in range(size)]
         self.fronts = {name: RealFront(self, name, at) for at, name in enumerate(self.names)}
         self.bus = Lines("standins.bus", "--count", str(size), count=size)
+        self.keepers = {f"k{at}": RealKeeper(self, f"k{at}") for at in range(keepers)}
         self.relay = Lines("standins.fleet.relay", "--seed", str(seed), *[
-            f"{f.name}=127.0.0.1:{f.fleet_port}" for f in self.fronts.values()], count=size)
-        for front, bus, advertise in zip(self.fronts.values(), self.bus.addresses, self.relay.addresses, strict=True):
-            front.configure(bus, advertise, self.relay.addresses[:3])
+            f"{f.name}=127.0.0.1:{f.fleet_port}" for f in [*self.fronts.values(), *self.keepers.values()]],
+            count=size + keepers)
+        if keepers:
+            at = dict(zip(self.keepers, self.relay.addresses[size:], strict=True))
+            self.more += ("agreement {{{{\n    keepers {}\n    state \"{}/{{name}}/keeper\"\n}}}}\n"
+                          "rollout {{{{\n    budgets {}\n    spare 1.0\n}}}}\n").format(
+                " ".join(f'"{name}={address}"' for name, address in at.items()), folder, budgets)
+        for front, bus, advertise in zip(self.fronts.values(), self.bus.addresses, self.relay.addresses, strict=False):
+            front.configure(bus, advertise, self.relay.addresses[:min(3, size)])
+        for keeper in self.keepers.values():
+            keeper.configure()
 
     def host(self, at, kind, health="up"):
         return {"host": f"s-{at + 16:02x}", "dial": self.boxes[at].address, "site": "here", "class": kind, "block": 0,
@@ -172,7 +200,7 @@
         return self
 
     def __exit__(self, *_):
-        for front in [*self.fronts.values(), *self.twins]:
+        for front in [*self.fronts.values(), *self.keepers.values(), *self.twins]:
             if front.process is not None and front.process.poll() is None:
                 front.signal(signal.SIGCONT)
                 front.kill()
@@ -185,11 +213,55 @@
     # What happens.
 
     def start_all(self, patience=30):
-        for front in self.fronts.values():
+        for front in [*self.keepers.values(), *self.fronts.values()]:
             front.start()
         for front in self.fronts.values():
             front.until("ready", patience=patience)
         self.together(patience)
+        if self.keepers:
+            count = len(self.boxes) - 1 + len(self.names)
+            self.wait(lambda: all((said := self.agreed(name)).get("fronts") == sorted(self.names)
+                                  and said["boxes"] == count for name in self.names), patience)
+
+    # The agreed log.
+
+    def agreed(self, name):
+        """What a front has of it; nothing where it does not answer."""
+        return self.fronts[name].ask("agreed") or {}
+
+    def propose(self, name, *command, id=None):
+        """An operator's request at a front: its answer."""
+        self.requests += 1
+        id = id or f"q{self.requests}"
+        return self.fronts[name].ask("propose", json.dumps(["once", id, list(command)])) or {}
+
+    def leader(self):
+        """The name of the keeper that leads and is followed by most; "" where there is none."""
+        said = {name: (k.ask("agreed") or {}).get("voting") or {} for name, k in self.keepers.items()
+                if k.process is not None and k.process.poll() is None}
+        leads = [(one["term"], name) for name, one in said.items() if one.get("role") == "leader"]
+        return max(leads)[1] if leads else ""
+
+    def permit(self, name, id):
+        """One permit as that front has it; nothing where it is over, or not there."""
+        return next((p for p in self.agreed(name).get("permits", ()) if p["id"] == id), {})
+
+    def step_of(self, name, id):
+        """How far that permit is, as that front has it; "" where it is not there."""
+        said = self.agreed(name)
+        steps = {p["id"]: p["step"] for p in said.get("permits", ())} | said.get("ended", {})
+        return steps.get(id, "")
+
+    def step(self, id, step, names=None, patience=20):
+        """Waits until the permit is at that step at those fronts."""
+        self.wait(lambda: all(self.step_of(name, id) == step for name in names or self.names), patience)
+
+    def phase(self, release, phase, patience=60):
+        """Waits until the release is in that phase at all fronts."""
+        def so():
+            return all({r["name"]: r["phase"] for r in self.agreed(name).get("releases", ())}.get(release) == phase
+                       for name in self.names)
+        self.wait(so, patience)
 
     def together(self, patience=30, names=None):
         """Waits until each of those is known as alive by all of them."""
--- a/standins/fleet/rollouts.py
+++ b/standins/fleet/rollouts.py
@@ -5,6 +5,7 @@
 Caches here have a true state that no decision sees: down, up and cold, warm. Checkers read the trace alone.
 """
 
+import math
 import random
 import sys
 
@@ -24,7 +25,7 @@
 
 WARM = 2 * S            # from the start of a cache to its being truly warm
 PATIENCE = 4 * S
-RATES = {"bad-errors": (0.02, 0, 0.01, 0.1), "bad-slow": (0, 0, 0.3, 0.1)}      # errors, sheds, late, misses
+RATES = {"bad-errors": (0.022, 0.001, 0.02, 0.2), "bad-slow": (0.002, 0.001, 0.3, 0.2)}    # errors, sheds, late, misses
 LIMITS = [[["fleet", "", "cache", 3, 500], ["location", "", "cache", 2, 500]], [100, 1000]]
 
 
@@ -51,12 +52,10 @@
     def leads(self, on):
         self.leading = Leading(self.serving.machine, self.world.now, self.world.gate) if on else None
         if on:
-            self.leading.boxes, self.leading.limits = self.world.listed, LIMITS
+            generation = self.generation
+            self.world.later(1, self, self._duties, generation, self.leading)
         else:
             self.done(self.serving.lost())
-        generation = self.generation
-        if on:
-            self.world.later(1, self, self._duties, generation, self.leading)
 
     def _duties(self, generation, leading):
         if generation != self.generation or self.leading is not leading:
@@ -142,7 +141,8 @@
         down = [name for name, cache in self.world.caches.items() if cache.state == "down"]
         rows = [[name, *cache.served(self.name), cache.starts] for name, cache in self.world.caches.items()]
         self.follower.report = [rows, down, {}]
-        return self.words.due(self.machine, self.drained, self._warm, now)
+        return (self.words.view(self.machine, self.world.listed, LIMITS, now)
+                + self.words.due(self.machine, self.drained, self._warm, now))
 
     def _warm(self, box, start):
         cache = self.world.caches.get(box)
@@ -200,6 +200,7 @@
     def __init__(self, world, name):
         self.world, self.name, self.state, self.started, self.out_for = world, name, "up", -WARM, ""
         self.version, self.starts, self.lies, self.gets = "1", 1, 0, {}
+        self.draws = random.Random(f"{world.seed}/{name}")
 
     def warm(self):
         return self.state == "up" and self.world.now - self.started >= WARM
@@ -218,7 +219,7 @@
 
     def _dies(self):
         if self.version == "bad-dies" and self.state == "up":
-            self.state = "down"
+            self.state, self.out_for = "down", ""
             self.world.note(self.name, "fails")
             self.world.at(self.world.now + S, self.starts_again, "")
 
@@ -237,15 +238,17 @@
 
     def served(self, front):
         """GETs, errors, sheds, late, misses so far, by what the version does: 20 a second and front."""
-        seen = self.gets.setdefault(front, [self.world.now, 0.0, 0.0, 0.0, 0.0, 0.0])
-        if self.state == "up":
-            fresh = (self.world.now - seen[0]) / S * 20
-            noise = self.world.noise
-            rates = RATES.get(self.version, (0, 0, 0.01, 0.1))
-            for at, add in enumerate((1, *rates), 1):
-                seen[at] += fresh * (add if at == 1 else add * (1 + noise))
-        seen[0] = self.world.now
-        return [int(one) for one in seen[1:]]
+        seen = self.gets.setdefault(front, [self.world.now, 0, 0, 0, 0, 0])
+        fresh = int((self.world.now - seen[0]) / S * 20)
+        if self.state == "up" and fresh:
+            # A day that is worse for all boxes alike, up and down by the minute; and chance at each.
+            day = 1 + self.world.noise * math.sin(self.world.now / (7 * S))
+            seen[1] += fresh
+            for at, rate in enumerate(RATES.get(self.version, (0.002, 0.001, 0.02, 0.2)), 2):
+                seen[at] += sum(self.draws.random() < rate * day for _ in range(fresh))
+        if fresh or self.state != "up":
+            seen[0] = self.world.now
+        return seen[1:]
 
 
 class Fleet(World):
--- /dev/null
+++ b/tests/test_fleet_agreed.py
@@ -0,0 +1,311 @@
+"""Keepers, fronts and box agents as processes: who goes out, whoever is killed, stopped, cut off or put back."""
+
+import shutil
+import signal
+import subprocess
+import sys
+import threading
+import time
+
+import orjson
+import pytest
+
+from standins.fleet.agent import Agent
+from standins.fleet.rig import Rig
+
+THING = 0x7F3A9C21E0B4D655
+ALL = '"fleet cache 1 1.0"'
+
+
+@pytest.fixture
+def rig(tmp_path):
+    with Rig(tmp_path, 2, caches=4, keepers=3, budgets=ALL) as made:
+        made.start_all()
+        yield made
+
+
+def asks(rig, front, box, id, request=None):
+    return rig.propose(front, "ask", id, box, "op", "test", id=request)
+
+
+def leads(rig, patience=20, but=()):
+    """The keeper that leads, once there is one besides those."""
+    found = []
+
+    def so():
+        found[:] = [rig.leader()]
+        return found[0] and found[0] not in but
+    rig.wait(so, patience)
+    return found[0]
+
+
+def agents(rig, *boxes, **given):
+    one = Agent(rig, "a0", boxes or range(4), **given)
+    one.start()
+    return one
+
+
+def ends(one):
+    one.stopped = True
+    one.join(20)
+    assert one.fault is None, one.fault
+
+
+def test_a_drain_is_kept_at_all_fronts_and_a_box_is_back_by_their_word(rig):
+    sock_calls = iter(range(1, 1 << 30))
+    one = agents(rig)
+    assert asks(rig, "n0", "s-10", "h")["word"] == "asked"
+    rig.step("h", "back")
+    ends(one)
+    assert one.replaced == [(0, "")] and one.late == 0
+    assert all(rig.get(name, THING + n, next(sock_calls))[0] == 200 for name in rig.names for n in range(10))
+    assert asks(rig, "n1", "s-10", "h", request="new")["word"] == "back"     # the same permit: no second effect
+    assert not rig.agreed("n1")["permits"]
+
+
+def test_a_leader_that_is_killed_after_it_took_a_request_loses_nothing(rig):
+    assert asks(rig, "n0", "s-10", "h", request="one")["ok"]
+    first = leads(rig)
+    rig.keepers[first].kill()
+    assert asks(rig, "n0", "s-10", "h", request="one")["word"] in ("asked", "granted")
+    assert leads(rig, but=[first])
+    rig.step("h", "drained")
+    assert asks(rig, "n1", "s-11", "i")["word"] == "asked"
+    rig.wait(lambda: rig.permit("n1", "i").get("waits", [""])[0] == "fleet cache")
+    rig.keepers[first].start()
+    rig.keepers[first].until("keeper_fit", since=len(rig.keepers[first].lines) - 1)
+
+
+def test_a_leader_that_stood_still_grants_nothing_when_it_wakes(rig):
+    first = leads(rig)
+    rig.keepers[first].signal(signal.SIGSTOP)
+    try:
+        second = leads_among(rig, first)
+        assert asks(rig, "n0", "s-10", "h")["ok"]
+    finally:
+        rig.keepers[first].signal(signal.SIGCONT)
+    rig.keepers[first].until("keeper_leads_no_more")
+    rig.step("h", "drained")
+    assert asks(rig, "n1", "s-11", "i")["ok"]
+    rig.wait(lambda: rig.permit("n0", "i").get("waits"))
+    granted = [line["permit"] for k in rig.keepers.values() for line in k.seen("permit_granted")]
+    assert granted == ["h"] and second != first
+
+
+def leads_among(rig, stopped):
+    """As `leads`, of those that answer: one that stands still would be waited for."""
+    found = []
+
+    def so():
+        said = {n: (k.ask("agreed") or {}).get("voting") or {} for n, k in rig.keepers.items() if n != stopped}
+        found[:] = [n for n, one in said.items() if one.get("role") == "leader"]
+        return found
+    rig.wait(so)
+    return found[0]
+
+
+def test_without_a_majority_nothing_is_granted_and_a_request_can_be_given_again(rig):
+    dead = list(rig.keepers)[:2]
+    for name in dead:
+        rig.keepers[name].kill()
+    begun = time.monotonic()
+    said = asks(rig, "n0", "s-10", "h", request="one")
+    assert said["quorum"] is False and time.monotonic() - begun < 5
+    rig.fronts["n0"].until("keepers_lost")
+    assert not rig.agreed("n0")["permits"] and rig.agreed("n0")["fenced"]
+    assert rig.get("n0", THING, 77)[0] == 200                # and clients are served all the same
+    for name in dead:
+        rig.keepers[name].start()
+    rig.wait(lambda: asks(rig, "n1", "s-10", "h", request="one").get("ok"))
+    rig.step("h", "drained")
+
+
+@pytest.mark.parametrize("how", ["lost", "put back"])
+def test_a_keeper_whose_folder_was_put_back_comes_back_as_another_member(rig, how):
+    keeper = rig.keepers["k0"]
+    asks(rig, "n0", "s-10", "h")
+    rig.step("h", "drained")
+    shutil.copytree(keeper.folder / "keeper", rig.folder / "old")
+    # A later start, of which the others know: the old copy is from before it.
+    keeper.kill()
+    since = len(keeper.lines)
+    keeper.start()
+    keeper.until("keeper_fit", since)
+    asks(rig, "n0", "s-11", "i")
+    keeper.kill()
+    shutil.rmtree(keeper.folder / "keeper")
+    if how == "put back":
+        shutil.copytree(rig.folder / "old", keeper.folder / "keeper")
+    since = len(keeper.lines)
+    keeper.start()
+    other = keeper.until("keeper_put_back", since)["name"]
+    assert other.startswith("k0~")
+
+    def taken_in():
+        voting = (rig.keepers["k1"].ask("agreed") or {}).get("voting") or {}
+        return sorted(voting.get("voters", ())) == sorted(["k1", "k2", other])
+    rig.wait(taken_in)
+    rig.wait(lambda: (keeper.ask("agreed") or {}).get("voting", {}).get("committed", 0) > 0)
+    assert rig.permit("n1", "i")["waits"][0] == "fleet cache"
+
+
+def test_two_operators_ask_at_two_fronts_for_the_last_two_of_a_location(tmp_path):
+    with Rig(tmp_path, 2, caches=2, keepers=3, budgets='"fleet cache 9 1.0"') as rig:
+        rig.start_all()
+        said = {}
+        threads = [threading.Thread(target=lambda f=front, b=box, i=id: said.update({i: asks(rig, f, b, i)}))
+                   for front, box, id in (("n0", "s-10", "h"), ("n1", "s-11", "i"))]
+        for one in threads:
+            one.start()
+        for one in threads:
+            one.join(20)
+        assert all(one["word"] == "asked" for one in said.values())
+        rig.wait(lambda: sorted(rig.step_of("n0", id) for id in "hi") == ["asked", "drained"])
+        waiting = next(id for id in "hi" if rig.permit("n0", id)["step"] == "asked")
+        assert rig.permit("n0", waiting)["waits"][0] in ("last", "warm")
+
+
+def test_a_cache_that_fails_takes_its_place_in_the_budget(rig):
+    process = rig.boxes[0].process
+    process.kill()
+    process.wait()
+    calls = iter(range(1, 1 << 30))
+
+    def told():
+        for name in rig.names:
+            for _ in range(20):              # other objects each time: a copy of the front's own needs no cache
+                rig.get(name, THING + next(calls), next(calls))
+        return rig.agreed("n0").get("out", {}).get("s-10") == "unreachable"
+    rig.wait(told, 30)
+    asks(rig, "n0", "s-11", "h")
+    rig.wait(lambda: (rig.permit("n1", "h").get("waits") or [""])[0] == "fleet cache")
+
+
+def test_an_agent_that_lies_brings_nothing_back(rig):
+    one = agents(rig, manner="lying")
+    asks(rig, "n0", "s-10", "h")
+    rig.step("h", "cold")
+    asks(rig, "n0", "s-11", "i")
+    calls = iter(range(1, 1 << 30))
+    for _ in range(5):
+        assert all(rig.get(name, THING + n, next(calls))[0] == 200 for name in rig.names for n in range(10))
+    assert rig.permit("n0", "h")["step"] == "cold" and rig.permit("n0", "h")["warm"] == []
+    assert rig.permit("n1", "i")["step"] == "asked"
+    ends(one)
+    honest = Agent(rig, "a1", range(4))
+    honest.start()
+    rig.step("h", "back")
+    rig.step("i", "back")
+    ends(honest)
+
+
+def test_an_agent_that_dies_with_its_box_down_is_followed_by_another(rig):
+    one = agents(rig, manner="dying")
+    asks(rig, "n0", "s-10", "h")
+    asks(rig, "n0", "s-11", "i")
+    one.join(20)
+    assert rig.step_of("n0", "h") == "out" and rig.step_of("n0", "i") == "asked"
+    other = Agent(rig, "a1", range(4))
+    other.start()
+    rig.step("h", "back")
+    rig.step("i", "back")
+    ends(other)
+
+
+def test_a_front_that_can_not_reach_the_keepers_serves_and_is_waited_for_until_it_is_fenced(rig):
+    rig.split(["n0"], list(rig.keepers))
+    asks(rig, "n1", "s-10", "h")
+    rig.wait(lambda: rig.permit("n1", "h").get("drained") == ["n1"])
+    assert rig.get("n0", THING, 5)[0] == 200
+    lost = rig.fronts["n0"].until("keepers_lost")["at"]
+    rig.step("h", "drained", ["n1"])
+    drained = int(time.time() * 1000)
+    assert drained >= lost                   # its own lease ended before it was counted out
+    assert rig.agreed("n1")["fronts"] == ["n1"] and rig.agreed("n0")["fenced"]
+    rig.trouble("heal")
+    rig.wait(lambda: rig.agreed("n1")["fronts"] == ["n0", "n1"])
+
+
+def plan(tmp_path, waves, version="2", bake="(ms)500", name="v2"):
+    lines = "".join(f"    wave {' '.join(chr(34) + box + chr(34) for box in wave)}\n" for wave in waves)
+    file = tmp_path / f"{name}.kdl"
+    file.write_text(f'release "{name}" {{\n    kind "std"\n    version "{version}"\n    former "1"\n    bake {bake}\n'
+                    f"{lines}}}\n")
+    return file
+
+
+def command(rig, front, *given):
+    done = subprocess.run([sys.executable, "-m", "sprucegate", "fleet", *map(str, given), "--json", "--file",
+                           str(rig.fronts[front].folder / "front.kdl")], capture_output=True, timeout=30)
+    assert done.stdout, done.stderr
+    return done.returncode, orjson.loads(done.stdout)
+
+
+class Gets(threading.Thread):
+    """GETs of ever other objects through all fronts, one after another; `bad`: what was not answered with 200."""
+
+    def __init__(self, rig, number=1):
+        super().__init__(daemon=True)
+        self.rig, self.stopped, self.count, self.bad, self.first = rig, False, 0, [], number << 32
+
+    def run(self):
+        while not self.stopped:
+            for name in self.rig.names:
+                self.count += 1
+                status, _ = self.rig.get(name, self.first + self.count, self.first + self.count)
+                if status != 200:
+                    self.bad.append((name, status))
+
+
+def test_a_good_release_goes_through_all_waves_under_gets(rig, tmp_path):
+    one, gets = agents(rig), Gets(rig)
+    gets.start()
+    file = plan(tmp_path, [["s-10"], ["s-11", "s-12"], ["s-13"]])
+    assert command(rig, "n0", "release", "start", file)[1]["word"] == "started"
+    rig.phase("v2", "done")
+    gets.stopped = True
+    gets.join(10)
+    ends(one)
+    assert sorted(one.replaced) == [(at, "2") for at in range(4)] and one.late == 0
+    assert gets.count > 200 and gets.bad == []
+
+
+def test_a_slow_release_is_halted_in_the_canary_and_goes_back(rig, tmp_path):
+    one, gets = agents(rig, versions={"2": {"service": 0.6}}), Gets(rig)
+    more = [Gets(rig, number) for number in (2, 3, 4)]
+    for each in (gets, *more):
+        each.start()
+    assert command(rig, "n0", "release", "start", plan(tmp_path, [["s-10"], ["s-11", "s-12", "s-13"]],
+                                                       bake="(s)60"))[0] == 0
+    rig.phase("v2", "halted")
+    assert "late" in rig.agreed("n1")["releases"][0]["why"] and one.replaced == [(0, "2")]
+    assert command(rig, "n1", "release", "back", "v2")[1]["word"] == "goes back"
+    rig.phase("v2", "returned")
+    for each in (gets, *more):
+        each.stopped = True
+        each.join(10)
+    ends(one)
+    assert one.replaced == [(0, "2"), (0, "1")] and [b for g in (gets, *more) for b in g.bad] == []
+
+
+def test_the_command_line_says_by_whose_word_and_what_failed(rig, tmp_path):
+    assert command(rig, "n0", "drain", "s-77")[0] == 1
+    status, said = command(rig, "n0", "drain", "s-10", "--id", "mine")
+    assert (status, said["word"], said["request"]) == (0, "asked", "mine")
+    assert command(rig, "n1", "drain", "s-10", "--id", "mine")[1]["word"] == "asked"
+    rig.step("mine", "drained")
+    status, said = command(rig, "n1", "watch")
+    assert status == 0 and said["permits"][0]["step"] == "drained" and said["leader"] in rig.keepers
+    assert command(rig, "n1", "undrain", "mine")[1]["word"] == "withdrawn"
+    # Relays carry frames alone: a question goes to the keepers themselves.
+    file = rig.fronts["n0"].folder / "front.kdl"
+    for relayed, keeper in zip(rig.relay.addresses[2:], rig.keepers.values(), strict=True):
+        file.write_text(file.read_text().replace(relayed, f"127.0.0.1:{keeper.fleet_port}"))
+    status, said = command(rig, "n0", "keepers")
+    assert status == 0 and sorted(k["role"] for k in said["keepers"]) == ["follower", "follower", "leader"]
+    bad = tmp_path / "bad.kdl"
+    bad.write_text('release "x" {\n    kind "std"\n    wave 5\n}\n')
+    status, said = command(rig, "n0", "release", "start", bad)
+    assert status == 2 and ":3:" in said["error"] and "release.wave" in said["error"]
+    assert command(rig, "n0", "release", "halt", "v9")[0] == 1
+    assert command(rig, "n0", "release", "status", "v9")[0] == 1
--- a/tests/test_fleet_agreement.py
+++ b/tests/test_fleet_agreement.py
@@ -336,10 +336,32 @@
     keeper = Keeper("k1", Config(("k0", "k1", "k2"), ()), Chance("k1", 1), 0)
     keeper.role, steps = Role.LEADER, []
     for _ in range(6):
-        step = takes_in(keeper, {"k0~9": 0, "stranger": 0}, 0)
+        step = takes_in(keeper, {"k0~9": 0, "stranger": 0}, ("k0", "k1", "k2"), 0)
         if step is None:
             break
         steps.append(step)
         keeper.base_config = Config(*step)
         keeper.match["k0~9"] = keeper.committed
     assert steps == [(("k0", "k1", "k2"), ("k0~9",)), (("k0", "k1", "k2", "k0~9"), ()), (("k1", "k2", "k0~9"), ())]
+
+
+def test_voters_follow_the_names_of_the_file_one_at_a_time():
+    keeper = Keeper("k1", Config(("k0", "k1", "k2"), ()), Chance("k1", 1), 0)
+    keeper.role = Role.LEADER
+    assert takes_in(keeper, {}, ("k1", "k2", "k3"), 0) == (("k1", "k2"), ())
+    keeper.base_config = Config(("k1", "k2"), ())
+    assert takes_in(keeper, {"k3": 0}, ("k1", "k2", "k3"), 0) == (("k1", "k2"), ("k3",))
+    assert takes_in(keeper, {"k3": 0}, ("k1", "k2", "k3"), 9 * 10**9) is None       # it is not there any more
+
+
+def test_one_that_is_left_goes_on_alone_by_an_operators_word():
+    keeper = Keeper("k1", Config(("k0", "k1", "k2"), ()), Chance("k1", 1), 0)
+    keeper.loaded(3, "k2", None, entries(1, 4, term=3))
+    writes = keeper.alone()
+    assert keeper.config() == Config(("k1",), ()) and keeper.term == 4 and keeper.last() == 4
+    assert keeper.synced(writes[0].number, 0) == []
+    done = keeper.due(keeper.next_due())
+    number = max(a.number for a in done if isinstance(a, Write))
+    done += keeper.synced(number, 10**9)
+    done += keeper.synced(keeper.number, 10**9)
+    assert any(isinstance(a, Leads) for a in done) and keeper.committed == keeper.last()
--- a/tests/test_fleet_rollout.py
+++ b/tests/test_fleet_rollout.py
@@ -3,9 +3,31 @@
 import msgspec
 import pytest
 
-from sprucegate.fleet.agreement.following import Applied, Entries, Follow, Follower, Propose, Proposed, Serving, Word
-from sprucegate.fleet.agreement.keeper import Config, Entry, Keeper
+from sprucegate.fleet.agreement.fitness import Begins, Begun
+from sprucegate.fleet.agreement.following import (
+    Applied,
+    Entries,
+    Follow,
+    Follower,
+    Propose,
+    Proposed,
+    Serving,
+    State,
+    Word,
+)
+from sprucegate.fleet.agreement.keeper import (
+    Append,
+    AppendAnswer,
+    Config,
+    Entry,
+    Keeper,
+    Stand,
+    Vote,
+    VoteAnswer,
+    Whole,
+)
 from sprucegate.fleet.chance import Chance
+from sprucegate.fleet.links import agreed
 from sprucegate.fleet.rollout import gates
 from sprucegate.fleet.rollout.follower import Words
 from sprucegate.fleet.rollout.gates import Seen, Verdict
@@ -483,6 +505,39 @@
     assert set(one.heard_from) == {"x"}      # an agent is no front: nobody waits for its word
 
 
+# On the way.
+
+CONFIG = Config(("k0", "k1"), ())
+SAID = [
+    Vote(1, 2, 1, True, False), VoteAnswer(2, True, False),
+    Append(3, 4, 2, [Entry(5, 3, "data", ["ask", "h"]), Entry(6, 3, "config", CONFIG)], 4, 9),
+    AppendAnswer(3, True, 6, 9), Whole(3, 9, 2, CONFIG, b"state", 1), Stand(4),
+    Follow(7, 1 << 40, 2, ([("c0", 1, 2, 3, 4, 5, 6)], ["c1"], {"origin": "rests"})),
+    Entries(1, 2, [(3, ["ask", "h"]), (4, None)], 5, True, "k1"), State(1, 9, [1, 9], True, "k1"),
+    Propose(1, ["halt", "v2", "op", "why"]), Proposed(1, 0, "", "k1"), Begins(2, 77), Begun(2, 77, False)]
+
+
+def test_each_word_of_the_log_comes_as_it_went():
+    assert [agreed.unpacked(*agreed.packed(said)) for said in SAID] == SAID
+    assert {type(said) for said in SAID} == set(agreed.KINDS[1:])
+
+
+@pytest.mark.parametrize("said", [
+    Propose(1, ["grant", "h"]), Propose(1, ["ask", "h"]), Propose(1, ["ask", "h", "c0", "op", "x" * 201]),
+    Propose(1, ["once", "q", ["once", "r", ["withdraw", "h"]]]), Propose(1, ["once", "", ["withdraw", "h"]]),
+    Propose(1, ["ask", "h", "c0", "op", "why", "v2", "2"]),              # a release's own request is no operator's
+    Append(3, 4, 2, [Entry(6, 3, "data", None)], 4, 9), Whole(1, 2, 3, (1, 2), b"", 4)])
+def test_a_word_that_would_trip_all_is_refused_at_the_door(said):
+    with pytest.raises(agreed.Unreadable):
+        agreed.unpacked(*agreed.packed(said))
+
+
+@pytest.mark.parametrize("number, data", [(0, b""), (99, b""), (1, b"\xc1"), (1, b"\x90")])
+def test_bytes_that_are_no_word_are_refused(number, data):
+    with pytest.raises(agreed.Unreadable):
+        agreed.unpacked(number, data)
+
+
 # Whole fleets under troubles.
 
 @pytest.mark.parametrize("seed", [1, 2, 5, 20])
