--- a/benchmarks/replication.py
+++ b/benchmarks/replication.py
@@ -242,9 +242,9 @@
                 "loop_stall_ms_max": round(stall, 1)}
     took, over, stall = catch_up(count, 10, 7)
     print(f"seven in ten at once: {took:.1f} s, {over:.2f} of the least bytes, longest {stall:.1f} ms", flush=True)
-    took, stall = storm(count)
-    figures |= {"twins_s": round(took, 2), "twins_stall_ms": round(stall, 1)}
-    print(f"{count} dots with two contents each: {took:.1f} s to one state, longest answer {stall:.1f} ms", flush=True)
+    apart, stall = storm(count)
+    figures |= {"twins_s": round(apart, 2), "twins_stall_ms": round(stall, 1)}
+    print(f"{count} dots with two contents each: {apart:.1f} s to one state, longest answer {stall:.1f} ms", flush=True)
     # In a process that has done nothing else: what was freed before would be taken again and not seen.
     with ProcessPoolExecutor(1, multiprocessing.get_context("spawn")) as fresh:
         figures |= {"catch_up_s_7_of_10": round(took, 2), "bytes_a_fact": round(fresh.submit(memory, count).result())}
--- a/sprucegate/fleet/rollout/permits.py
+++ b/sprucegate/fleet/rollout/permits.py
@@ -116,12 +116,12 @@
         taken.update({p.box: p.step.name.lower() for p in self.of_box.values() if p.step in TAKES})
         return {name: why for name, why in taken.items() if name in self.boxes}
 
-    def wait(self, permit):
+    def wait(self, permit, out=None):
         """Why it may not go out now: (what, of, out, most), or None. Of `what`, "last" and "gone" bind it alone."""
         box = self.boxes.get(permit.box)
         if box is None:
             return "gone", permit.box, 0, 0
-        out = self.out()
+        out = self.out() if out is None else out
         if box.name in out:
             return None                      # it takes its place already, as it failed by itself
         same = [b for b in self.boxes.values() if (b.role, b.location, b.kind) == (box.role, box.location, box.kind)]
@@ -145,8 +145,10 @@
         """{id: why} of all that ask, those that are behind an earlier one of the same place included; what may not go
         at all (a halted release) is in nobody's way."""
         found, taken = {}, []
-        for permit in [p for p in self.of_box.values() if p.step is Step.ASKED and may(p)]:
-            why, box = self.wait(permit), self.boxes.get(permit.box)
+        asked = [p for p in self.of_box.values() if p.step is Step.ASKED and may(p)]
+        out = self.out() if asked else {}
+        for permit in asked:
+            why, box = self.wait(permit, out), self.boxes.get(permit.box)
             ahead = next((id for id, place in taken if box is not None and place in self._places(box)), None)
             if why is None and ahead is not None:
                 why = "behind", ahead, 0, 0
@@ -178,11 +180,15 @@
     def grants(self, index, may=lambda permit: True):
         """Those that go out now, in the order of asking; `may` holds a release back."""
         granted = []
-        for permit in [p for p in self.of_box.values() if p.step is Step.ASKED and may(p)]:
-            if permit.id not in self.waits(may):
-                permit.step, permit.index = Step.GRANTED, index
-                granted.append(permit)
-        return granted
+        while True:
+            # Anew after each: what is granted takes a place that the next one may have wanted.
+            waits = self.waits(may)
+            free = next((p for p in self.of_box.values()
+                         if p.step is Step.ASKED and p.id not in waits and may(p)), None)
+            if free is None:
+                return granted
+            free.step, free.index = Step.GRANTED, index
+            granted.append(free)
 
     def said_drained(self, id, front, life):
         """That front sends it nothing new and names it no more as source. All live fronts have to."""
--- a/standins/fleet/rollouts.py
+++ b/standins/fleet/rollouts.py
@@ -128,7 +128,7 @@
 
 class Front(Process):
     def begins(self):
-        self.drained = {}
+        self.drained, self.told_at = {}, 0
 
     def turn(self, now):
         fresh = self.machine.drained()
@@ -138,9 +138,11 @@
         self.drained = fresh
         if not self.follower.fenced(now):
             self.world.note(self.name, "lease", self.follower.until)
-        down = [name for name, cache in self.world.caches.items() if cache.state == "down"]
-        rows = [[name, *cache.served(self.name), cache.starts] for name, cache in self.world.caches.items()]
-        self.follower.report = [rows, down, {}]
+        if now >= self.told_at:
+            self.told_at = now + 200 * MS
+            down = [name for name, cache in self.world.caches.items() if cache.state == "down"]
+            rows = [[name, *cache.served(self.name), cache.starts] for name, cache in self.world.caches.items()]
+            self.follower.report = [rows, down, {}]
         return (self.words.view(self.machine, self.world.listed, LIMITS, now)
                 + self.words.due(self.machine, self.drained, self._warm, now))
 
--- a/tests/test_fleet_rollout.py
+++ b/tests/test_fleet_rollout.py
@@ -565,7 +565,7 @@
 
 EARLY = ("due", lambda self, machine, drained, warm, now, real=Words.due: real(
     self, machine, {p.box: 1 for p in machine.permits.of_box.values()}, warm, now))
-ANY = ("wait", lambda self, permit: None)
+ANY = ("wait", lambda self, permit, out=None: None)
 SOWN = [
     ("over_budget", Permits, *ANY, small(waves=[["c0", "c1", "c2", "c3", "c4"]])),
     ("last_gone", Permits, *ANY, small(("ask", "h", "c0", "op", ""), ("ask", "i", "c3", "op", ""))),
