Fronts restart by permit, a release that never gets live halts, reports grow with what changed

- A front drained by permit answers 503 to /status/live and serves what comes; SIGTERM without one is obeyed, logged and counted, and nobody waits for its lease.
`release history`, plans without a box beside the first wave refused.
- A released box that does not come back within 300 s halts its release: its agent renewed, so nothing else would have.
- Seen in reading it through: every front told all boxes ten times a second and the leader worked out the counts of all fronts and boxes anew each time, 40,000 rows at 200 by 200.
Fronts tell what changed, twice a second; the leader adds what comes, once.
Rows by name and boxes are worked out when the view changes.
A keeper takes connections of all fronts, not of 64.
- Names of keepers that come back bear ^, as ~ marks a twin among fronts.

--- a/sprucegate/assembly/keep.py
+++ b/sprucegate/assembly/keep.py
@@ -9,7 +9,7 @@
 from sprucegate.fleet.agreed import Agreed
 from sprucegate.fleet.face import Node
 from sprucegate.fleet.links import codec
-from sprucegate.fleet.links.links import Links
+from sprucegate.fleet.links.links import KEEPER_MOST, Links
 
 
 async def keep(name, fleet, agreement, rollout, log, **trusted):
@@ -30,7 +30,7 @@
             return orjson.dumps({"ok": False, "error": f"{question.what} is not known to a keeper"})
         return orjson.dumps({"ok": True, "front": name, **agreed.shown()})
 
-    links = Links(fleet.address, log, greeting, heard, asked)
+    links = Links(fleet.address, log, greeting, heard, asked, KEEPER_MOST)
     agreed = Agreed(name, life, Node(agreement.addresses, agreement.state, rollout.limits), life, log, links,
                     **trusted)
     if fault := links.start():
--- a/sprucegate/fleet/agreed.py
+++ b/sprucegate/fleet/agreed.py
@@ -31,6 +31,7 @@
 S = 1_000_000_000
 TICK = 0.02             # seconds between two looks at what is due
 DUTIES = 0.1
+REPORT_EVERY = S // 2   # of a front, about all boxes
 AGAIN = 1.0             # until a disk that failed is tried again
 COMPACT = 2000          # entries after which a snapshot is made
 PATIENCE = 2 * S        # of an operator's request
@@ -234,13 +235,28 @@
         chance = Chance(f"{name}/follows", seed ^ life)
         self.follower = Follower(list(node.addresses), life, chance, time.monotonic_ns(),
                                  front_lease()) if face is not None else None
-        self.words, self.fenced, self.stale = Words(name, life), True, False
+        self.words, self.fenced, self.stale, self.report_at = Words(name, life), True, False, 0
+        self.compared = None
 
     async def start(self):
         if self.voting is not None:
             self.tasks.append(self.loop.create_task(self.voting.begins()))
         self.tasks.append(self.loop.create_task(self._ticks()))
 
+    def renamed(self, name, life):
+        """This front is another life, or another name beside its twin: it follows and speaks as that from here on."""
+        if self.voting is None:
+            self.name, self.face.name = name, name
+        self.life = self.follower.life = life
+        self.words = Words(self.name, life)
+
+    def leaves(self):
+        """SIGTERM at a front: obeyed with or without a permit; nobody waits for its lease."""
+        permit = self.machine.permits.of_box.get(self.name)
+        if permit is None or permit.step not in (Step.DRAINED, Step.OUT):
+            self.log("left_without_permit")
+        self._do(self.follower.propose(["left", self.name, self.life], None, time.monotonic_ns(), PATIENCE))
+
     async def stop(self):
         if self.voting is not None:
             await self.voting.stop()
@@ -292,12 +308,21 @@
         if fenced != self.fenced:
             self.fenced = fenced
             self.log("keepers_lost" if fenced else "keepers_found", index=self.follower.index)
-        self.follower.report = self.face.report()
+        if now >= self.report_at:
+            self.report_at = now + REPORT_EVERY
+            self.follower.report = self.face.report()
         self._do(self.follower.due(now))
         if now - self.words_at >= DUTIES * S and not self.stale:
             self.words_at = now
-            for command in (self.words.view(self.machine, self.face.boxes(), self.node.limits(self.face.floor()), now)
-                            + self.words.due(self.machine, self.face.drained, self.face.warm, now)):
+            wanted = self.words.due(self.machine, self.face.drained, self.face.warm, now)
+            # Where nothing changed on either side there is nothing to compare: boxes may be thousands.
+            key = self.face.changed(), id(self.machine.permits.boxes), len(self.machine.permits.boxes), min(
+                self.machine.permits.fronts, default="")
+            if key != self.compared:
+                said = self.words.view(self.machine, self.face.boxes(), self.node.limits(self.face.floor()), now)
+                self.compared = key if self.words.same else None
+                wanted += said
+            for command in wanted:
                 self._do(self.follower.propose(command, None, now, PATIENCE))
 
     def _do(self, actions):
@@ -358,6 +383,7 @@
                          "step": p.step.name.lower(), "index": p.index, "drained": p.drained, "warm": p.warm,
                          "start": p.start, "holder": p.holder, "overdue": p.overdue, "waits": waits.get(p.id)}
                         for p in fields[:SHOWN_MOST]],
+            "history": machine.releases.history, "left_without_permit": permits.without,
             "ended": {id: permits.permits[id].step.name.lower() for id in permits.ended[-SHOWN_MOST:]},
             "releases": [{"name": n, "by": r.by, "phase": Phase(r.phase).name.lower(), "wave": r.wave, "why": r.why,
                           "waves": [list(w) for w in r.plan.waves], "done": r.done, "ahead": r.ahead,
--- a/sprucegate/fleet/agreement/fitness.py
+++ b/sprucegate/fleet/agreement/fitness.py
@@ -17,7 +17,7 @@
 AGAIN = 200 * MS
 HERE = 2 * S            # since a newcomer was last heard
 KNOWN_MOST = 1000
-BETWEEN = "~"           # before what makes a name another one
+BETWEEN = "^"           # before what makes a name another one; a twin among fronts has ~ there
 
 
 class Begins(NamedTuple):
--- a/sprucegate/fleet/agreement/following.py
+++ b/sprucegate/fleet/agreement/following.py
@@ -147,7 +147,8 @@
     def _ask(self, now):
         self.number += 1
         self.asked_at, self.answered = now, False
-        return [Send(self.keeper, Follow(self.index, self.life, self.number, self.report))]
+        report, self.report = self.report, []        # once each: two hundred fronts' reports are what a leader hears
+        return [Send(self.keeper, Follow(self.index, self.life, self.number, report))]
 
     def _other(self):
         others = [k for k in self.keepers if k != self.keeper] or self.keepers
@@ -205,7 +206,9 @@
     def heard(self, sender, message, now):
         if isinstance(message, Follow):
             if message.life:                 # a front; an agent of boxes has none
-                self.heard_from[sender] = message.life, now, message.report
+                # Not each question has one: the last of that life stands.
+                life, _, report = self.heard_from.get(sender, (0, 0, []))
+                self.heard_from[sender] = message.life, now, message.report or (report if life == message.life else [])
             return [Send(sender, self._followed(message, now))]
         index, done = self.keeper.propose(message.command, now)
         if not index:
--- a/sprucegate/fleet/face.py
+++ b/sprucegate/fleet/face.py
@@ -27,6 +27,8 @@
         """`members()`: {name: member} of the fronts."""
         self.driver, self.merged, self.members = driver, merged, members
         self.placed, self.wanted, self.counts, self.missed = {}, {}, {}, {}
+        self.name, self.aside = driver.wanted.name, False        # whether its own permit keeps clients away
+        self.seen, self.reported = (-1, {}), {}      # rows by the view's generation; what was told of each box last
         self.cold, self.starts = {}, {}      # box -> (start, since, GETs until then); -> (started, how often)
         self.places = {value: name for name, value in driver.wanted.locations.items()}
         self.kinds = {value: name for name, value in driver.wanted.kinds.items()}
@@ -36,25 +38,42 @@
 
     def _rows(self):
         """Caches and parents of the view by name; the origin never goes out by a permit."""
-        origin = self.driver.router.get("origin_kind", -1)
-        return {row.server.name: row for row in self.merged.view.rows.values()
-                if row.standing.name != "GONE" and row.server.entry.kind != origin}
+        view, origin = self.merged.view, self.driver.router.get("origin_kind", -1)
+        if self.seen[0] != view.generation:  # of 20,000 rows few change: all anew each time would hold up GETs
+            self.seen = view.generation, {row.server.name: row for row in view.rows.values()
+                                          if row.standing.name != "GONE" and row.server.entry.kind != origin}
+        return self.seen[1]
+
+    def changed(self):
+        """Differs where `boxes` may give something else."""
+        return self.merged.view.generation, [(name, m.standing) for name, m in sorted(self.members().items())]
 
     def boxes(self):
         found = {name: Box(name, "cache", self.places.get(row.server.entry.location, ""),
-                           self.kinds.get(row.server.entry.kind, ""), str(row.server.entry.cell), 1)
+                           self.kinds.get(row.server.entry.kind, ""), str(row.server.entry.cell),
+                           self._weight(row.server.entry.id))
                  for name, row in self._rows().items()}
         for name, member in self.members().items():
             if member.standing <= Member.SUSPECT:
                 found[name] = Box(name, "front", "", "front", "", 1)
         return found
 
+    def _weight(self, at):
+        """As its list has it, in thousandths: in the view one that comes back has less of it for a while."""
+        view = self.merged.view
+        listed = next((view.lists[source][at] for source in view.order if at in view.lists[source]), None)
+        return max(1, int(1000 * listed.entry.weight)) if listed is not None else 1
+
     # Drains.
 
     def holds(self, machine):
         """What the log drains is drained in the view; what it drains no more is lifted there, as its own word alone."""
         self.wanted, now = machine.drained(), self.driver.clock()
         rows = self._rows()
+        if (self.name in self.wanted) != self.aside:
+            # What sends clients here asks /status/live; those that come all the same are served.
+            self.aside = self.name in self.wanted
+            self.driver.aside = self.aside
         for box in [b for b in self.placed if b not in self.wanted]:
             at, started = self.placed.pop(box)
             self.merged.word(at, started, SOURCE, False, now)
@@ -115,9 +134,17 @@
         for name, row in rows.items():
             started, times = self.starts.get(name, (row.server.entry.started, 1))
             self.starts[name] = row.server.entry.started, times + (row.server.entry.started != started)
+        if len(self.starts) > FORGOTTEN + len(rows):
+            self.starts = {name: one for name, one in self.starts.items() if name in rows}
+            self.reported = {name: one for name, one in self.reported.items() if name in rows}
         down = [name for name, times in self.missed.items() if times >= MISSED and name in rows]
-        return [[[name, *self.counts.get(name, (0, 0, 0, 0, 0)), self.starts[name][1]] for name in rows], down,
-                self._troubles()]
+        told = []
+        for name in rows:
+            row = [name, *self.counts.get(name, (0, 0, 0, 0, 0)), self.starts[name][1]]
+            if self.reported.get(name) != row:       # counts go on: one that is lost is made up for by the next
+                self.reported[name] = row
+                told.append(row)
+        return [told, down, self._troubles()]
 
     def _troubles(self):
         """The origin is in trouble where the rules' own brake holds it back."""
@@ -129,7 +156,7 @@
         """Whether that start answers here and has had its time: cold credit is earned by then at every front."""
         seen, rows, now = self.cold.get(box), self._rows(), self.driver.clock()
         if box in self.members() or box not in rows:
-            return box in self.members() and self.driver.ready
+            return box == self.name and self.driver.ready
         if seen is None or seen[0] != start or self.missed.get(box):
             return False
         place, router = self._place(box, rows), self.driver.router
--- a/sprucegate/fleet/links/links.py
+++ b/sprucegate/fleet/links/links.py
@@ -12,6 +12,7 @@
 from sprucegate.fleet.links.outgoing import Outgoing
 
 OUT_MOST, IN_MOST = 12, 64  # connections: those of this front's own choice, and those that chose it
+KEEPER_MOST = 1024          # and those of a keeper, whom every front follows
 GREET = 2.0                 # seconds for the greeting
 IDLE = 30.0                 # seconds without a byte either way, after which one is closed
 READ = 256 << 10
@@ -43,11 +44,11 @@
 
 
 class Links:
-    def __init__(self, listen, log, greeting, heard, asked):
+    def __init__(self, listen, log, greeting, heard, asked, taken_most=IN_MOST):
         """`greeting()` gives this front's; `heard(name, message)` and the awaited `asked(question)` take what comes."""
         self.listen, self.log, self.greeting, self.heard, self.asked = listen, log, greeting, heard, asked
         self.loop, self.listener, self.task = asyncio.get_running_loop(), None, None
-        self.dialled, self.taken, self.by_name = {}, set(), {}
+        self.dialled, self.taken, self.by_name, self.taken_most = {}, set(), {}, taken_most
         self.bytes_out, self.bytes_in, self.refused, self.reading = 0, 0, 0, None
         self.sent = {}                       # messages by kind
 
@@ -134,7 +135,7 @@
                 self.log("fleet_accept_failed", error=str(fault))
                 await asyncio.sleep(0.1)
                 continue
-            if len(self.taken) >= IN_MOST:
+            if len(self.taken) >= self.taken_most:
                 sock.close()
                 continue
             sock.setblocking(False)
--- a/sprucegate/fleet/rollout/commands.py
+++ b/sprucegate/fleet/rollout/commands.py
@@ -10,6 +10,7 @@
     "ask": tuple[str, str, str, str], "withdraw": tuple[str], "drained": tuple[str, str, int], "out": tuple[str, str],
     "renew": tuple[str, str], "late": tuple[str, int], "started": tuple[str, str], "warm": tuple[str, str, str, int],
     "give-up": tuple[str], "stands": tuple[str, str], "front": tuple[str, int, bool],
+    "left": tuple[str, int],
     "boxes": tuple[list[tuple[str, str, str, str, str, int]]],
     "limits": tuple[list[tuple[str, str, str, int, int]], tuple[int, int]],
     "release": tuple[tuple[str, str, str, str, list[list[str]], int], str], "halt": tuple[str, str, str],
--- a/sprucegate/fleet/rollout/follower.py
+++ b/sprucegate/fleet/rollout/follower.py
@@ -8,7 +8,7 @@
 
 class Words:
     def __init__(self, name, life):
-        self.name, self.life, self.said = name, life, {}
+        self.name, self.life, self.said, self.same = name, life, {}, False
 
     def due(self, machine, drained, warm, now):
         """Commands to propose. `drained`: boxes that this front sends nothing new and names no more as source;
@@ -23,7 +23,7 @@
 
     def view(self, machine, boxes, limits, now):
         """Boxes and limits as this front's lists and file have them, said by the first of the live fronts alone."""
-        permits, found = machine.permits, []
+        permits, found, self.same = machine.permits, [], True
         if not permits.fronts or min(permits.fronts) != self.name:
             return []
         if limits != [[list(b) for b in permits.budgets], list(permits.warmth)]:
@@ -32,6 +32,7 @@
         known = [list(b) for b in permits.boxes.values() if b.name not in out or b.name in boxes]
         if sorted(known) != sorted(map(list, boxes.values())):
             found.append(["boxes", [list(b) for b in boxes.values()]])
+        self.same = not found                # in the log, not merely proposed
         return self._fresh(found, now)
 
     def _fresh(self, found, now):
--- a/sprucegate/fleet/rollout/leader.py
+++ b/sprucegate/fleet/rollout/leader.py
@@ -9,13 +9,14 @@
 
 from sprucegate.fleet.rollout import gates
 from sprucegate.fleet.rollout.gates import Seen, Verdict
-from sprucegate.fleet.rollout.permits import TAKES
+from sprucegate.fleet.rollout.permits import TAKES, Step
 from sprucegate.fleet.rollout.releases import Phase
 
 MS, S = 1_000_000, 1_000_000_000
 FRONT_LEASE = 6 * S     # from the last question of a front to its being counted out
 MARGIN = 1500 * MS      # a front's own lease ends so much earlier: an election, clocks that drift, a slow answer
 PERMIT_LEASE = 30 * S
+LIVE_MOST = 300 * S     # from the stop of a released box to its being back
 AGAIN = S               # until what was proposed and did not come is proposed anew
 
 
@@ -29,7 +30,8 @@
     def __init__(self, machine, now, gate=None):
         self.machine, self.since, self.gate = machine, now, gate or gates.Limits()
         self.under_way = {}                  # command as text -> when proposed
-        self.renewed_at, self.waves, self.looked = {}, {}, {}
+        self.renewed_at, self.away, self.waves, self.looked = {}, {}, {}, {}
+        self.told, self.totals, self.starts = {}, {}, {}     # last reports; counts by box; starts by box and front
 
     def due(self, heard, now):
         """Commands to propose. `heard`: front -> (life, when, report)."""
@@ -43,7 +45,8 @@
     def _fronts(self, heard, now):
         known, found = self.machine.permits.fronts, []
         for name, (life, at, _) in sorted(heard.items()):
-            if now - at < FRONT_LEASE and known.get(name) != life:
+            left = self.machine.permits.gone.get(name) == life
+            if now - at < FRONT_LEASE and known.get(name) != life and not left:
                 found.append(["front", name, life, True])
         for name, life in sorted(known.items()):
             last = heard[name][1] if name in heard and heard[name][0] == life else 0
@@ -60,11 +63,15 @@
 
     def _permits(self, now):
         found, open_now = [], self.machine.permits.of_box.values()
+        self.away = {id: at for id, at in self.away.items() if id in self.renewed_at}
         self.renewed_at = {p.id: self.renewed_at.get(p.id) for p in open_now if p.step in TAKES}
         for permit in [p for p in open_now if p.step in TAKES]:
             seen = self.renewed_at[permit.id]
             if seen is None or seen[0] != (permit.renewed, permit.step):
                 seen = self.renewed_at[permit.id] = (permit.renewed, permit.step), now
+            since = self.away.setdefault(permit.id, now) if permit.step in (Step.OUT, Step.COLD) else now
+            if now - since >= LIVE_MOST:
+                found += self._halts(f"{permit.box} does not come back", permit.release)
             if not permit.overdue and now - seen[1] >= PERMIT_LEASE:
                 found.append(["late", permit.id, permit.renewed])
                 found += self._halts(f"whoever replaces {permit.box} is lost", permit.release)
@@ -106,65 +113,71 @@
 
     # Gates.
 
+    def _takes(self, heard):
+        """What reports add to the counts of each box: worked out as they come, once each, never by the whole table."""
+        for name, report in self._said(heard).items():
+            life, before, rows = self.told.get(name, (None, None, {}))
+            if report is before:
+                continue
+            known = rows if life == heard[name][0] else {}
+            rows = dict(known)
+            for box, *row in report[0]:
+                rows[box], old = row, known.get(box)
+                if old is None:
+                    continue                 # the first word of a front, or to a new leader, is where it begins
+                total = self.totals.setdefault(box, [0] * 6)
+                for at in range(5):
+                    total[at] += max(0, row[at] - old[at])
+                # Starts are the box's own: each front tells of all of them.
+                seen = self.starts.setdefault(box, {})
+                seen[name] = seen.get(name, 0) + max(0, row[5] - old[5])
+                total[5] = max(seen.values())
+            self.told[name] = heard[name][0], report, rows
+
     def _gates(self, heard, now):
         found = []
+        self._takes(heard)
         for name, release in self.machine.releases.releases.items():
             if release.phase is not Phase.RUNNING or release.passed:
                 self.waves.pop(name, None)
                 continue
-            counts = self._counts(heard)
-            at = release.turn, release.wave
+            at, wave = (release.turn, release.wave), release.plan.waves[release.wave]
             if self.waves.get(name, (None,))[0] != at:
                 # A new leader begins a wave's watch anew: later than need be, never on what it has not seen.
-                self.waves[name] = at, dict(counts), {}, None
+                self.waves[name] = at, {box: list(total) for box, total in self.totals.items()}, {}, None
             _, base, begun, whole = self.waves[name]
-            wave = [b for w in release.plan.waves[:release.wave + 1] for b in w if b in release.done]
             for box in release.done:
                 # From when it is back: what was served before by the former version is not its own.
-                begun.setdefault(box, self._of_box(counts, box))
-            missing = [b for b in release.plan.waves[release.wave]
-                       if b not in release.done and b in self.machine.permits.boxes]
-            if whole is None and not missing:
+                begun.setdefault(box, self._of(box))
+            if whole is None and not any(b not in release.done and b in self.machine.permits.boxes for b in wave):
                 whole = now
                 self.waves[name] = at, base, begun, whole
+            # Looks are counted by what the gate's risk is divided by.
+            if now - self.looked.get(name, 0) < max(S, release.plan.bake // gates.LOOKS):
+                continue
+            self.looked[name] = now
+            released = self._sum(release.done, begun)
             others = [b.name for b in self.machine.permits.boxes.values() if b.kind == release.plan.kind
                       and b.name not in release.done and b.name not in self.machine.permits.of_box]
-            released = self._sum([self._less(self._of_box(counts, b), begun[b]) for b in wave])
-            rest = self._sum([self._less(self._of_box(counts, b), self._of_box(base, b)) for b in others])
-            starts = max([self._of_box(counts, b)[-1] - begun[b][-1] + 1 for b in wave], default=0)
+            rest = self._sum(others, base)
+            starts = max([self._of(b)[5] - begun[b][5] + 1 for b in release.done], default=0)
             baked = whole is not None and now - whole >= release.plan.bake
-            if not others and baked and released.gets:
+            if not others and baked:
                 # The last wave has nobody beside it: held against those that were released first.
                 older = [b for w in release.plan.waves[:release.wave] for b in w if b in release.done]
-                rest = self._sum([self._less(self._of_box(counts, b), begun[b]) for b in older])
-            # Looks are counted by what the gate's risk is divided by.
-            if now - self.looked.get(name, 0) < max(S, release.plan.bake // gates.LOOKS):
-                continue
-            self.looked[name] = now
+                released, rest = self._sum([b for b in wave if b in release.done], begun), self._sum(older, begun)
             said, by, figures = gates.verdict(released, rest, starts, baked, self.gate)
             if said is not Verdict.FEW:
                 text = f"{by}: {figures[0]:.3g} beside {figures[1]:.3g}" if by else ""
                 found.append(["gate", name, *at, said is Verdict.PASS, text])
         return found
 
-    def _counts(self, heard):
-        """{(front, life, box): counts}; those of a front that began anew stand beside its former ones."""
-        return {(name, heard[name][0], row[0]): tuple(row[1:]) for name, report in self._said(heard).items()
-                for row in report[0]}
-
-    @staticmethod
-    def _of_box(counts, box):
-        rows = [row for (_, _, of), row in sorted(counts.items()) if of == box]
-        # Starts are the box's own: each front tells of all of them.
-        if not rows:
-            return 0, 0, 0, 0, 0, 0
-        return *(sum(column) for column in zip(*[row[:-1] for row in rows], strict=True)), max(row[-1] for row in rows)
-
-    @staticmethod
-    def _less(now, before):
-        return [max(0, a - b) for a, b in zip(now[:-1], before[:-1], strict=True)]
-
-    @staticmethod
-    def _sum(rows):
-        total = [sum(column) for column in zip(*rows, strict=True)] if rows else [0] * 5
+    def _of(self, box):
+        return list(self.totals.get(box, [0] * 6))
+
+    def _sum(self, boxes, since):
+        total = [0] * 5
+        for box in boxes:
+            begun = since.get(box, [0] * 6)
+            total = [t + now - then for t, now, then in zip(total, self._of(box), begun, strict=False)]
         return Seen(total[0], (*total[1:], 0))
--- a/sprucegate/fleet/rollout/permits.py
+++ b/sprucegate/fleet/rollout/permits.py
@@ -94,16 +94,19 @@
         self.fronts = {}                     # live ones by the log: name -> life
         self.permits, self.of_box = {}, {}   # in the order of asking; box -> its open one
         self.ended, self.over = [], []       # ids that are told of still; permits that ended by this command
+        self.without, self.gone = 0, {}      # fronts that went without a permit; by name the life that left last
 
     def told(self):
         return [[list(b) for b in self.budgets], list(self.warmth), [list(b) for b in self.boxes.values()], self.down,
-                self.fronts, [p.told() for p in self.permits.values()], self.ended]
+                self.fronts, [p.told() for p in self.permits.values()], self.ended, self.without,
+                self.gone]
 
     def loaded(self, told):
-        budgets, warmth, boxes, down, fronts, permits, ended = told
+        budgets, warmth, boxes, down, fronts, permits, ended, self.without, gone = told
         self.budgets, self.warmth = [Budget(*b) for b in budgets], Warmth(*warmth)
         self.boxes = {b[0]: Box(*b) for b in boxes}
         self.down, self.fronts, self.ended = dict(down), dict(fronts), list(ended)
+        self.gone = dict(gone)
         self.permits = {p[0]: Permit(*p) for p in permits}
         self.of_box = {p.box: p for p in self.permits.values() if p.step in OPEN}
 
@@ -289,11 +292,22 @@
 
     def front(self, name, life, on):
         """A front that follows the log, or one whose lease ended (not `on`): it is waited for no more."""
-        if on:
+        if on and self.gone.get(name) != life:      # one that has left still follows until it ends
             self.fronts[name] = life
-        elif self.fronts.get(name) == life:
+            self.gone.pop(name, None)
+        elif not on and self.fronts.get(name) == life:
             del self.fronts[name]
 
+    def left(self, name, life):
+        """A front that ends by SIGTERM: nobody has to wait for its lease. Without a permit it is obeyed and counted."""
+        if self.fronts.get(name) == life:
+            permit = self.of_box.get(name)
+            self.without += permit is None or permit.step not in (Step.DRAINED, Step.OUT)
+            del self.fronts[name]
+            self.gone[name] = life
+            while len(self.gone) > ENDED_MOST:
+                del self.gone[next(iter(self.gone))]
+
     def _end(self, permit, step):
         permit.step = step
         self.over.append(permit)
--- a/sprucegate/fleet/rollout/releases.py
+++ b/sprucegate/fleet/rollout/releases.py
@@ -8,6 +8,8 @@
 
 from sprucegate.fleet.rollout.permits import Step
 
+HISTORY_MOST = 500      # events of releases that are told of
+
 
 class Phase(IntEnum):
     RUNNING = 0
@@ -58,13 +60,18 @@
     def __init__(self, permits):
         self.permits, self.releases = permits, {}
         self.troubles = {}                   # what -> why: while there is one, releases wait by themselves
+        self.history, self.index = [], 0     # (entry, release, what, by or why)
 
     def told(self):
-        return [[one.told() for one in self.releases.values()], self.troubles]
+        return [[one.told() for one in self.releases.values()], self.troubles, self.history]
 
     def loaded(self, told):
         self.releases = {one.plan.name: one for one in map(Release.of, told[0])}
-        self.troubles = dict(told[1])
+        self.troubles, self.history = dict(told[1]), [list(one) for one in told[2]]
+
+    def _note(self, name, what, text=""):
+        self.history.append([self.index, name, what, text])
+        del self.history[:-HISTORY_MOST]
 
     def start(self, plan, by):
         known = self.releases.get(plan.name)
@@ -78,9 +85,13 @@
             return "a box stands in two waves, or none is named"
         if missing := [box for box in boxes if box not in self.permits.boxes]:
             return f"no such box: {missing[0]}"
+        of_kind = [box.name for box in self.permits.boxes.values() if box.kind == plan.kind]
+        if set(of_kind) <= set(plan.waves[0]):
+            return "no such plan: a gate holds the first wave against boxes beside it, and there is none"
         while len(self.releases) >= 100 and (over := next((n for n, r in self.releases.items() if r.over()), None)):
             del self.releases[over]
         self.releases[plan.name] = Release(plan, by)
+        self._note(plan.name, "started", by)
         return "started"
 
     def halt(self, name, by, why):
@@ -91,6 +102,7 @@
         if release.phase is not Phase.HALTED:
             release.phase, release.why = Phase.HALTED, f"{by}: {why}"
             self._withdraw(release)
+            self._note(name, "halted", release.why)
         return "halted"
 
     def resume(self, name, by):
@@ -98,6 +110,7 @@
         if release is None or release.phase is not Phase.HALTED:
             return "is not halted"
         release.phase, release.why, release.passed = (Phase.BACK if release.ahead else Phase.RUNNING), "", False
+        self._note(name, "resumed", by)
         release.turn += 1                    # what was withdrawn is asked for anew, under other ids
         return "resumed"
 
@@ -113,6 +126,7 @@
         out = [p.box for p in self.permits.of_box.values() if p.release == name and p.version == release.plan.version]
         release.ahead = [*reversed(release.done), *[box for box in out if box not in release.done]]
         release.phase, release.why = Phase.BACK, f"{by} turned it back"
+        self._note(name, "goes back", by)
         release.turn += 1
         return "goes back"
 
@@ -123,6 +137,7 @@
             return
         if passed:
             release.passed = True
+            self._note(name, f"wave {wave + 1} passed", why)
         else:
             self.halt(name, "gate", why)
 
@@ -153,6 +168,7 @@
                     release.wave, release.passed = release.wave + 1, False
                     if release.wave == len(release.plan.waves):
                         release.wave, release.phase = release.wave - 1, Phase.DONE
+                        self._note(release.plan.name, "done")
                     else:
                         for box in release.plan.waves[release.wave]:
                             self._ask(release, box)
@@ -161,6 +177,7 @@
                     self._ask(release, box)
                 if not release.ahead:
                     release.phase = Phase.RETURNED
+                    self._note(release.plan.name, "returned")
 
     def _ask(self, release, box):
         if box in self.permits.boxes and box not in self.permits.of_box:
--- a/sprucegate/fleet/rollout/rollout.py
+++ b/sprucegate/fleet/rollout/rollout.py
@@ -19,7 +19,7 @@
         self.commands = {
             "ask": permits.ask, "withdraw": permits.withdraw, "drained": permits.said_drained, "out": permits.went,
             "renew": permits.renew, "late": permits.late, "started": permits.started, "warm": permits.said_warm,
-            "give-up": permits.give_up, "stands": permits.stands, "front": permits.front,
+            "give-up": permits.give_up, "stands": permits.stands, "front": permits.front, "left": permits.left,
             "boxes": lambda boxes: permits.listed([Box(*box) for box in boxes]), "limits": self._limits,
             "release": lambda plan, by: releases.start(Plan(*plan[:4], tuple(map(tuple, plan[4])), plan[5]), by),
             "halt": releases.halt, "resume": releases.resume, "back": releases.back, "gate": releases.gate,
@@ -40,7 +40,7 @@
 
     def apply(self, index, command):
         """(the word for whoever asked, permits that are granted by it)."""
-        self.index = index
+        self.index = self.releases.index = index
         if not command:
             return "", []                    # an entry of the log's own
         if command[0] == "once":
--- a/sprucegate/fleet/service.py
+++ b/sprucegate/fleet/service.py
@@ -14,7 +14,7 @@
 
 from sprucegate.fleet.keeping import PIECE, Keeping, Unreadable, packed
 from sprucegate.fleet.links import codec
-from sprucegate.fleet.links.links import Links
+from sprucegate.fleet.links.links import IN_MOST, KEEPER_MOST, Links
 from sprucegate.fleet.members.swim import Doubled, Fenced, Standing, Stands
 from sprucegate.fleet.peer import Peer, outgoing
 from sprucegate.fleet.replica.facts import State
@@ -97,7 +97,9 @@
     def start(self):
         if self.peer is None:
             return self.up.set()
-        self.links = Links(self.node.address, self.log, self._greeting, self._heard, self._asked)
+        keeps = self.agreement is not None and self.name in self.agreement[0].addresses
+        self.links = Links(self.node.address, self.log, self._greeting, self._heard, self._asked,
+                           KEEPER_MOST if keeps else IN_MOST)
         if fault := self.links.start():
             self.log("fleet_listen_failed", address=self.node.listen, error=fault)
         self.do(self.peer.starts(time.monotonic_ns()))
@@ -112,6 +114,8 @@
 
     def leave(self):
         """SIGTERM: the others need not find out by themselves. This front hears and tells until its end."""
+        if self.agreed is not None:
+            self.agreed.leaves()
         if self.peer is not None and self.links is not None:
             self.do(self.peer.leaves(time.monotonic_ns()))
 
@@ -341,6 +345,8 @@
         self.peer.renewed(start, alias)
         if alias:
             self.links.greet_again()
+        if self.agreed is not None:
+            self.agreed.renamed(self.peer.members.own.name, self.peer.members.own.life)
         self.log("fleet_renewed", name=self.peer.members.own.name, life=f"{self.peer.members.own.life:x}")
 
     def _later(self, deed):
--- a/sprucegate/front/driver.py
+++ b/sprucegate/front/driver.py
@@ -25,7 +25,7 @@
     def __init__(self, wanted, pool, log, clock=time.time_ns):
         self.wanted, self.log, self.clock, self.loop = wanted, log, clock, asyncio.get_running_loop()
         self.router = Router(wanted.settings, wanted.seed, clock())
-        self.relay, self.book, self.ready = Relay(self), Book(), False
+        self.relay, self.book, self.ready, self.aside = Relay(self), Book(), False, False
         self.servers = Servers(self, pool, wanted.settings, wanted.descriptors // 3, wanted.servers)
         self.most = wanted.settings.get("max_open", 1 << 30)
         self.open, self.ids, self.limits, self.order = {}, {}, [], count()
@@ -37,8 +37,8 @@
     def request(self, client, request, at):
         now = self.clock()
         if request.target == LIVE:
-            self.relay.write(client, answer(200 if self.ready else 503, b"\n", close=not request.keep_alive),
-                             last=not request.keep_alive)
+            status = 200 if self.ready and not self.aside else 503
+            self.relay.write(client, answer(status, b"\n", close=not request.keep_alive), last=not request.keep_alive)
             return
         try:
             get = admit(client, request, self.wanted.ds_names, self.wanted.settings, self.ids, now - at)
--- a/sprucegate/operator/file.py
+++ b/sprucegate/operator/file.py
@@ -107,7 +107,8 @@
         for value in self.keepers:
             name, _, address = value.partition("=")
             host, _, port = address.rpartition(":")
-            if not name or "~" in name or not host or not port.isdigit() or not 0 < int(port) < 65_536:
+            named = name and not set("^~") & set(name)       # what comes after them makes a name another one
+            if not named or not host or not port.isdigit() or not 0 < int(port) < 65_536:
                 return "keepers", f"must be NAME=HOST:PORT, not {value[:60]!r}"
         if len(self.addresses) != len(self.keepers):
             return "keepers", "names one twice"
--- a/sprucegate/operator/rollout.py
+++ b/sprucegate/operator/rollout.py
@@ -215,6 +215,21 @@
     _shown(said, as_json, _tables(said))
 
 
+@release.command()
+@click.argument("of", required=False)
+@OPERATOR
+@AT
+@JSON
+def history(of, path, address, as_json):
+    """What became of releases: entry of the log, release, what, by whom or why."""
+    said = _state(path, address, as_json)
+    rows = [row for row in said["history"] if of in (None, row[1])]
+    table = Table("entry", "release", "what", "by or why", title=f"{said['front']}: entry {said['index']}{_age(said)}")
+    for row in rows:
+        table.add_row(*map(str, row))
+    _shown({"ok": True, "history": rows}, as_json, table)
+
+
 def _user():
     return os.environ.get("USER") or "operator"
 
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -198,3 +198,37 @@
     with pytest.raises(file.Faulty) as fault:
         file.parse(FLEET.replace(old, new), "f")
     assert (fault.value.line, fault.value.key) == (line, key)
+
+
+AGREED = FLEET + """agreement {
+    keepers "k0=127.0.0.1:7200" "k1=127.0.0.1:7201" "k2=127.0.0.1:7202"
+}
+rollout {
+    budgets "fleet cache 3 0.5" "kind=parent any 1 0.25"
+    spare 0.25
+}
+"""
+
+
+def test_keepers_and_budgets_are_read():
+    made = file.parse(AGREED, "f")
+    assert made.agreement.addresses["k1"] == "127.0.0.1:7201" and made.agreement.state == "keeper"
+    assert made.rollout.limits(0.1) == [[["fleet", "", "cache", 3, 500], ["kind", "parent", "", 1, 250]], [100, 250]]
+
+
+@pytest.mark.parametrize("old, new, key, text", [
+    ('"k2=127.0.0.1:7202"', "", "agreement.keepers", "odd"), ("k2=", "k1=", "agreement.keepers", "twice"),
+    ("k2=127.0.0.1:7202", "k2", "agreement.keepers", "HOST:PORT"), ("k2=", "k^2=", "agreement.keepers", "HOST:PORT"),
+    ("fleet cache 3 0.5", "fleet cache 3", "rollout.budgets", "COUNT"),
+    ("fleet cache 3 0.5", "house cache 3 0.5", "rollout.budgets", "scope"),
+    ("fleet cache 3 0.5", "fleet parent 3 0.5", "rollout.budgets", "role"),
+    ("fleet cache 3 0.5", "fleet cache 0 0.5", "rollout.budgets", "count"),
+    ("fleet cache 3 0.5", "fleet cache x 0.5", "rollout.budgets", "x"),
+    ("spare 0.25", "spare 2", "rollout.spare", ""), ("rollout {", "rolling {", "rolling", "not known"),
+    (AGREED[len(FLEET):AGREED.index("rollout")], "", "rollout", "agreement"),
+    (AGREED[AGREED.index("rollout"):], "", "agreement", "rollout"), (FLEET, "", "agreement", "fleet")])
+def test_a_fault_in_keepers_or_budgets_is_told_with_its_key(old, new, key, text):
+    assert old in AGREED
+    with pytest.raises(file.Faulty) as caught:
+        file.parse(AGREED.replace(old, new), "f")
+    assert caught.value.key == key and text in caught.value.text
