Folders put back are a trouble of the keepers' schedules, and box agents have their words

`fleet out|started|renew`: a new user's walk through the README had no way to replace a box by hand.

--- a/sprucegate/operator/rollout.py
+++ b/sprucegate/operator/rollout.py
@@ -15,7 +15,7 @@
 from sprucegate.operator import file
 from sprucegate.operator.fleet import AT, JSON, OPERATOR, _ask, _fail, _node, _shown
 
-REFUSALS = ("no such", "can't", "is not", "another", "a box", "asked for already", "too many")
+REFUSALS = ("no such", "not drained", "not out", "can't", "is not", "another", "a box", "asked for already", "too many")
 ID = click.option("--id", "request", help="Of a request that is given again: it has no second effect.")
 
 
@@ -136,6 +136,41 @@
     _say(path, address, as_json, _given(request, "undrain", permit), ["withdraw", permit])
 
 
+@click.command()
+@click.argument("permit")
+@ID
+@OPERATOR
+@AT
+@JSON
+def out(permit, request, path, address, as_json):
+    """For box agents: the box of PERMIT is about to be stopped; exit 1 while it is not drained."""
+    request = _given(request, "out", permit)
+    _say(path, address, as_json, request, ["out", permit, _user()])
+
+
+@click.command()
+@click.argument("permit")
+@click.argument("start")
+@ID
+@OPERATOR
+@AT
+@JSON
+def started(permit, start, request, path, address, as_json):
+    """For box agents: the box of PERMIT runs again, as START, a name of this start alone."""
+    _say(path, address, as_json, _given(request, "started", permit), ["started", permit, start])
+
+
+@click.command()
+@click.argument("permit")
+@ID
+@OPERATOR
+@AT
+@JSON
+def renew(permit, request, path, address, as_json):
+    """For box agents: whoever replaces the box of PERMIT is still at it; at least every 30 s."""
+    _say(path, address, as_json, _given(request, "renew", permit), ["renew", permit, _user()])
+
+
 @click.command("give-up")
 @click.argument("box")
 @ID
@@ -276,4 +311,4 @@
     return [str(nodes[0].args[0]), found["kind"], found["version"], found["former"], waves, found["bake"]]
 
 
-COMMANDS = (keeper, keepers, drain, undrain, give_up, watch, release)
+COMMANDS = (keeper, keepers, drain, undrain, give_up, watch, release, out, started, renew)
--- a/standins/fleet/keepers.py
+++ b/standins/fleet/keepers.py
@@ -8,6 +8,7 @@
 import sys
 from itertools import count
 
+from sprucegate.fleet.agreement.fitness import Begins, Begun, Fitness, Keep, PutBack, base, takes_in
 from sprucegate.fleet.agreement.keeper import (
     Apply,
     Config,
@@ -33,9 +34,22 @@
         self.world, self.name, self.config = world, name, config
         self.disk, self.pending, self.up, self.paused, self.generation = [], [], False, False, 0
         self.keeper, self.state, self.lying, self.full = None, [], [], False
+        # Who it is, its starts and those of others that it keeps: on its disk as well.
+        self.known_as, self.starts, self.known, self.newcomers = name, 0, {}, {}
+
+    def copied(self):
+        """The folder as it is now."""
+        return self.known_as, self.starts, dict(self.known), list(self.disk)
+
+    def put_back(self, copy):
+        self.known_as, self.starts, self.known, self.disk = copy[0], copy[1], dict(copy[2]), list(copy[3])
 
     def start(self):
         self.generation, self.up, self.paused, self.pending, self.lying = self.generation + 1, True, False, [], []
+        self.starts += 1
+        others = [n for n in self.world.names if n != self.name]
+        self.fitness = Fitness(self.known_as, self.starts, self.world.chance.getrandbits(32), others, self.known,
+                               self.world.now)
         term, vote, snapshot, entries = 0, "", None, []
         for record in self.disk:
             term, vote = record.term, record.vote
@@ -45,7 +59,8 @@
                 entries = [e for e in entries if e.index < record.cut]
             entries += record.entries
         chance = Chance(self.name, self.world.seed + self.generation)
-        self.keeper = Keeper(self.name, self.config, chance, self.world.now)
+        config = self.config if self.known_as == self.name else Config((), ())
+        self.keeper = Keeper(self.known_as, config, chance, self.world.now)
         self.keeper.loaded(term, vote, snapshot, entries)
         self.installs(0, snapshot[3] if snapshot is not None else [])
         self.world.note(self.name, "start")
@@ -70,10 +85,17 @@
         world = self.world
         for action in actions:
             match action:
+                case PutBack():
+                    world.note(self.name, "put-back", action.name)
+                    self.crash(world.chance)
+                    self.known_as, self.starts, self.known, self.disk = action.name, 0, {}, []
+                    return self.start()
+                case Keep():
+                    world.later(MS, self, self._known, self.generation, action)
                 case Send():
                     if isinstance(action.message, VoteAnswer) and action.message.granted and not action.message.pre:
-                        world.note(self.name, "votes", action.message.term, action.to)
-                    world.send(self.name, action.to, action.message)
+                        world.note(self.keeper.name, "votes", action.message.term, action.to)
+                    world.send(self.keeper.name, action.to, action.message)
                 case Write():
                     self.pending.append(action)
                     if self.full:
@@ -89,10 +111,11 @@
                     self.installs(action.index, action.state)
                     world.note(self.name, "installs", action.index)
                 case Leads():
-                    world.note(self.name, "leads" if action.on else "leads-no-more", action.term)
+                    name = self.keeper.name
+                    world.note(name, "leads" if action.on else "leads-no-more", action.term)
                     self.leads(action.on)
                     if action.on:
-                        world.note(self.name, "votes", action.term, self.name)
+                        world.note(name, "votes", action.term, name)
                 case Current():
                     world.note(self.name, "current", action.token, action.index)
         keeper = self.keeper
@@ -114,7 +137,13 @@
     def leads(self, on):
         pass
 
-    def comes(self, sender, message):
+    def comes(self, sender, to, message):
+        if isinstance(message, Begins | Begun):
+            if isinstance(message, Begins):
+                self.newcomers[sender] = self.world.now
+            return self.fitness.heard(sender, message, self.world.now)
+        if not self.fitness.fit or to != self.keeper.name:
+            return []                        # what its former self was told is not its own
         return self.keeper.heard(sender, message, self.world.now)
 
     def _synced(self, generation, number):
@@ -124,6 +153,34 @@
             self.disk.append(self.pending.pop(0))
         return self.keeper.synced(number, self.world.now)
 
+    def _known(self, generation, action):
+        if generation != self.generation or not self.up or self.full:
+            return []
+        self.known = action.known
+        return self.fitness.kept(action.number, self.world.now)
+
+    def due(self):
+        """What it says by itself: it asks whether it may vote; as a leader it takes in who came back as another."""
+        now, keeper = self.world.now, self.keeper
+        done = self.fitness.due(now, keeper.name in keeper.config().voters)
+        if not self.fitness.fit:
+            return done
+        if keeper.next_due() <= now:
+            done += keeper.due(now)
+            names = {base(name) for name in keeper.config().voters}
+            if (step := takes_in(keeper, self.newcomers, names, now)) is not None:
+                index, actions = keeper.change(*step, now)
+                if index:
+                    self.world.note(keeper.name, "changes", index, step)
+                done += actions
+        return done
+
+    def next_due(self):
+        if not self.fitness.fit:
+            return self.fitness.next_due()
+        member = self.keeper.name in self.keeper.config().voters
+        return self.keeper.next_due() if member else min(self.keeper.next_due(), self.fitness.next_due())
+
     def _not_kept(self, generation):
         return self.keeper.not_kept(self.world.now) if generation == self.generation and self.up else []
 
@@ -134,7 +191,7 @@
     def __init__(self, size, seed, loss=0.0, spare=0):
         self.seed, self.chance, self.now, self.trace, self.loss = seed, random.Random(seed), 0, [], loss
         self.events, self.order, self.cut, self.armed = [], count(), set(), {}
-        names = [f"k{at}" for at in range(size + spare)]
+        names = self.names = [f"k{at}" for at in range(size + spare)]
         first = Config(tuple(names[:size]), ())
         self.boxes = {name: self.made(self, name, first if at < size else Config((), ()))
                       for at, name in enumerate(names)}
@@ -150,7 +207,7 @@
         heapq.heappush(self.events, (when, next(self.order), deed, given))
 
     def send(self, sender, to, message):
-        if (sender, to) in self.cut or to not in self.boxes:
+        if (base(sender), base(to)) in self.cut or base(to) not in self.boxes:
             return
         for _ in range(2 if self.chance.random() < self.loss / 3 else 1):
             if self.chance.random() >= self.loss:
@@ -159,13 +216,13 @@
                                              (sender, to, message)))
 
     def _comes(self, sender, to, message):
-        box = self.boxes[to]
+        box = self.boxes[base(to)]
         if box.up:
             # By call, so that one that stood still takes what came at the time when it wakes.
-            box.event(box.comes, sender, message)
+            box.event(box.comes, sender, to, message)
 
     def wake(self, box):
-        due = box.keeper.next_due()
+        due = box.next_due()
         if self.armed.get(box.name) != (box.generation, due):
             self.armed[box.name] = box.generation, due
             at = max(due, self.now + 1)
@@ -174,7 +231,7 @@
     def _due(self, box, generation, due):
         if box.up and self.armed.get(box.name) == (generation, due):
             self.armed.pop(box.name)
-            box.event(lambda: box.keeper.due(self.now))
+            box.event(box.due)
 
     def run(self, until):
         while self.events and self.events[0][0] <= until:
@@ -241,7 +298,7 @@
     """A world after faults for a while and time to settle."""
     world = World(size, seed, loss, spare)
     chance = random.Random(seed * 31 + size)
-    names = list(world.boxes)
+    names, putting = list(world.boxes), True
     for box in world.boxes.values():
         box.start()
     for at in range(0, span, 40 * MS):
@@ -250,7 +307,10 @@
             world.at(at, world.read)
     for _ in range(chance.randrange(2, 9)):
         when, lasts, name = S + int(chance.random() * span), int(chance.random() * 3 * S), chance.choice(names)
-        what = chance.choice(("kill", "kill-leader", "pause", "split", "one-way", "move", "change", "full"))
+        what = chance.choice(("kill", "kill-leader", "pause", "split", "one-way", "move", "change", "full", "put-back"))
+        if what == "put-back" and putting:
+            putting = False                  # two folders at one time are not promised
+            _put_back(world, name, when, lasts)
         if what == "kill":
             world.at(when, lambda n=name: world.boxes[n].crash(chance) if world.boxes[n].up else None)
             world.at(when + lasts, world.restart, name)
@@ -293,12 +353,29 @@
     # By the leader's word: one that was removed while it was away doesn't know of it.
     voters = {name for box in world.leaders() for name in box.keeper.config().voters}
     world.note("", "voters", sorted(voters))
-    for name, box in world.boxes.items():
-        if name in voters:
+    for box in world.boxes.values():
+        if (name := box.known_as) in voters:
             world.note(name, "dump", box.keeper.applied, list(box.state))
     return world
 
 
+def _put_back(world, name, when, lasts):
+    """A copy is taken, things go on, the keeper dies and its folder is as it was, or empty."""
+    box, copies = world.boxes[name], []
+    world.at(when, lambda: copies.append(box.copied()))
+
+    def back():
+        if box.up:
+            box.crash(world.chance)
+        box.put_back(copies[0] if world.chance.random() < 0.7 else (box.name, 0, {}, []))
+        world.note(name, "folder-put-back")
+    # A start lies between: the others know of one that the copy does not.
+    world.at(when + lasts // 2, lambda: box.crash(world.chance) if box.up else None)
+    world.at(when + lasts // 2 + 1, world.restart, name)
+    world.at(when + lasts + S // 2, back)
+    world.at(when + lasts + S // 2 + 1, world.restart, name)
+
+
 # Checkers: of a trace alone.
 
 def two_leaders(trace):
--- a/standins/fleet/rollouts.py
+++ b/standins/fleet/rollouts.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from sprucegate.fleet.agreement.fitness import base
 from sprucegate.fleet.agreement.following import Follow, Follower, Propose, Serving, State
 from sprucegate.fleet.agreement.keeper import Send
 from sprucegate.fleet.chance import Chance
@@ -66,12 +67,14 @@
         self.world.later(100 * MS, self, self._duties, generation, leading)
         return done
 
-    def comes(self, sender, message):
+    def comes(self, sender, to, message):
         if isinstance(message, Follow | Propose):
+            if not self.fitness.fit:
+                return []
             done = self.serving.heard(sender, message, self.world.now)
             return [a._replace(message=a.message._replace(state=msgspec.msgpack.encode(a.message.state)))
                     if isinstance(a, Send) and isinstance(a.message, State) else a for a in done]
-        return self.keeper.heard(sender, message, self.world.now)
+        return super().comes(sender, to, message)
 
 
 class Process:
@@ -102,8 +105,8 @@
         elif self.up:
             self.done(deed(*given) or [])
 
-    def comes(self, sender, message):
-        return self.follower.heard(sender, message, self.world.now)
+    def comes(self, sender, to, message):
+        return self.follower.heard(base(sender), message, self.world.now)
 
     def done(self, actions):
         for action in actions:
--- a/tests/test_fleet_agreed.py
+++ b/tests/test_fleet_agreed.py
@@ -303,6 +303,13 @@
     status, said = command(rig, "n1", "watch")
     assert status == 0 and said["permits"][0]["step"] == "drained" and said["leader"] in rig.keepers
     assert command(rig, "n1", "undrain", "mine")[1]["word"] == "withdrawn"
+    assert command(rig, "n1", "out", "mine")[0] == 1
+    asks(rig, "n0", "s-11", "own")
+    rig.step("own", "drained")
+    said = [command(rig, "n1", *words)[1]["word"] for words in (
+        ("out", "own"), ("renew", "own"), ("started", "own", "s1"))]
+    assert said == ["out", "done", "cold"]
+    rig.step("own", "back")
     # Relays carry frames alone: a question goes to the keepers themselves.
     file = rig.fronts["n0"].folder / "front.kdl"
     for relayed, keeper in zip(rig.relay.addresses[2:], rig.keepers.values(), strict=True):
--- a/tests/test_fleet_agreement.py
+++ b/tests/test_fleet_agreement.py
@@ -365,3 +365,20 @@
     done += keeper.synced(number, 10**9)
     done += keeper.synced(keeper.number, 10**9)
     assert any(isinstance(a, Leads) for a in done) and keeper.committed == keeper.last()
+
+
+class Trusting(Fitness):
+    """A keeper that goes by whatever its folder says."""
+
+    def __init__(self, *given):
+        super().__init__(*given)
+        self.fit = True
+
+
+@pytest.mark.parametrize("seed", [15, 37, 70])
+def test_a_folder_that_is_trusted_breaks_what_one_that_is_asked_about_keeps(seed, monkeypatch):
+    trace = played(seed, 3, (0.0, 0.1, 0.3)[seed % 3]).trace
+    assert not broken(trace) and any(what == "put-back" for _, _, what, *_ in trace)
+    monkeypatch.setattr(keepers, "Fitness", Trusting)
+    found = {name for name, _ in broken(played(seed, 3, (0.0, 0.1, 0.3)[seed % 3]).trace)}
+    assert found & {"lost", "applied_apart", "stale_reads", "votes_twice"}
