A halt that comes before its release was refused: the checker of halts counts from the start

Read in the trace (seed 1840): the operator's start went to a front that could not reach the leader and was given again; the halt meant for it came first and was told "no such release"; then the release began. The machine did what it said; the checker took the refused halt for one. Both seeds are kept as a test.

--- a/standins/fleet/rollouts.py
+++ b/standins/fleet/rollouts.py
@@ -446,7 +446,7 @@
 
 def granted_halted(trace):
     """From a halt's entry to the next resume or way back no permit of that release."""
-    halted, found, seen, given = {}, [], set(), set()
+    halted, found, seen, given, begun = {}, [], set(), set(), set()
     for at, _, what, *more in trace:
         if what == "applies" and more[2] and more[0] not in seen:
             index, command = more[0], more[2]
@@ -456,7 +456,11 @@
                     continue                 # given again, perhaps after a later word: it has no second effect
                 given.add(command[1])
                 command = command[2]
-            if command[0] in ("halt", "resume", "back"):
+            if command[0] == "release" and command[1][0] not in begun:
+                # A halt that came before it was refused: its operator was told that there is no such release.
+                begun.add(command[1][0])
+                halted.pop(command[1][0], None)
+            elif command[0] in ("halt", "resume", "back"):
                 halted.setdefault(command[1], []).append((index, command[0]))
         elif what == "grants" and more[3] in halted:
             before = [deed for index, deed in halted[more[3]] if index <= more[1]]
--- a/tests/test_fleet_rollout.py
+++ b/tests/test_fleet_rollout.py
@@ -571,6 +571,12 @@
     assert rollouts.broken(rollouts.played(seed, (3, 5)[seed % 2], loss=(0, 0.1, 0.3)[seed % 3]).trace) == []
 
 
+@pytest.mark.parametrize("seed", [1040, 1840])
+def test_a_halt_that_comes_before_its_release_is_refused_and_is_no_halt(seed):
+    world = rollouts.played(seed, 3, 4, 9, loss=(0, 0.1, 0.3)[seed % 3], span=25 * S)
+    assert rollouts.broken(world.trace, 9) == []
+
+
 def test_the_same_seed_gives_the_same_trace():
     assert rollouts.played(4, span=12 * S).trace == rollouts.played(4, span=12 * S).trace
 
