--- a/benchmarks/rollout.py
+++ b/benchmarks/rollout.py
@@ -249,7 +249,8 @@
             logs += one
         print(f"{count // 10} schedules of keepers alone, broken: {dict(logs) or 'none'}", flush=True)
         figures |= {"schedules": len(wanted), "over_budget": broke["over_budget"],
-                    "committed_lost": broke["machines_apart"] + logs["lost"] + logs["applied_apart"], "two_leaders": broke["two_leaders"],
+                    "committed_lost": broke["machines_apart"] + logs["lost"] + logs["applied_apart"],
+                    "two_leaders": broke["two_leaders"],
                     "votes_twice": broke["votes_twice"], "sent_to_drained": broke["sent_to_drained"],
                     "granted_halted": broke["granted_halted"], "without_end": broke["without_end"],
                     "last_gone": broke["last_gone"]}
