--- a/sprucegate/fleet/agreement/following.py
+++ b/sprucegate/fleet/agreement/following.py
@@ -14,6 +14,7 @@
 ENTRIES_MOST = 200      # in one answer
 ASKED_MOST = 200        # proposals of one front under way
 HINTS_MOST = 1000
+FOLLOWERS_MOST = 2000   # fronts that a keeper remembers
 
 
 class Follow(NamedTuple):
@@ -207,7 +208,9 @@
         if isinstance(message, Follow):
             if message.life:                 # a front; an agent of boxes has none
                 # Not each question has one: the last of that life stands.
-                life, _, report = self.heard_from.get(sender, (0, 0, []))
+                life, _, report = self.heard_from.pop(sender, (0, 0, []))
+                while len(self.heard_from) >= FOLLOWERS_MOST:
+                    del self.heard_from[next(iter(self.heard_from))]     # whoever was heard longest ago
                 self.heard_from[sender] = message.life, now, message.report or (report if life == message.life else [])
             return [Send(sender, self._followed(message, now))]
         index, done = self.keeper.propose(message.command, now)
--- a/sprucegate/fleet/rollout/leader.py
+++ b/sprucegate/fleet/rollout/leader.py
@@ -115,6 +115,11 @@
 
     def _takes(self, heard):
         """What reports add to the counts of each box: worked out as they come, once each, never by the whole table."""
+        boxes = self.machine.permits.boxes
+        if len(self.totals) > len(boxes) or len(self.told) > len(heard):
+            self.totals = {box: total for box, total in self.totals.items() if box in boxes}
+            self.starts = {box: seen for box, seen in self.starts.items() if box in boxes}
+            self.told = {name: one for name, one in self.told.items() if name in heard}
         for name, report in self._said(heard).items():
             life, before, rows = self.told.get(name, (None, None, {}))
             if report is before:
@@ -122,6 +127,8 @@
             known = rows if life == heard[name][0] else {}
             rows = dict(known)
             for box, *row in report[0]:
+                if box not in boxes:
+                    continue                 # not one that the log knows: it would be counted for ever
                 rows[box], old = row, known.get(box)
                 if old is None:
                     continue                 # the first word of a front, or to a new leader, is where it begins
--- a/tests/test_fleet_rollout.py
+++ b/tests/test_fleet_rollout.py
@@ -3,6 +3,7 @@
 import msgspec
 import pytest
 
+from sprucegate.fleet.agreement import following
 from sprucegate.fleet.agreement.fitness import Begins, Begun
 from sprucegate.fleet.agreement.following import (
     Applied,
@@ -564,6 +565,20 @@
         agreed.unpacked(number, data)
 
 
+def test_who_reports_of_boxes_that_are_none_or_under_many_names_fills_no_memory(monkeypatch):
+    log = Log()
+    release(log)
+    leading = Leading(log.machine, 0)
+    for at in range(50):
+        leading.due(heard(at * S, rows=[[f"none-{at}-{n}", at, 0, 0, 0, 0, 1] for n in range(20)]), at * S)
+    assert not leading.totals and not leading.starts and all(not rows for *_, rows in leading.told.values())
+    monkeypatch.setattr(following, "FOLLOWERS_MOST", 5)
+    _, one = serving()
+    for at in range(50):
+        one.heard(f"n{at}", Follow(0, 1, at, []), at)
+    assert list(one.heard_from) == [f"n{at}" for at in range(45, 50)]
+
+
 # Whole fleets under troubles.
 
 @pytest.mark.parametrize("seed", [1, 2, 5, 20])
