--- a/tests/test_fleet_agreed.py
+++ b/tests/test_fleet_agreed.py
@@ -257,7 +257,7 @@
             for name in self.rig.names:
                 self.count += 1
                 status, _ = self.rig.get(name, self.first + self.count, self.first + self.count)
-                if status not in (200, 503):     # a shed is an answer: a box that is slow, or a busy machine, costs some
+                if status not in (200, 503):     # a shed is an answer: a slow box, or a busy machine, costs some
                     self.bad.append((name, status))
 
 
