--- a/sprucegate/fleet/keeping.py
+++ b/sprucegate/fleet/keeping.py
@@ -110,14 +110,7 @@
         """`lives` and the packed pieces as they were when it began; logs before it go once it is there."""
         fault = self.snapshots.save(self.generation, at, _encode((lives, pieces)))
         if fault is None:
-            held = [int(name[6:22]) for name in self.disk.names(self.folder) if self.snapshots.named.fullmatch(name)]
-            for name in self.disk.names(self.folder):
-                # Those that the oldest kept snapshot needs stay: the newest may turn out to be torn.
-                if (match := self.named.fullmatch(name)) and int(match[1]) < min(held, default=0):
-                    try:
-                        self.disk.remove(os.path.join(self.folder, name))
-                    except OSError:
-                        pass
+            self.snapshots.logs_before(self.named)
         return fault
 
     def close(self):
--- a/sprucegate/fleet/ledger.py
+++ b/sprucegate/fleet/ledger.py
@@ -129,13 +129,7 @@
             return f"{type(fault).__name__}: {fault}"
         if fault := self.snapshots.save(self.generation, now, _encode(one.snapshot)):
             return fault
-        held = [int(match[1]) for n in self.disk.names(self.folder) if (match := self.snapshots.named.fullmatch(n))]
-        for name in self.disk.names(self.folder):
-            if (match := self.named.fullmatch(name)) and int(match[1]) < min(held, default=0):
-                try:
-                    self.disk.remove(os.path.join(self.folder, name))
-                except OSError:
-                    pass
+        self.snapshots.logs_before(self.named)
         return None
 
     def close(self):
--- a/sprucegate/state/snapshots.py
+++ b/sprucegate/state/snapshots.py
@@ -53,6 +53,18 @@
             except OSError:
                 pass
 
+    def logs_before(self, named):
+        """Logs by generation (`named` matches it) go that no kept snapshot needs; those that the oldest needs stay, as
+        the newest may turn out to be torn."""
+        names = self.disk.names(self.folder)
+        held = [int(match[1]) for name in names if (match := self.named.fullmatch(name))]
+        for name in names:
+            if (match := named.fullmatch(name)) and int(match[1]) < min(held, default=0):
+                try:
+                    self.disk.remove(os.path.join(self.folder, name))
+                except OSError:
+                    pass
+
     def newest(self, now, oldest):
         """(Taken or None, [Refused]): the newest that may be used, and why others before it may not."""
         refused = []
