A client's connection is one phase; the token of a tokened GET is passed on

One GET followed: the head on our own socket bears X-Dedupe-Key, and codec.serve had no field for it.

By reading: a client's connection was closing, busy, writer and begun, four flags and a task. It is one phase now, with its legal transitions in one table (front/memory/connections.py). At the end of the front: answers after SIGTERM say Connection: close, who rests is ended by half a close after a last look, the accept queue is emptied before the listener closes, half a request is waited for, and what is given up at the end follows from the longest viewer timeout (it was 3.3 s for every deployment). SIGTERM before the loop ended the process by the signal. Where all are busy a new client waits in the queue; it was closed with no answer. The accept task could be cancelled with a connection in its hand: now a reader.

Forwards of which no byte has left are taken back when their client leaves (also where nothing may be cancelled), when a drain, a removal or a purge is told, and at the final answer; timed out they count as never ran. A resting connection is looked at for its end before it is used. A list with one entry that can't be used is refused whole. The watch has a buffer of its own; the descriptors are what the process really gets.

--- a/sprucegate/__main__.py
+++ b/sprucegate/__main__.py
@@ -5,8 +5,11 @@
 import signal
 import sys
 
-# Before the slow imports: a SIGHUP that comes before the loop can take it would end the process.
+# Before the slow imports: a SIGHUP that comes before the loop can take it would end the process, and a SIGTERM would
+# end it by the signal, which looks like a crash. Nobody is let in until the loop takes both.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
+for number in (signal.SIGTERM, signal.SIGINT):
+    signal.signal(number, lambda *_: os._exit(0))
 
 import uvloop  # noqa: E402
 
--- a/sprucegate/assembly/run.py
+++ b/sprucegate/assembly/run.py
@@ -10,19 +10,20 @@
 from sprucegate.front.lifecycle.log import Log
 from sprucegate.front.lifecycle.subscribe import Subscription
 from sprucegate.front.memory.pool import Pool
-from sprucegate.front.protocol.http import RequestReader
 from sprucegate.front.stages.take_in import TakeIn
 
-STILL_COMING = 0.7      # seconds after SIGTERM for which clients may still send
-LAST = 3.3              # seconds after SIGTERM at which all that is still open is given up
+TURN = 0.01             # seconds between two looks at what is still open at the end
 RELOADED = ("bus", "known", "offset")    # what SIGHUP applies; all else takes a restart
 
 
 async def serve(wanted, log=None):
     """Serve until SIGTERM, then answer all that was taken; the exit status."""
     loop, log, pool = asyncio.get_running_loop(), log or Log(wanted.name), Pool(wanted.descriptors)
+    stop = asyncio.Event()
+    # Before anything else of the start: a SIGTERM that comes meanwhile is kept for the end of it.
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
     driver = Driver(wanted, pool, log)
-    take_in = TakeIn(driver, pool, wanted.descriptors // 2)
     if wanted.membership is not None:
         # Here and not above: a front without it loads none of its libraries.
         from sprucegate.membership.service import Membership
@@ -35,8 +36,6 @@
             driver.membership = Merged(driver, View(("bus",), 0, driver.clock()))
         driver.fleet = Fleet(driver, wanted.fleet, wanted.name, wanted.seed, driver.membership, wanted.agreement,
                              shares=wanted.shares)
-        if wanted.shares is not None:
-            RequestReader.shared = frozenset((wanted.shares.header_bytes,))
         # Before the first list: it may lift a drain of this front's own that the last run left.
         await driver.fleet.load()
     for _, news in wanted.known:
@@ -47,6 +46,15 @@
         listed = not await driver.membership.recovers() or wanted.fleet is None
         if listed:
             await driver.membership.start()
+    await asyncio.sleep(0)
+    if stop.is_set():
+        # Nobody was let in yet: there is nothing to serve on for.
+        if wanted.membership is not None:
+            driver.membership.stop()
+        log("stopped", **driver.book.taken())
+        return 0
+    repeatable = () if wanted.shares is None else (wanted.shares.header_bytes,)
+    take_in = TakeIn(driver, pool, wanted.descriptors // 2, wanted.times, frozenset(repeatable))
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
@@ -58,17 +66,14 @@
         return 1
     listener.listen(1024)
     listener.setblocking(False)
-    stop = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
     now = driver.clock()
     for place in driver.servers.places.values():
         driver.servers.warm(place, now)
-    subscription = Subscription(driver, wanted, pool)
+    subscription = Subscription(driver, wanted)
     subscription.start()
     loop.add_signal_handler(signal.SIGHUP, reload, subscription, wanted, log)
-    tasks = [loop.create_task(take_in.accept(listener)),
-             loop.create_task(housekeeping(driver, take_in, pool, log))]
+    take_in.listen(listener)
+    swept = loop.create_task(housekeeping(driver, take_in, pool, log))
     if driver.fleet is not None:
         # What comes meanwhile is served; but nobody is told to send here before its guard facts are there.
         driver.fleet.start()
@@ -81,17 +86,18 @@
     if driver.fleet is not None:
         driver.fleet.leave()
     log("stopping", gets=len(driver.open))
-    await asyncio.sleep(STILL_COMING)
-    tasks[0].cancel()
-    listener.close()
-    end = loop.time() + LAST - STILL_COMING
-    while driver.open or any(client.busy or client.writer for client in take_in.clients):
+    driver.relay.ending = True               # so that clients go elsewhere, and rest on no connection of this one
+    began = driver.clock()
+    await asyncio.sleep(wanted.times.still_coming / 1e9)
+    take_in.stop_listening()
+    while take_in.finish(driver.clock()) or driver.open:
         # A client that never reads its answer, or a patience past the kill, must not hold up the exit.
-        if loop.time() > end:
+        if driver.clock() - began > wanted.times.last:
             driver.stop()
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(5 * TURN)
             break
-        await asyncio.sleep(0.01)
+        await asyncio.sleep(TURN)
+    swept.cancel()
     for client in list(take_in.clients):
         take_in.close(client)
     driver.servers.stop()
--- a/sprucegate/front/driver.py
+++ b/sprucegate/front/driver.py
@@ -8,12 +8,12 @@
 
 from sprucegate.front.memory.copies import Copies, Copy
 from sprucegate.front.memory.gets import OpenForward
-from sprucegate.front.protocol.http import Refusal, answer, refusal, tagged
+from sprucegate.front.protocol.http import Refusal, tagged
 from sprucegate.front.stages.admit import LIVE, admit
 from sprucegate.front.stages.book import Book
 from sprucegate.front.stages.relay import Relay
 from sprucegate.front.stages.route import route
-from sprucegate.interface import Cancel, Errored, Forward, Found, Outcome, Shed, Wait
+from sprucegate.interface import Cancel, Errored, Forward, Found, Outcome, Shed, State, Wait
 from sprucegate.rules import OWN_BYTES, Router
 from sprucegate.servers.hosts import Hosts
 from sprucegate.servers.servers import Servers
@@ -38,8 +38,8 @@
     def request(self, client, request, at):
         now = self.clock()
         if request.target == LIVE:
-            status = 200 if self.ready and not self.aside else 503
-            self.relay.write(client, answer(status, b"\n", close=not request.keep_alive), last=not request.keep_alive)
+            up = self.ready and not self.aside and not self.relay.ending
+            self.relay.write(client, 200 if up else 503, b"\n")
             return
         try:
             get = admit(client, request, self.wanted.ds_names, self.wanted.settings, self.ids, now - at)
@@ -48,9 +48,9 @@
             get = Refusal(500, "this request could not be read")
         if isinstance(get, Refusal):
             self.book.count("bad_requests")
-            self.relay.write(client, refusal(get, close=True), last=True)
+            self.relay.refuse(client, get)
             return
-        client.get, client.closing, self.ids[get.id] = get, not request.keep_alive, get
+        client.get, self.ids[get.id] = get, get
         if self.places is not None:
             get.tenant = self.places.tenant(request.headers)
         if len(self.open) >= self.most:
@@ -125,8 +125,23 @@
         get.answered = True
         if self.places is not None:
             self.places.left(get)
+        self.take_back(get)
         self.say(get, get.handle.left(now), now)
 
+    def take_back(self, get, overtaken=lambda out: True):
+        """Forwards of which nothing has left yet, and that are no longer to be sent, never are.
+
+        One waits for a connection to come up, or behind one that takes nothing, for as long as its GET may wait.
+        """
+        for out in list(get.forwards.values()):
+            if not out.ended and overtaken(out) and self.servers.withdraw(out):
+                self.loop.call_soon(self.ended, out, Outcome.NOT_SENT, Found.UNTOLD, 0, {})
+
+    def take_back_all(self, overtaken):
+        """What was decided before the news just told and not begun is decided anew: it would be sent after them."""
+        for get in list(self.open.values()):
+            self.take_back(get, overtaken)
+
     def told(self, news):
         """A list or a purge, from the bus or from what was known at the start."""
         now = self.clock()
@@ -141,12 +156,19 @@
             if self.fleet is not None:
                 self.fleet.purged(news.object, news.group, news.at)
             self.router.purged(news.object, news.group, now - news.at, now)
+            # The oldest copy that a forward takes was worked out before the purge.
+            self.take_back_all(lambda out: news.group == out.get.asked.group if news.object < 0
+                               else news.object == out.get.asked.object)
         self.arm(now)
 
     def apply(self, hosts):
         """A list as it now holds: from the bus alone, or merged from all sources."""
         self.servers.listed(hosts)
         self.router.listed(hosts.entries, hosts.whole, self.clock())
+        serves = {entry.id for entry in hosts.entries if entry.state is State.SERVING}
+        named = hosts.names.keys()
+        self.take_back_all(lambda out: any(
+            at not in serves and (hosts.whole or at in named) for at in (out.cache, out.source)))
         self.arm(self.clock())
 
     def stop(self):
@@ -165,7 +187,8 @@
         for one in decided:
             match one:
                 case Forward():
-                    out = get.forwards[one.number] = OpenForward(get, one.number, one.cache, now, now + one.timeout)
+                    out = get.forwards[one.number] = OpenForward(
+                        get, one.number, one.cache, one.source, now, now + one.timeout)
                     if self.places is not None:
                         self.places.sent(get, out, one, now)
                     self.servers.forward(out, one)
@@ -175,10 +198,12 @@
                     self.places.waits(get, one.source, now)
                 case Shed():
                     self.book.count("gets_shed")
+                    self.take_back(get)
                     wait = b"X-Come-Back-Ms: %d\r\n" % (one.retry_after // MS) if one.retry_after else b""
                     self.relay.answer(get, 503, headers=wait)
                 case Errored():
                     self.book.count("gets_errored")
+                    self.take_back(get)
                     self.relay.answer(get, 502)
                 case Cancel():
                     out = get.forwards[one.number]
--- a/sprucegate/front/lifecycle/configuration.py
+++ b/sprucegate/front/lifecycle/configuration.py
@@ -1,6 +1,7 @@
 """The one place where configuration is read, checked and given defaults."""
 
 import os
+import resource
 from typing import NamedTuple
 
 import orjson
@@ -17,6 +18,39 @@
     """A message that names the key at fault."""
 
 
+MS, S = 1_000_000, 1_000_000_000
+
+# What the platform's protocol states for all deployments alike, none of it in the settings.
+STILL_COMING = 700 * MS     # after SIGTERM clients send for 0.4 s at most on new connections, 0.2 s more on open ones
+LONGEST_COUNTED = 3 * S     # SIGKILL comes no earlier than the longest viewer timeout, or this, plus STILL_COMING
+CLIENTS_IDLE = 4 * S        # clients close a connection that is idle for so long
+RESENT = 200 * MS           # a client sends on a connection it has just opened, or sees that one has ended
+BEFORE_KILL = 400 * MS      # kept free before SIGKILL may come, for answers that have to be written on a busy core
+
+
+class Times(NamedTuple):
+    """Bounds of connections to clients and of a front's end, nanoseconds; from the settings but for the page's own."""
+
+    unfinished: int         # for a first request, or one begun, to be whole
+    idle: int               # between two requests
+    sending: int            # for an answer to be read
+    lingering: int          # for a client to go once it is told so
+    fresh: int              # for the first request on a connection, when the front ends
+    still_coming: int       # from SIGTERM to the listener's end
+    last: int               # from SIGTERM until all that is open is given up
+
+
+def times_from(settings):
+    longest = max([given for given in settings.get("viewer_timeout") or () if given], default=LONGEST_COUNTED)
+    counted = min(longest, LONGEST_COUNTED)
+    return Times(
+        # Past seven tenths of its time a request that is still coming can hardly be answered in it.
+        unfinished=counted * 7 // 10, idle=3 * CLIENTS_IDLE,
+        # Nobody waits for an answer longer than the longest viewer timeout.
+        sending=longest, lingering=counted * 7 // 10, fresh=RESENT, still_coming=STILL_COMING,
+        last=counted + STILL_COMING - BEFORE_KILL)
+
+
 class Wanted(NamedTuple):
     """What the operators want of one front."""
 
@@ -34,6 +68,7 @@
     locations: dict
     kinds: dict
     settings: dict          # for the module, under its own names
+    times: Times
     servers: object = None  # what the operator's file says of them; None: all speak lines
     membership: object = None   # and of sources of the list; None: the bus alone
     fleet: object = None    # and of other fronts; None: this one is alone
@@ -71,6 +106,12 @@
     return value
 
 
+def _descriptors(told):
+    """What the process really gets: told more than that, it would run out of them before its own bounds act."""
+    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return int(min(1024, told, told if allowed == resource.RLIM_INFINITY else allowed))
+
+
 def _flat(value, path, into):
     """Nested JSON as the wire's paths and texts, which the name table reads."""
     if isinstance(value, dict):
@@ -141,7 +182,7 @@
         listen=_address(_pick(data, "listen", str), "listen"),
         seed=seed,
         memory_mb=_above(_pick(data, "limits.memory_mb", number, 192), "limits.memory_mb", 32),
-        descriptors=int(_above(min(1024, _pick(data, "limits.sockets", number, 1024)), "limits.sockets", 64)),
+        descriptors=_descriptors(_above(_pick(data, "limits.sockets", number, 1024), "limits.sockets", 64)),
         bus=_address(_pick(data, "bus", str), "bus"),
         flow=_above(_pick(data, "flow_bytes_per_s", number), "flow_bytes_per_s", 1),
         link=_above(_pick(data, "link_bytes_per_s", number), "link_bytes_per_s", 1),
@@ -151,4 +192,5 @@
         locations=locations,
         kinds=kinds,
         settings=settings,
+        times=times_from(settings),
     )
--- a/sprucegate/front/lifecycle/subscribe.py
+++ b/sprucegate/front/lifecycle/subscribe.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 
+from sprucegate.front.memory.pool import SIZE
 from sprucegate.front.protocol import bus
 
 SILENCE = 1.7       # seconds without a byte: a comment comes each second, what is missed counts after 4
@@ -10,9 +11,11 @@
 
 
 class Subscription:
-    def __init__(self, driver, wanted, pool):
-        self.driver, self.wanted, self.pool, self.last = driver, wanted, pool, wanted.offset
+    def __init__(self, driver, wanted):
+        self.driver, self.wanted, self.last = driver, wanted, wanted.offset
         self.loop, self.task = asyncio.get_running_loop(), None
+        # Its own: lent one by one to whoever reads, none could be left for the list.
+        self.buffer = memoryview(bytearray(SIZE))
         self.doubted = -1                    # the last event before a fault for which the bus was asked again
 
     def start(self):
@@ -37,9 +40,11 @@
 
     async def _read(self):
         """Reads one stream to its end; the reason of the end."""
-        sock, buffer = socket.socket(socket.AF_INET, socket.SOCK_STREAM), self.pool.take()
-        sock.setblocking(False)
+        sock = None
         try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             async with asyncio.timeout(SILENCE):
                 await self.loop.sock_connect(sock, self.wanted.bus)
                 host = "{}:{}".format(*self.wanted.bus)
@@ -49,25 +54,28 @@
             stream = bus.StreamReader()
             while True:
                 async with asyncio.timeout(SILENCE):
-                    size = await self.loop.sock_recv_into(sock, buffer)
+                    size = await self.loop.sock_recv_into(sock, self.buffer)
                 if not size:
                     return "the stream ended"
-                for _, data in stream.feed(bytes(buffer[:size])):
+                for _, data in stream.feed(bytes(self.buffer[:size])):
                     self._event(data)
         except TimeoutError:
             return "silent"
         except (OSError, bus.Malformed) as fault:
             return str(fault)
         finally:
-            self.pool.give_back(buffer)
-            sock.close()
+            if sock is not None:
+                sock.close()
 
     def reloaded(self, address, known):
         """The bus has moved: its new address is asked at once, since the old one tells nothing any more."""
         self.wanted = self.wanted._replace(bus=address)
         for offset, news in known:
             if offset == self.last + 1:  # past a gap, what lies between would never be asked for
-                self._apply(offset, news)
+                try:
+                    self._apply(offset, news)
+                except bus.Malformed:
+                    break                # the bus is asked for it
         self.start()
 
     def _event(self, data):
@@ -89,6 +97,10 @@
     def _apply(self, offset, news):
         if offset <= self.last:
             return                       # sent again after a break
+        try:
+            self.driver.told(news)
+        except Exception as fault:           # half applied: asked for again, and applied whole if it can be
+            self.driver.fault(fault)
+            self._doubt(bus.Malformed(f"event {offset} could not be applied"))
         self.last = offset
-        self.driver.told(news)
         self.driver.log("told", offset=offset, what=type(news).__name__)
--- a/sprucegate/front/memory/gets.py
+++ b/sprucegate/front/memory/gets.py
@@ -4,22 +4,23 @@
 
 
 class OpenForward:
-    __slots__ = ("get", "number", "cache", "at", "limit", "transport", "connection", "progress", "ended",
+    __slots__ = ("get", "number", "cache", "source", "at", "limit", "transport", "connection", "progress", "ended",
                  "place")
 
-    def __init__(self, get, number, cache, at, limit):
-        self.get, self.number, self.cache, self.at, self.limit = get, number, cache, at, limit
+    def __init__(self, get, number, cache, source, at, limit):
+        self.get, self.number, self.cache, self.source, self.at, self.limit = get, number, cache, source, at, limit
         self.transport, self.connection, self.progress, self.ended = None, None, Progress.NOT_SENT, False
         self.place = None                    # by which its fill may run, where places are shared out
 
 
 class OpenGet:
     __slots__ = ("client", "id", "ds", "thing", "part", "have", "body", "asked", "handle", "forwards",
-                 "left_on", "answered", "tenant")
+                 "left_on", "answered", "tenant", "token")
 
-    def __init__(self, client, call_id, ds, thing, part, have, body, asked):
+    def __init__(self, client, call_id, ds, thing, part, have, body, asked, token=""):
         self.client, self.id, self.ds, self.thing, self.part = client, call_id, ds, thing, part
         self.have, self.body, self.asked = have, body, asked
         self.handle, self.forwards, self.answered, self.tenant = None, {}, False, 0
+        self.token = token                   # by which servers know a repeat of it; "" where it bears none
         # Connections on which one of its forwards was given up: a late answer there bears the same id.
         self.left_on = []
--- a/sprucegate/front/protocol/bus.py
+++ b/sprucegate/front/protocol/bus.py
@@ -1,6 +1,7 @@
 """The event bus: server-sent events to list entries and purges. Opens no socket, decides nothing."""
 
 import re
+from math import isfinite
 from typing import NamedTuple
 
 import httptools
@@ -79,6 +80,8 @@
         if "topology" in event:
             said = event["topology"]
             hosts = [(_listed(entry, locations, kinds), entry) for entry in said["hosts"]]
+            for listed, entry in hosts:
+                _checked(listed, entry.get("dial", ""))
             names = {listed.id: (entry["host"], entry.get("dial", "")) for listed, entry in hosts}
             return offset, Hosts(bool(said.get("whole")), [listed for listed, _ in hosts], names)
         if "ban" in event:
@@ -86,7 +89,7 @@
             obj = int(said["url"], 16) if "url" in said else -1
             return offset, Purge(obj, int(said.get("tag", -1)) if obj < 0 else -1, int(said["ts"]) * MS)
         return offset, None
-    except (orjson.JSONDecodeError, KeyError, TypeError, ValueError, AttributeError) as fault:
+    except (orjson.JSONDecodeError, KeyError, TypeError, ValueError, AttributeError, OverflowError) as fault:
         raise Malformed(f"event that can't be read ({type(fault).__name__}: {fault})") from None
 
 
@@ -96,3 +99,13 @@
         kind=kinds.get(entry.get("class"), -1), cell=int(entry.get("block", 0)),
         state=STATES[entry["health"]], weight=float(entry.get("share", 1.0)),
         started=int(entry.get("born_ms", 0)) * MS)
+
+
+def _checked(listed, address):
+    """Against a list that is believed by half: what can't be used is found before anything of it is applied."""
+    if not (isfinite(listed.weight) and listed.weight > 0):
+        raise ValueError(f"share {listed.weight}")
+    host, _, port = address.rpartition(":")
+    if address or listed.state is not State.GONE:    # where one was that has gone is no longer wanted
+        if not host or not port.isdecimal() or not 0 < int(port) < 65536:
+            raise ValueError(f"dial {address[:60]!r}")
--- a/sprucegate/front/protocol/http.py
+++ b/sprucegate/front/protocol/http.py
@@ -31,10 +31,9 @@
 class RequestReader:
     """Requests of one connection, fed as the bytes come. After a fault nothing more is read."""
 
-    shared = frozenset()    # names of headers that may stand twice: then nothing is known by them
-
-    def __init__(self):
-        self.parser = httptools.HttpRequestParser(self)
+    def __init__(self, repeatable=frozenset()):
+        """`repeatable`: names of headers that may stand twice, as then nothing is known by them."""
+        self.parser, self.repeatable = httptools.HttpRequestParser(self), repeatable
         self.fault, self.whole = None, []
         self._clear()
 
@@ -52,7 +51,7 @@
         name = name.lower()
         if name in self.headers and self.headers[name] != value:
             # Two lengths or two ids that differ are how one request is smuggled in another.
-            if name in self.shared:
+            if name in self.repeatable:
                 value = b""
             else:
                 self.fault = self.fault or Refusal(400, f"header {name.decode('latin-1')} stands twice")
@@ -105,7 +104,3 @@
 def tagged(tag):
     return b'ETag: "%b"\r\n' % tag.encode() if tag else b""
 
-
-def refusal(said, close):
-    headers = b"Content-Type: text/plain\r\n" + said.headers
-    return answer(said.status, said.text.encode() + b"\n", headers, close)
--- a/sprucegate/front/stages/admit.py
+++ b/sprucegate/front/stages/admit.py
@@ -10,6 +10,7 @@
 TARGET = re.compile(rb"/svc/([^/?]+)/([0-9a-f]{1,16})(?:/slice-([0-9]{1,9}))?")
 CALL_ID = re.compile(rb"[0-9a-f]{16}")
 TAG = re.compile(rb'(?:W/)?"([0-9A-Za-z_.-]{1,64})"')
+TOKEN = re.compile(rb"[0-9A-Za-z_.-]{1,64}")
 LIVE = b"/status/live"
 
 
@@ -63,6 +64,10 @@
     longest = _of(settings, "viewer_timeout", ds, 3_600_000 * MS)
     if size * 1000 * MS > longest * settings.get("client_kb_per_s", 0) > 0:
         return Refusal(400, "X-Heap-Kb: more than can be sent while a client waits")
+    # Dropped on the way, a tokened GET would run as often as its client repeats it.
+    token = headers.get(b"x-dedupe-key", b"")
+    if token and not TOKEN.fullmatch(token):
+        return Refusal(400, "X-Dedupe-Key: up to 64 letters, digits and _.- are wanted")
     have = headers.get(b"if-none-match")
     have = have and TAG.fullmatch(have)
     asked = Asked(
@@ -70,4 +75,4 @@
         size=int(size), write=request.method == b"PUT", repeat=False,
         ttl=min(int(patience * MS), longest) - waited)
     return OpenGet(client, call_id, ds_name.decode(), thing.decode(), int(part or 0),
-                   have[1].decode() if have else "", request.body, asked)
+                   have[1].decode() if have else "", request.body, asked, token.decode())
--- a/sprucegate/front/stages/relay.py
+++ b/sprucegate/front/stages/relay.py
@@ -1,14 +1,15 @@
 """Relay: the one answer of each GET, written to its client."""
 
 import asyncio
-import socket
 
+from sprucegate.front.memory.connections import Phase
 from sprucegate.front.protocol import http
 
 
 class Relay:
     def __init__(self, driver):
         self.driver, self.loop = driver, asyncio.get_running_loop()
+        self.ending = False                  # the front stops: each answer is its connection's last
 
     def answer(self, get, status, body=b"", headers=b""):
         """At most one a GET, whatever is asked of this."""
@@ -16,11 +17,20 @@
             return
         get.answered, client = True, get.client
         client.get = None
-        self.write(client, http.answer(status, body, headers, client.closing), last=client.closing)
+        self.write(client, status, body, headers)
 
-    def write(self, client, data, last=False):
+    def refuse(self, client, said):
+        """The plain answer to what is no valid request; nothing more is read after it."""
+        client.last = True
+        self.write(client, said.status, said.text.encode() + b"\n", b"Content-Type: text/plain\r\n" + said.headers)
+
+    def write(self, client, status, body=b"", headers=b""):
         """At once where the socket takes all of it; the rest by sock_sendall in a task."""
-        client.closing, client.busy, client.since = client.closing or last, False, self.driver.clock()
+        if client.phase is Phase.CLOSED:
+            return
+        client.last = client.last or self.ending
+        data = http.answer(status, body, headers, client.last)
+        client.answered(self.driver.clock())
         if client.writer is not None:
             client.outgoing.append(data)
             return
@@ -29,27 +39,19 @@
         except BlockingIOError:
             sent = 0
         except OSError:
-            return                       # the reader sees its end too
+            return                           # the reader sees its end too
         if sent < len(data):
             client.outgoing.append(memoryview(data)[sent:])
             client.writer = self.loop.create_task(self._write(client))
-        elif client.closing:
-            self._finish(client)
-
-    def _finish(self, client):
-        # The client's own close ends the connection; the sweep does where it never comes.
-        try:
-            client.sock.shutdown(socket.SHUT_WR)
-        except OSError:
-            pass
+        else:
+            client.flushed(self.driver.clock())
 
     async def _write(self, client):
         try:
             while client.outgoing:
                 await self.loop.sock_sendall(client.sock, client.outgoing[0])
                 client.outgoing.popleft()
-            if client.closing:
-                self._finish(client)
+            client.flushed(self.driver.clock())
         except OSError:
             client.outgoing.clear()
         finally:
--- a/sprucegate/front/stages/take_in.py
+++ b/sprucegate/front/stages/take_in.py
@@ -4,46 +4,100 @@
 import socket
 from collections import deque
 
-from sprucegate.front.memory.connections import Client
-from sprucegate.front.protocol import http
+from sprucegate.front.memory.connections import Client, Phase
 
 TURN = 3        # requests begun in one turn of the loop
-S = 1_000_000_000
-UNFINISHED = 22 * S // 10   # for a first request, or one begun, to be whole; for a refused client to leave
-IDLE = 12 * S               # between two requests; usual clients close after four seconds
+LOOKS = 16      # connections looked at for one that may give way to a new one
+PAUSE = 0.02    # seconds for which the listener rests where nobody can be taken: the rest wait in its queue
 
 
 class TakeIn:
-    def __init__(self, driver, pool, most):
-        self.driver, self.pool, self.most = driver, pool, most
+    def __init__(self, driver, pool, most, times, repeatable=frozenset()):
+        """`most` connections at a time; `times` are the bounds of the configuration, in nanoseconds."""
+        self.driver, self.pool, self.most, self.times, self.repeatable = driver, pool, most, times, repeatable
         self.clients, self.loop = {}, asyncio.get_running_loop()     # the one that asked last stands last
         self.silent = {}                     # those that have not yet sent a whole request, the oldest first
-        self.whole, self.begins = deque(), False
-
-    async def accept(self, listener):
-        while True:
-            try:
-                sock, _ = await self.loop.sock_accept(listener)
-            except OSError as fault:
-                # Out of descriptors, or a client that left at once: the next one may do better.
-                self.driver.log("accept_failed", error=str(fault))
-                await asyncio.sleep(0.01)
-                continue
+        self.whole, self.begins, self.listener, self.paused = deque(), False, None, None
+
+    # Connections.
+
+    def listen(self, listener):
+        """Takes connections by a reader: of a cancelled accept the one it had just taken would be lost."""
+        self.listener = listener
+        self.loop.add_reader(listener, self._acceptable)
+
+    def _acceptable(self):
+        for _ in range(LOOKS):
             if len(self.clients) >= self.most and not self._make_room():
-                self.driver.book.count("clients_over_bound")
-                sock.close()
-                continue
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            client = Client(sock, self.driver.clock())
-            self.clients[client] = self.silent[client] = None
-            self.loop.add_reader(sock, self._readable, client)
+                # Left in the queue, it may still be served; closed at once it would have no answer at all.
+                self.driver.book.count("accepts_put_off")
+                return self._pause()
+            if not self._accept():
+                return
+
+    def _accept(self):
+        try:
+            sock, _ = self.listener.accept()
+        except (BlockingIOError, ConnectionAbortedError):
+            return False
+        except OSError as fault:
+            # Out of descriptors: the listener stays readable, and asked at once again it would take all of a core.
+            self.driver.log("accept_failed", error=str(fault))
+            self._pause()
+            return False
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        client = Client(sock, self.driver.clock(), self.repeatable)
+        self.clients[client] = self.silent[client] = None
+        self.loop.add_reader(sock, self._readable, client)
+        return True
+
+    def _pause(self):
+        self.loop.remove_reader(self.listener)
+        self.paused = self.loop.call_later(PAUSE, self._go_on)
+
+    def _go_on(self):
+        self.paused = None
+        if self.listener is not None:
+            self.loop.add_reader(self.listener, self._acceptable)
+
+    def stop_listening(self):
+        """Takes whoever stands in the queue first: closed with the listener, they would be reset."""
+        while self._accept():
+            pass
+        if self.paused is not None:
+            self.paused.cancel()
+        self.loop.remove_reader(self.listener)
+        self.listener.close()
+        self.listener = None
 
     def _make_room(self):
-        """One that never asked goes first, against floods of them; then the one idle longest."""
-        oldest = next(iter(self.silent), None) or next((c for c in self.clients if c.idle()), None)
-        if oldest is not None:
-            self.close(oldest)
-        return oldest is not None
+        """Ends one for a new one: who was told to go, then who never asked, then the one idle longest.
+
+        Each only after a look at what has just come: a request in the kernel's buffer counts as sent.
+        """
+        if (gone := next((c for c in self.clients if c.phase is Phase.SHUT), None)) is not None:
+            return self.close(gone)
+        for those in (self.silent, self.clients):
+            for client in [c for c in those if c.rests()][:LOOKS]:
+                if self.look(client):
+                    client.shut(self.driver.clock())
+                    return self.close(client)
+        # Half a request, the oldest one: no answer is owed.
+        half = next((c for c in self.silent if c.phase is Phase.RESTING), None)
+        return half is not None and self.close(half)
+
+    def look(self, client):
+        """Whether it still rests once what has just come was read."""
+        if client.rests():
+            self._readable(client)
+        return client.rests()
+
+    def end(self, client):
+        """Ends a connection that rests; a request that came meanwhile is served first."""
+        if self.look(client):
+            self.silent.pop(client, None)
+            client.shut(self.driver.clock())
 
     def _readable(self, client):
         buffer = self.pool.take()
@@ -52,7 +106,7 @@
         try:
             if not (size := client.sock.recv_into(buffer)):
                 self.close(client)
-            elif not client.closing:
+            elif client.reads():
                 self._fed(client, buffer[:size])
         except BlockingIOError:
             pass
@@ -62,11 +116,12 @@
             self.pool.give_back(buffer)
 
     def close(self, client):
-        if client not in self.clients:
-            return
-        del self.clients[client]
-        self.silent.pop(client, None)
-        client.closing = True
+        """True, for who made room by it."""
+        if client.phase is Phase.CLOSED:
+            return True
+        client.closed(self.driver.clock())
+        for those in (self.clients, self.silent):
+            those.pop(client, None)
         self.loop.remove_reader(client.sock)
         if client.writer is None:
             client.sock.close()
@@ -76,29 +131,32 @@
             client.writer.cancel()
         if client.get is not None:
             self.driver.guarded(client.get, self.driver.left, client.get)
+        return True
+
+    # Requests.
 
     def _fed(self, client, data):
         now, begun = self.driver.clock(), client.reader.begun
         requests = client.reader.feed(data)
-        if client.reader.begun and not begun and client.asked:
+        if client.reader.begun and not begun and client.asked and client.phase is Phase.RESTING:
             client.since = now               # not moved by later bytes: one that dribbles is bounded too
         for request in requests:
-            if client.busy or client.closing:
-                # One at a time is agreed; one sent ahead is left unread by the close that follows.
-                client.closing = True
-                return
-            client.busy = client.asked = True
-            client.since = now
+            if client.phase is not Phase.RESTING:
+                # One at a time is agreed; what was sent ahead goes unread, and the answer under way is the last.
+                client.last = True
+                break
+            client.take(now)
+            client.last = not request.keep_alive
             self.silent.pop(client, None)
             self.clients[client] = self.clients.pop(client)
             self.whole.append((client, request, now))
         if self.whole and not self.begins:
             self.begins = True
             self.loop.call_soon(self._begin)
-        if client.reader.fault and not client.closing:
-            client.closing = True
-            if not client.busy:
-                self.driver.relay.write(client, http.refusal(client.reader.fault, close=True), last=True)
+        if client.reader.fault:
+            client.last = True
+            if client.phase is Phase.RESTING:
+                self.driver.relay.refuse(client, client.reader.fault)
 
     def _begin(self):
         """A few at a time, so that what caches have answered is read in between.
@@ -108,7 +166,7 @@
         """
         for _ in range(min(TURN, len(self.whole))):
             client, request, at = self.whole.popleft()
-            if client in self.clients:
+            if client.phase is Phase.TAKEN:
                 self.driver.request(client, request, at)
         self.begins = bool(self.whole)
         if self.begins:
@@ -117,7 +175,37 @@
     def sweep(self, now):
         """A request never finished, a connection never used or never closed by its client: all go in time."""
         for client in list(self.clients):
-            waits = client.closing or client.reader.begun or not client.asked
-            if not client.busy and now - client.since > (UNFINISHED if waits else IDLE):
-                self.driver.book.count("clients_timed_out" if waits else "clients_idle")
-                self.close(client)
+            waited = now - client.since
+            if client.phase is Phase.SHUT:
+                if waited > self.times.lingering:
+                    self.close(client)
+            elif client.writer is not None:
+                if client.phase is not Phase.TAKEN and waited > self.times.sending:
+                    self.driver.book.count("clients_not_reading")
+                    self.close(client)
+            elif client.phase is Phase.RESTING:
+                waits = client.reader.begun or not client.asked
+                if waited > (self.times.unfinished if waits else self.times.idle):
+                    self.driver.book.count("clients_timed_out" if waits else "clients_idle")
+                    if client.reader.begun:
+                        self.silent.pop(client, None)
+                        client.shut(now)
+                    else:
+                        self.end(client)
+            elif client.phase is Phase.FLUSHING:
+                self.close(client)           # its write broke; the reader has not said so
+
+    def finish(self, now):
+        """One look at all, at the front's end: those that rest are ended. Whether anything still goes on.
+
+        Who never asked, or has begun a request, keeps what time a request takes; who was told to go, the time in
+        which a client that reads would have gone.
+        """
+        goes_on = False
+        for client in list(self.clients):
+            fresh = not client.asked and now - client.since <= self.times.fresh
+            if client.rests() and not fresh:
+                self.end(client)
+            goes_on |= client.phase is not Phase.CLOSED and not (
+                client.phase is Phase.SHUT and now - client.since > self.times.fresh)
+        return goes_on
--- a/sprucegate/servers/http2/mapping.py
+++ b/sprucegate/servers/http2/mapping.py
@@ -53,6 +53,8 @@
         fields.append((b"cache-control", ", ".join(control).encode()))
     if get.have:
         fields.append((b"if-none-match", b'"%b"' % get.have.encode()))
+    if get.token:
+        fields.append(Once(b"idempotency-key", ser_string(get.token).encode()))
     fill = []
     if source:
         fill.append("source=" + ser_string(source))
--- a/sprucegate/servers/http2/transport.py
+++ b/sprucegate/servers/http2/transport.py
@@ -88,13 +88,20 @@
         out.connection = waiting = Waiting(out, said, source)
         self._do(place, place.held.pool.ask(waiting, out.at))
 
+    def withdraw(self, out):
+        """Takes a forward back that still waits for a stream; whether it could."""
+        waiting = out.connection
+        if waiting is None or waiting.connection is not None:
+            return False
+        place = self.servers.places.get(waiting.said.cache)
+        return place is not None and place.held.pool.withdraw(waiting)
+
     def cancel(self, out, timed_out=False):
         """RST_STREAM CANCEL, which frees the stream. NOT_SENT where it still waited, else nothing is proved."""
         waiting = out.connection
         connection, stream = waiting.connection, waiting.stream
         if connection is None:               # it waits, or its refusal is on the way to the driver
-            if (place := self.servers.places.get(waiting.said.cache)) is not None:
-                place.held.pool.withdraw(waiting)
+            self.withdraw(out)
             return Outcome.NOT_SENT
         if not connection.closed and stream.id in connection.session.streams:
             connection.session.cancel(stream)
--- a/sprucegate/servers/lines/codec.py
+++ b/sprucegate/servers/lines/codec.py
@@ -31,7 +31,7 @@
     body: bytes
 
 
-def serve(get_id, ds, thing, part, forward, source, have, body):
+def serve(get_id, ds, thing, part, forward, source, have, body, token=""):
     """A forward as a line. A rounded limit must not be wider than the decided one, nor 0, which is none."""
     fields = f"profile={ds},thing={thing},nth={part},max={max(1, forward.timeout // MS)}"
     if source:
@@ -46,6 +46,8 @@
         fields += f",flags={'+'.join(flags)}"
     if have:
         fields += f",have={have}"
+    if token:
+        fields += f",replay={token}"
     return b"serve %b %b %d\r\n%b\r\n" % (get_id, fields.encode(), len(body), body)
 
 
--- a/sprucegate/servers/lines/transport.py
+++ b/sprucegate/servers/lines/transport.py
@@ -17,7 +17,8 @@
         self.connect_timeout = settings.get("connect_timeout", 400_000_000)
         self.streams = settings.get("max_streams", 100)
         # A request that crosses the close of an idle connection may have run: better an own close before.
-        self.idle_most = settings.get("keepalive", 15_000_000_000) - self.connect_timeout
+        keepalive = settings.get("keepalive", 15_000_000_000)
+        self.idle_most = max(keepalive // 2, keepalive - self.connect_timeout)
         self.loop = asyncio.get_running_loop()
         self.stalls = deque()                # (due, connection): answers begun that may not go on
 
@@ -51,22 +52,32 @@
             return
         # Never again on this one: a late answer, or a second copy of one, would bear the same id.
         get.left_on.append(connection)
-        line = codec.serve(get.id, get.ds, get.thing, get.part, said, source, get.have, get.body)
+        line = codec.serve(get.id, get.ds, get.thing, get.part, said, source, get.have, get.body, get.token)
         out.connection, connection.used = connection, out.at
         connection.open[get.id] = out
         self._queue(connection, line, out)
 
+    def withdraw(self, out):
+        """Takes a forward back of which no byte has left; whether it could."""
+        connection = out.connection
+        if (out.progress is not Progress.NOT_SENT or connection is None
+                or connection.open.get(out.get.id) is not out):
+            return False
+        del connection.open[out.get.id]
+        for at, (_, queued) in enumerate(connection.queue):
+            if queued is out:
+                del connection.queue[at]
+                break
+        return True
+
     def cancel(self, out, timed_out=False):
-        """The front's side ends at once; a forward not yet begun is taken back, another is given up."""
+        """The front's side ends at once: NOT_SENT where no byte had left, else nothing is proved."""
+        if self.withdraw(out):
+            return Outcome.NOT_SENT
         connection = out.connection
         if connection is None or connection.open.get(out.get.id) is not out:
-            return
+            return None
         del connection.open[out.get.id]
-        if out.progress is Progress.NOT_SENT:
-            for at, (_, queued) in enumerate(connection.queue):
-                if queued is out:
-                    del connection.queue[at]
-                    return
         # Left open after a spoilt answer it would serve nothing more, and look just like this. The others on
         # it have waited in vain too where the time is up; where a client left, they may still be answered.
         silent = connection.answered < out.at
@@ -74,12 +85,26 @@
             self._queue(connection, codec.cancel(out.get.id), None)
         if not connection.open and (silent or connection.place.gone) or silent and timed_out:
             self.loop.call_soon(self.close, connection)
+        return None
+
+    def _ended_unseen(self, connection):
+        """Whether a connection that rests has ended, or will not go on, and the loop has not yet come to it.
+
+        Against a request into a connection that its cache has just closed: nobody could tell whether it ran.
+        """
+        try:
+            return not connection.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
 
     def _connection(self, place, get, now):
         """The least busy one, or a new one while there is room: what spoils one should spoil few GETs."""
         best = None
         for connection in list(place.held):
-            if not connection.open and connection.up and now - connection.used > self.idle_most:
+            if not connection.open and connection.up and (
+                    now - connection.used > self.idle_most or self._ended_unseen(connection)):
                 self.close(connection)
             elif connection in get.left_on or len(connection.open) >= self.streams:
                 continue
@@ -163,6 +188,8 @@
 
     def _readable(self, connection):
         buffer = self.pool.take()
+        if buffer is None:
+            return self.close(connection)
         try:
             size = connection.sock.recv_into(buffer)
             connection.heard = self.driver.clock()
--- a/sprucegate/servers/servers.py
+++ b/sprucegate/servers/servers.py
@@ -1,7 +1,7 @@
 """Servers: each forward to the transport that its place speaks, and the places themselves.
 
-Every transport has the same calls: `kept` (what it keeps of a place), `open_connections`, `came_up`, `warm`,
-`forward`, `cancel`, `moved`, `leave`, `sweep`, `due`, `next_due`, `idle`, `stop`. An end goes to the driver's `ended`
+Every transport has the same calls: `kept` (what it keeps of a place), `open_connections`, `came_up`, `warm`, `forward`,
+`withdraw`, `cancel`, `moved`, `leave`, `sweep`, `due`, `next_due`, `idle`, `stop`. An end goes to the driver's `ended`
 with the outcome, where it was found, the time waited for a source (ns) and the load told; how far the forward had
 come is in the outcome.
 """
@@ -66,6 +66,10 @@
         out.transport = place.transport
         place.transport.forward(place, out, said, source and source.name)
 
+    def withdraw(self, out):
+        """Takes a forward back of which nothing has left this front; whether it could."""
+        return out.transport is not None and out.transport.withdraw(out)
+
     def cancel(self, out, timed_out=False):
         """The front's side ends at once; the outcome where the forward provably never ran, else None."""
         return out.transport.cancel(out, timed_out) if out.transport is not None else Outcome.NOT_SENT
--- a/standins/driver.py
+++ b/standins/driver.py
@@ -31,7 +31,7 @@
         asked = Asked(call_id, 1, 0, 0, 0, 1, write or bool(body), False, timeout)
         get = OpenGet(None, call_id.encode(), "media", "7f3a", 0, "", body, asked)
         now = self.clock()
-        out = OpenForward(get, number, place, now, now + timeout)
+        out = OpenForward(get, number, place, place, now, now + timeout)
         self.waiting[out] = self.loop.create_future()
         self.servers.forward(out, Forward(number, place, place, 0, 0, timeout, False, False, False, False))
         return out
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -68,6 +68,25 @@
         assert root.heard.get(timeout=5)[3] == b"b" * 48_000
 
 
+TOKENED = {**REAL["settings"], "categories": [
+    REAL["settings"]["categories"][0], {**REAL["settings"]["categories"][1], "effect": "token"}]}
+
+
+def test_the_token_of_a_tokened_get_passes_unchanged(tmp_path):
+    """Dropped on the way, it would run as often as its client repeats it."""
+    front, _, root = serve(tmp_path, served, settings=TOKENED)
+    with front:
+        token = "X-Dedupe-Key: 874c0800e55d6e52e37d72f7382e0326\r\n"
+        assert front.ask(get_text(ds="order", method="PUT", body=b"b", extra=token))[0] == 200
+        assert root.heard.get(timeout=5)[2]["replay"] == "874c0800e55d6e52e37d72f7382e0326"
+        assert front.ask(get_text("d" * 16, ds="order", method="PUT", body=b"b"))[0] == 200
+        assert "replay" not in root.heard.get(timeout=5)[2]
+        for odd in ("a,src=s-0b", "a b", "x" * 65):
+            text = get_text("e" * 16, ds="order", method="PUT", body=b"b", extra=f"X-Dedupe-Key: {odd}\r\n")
+            assert front.ask(text)[0] == 400
+        assert root.heard.empty()
+
+
 @pytest.mark.parametrize("word, ds, status", [
     (b"not_here", "media", 503), (b"overload", "media", 503), (b"crashed", "media", 503),
     (b"nobody", "order", 503), (b"crashed", "order", 502), (b"odd", "order", 502),
@@ -374,7 +393,9 @@
         near, far = socket.socketpair()
         near.setblocking(False)
         monkeypatch.setattr(driver, stage, breaks)
-        made.request(Client(near, 0), *RequestReader().feed(get_text()), made.clock())
+        client = Client(near, 0)
+        client.take(0)
+        made.request(client, *RequestReader().feed(get_text()), made.clock())
         far.settimeout(5)
         near.close()
         return b"".join(iter(lambda: far.recv(4096), b"")), len(made.open)
--- a/tests/test_http2_session.py
+++ b/tests/test_http2_session.py
@@ -325,6 +325,9 @@
         b"x-call-id": b"9b1f03aa5c7e2d41", b"spruce-wait": b"1400", b"if-none-match": b'"t1"',
         b"cache-control": b"max-age=9, max-stale=9",
         b"spruce-fill": b'source="s-\\"1f", rank=2, try=1, join, renew'}
+    tokened = a_get()
+    tokened.token = "874c-e5"
+    assert dict(mapping.request(b"a:1", tokened, forward(), None))[b"idempotency-key"] == b'"874c-e5"'
     fields = dict(mapping.request(b"a:1", a_get(), forward(source=1, oldest=10), None))
     assert fields[b"cache-control"] == b"max-age=0, max-stale=0, only-if-cached"     # never wider than decided
     fields = dict(mapping.request(b"a:1", a_get(body=b"abc", write=True), forward(), "o"))
