Crossings of shutdown, clients, caches and lists, each by a real order of events

tests/test_crossings.py makes each bad order happen every time: signals, SIGSTOP, a full listen queue that drops SYNs until it is let go, stand-ins that hold an answer.

Found by them in the mend itself: a listener that had just filled the last place ended the connection idle longest though nobody stood in its queue. Room is now made only where the turn itself says that somebody does. New: before each forward the client's own end is looked at (150 clients that came and went while the front stood still: none sent on, over lines and HTTP/2).

--- a/sprucegate/front/driver.py
+++ b/sprucegate/front/driver.py
@@ -122,7 +122,7 @@
     def left(self, get):
         self.book.count("gets_left")
         now = self.clock()
-        get.answered = True
+        get.answered, get.client.get = True, None
         if self.places is not None:
             self.places.left(get)
         self.take_back(get)
@@ -189,6 +189,11 @@
                 case Forward():
                     out = get.forwards[one.number] = OpenForward(
                         get, one.number, one.cache, one.source, now, now + one.timeout)
+                    if get.client.left():
+                        # Its end stands behind what this turn of the loop still does: nobody waits any more.
+                        self.loop.call_soon(self.ended, out, Outcome.NOT_SENT, Found.UNTOLD, 0, {})
+                        self.left(get)
+                        continue
                     if self.places is not None:
                         self.places.sent(get, out, one, now)
                     self.servers.forward(out, one)
--- a/sprucegate/front/memory/connections.py
+++ b/sprucegate/front/memory/connections.py
@@ -65,6 +65,15 @@
     def closed(self, now):
         self.to(Phase.CLOSED, now)
 
+    def left(self):
+        """Whether its client has ended or reset it, though the loop has not come to that yet."""
+        try:
+            return not self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     def reads(self):
         """Whether what comes may still become a request."""
         return self.phase in (Phase.RESTING, Phase.TAKEN) and not self.last
--- a/sprucegate/front/stages/take_in.py
+++ b/sprucegate/front/stages/take_in.py
@@ -27,11 +27,14 @@
         self.loop.add_reader(listener, self._acceptable)
 
     def _acceptable(self):
-        for _ in range(LOOKS):
-            if len(self.clients) >= self.most and not self._make_room():
-                # Left in the queue, it may still be served; closed at once it would have no answer at all.
-                self.driver.book.count("accepts_put_off")
-                return self._pause()
+        for at in range(LOOKS):
+            if len(self.clients) >= self.most:
+                if at:
+                    return                   # whether another one stands there, only the next turn tells
+                if not self._make_room():
+                    # Left in the queue, it may still be served; closed at once it would have no answer at all.
+                    self.driver.book.count("accepts_put_off")
+                    return self._pause()
             if not self._accept():
                 return
 
--- a/sprucegate/servers/lines/transport.py
+++ b/sprucegate/servers/lines/transport.py
@@ -64,6 +64,7 @@
                 or connection.open.get(out.get.id) is not out):
             return False
         del connection.open[out.get.id]
+        out.get.left_on.remove(connection)   # no answer can come here for what never went
         for at, (_, queued) in enumerate(connection.queue):
             if queued is out:
                 del connection.queue[at]
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,565 @@
+"""Moments in which two events cross, each made to happen by order: docs/design-crossings.md has the table."""
+
+import asyncio
+import os
+import queue
+import resource
+import select
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+
+import pytest
+from helpers import REAL, Front, bus, cache, get_text, host, served
+from hypothesis import settings
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from hypothesis.strategies import booleans
+
+from sprucegate.front.memory.connections import Client, Phase
+from sprucegate.front.protocol.http import RequestReader
+from sprucegate.interface import Outcome
+from standins.driver import Recorder
+from standins.processes import Process
+
+LIVE = b"GET /status/live HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+def key(at):
+    return f"{at:016x}"
+
+
+def answer_of(sock):
+    """All bytes up to the end that the front makes; a reset in between is an error."""
+    return b"".join(iter(lambda: sock.recv(65_536), b""))
+
+
+def held(go):
+    def reply(call_id, fields, body):
+        go.wait(10)
+        return served(call_id, fields)
+
+    return reply
+
+
+def two(path, reply=served, origin=served, **more):
+    """A front with one cache and an origin."""
+    box, root = cache(reply), cache(origin)
+    return Front(path, host("s-0b", box.address, "std"), host("s-1f", root.address, "origin"), **more), box, root
+
+
+def stopped(front):
+    """The front stands still, so that what comes meanwhile is all there at once when it goes on."""
+    os.kill(front.process.pid, signal.SIGSTOP)
+    os.waitid(os.P_PID, front.process.pid, os.WSTOPPED | os.WNOWAIT)
+
+
+def second(front, is_so):
+    """Waits until a line of the log, of which there is one a second, says so."""
+    for _ in range(10):
+        if is_so(front.until("second")):
+            return
+    raise AssertionError("not so in ten seconds")
+
+
+def goes_on(front):
+    os.kill(front.process.pid, signal.SIGCONT)
+
+
+class Uphill:
+    """A server whose connections come up only once it `lets` them: its queue is full, SYNs are dropped."""
+
+    def __init__(self):
+        self.sock = socket.socket()
+        self.sock.bind(("127.0.0.1", 0))
+        self.sock.listen(0)
+        self.address = f"127.0.0.1:{self.sock.getsockname()[1]}"
+        self.fillers = []
+        for _ in range(3):                   # one more than a queue of 0 holds
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(self.sock.getsockname())
+            self.fillers.append(filler)
+
+    def lets(self):
+        """The first connection of the front, as a file, once it is up."""
+        self.sock.settimeout(10)
+        ours = {filler.getsockname() for filler in self.fillers}
+        while True:
+            sock, at = self.sock.accept()
+            if at not in ours:
+                sock.settimeout(10)
+                return sock.makefile("rb")
+            sock.close()
+
+
+SLOW_TO_CONNECT = {**REAL["settings"], "allowed": {**REAL["settings"]["allowed"], "connectTimeout": 9_000_000},
+                   "categories": [{**one, "aim": 6_000_000, "deadline": 8_000_000}
+                                  for one in REAL["settings"]["categories"]]}
+NEVER_CANCELS = {**SLOW_TO_CONNECT, "allowed": {**SLOW_TO_CONNECT["allowed"], "cancel": False}}
+
+
+# Shutdown.
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
+def test_a_signal_before_the_loop_stands_ends_the_front_as_asked(tmp_path, number):
+    """It waits for its configuration, a pipe that nobody has opened, when the signal comes."""
+    os.mkfifo(tmp_path / "config.json")
+    process = subprocess.Popen([sys.executable, "-m", "sprucegate"], stdout=subprocess.DEVNULL,
+                               env={**os.environ, "BALANCER_CONFIG": str(tmp_path / "config.json")})
+    # Opened by both: its reading end stands, so the front is past its imports.
+    with open(tmp_path / "config.json", "wb"):
+        process.send_signal(number)
+        assert process.wait(10) == 0
+
+
+def test_the_end_asked_for_twice_and_during_a_reload_is_one_end(tmp_path):
+    front, _, _ = two(tmp_path)
+    with front:
+        stopped(front)
+        for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGTERM, signal.SIGHUP):
+            front.process.send_signal(number)
+        goes_on(front)
+        assert front.process.wait(10) == 0
+
+
+def test_connections_in_the_queue_when_the_listener_closes_are_served(tmp_path):
+    front, _, _ = two(tmp_path)
+    with front:
+        front.process.send_signal(signal.SIGTERM)
+        front.until("stopping")
+        stopped(front)
+        begun, late = time.monotonic(), [front.connect() for _ in range(40)]
+        for at, sock in enumerate(late):
+            sock.sendall(get_text(key(at)))
+        while time.monotonic() < begun + 0.8:
+            pass                             # its time to take new ones is over while it stands still
+        goes_on(front)
+        assert [answer_of(sock)[:12] for sock in late] == [b"HTTP/1.1 200"] * 40
+        assert front.process.wait(10) == 0
+
+
+def test_a_request_in_the_kernel_when_resting_clients_are_ended_is_served(tmp_path):
+    front, _, _ = two(tmp_path)
+    with front:
+        sock = front.connect()
+        assert front.ask(get_text(), sock)[0] == 200
+        front.process.send_signal(signal.SIGTERM)
+        front.until("stopping")
+        stopped(front)
+        begun = time.monotonic()
+        sock.sendall(get_text(key(1)))
+        while time.monotonic() < begun + 0.8:
+            pass
+        goes_on(front)
+        said = answer_of(sock)
+        assert said.startswith(b"HTTP/1.1 200") and b"Connection: close" in said
+
+
+def test_clients_that_rest_are_told_of_the_end_while_others_still_wait_for_a_hanging_cache(tmp_path):
+    go = threading.Event()
+    front, box, _ = two(tmp_path, held(go))
+    with front:
+        rests, waits = front.connect(), front.connect()
+        assert front.ask(LIVE, rests)[0] == 200
+        waits.sendall(get_text(patience=3000))
+        box.heard.get(timeout=5)
+        front.process.send_signal(signal.SIGTERM)
+        rests.settimeout(2)
+        assert rests.recv(9) == b""          # an end and no reset, while the GET is open
+        # What it sends after that is read and let go: nobody could be told what became of it.
+        rests.sendall(get_text(key(2)))
+        go.set()
+        assert answer_of(waits).startswith(b"HTTP/1.1 200")
+        assert rests.recv(9) == b"" and front.process.wait(10) == 0
+        assert b"serve" not in [words[0] for words in box.heard.queue]
+
+
+def test_a_client_that_goes_on_sending_is_told_with_its_next_answer(tmp_path):
+    front, _, _ = two(tmp_path)
+    with front:
+        sock = front.connect()
+        assert front.ask(get_text(), sock)[1].get("Connection") is None
+        front.process.send_signal(signal.SIGTERM)
+        front.until("stopping")
+        status, headers, _ = front.ask(get_text(key(1)), sock)
+        assert (status, headers["Connection"], sock.recv(9)) == (200, "close", b"")
+        assert front.ask(LIVE)[0] == 503     # and nobody is sent here any more
+        assert front.process.wait(10) == 0
+
+
+@pytest.mark.parametrize("cut", [40, -2])
+def test_half_a_request_at_the_end_is_served_once_it_is_whole(tmp_path, cut):
+    front, _, root = two(tmp_path)
+    with front:
+        sock, rests, text = front.connect(), front.connect(), get_text(ds="order", method="PUT", body=b"b" * 9)
+        sock.sendall(text[:cut])
+        assert front.ask(LIVE, rests)[0] == 200
+        front.process.send_signal(signal.SIGTERM)
+        assert rests.recv(9) == b""          # those that rest are ended, the half one is not
+        sock.sendall(text[cut:])
+        assert answer_of(sock).startswith(b"HTTP/1.1 200")
+        assert root.heard.get(timeout=5)[3] == b"b" * 9 and front.process.wait(10) == 0
+
+
+def test_clients_that_never_leave_do_not_hold_up_the_end(tmp_path):
+    front, _, _ = two(tmp_path)
+    with front:
+        stay = [front.connect() for _ in range(5)]
+        assert [front.ask(LIVE, sock)[0] for sock in stay] == [200] * 5
+        begun = time.monotonic()
+        front.process.send_signal(signal.SIGTERM)
+        assert front.process.wait(10) == 0 and time.monotonic() - begun < 2
+
+
+def test_the_end_keeps_before_the_kill_that_short_viewer_timeouts_allow(tmp_path):
+    front, box, _ = two(tmp_path, lambda *_: None, lambda *_: None)
+    front.configure(settings={**REAL["settings"], "categories": [
+        {**one, "deadline": 1_000_000} for one in REAL["settings"]["categories"]]})
+    front.process.kill()
+    front.process.wait()
+    front.restart()
+    with front:
+        begun = time.monotonic()
+        front.process.send_signal(signal.SIGTERM)
+        front.until("stopping")
+        while time.monotonic() < begun + 0.5:
+            pass                             # the last moment at which clients send
+        sock = front.connect()
+        sock.sendall(get_text(patience=1000))
+        assert answer_of(sock).startswith(b"HTTP/1.1 503")
+        assert front.process.wait(10) == 0 and time.monotonic() - begun < 1.7    # SIGKILL may come then
+
+
+# A client's connection.
+
+class Connection(RuleBasedStateMachine):
+    """Whatever order they come in: one answer a request, nothing read after the last, one end and no way back."""
+
+    def __init__(self):
+        super().__init__()
+        self.near, self.far = socket.socketpair()
+        self.client, self.owed, self.now = Client(self.near, 0), 0, 0
+
+    def teardown(self):
+        self.near.close()
+        self.far.close()
+
+    def legal(self, done, *phases):
+        """The call is made; it is refused, and changes nothing, unless the connection is in one of these phases."""
+        self.now += 1
+        before = self.client.phase, self.client.since
+        try:
+            done(self.now)
+        except ValueError:
+            assert before[0] not in phases and (self.client.phase, self.client.since) == before
+            return False
+        assert before[0] in phases
+        return True
+
+    @rule(last=booleans())
+    def taken(self, last):
+        if self.client.reads() and self.legal(self.client.take, Phase.RESTING):
+            self.owed, self.client.last = self.owed + 1, last
+
+    @rule()
+    def front_ends(self):
+        if self.client.phase is Phase.TAKEN:
+            self.client.last = True
+
+    @rule()
+    def answered(self):
+        if self.client.phase is Phase.TAKEN:
+            assert self.legal(self.client.answered, Phase.TAKEN)
+            self.owed -= 1
+
+    @rule()
+    def answered_again(self):
+        if self.client.phase in (Phase.SHUT, Phase.CLOSED, Phase.FLUSHING):
+            assert not self.legal(self.client.answered)
+
+    @rule()
+    def flushed(self):
+        self.client.flushed(self.now)
+        assert self.client.phase is not Phase.FLUSHING
+
+    @rule()
+    def shut(self):
+        self.legal(self.client.shut, Phase.RESTING, Phase.FLUSHING)
+
+    @rule()
+    def closed(self):
+        if self.legal(self.client.closed, *[p for p in Phase if p is not Phase.CLOSED]):
+            self.owed = 0                    # whoever has gone is owed nothing
+
+    @invariant()
+    def holds(self):
+        assert self.owed == (self.client.phase is Phase.TAKEN)
+        assert self.client.reads() == (self.client.phase in (Phase.RESTING, Phase.TAKEN) and not self.client.last)
+        assert not self.client.rests() or self.owed == 0
+        self.far.setblocking(False)
+        try:
+            ended = self.far.recv(1) == b""
+        except BlockingIOError:
+            ended = False
+        assert ended is (self.client.phase is Phase.SHUT or self.was_shut)
+        self.was_shut |= self.client.phase is Phase.SHUT
+
+    was_shut = False
+
+
+TestConnection = Connection.TestCase
+TestConnection.settings = settings(max_examples=200, stateful_step_count=20, deadline=None)
+
+
+def test_a_request_sent_ahead_does_not_destroy_the_answer_under_way(tmp_path):
+    go = threading.Event()
+    front, box, _ = two(tmp_path, held(go))
+    with front:
+        sock = front.connect()
+        sock.sendall(get_text() + get_text(key(1)) + b"x" * 50_000)
+        box.heard.get(timeout=5)
+        go.set()
+        said = answer_of(sock)
+        assert said.startswith(b"HTTP/1.1 200") and said.endswith(b"xxxxx") and said.count(b"HTTP/1.1") == 1
+        assert box.heard.empty()
+
+
+def test_room_is_not_made_by_ending_one_whose_request_is_just_arriving(tmp_path):
+    front, _, _ = two(tmp_path, limits={"cores": 1.0, "memory_mb": 32, "sockets": 64})
+    with front:
+        first = []
+        for at in range(32):
+            first.append(front.connect())
+            assert front.ask(get_text(key(at)), first[-1])[0] == 200
+        assert [front.ask(get_text(key(50 + at)), sock)[0] for at, sock in enumerate(first)] == [200] * 32   # all stay
+        stopped(front)
+        new = front.connect()                # first in the queue of events: room is made before any request is read
+        for at, sock in enumerate(first):
+            sock.sendall(get_text(key(100 + at)))
+        new.sendall(get_text(key(99)))
+        goes_on(front)
+        assert [front.ask(b"", sock)[0] for sock in [*first, new]] == [200] * 33
+
+
+def test_a_new_client_waits_where_all_are_busy_and_is_served_after_them(tmp_path):
+    go = threading.Event()
+    front, _, _ = two(tmp_path, served, held(go), limits={"cores": 1.0, "memory_mb": 32, "sockets": 64})
+    with front:
+        busy = [front.connect() for _ in range(32)]
+        for at, sock in enumerate(busy):
+            sock.sendall(get_text(key(at), ds="order", method="PUT", patience=8000))
+        until_open(front, 32)
+        new = front.connect()
+        new.sendall(get_text(key(99)))
+        second(front, lambda said: said.get("accepts_put_off"))
+        go.set()
+        assert [front.ask(b"", sock)[0] for sock in [new, *busy]] == [200] * 33
+
+
+def test_idle_clients_at_the_real_limit_of_descriptors_while_discovery_is_down(tmp_path):
+    """The watch, connections to caches and a new client with a GET still get theirs, and the core rests."""
+    front, box, root = two(tmp_path, limits={"cores": 1.0, "memory_mb": 64, "sockets": 1024})
+    front.process.kill()
+    front.process.wait()
+    front.bus.stop()                         # discovery is down from before the start
+    front.command = ["/bin/sh", "-c", f"ulimit -n 80; exec {sys.executable} -m sprucegate"]
+    front.restart()
+    with front:
+        limits = resource.prlimit(front.process.pid, resource.RLIMIT_NOFILE)
+        assert limits[0] == 80
+        crowd = [front.connect() for _ in range(200)]
+        front.until("bus_lost")
+        assert front.ask(get_text())[0] == 200
+        before = cpu(front)
+        for _ in range(2):
+            assert "accept_failed" not in front.until("second")
+        assert cpu(front) - before < 0.5     # of about a second
+        tells = queue.Queue()
+        back = bus(tells)
+        front.configure(bus=back.address)
+        front.process.send_signal(signal.SIGHUP)
+        assert b"Last-Event-ID: 1\r\n" in back.heard.get(timeout=5)
+        tells.put({"offset": 2, "topology": {"seq": 2, "whole": False, "hosts": [
+            host("s-0b", box.address, "std", "draining")]}})
+        assert front.until("told")["offset"] == 2
+        box.heard.queue.clear()
+        assert front.ask(get_text(key(7)))[0] == 200 and box.heard.empty()
+        assert len(os.listdir(f"/proc/{front.process.pid}/fd")) <= 80
+        assert len(crowd) == 200
+
+
+def cpu(front):
+    fields = open(f"/proc/{front.process.pid}/stat").read().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+# Connections to caches, lists and purges that cross a forward.
+
+KINDS = {"lines": None, "http2": 'servers {\n    speak http2 kind=std\n    speak http2 kind=origin\n}\n'}
+
+
+def uphill(path, settings, kdl=None, origin=None, **more):
+    hill, root = Uphill(), cache(served) if origin is None else origin
+    front = Front(path, host("s-0b", hill.address, "std"), host("s-1f", root.address, "origin"), settings=settings,
+                  kdl=kdl, **more)
+    return front, hill, root
+
+
+@pytest.mark.parametrize("settings", [SLOW_TO_CONNECT, NEVER_CANCELS])
+@pytest.mark.parametrize("leaves", ["closes", "resets"])
+def test_a_client_that_left_while_its_get_waited_for_a_connection_is_not_served(tmp_path, settings, leaves):
+    front, hill, _ = uphill(tmp_path, settings)
+    with front:
+        sock = front.connect()
+        sock.sendall(get_text(patience=8000))
+        until_open(front, 1)
+        if leaves == "resets":
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        sock.close()
+        second(front, lambda said: said.get("gets_left"))
+        sent = hill.lets()
+        for _ in range(2):                   # in which a connection that is up is written to
+            front.until("second")
+        front.process.kill()
+        assert sent.read() == b""
+
+
+
+@pytest.mark.parametrize("speaks", KINDS)
+def test_of_many_clients_that_left_before_their_turn_none_is_sent_on(tmp_path, speaks):
+    """All have come and gone while the front stood still: it reads the requests first, the ends after them."""
+    boxes = [Process("lines" if speaks == "lines" else "http2", ran=tmp_path / f"ran{at}") for at in range(2)]
+    front = Front(tmp_path, host("s-0b", boxes[0].address, "std"), host("s-1f", boxes[1].address, "origin"),
+                  kdl=KINDS[speaks])
+    try:
+        with front:
+            assert front.ask(get_text(key(999)))[0] == 200
+            stopped(front)
+            for at in range(150):
+                sock = front.connect()
+                sock.sendall(get_text(key(at)))
+                if at % 3 == 1:
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+                sock.close()
+            goes_on(front)
+            assert front.ask(get_text(key(1000)))[0] == 200
+    finally:
+        for box in boxes:
+            box.stop()
+    ran = {int(line.split()[0], 16) for at in range(2) for line in open(tmp_path / f"ran{at}")}
+    assert ran == {999, 1000}
+
+
+def test_a_resting_connection_that_its_cache_has_just_ended_is_not_used():
+    """The end stands in the kernel, and the loop has not had a turn since: the forward goes on a new connection."""
+
+    async def run():
+        loop, listener = asyncio.get_running_loop(), socket.create_server(("127.0.0.1", 0))
+        listener.setblocking(False)
+        made = Recorder({1: f"127.0.0.1:{listener.getsockname()[1]}"}, speaks="lines")
+        first = made.send(1, "a" * 16)
+        sock, _ = await loop.sock_accept(listener)
+        assert b"a" * 16 in await loop.sock_recv(sock, 4096)
+        await loop.sock_sendall(sock, served(b"a" * 16, {}))
+        assert await made.end(first) is Outcome.RETURNED
+        held, = made.servers.places[1].held
+        sock.close()
+        assert select.select([held.sock], [], [], 5)[0]
+        second = made.send(1, "b" * 16)
+        sock, _ = await loop.sock_accept(listener)
+        assert b"b" * 16 in await loop.sock_recv(sock, 4096)
+        await loop.sock_sendall(sock, served(b"b" * 16, {}))
+        return await made.end(second)
+
+    assert asyncio.run(run()) is Outcome.RETURNED
+
+
+def until_open(front, count):
+    second(front, lambda said: said["open"] == count)
+
+
+def test_a_drain_told_while_a_forward_waits_for_its_connection_sends_it_elsewhere(tmp_path):
+    front, hill, root = uphill(tmp_path, SLOW_TO_CONNECT)
+    with front:
+        sock = front.connect()
+        sock.sendall(get_text(patience=8000))
+        until_open(front, 1)
+        front.tells.put({"offset": 2, "topology": {"seq": 2, "whole": False, "hosts": [
+            host("s-0b", hill.address, "std", "draining")]}})
+        assert front.ask(b"", sock)[0] == 200        # by the origin, at once
+        assert root.heard.get(timeout=5)[1] == b"9b1f03aa5c7e2d41"
+        sent = hill.lets()
+        front.process.kill()
+        assert sent.read() == b""            # and nothing was sent to who drains once it came up
+
+
+def test_a_source_that_drains_while_its_forward_waits_is_not_named(tmp_path):
+    """The drain is of the parent that was to fill the miss."""
+    hill, parent, root = Uphill(), cache(served), cache(served)
+    front = Front(tmp_path, host("s-0b", hill.address, "std"), host("s-2a", parent.address, "parent"),
+                  host("s-1f", root.address, "origin"), settings=SLOW_TO_CONNECT)
+    with front:
+        sock = front.connect()
+        sock.sendall(get_text(patience=8000))
+        until_open(front, 1)
+        front.tells.put({"offset": 2, "topology": {"seq": 2, "whole": False, "hosts": [
+            host("s-2a", parent.address, "parent", "draining")]}})
+        front.until("told")
+        words = hill.lets().readline()
+        assert b"serve" in words and b"src=s-1f" in words
+
+
+def test_a_purge_told_while_a_forward_waits_for_its_connection_is_in_it(tmp_path):
+    front, hill, _ = uphill(tmp_path, SLOW_TO_CONNECT)
+    with front:
+        sock = front.connect()
+        sock.sendall(get_text(patience=8000))
+        until_open(front, 1)
+        front.tells.put({"offset": 2, "ban": {"url": "7f3a9c21e0b4d655", "ts": int(time.time() * 1000)}})
+        front.until("told")
+        words = hill.lets().readline()
+        assert b"serve" in words and b"maxage=" in words
+
+
+def test_a_time_out_of_what_never_left_proves_that_it_never_ran(tmp_path):
+    hill, box = Uphill(), cache(served)
+    front = Front(tmp_path, host("s-0b", box.address, "std"), host("s-1f", hill.address, "origin"),
+                  settings=SLOW_TO_CONNECT)
+    with front:
+        sock = front.connect()
+        sock.sendall(get_text(ds="order", method="PUT", patience=600))
+        assert front.ask(b"", sock)[0] == 503        # a non-idempotent one: 502 would be "may have run"
+
+
+@pytest.mark.parametrize("spoilt", [
+    {"dial": "nonsense"}, {"dial": "127.0.0.1:0"}, {"share": 0}, {"share": -1.0}, {"share": "NaN"}, {"health": "odd"},
+])
+def test_a_list_with_one_bad_entry_is_asked_for_again_and_not_believed_by_half(tmp_path, spoilt):
+    front, box, root = two(tmp_path)
+    with front:
+        front.bus.heard.get(timeout=5)
+        drain, bad = host("s-0b", box.address, "std", "draining"), {**host("s-0c", box.address, "std"), **spoilt}
+        front.tells.put({"offset": 2, "topology": {"seq": 2, "whole": False, "hosts": [drain, bad]}})
+        front.until("bus_lost")
+        front.tells.put(None)                # the stream that was left ends
+        assert b"Last-Event-ID: 1\r\n" in front.bus.heard.get(timeout=5)
+        assert front.ask(get_text())[0] == 200
+        assert box.heard.get(timeout=5)[0] == b"serve" and root.heard.empty()    # the drain beside it did not hold
+        good = {"offset": 2, "topology": {"seq": 2, "whole": False, "hosts": [drain]}}
+        for _ in range(3):                   # the stream that was left may eat one
+            front.tells.put(good)
+        front.until("told")
+        assert front.ask(get_text(key(1)).replace(b"7f3a", b"aaaa"))[0] == 200
+        assert root.heard.get(timeout=5)[0] == b"serve"
+
+
+def test_configurations_of_two_fronts_in_one_process_leave_nothing_for_each_other():
+    twice = get_text(extra="X-Tenant: a\r\nX-Tenant: b\r\n")
+    shares, plain = RequestReader(frozenset((b"x-tenant",))), RequestReader()
+    assert len(shares.feed(twice)) == 1 and shares.fault is None
+    assert plain.feed(twice) == [] and plain.fault.status == 400
+
+
