What a front saves up for a cold node and does not use goes by

Deterministic, 3, 20 and 30 Routers side by side (tests/test_cold_fleet.py): even and uneven parts, starts told at different times and twice, budgets under one a front, steady or a loud second after three quiet ones. Before: five of 60 cases over N + 2 x root of N + 2, by up to 5.9 (19 GETs in a window where 2.5 were the budget, 30 fronts). Cause: cold_room capped what is saved at one GET or one budget, so after a quiet time every front held one ready, and all sent it in the first loud window. Now whole GETs beyond what the budget's share of a window (0.9 of it, all told) leaves are let go, and the phases that chance gave at the start stay apart. All cases hold. A need of 0 can't be divided by.

--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -7,7 +7,7 @@
 from bisect import bisect_left
 from collections import Counter, OrderedDict, defaultdict, deque
 from itertools import count
-from math import log, sqrt
+from math import ceil, log, sqrt
 from statistics import median, median_low
 from zlib import crc32
 
@@ -35,6 +35,7 @@
 PROBING = 0.08          # of what looks hopeless is tried all the same, or nothing would show that it passed
 COLD_MOST = 1.4         # times its part of what warm ones return: more would come late
 COLD_SAFETY = 0.7       # of a cold node's budget: the rest is for what this front can't see
+COLD_SUM = 0.9          # of it in any one window, with what was saved up before: the rest is noise over all fronts
 SAMPLES, SAMPLE_AGE = 16, 10 * S        # outcomes that a judgement rests on
 REFRESH = 20 * MS       # figures over hundreds of samples are worked out again after this, not for each GET
 LATEST = 6              # ends that tell of failing: a hanging place answers late, and a front asks it little
@@ -441,15 +442,19 @@
         fills = 8 + sum(f not in HITS for f in self.found)
         rate *= fills / (8 + len(self.found)) if role == "parent" else 1
         share = floor + (1 - floor) * max(0, age) / warm
-        budget = min(COLD_MOST, COLD_SAFETY * self.get(f"{kind}fall_multiple", 2)) * share * rate * window
-        need = self.mean_work(ds)
-        # Against a start among cold nodes alone: with nothing carried a front would earn nothing, ever.
-        budget = budget if self.carried else need * window / warm
+        whole = self.get(f"{kind}fall_multiple", 2) * share * rate * window
+        budget = min(COLD_MOST * share * rate * window, COLD_SAFETY * whole)
+        need, spare = max(1, self.mean_work(ds)), max(0, COLD_SUM * whole - budget)
+        if not self.carried:                 # against a start among cold nodes alone: it would earn nothing, ever
+            budget = spare = need * window / warm
         if node.credit is None:
             # Against many fronts that each see few GETs: all their firsts together would push it over.
             node.credit, node.credit_at = self.chance(node.label.hex()) * need, now
         node.credit += budget * (now - node.credit_at) / window
-        node.credit, node.credit_at = min(node.credit, max(budget, need)), now
+        # Kept for good, what each has saved up in a quiet time would come from all of them at once. By whole GETs:
+        # capped alike, all fronts would hold one ready at any time.
+        node.credit -= need * max(0, ceil((node.credit - need - spare) / need))
+        node.credit_at = now
         return node.credit >= need
 
     def usable(self, nodes, now):
