--- a/sprucegate/front/lifecycle/configuration.py
+++ b/sprucegate/front/lifecycle/configuration.py
@@ -175,6 +175,10 @@
     except ValueError:
         raise Faulty(f"seed: must be hex digits, not {seed[:60]!r}") from None
     settings = settings_from(_flat(_pick(data, "settings", dict), "", {}), lambda text: Faulty(f"settings: {text}"))
+    for name, path in (("connect_timeout", "allowed.connectTimeout"), ("keepalive", "allowed.keepalive")):
+        # Without them a front would go by another deployment's: connections would be used as their caches close them.
+        if name not in settings:
+            raise Faulty(f"settings.{path}: is missing")
     if found := shape.fault(settings, len(locations)):
         raise Faulty(f"settings.{found[0]}: {found[1]}")
     return Wanted(
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -22,6 +22,7 @@
 from sprucegate.front.protocol.http import RequestReader
 from sprucegate.interface import Outcome
 from standins.driver import Recorder
+from standins.ports import free_port
 from standins.processes import Process
 
 LIVE = b"GET /status/live HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -103,6 +104,32 @@
 
 # Shutdown.
 
+def test_twenty_fronts_restarted_at_once_with_discovery_down_are_ready_in_time(tmp_path):
+    """From exec to `ready`, on the cores that all other tests use as well; nine in ten within ten seconds."""
+    started = []
+    for at in range(20):
+        folder = tmp_path / str(at)
+        folder.mkdir()
+        front = Front.__new__(Front)
+        front.config = {**REAL, "listen": f"127.0.0.1:{free_port()}", "bus": f"127.0.0.1:{free_port()}",
+                        "known": {"offset": 1, "batch": [{"offset": 1, "topology": {
+                            "seq": 1, "whole": True, "hosts": [host("s-0b", "127.0.0.1:9", "std")]}}]}}
+        front.file = folder / "config.json"
+        front.configure()
+        begun = time.monotonic()
+        started.append((begun, subprocess.Popen(
+            [sys.executable, "-m", "sprucegate"], stdout=subprocess.PIPE, text=True,
+            env={**os.environ, "BALANCER_CONFIG": str(front.file)})))
+    took = []
+    for begun, process in started:
+        assert any('"ready"' in line for line in process.stdout)
+        took.append(time.monotonic() - begun)
+        process.kill()
+        process.wait()
+        process.stdout.close()
+    assert sorted(took)[17] < 10, took
+
+
 @pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
 def test_a_signal_before_the_loop_stands_ends_the_front_as_asked(tmp_path, number):
     """It waits for its configuration, a pipe that nobody has opened, when the signal comes."""
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -62,6 +62,25 @@
         wanted(settings)
 
 
+@pytest.mark.parametrize("name", ["connectTimeout", "keepalive"])
+def test_a_time_that_only_the_deployment_knows_is_not_made_up(name):
+    settings = merged({})
+    del settings["allowed"][name]
+    with pytest.raises(configuration.Faulty, match=f"settings.allowed.{name}: is missing"):
+        wanted(settings)
+
+
+def test_bounds_of_clients_and_of_the_end_follow_from_the_viewer_timeouts():
+    def times(*timeouts):
+        return configuration.times_from({"viewer_timeout": list(timeouts)})
+
+    short, long = times(800 * MS, None, 1500 * MS), times(6000 * MS)
+    assert (short.unfinished, short.sending, short.last) == (1050 * MS, 1500 * MS, 1800 * MS)
+    # The kill comes no later for viewer timeouts over three seconds; answers may still be read so long.
+    assert (long.unfinished, long.sending, long.last) == (2100 * MS, 6000 * MS, 3300 * MS)
+    assert times() == configuration.times_from({}) == times(3000 * MS)
+
+
 def test_a_mixed_configuration_is_one_line_and_exit_2(tmp_path):
     settings = merged({**SILENT, "loadInfo": {"how": "silent", "fields": ["outstanding"]}})
     front = Front.__new__(Front)
