--- a/benchmarks/exchange.py
+++ b/benchmarks/exchange.py
@@ -42,13 +42,13 @@
         state = State.DRAINING if at in self.drained else State.SERVING
         return Listed(at, 0, kind, 0, state, 1.0, self.started.get(at, 0))
 
-    def at(self, when, deed, *given):
-        heapq.heappush(self.events, (when, next(self.order), deed, given))
+    def at(self, when, action, *given):
+        heapq.heappush(self.events, (when, next(self.order), action, given))
 
     def run(self, until):
         while self.events and self.events[0][0] <= until:
-            self.now, _, deed, given = heapq.heappop(self.events)
-            deed(*given)
+            self.now, _, action, given = heapq.heappop(self.events)
+            action(*given)
 
     def news(self, cache):
         """The list changes: each front hears late by itself, or all by the first that hears."""
--- a/sprucegate/fleet/agreed.py
+++ b/sprucegate/fleet/agreed.py
@@ -29,7 +29,7 @@
 from sprucegate.fleet.rollout.permits import Step
 from sprucegate.fleet.rollout.releases import Phase
 from sprucegate.fleet.rollout.rollout import Rollout
-from sprucegate.fleet.views.careful import OwnDeed
+from sprucegate.fleet.views.careful import OwnAction
 from sprucegate.state.disk import Disk
 
 S = 1_000_000_000
@@ -207,8 +207,8 @@
         self.trusted = False
         await self.begins()
 
-    def _disk(self, deed, *given):
-        return self.loop.run_in_executor(self.pool, deed, *given)
+    def _disk(self, action, *given):
+        return self.loop.run_in_executor(self.pool, action, *given)
 
     async def stop(self):
         """A leader hands its place on first, so that nobody waits for an election."""
@@ -251,7 +251,7 @@
 
     def viewed(self, view):
         if self.agreed is not None:
-            self.agreed.speaks = view.own_does(OwnDeed.SPEAK)
+            self.agreed.speaks = view.own_does(OwnAction.SPEAK)
 
     def renamed(self, name, life):
         if self.agreed is not None:
--- a/sprucegate/fleet/agreement/following.py
+++ b/sprucegate/fleet/agreement/following.py
@@ -93,7 +93,7 @@
         self.proposals, self.sent = {}, 0    # number -> [command, token, until, sent at]
 
     def fenced(self, now):
-        """Whether the leader may count without this front. Asked before each deed that rests on the lease."""
+        """Whether the leader may count without this front. Asked before each action that rests on the lease."""
         return now >= self.until
 
     def next_due(self):
--- a/sprucegate/fleet/face.py
+++ b/sprucegate/fleet/face.py
@@ -4,7 +4,7 @@
 
 from sprucegate.fleet.rollout.gates import Limits
 from sprucegate.fleet.rollout.permits import Box, Step
-from sprucegate.fleet.views.careful import Deed, does
+from sprucegate.fleet.views.careful import Action, does
 from sprucegate.fleet.views.standing import OF_WORD
 from sprucegate.interface import Found, Outcome
 
@@ -55,7 +55,7 @@
                            self._weight(row.server.entry.id))
                  for name, row in self._rows().items()}
         for name, member in self.members().items():
-            if does(Deed.LISTED, OF_WORD[member.standing]):
+            if does(Action.LISTED, OF_WORD[member.standing]):
                 found[name] = Box(name, "front", "", "front", "", 1)
         return found
 
--- a/sprucegate/fleet/peer.py
+++ b/sprucegate/fleet/peer.py
@@ -9,7 +9,7 @@
 from sprucegate.fleet.members.swim import Member, Members, Standing
 from sprucegate.fleet.replica import replica
 from sprucegate.fleet.replica.replica import Live, Phase, Replica
-from sprucegate.fleet.views.careful import Deed, does
+from sprucegate.fleet.views.careful import Action, does
 from sprucegate.fleet.views.standing import OF_WORD
 from sprucegate.fleet.views.views import Views
 
@@ -96,7 +96,7 @@
             done.append(action)
             if isinstance(action, swim.Stands):
                 self.views.member(action.member, now)
-                there, before = does(Deed.TELL, OF_WORD[action.member.standing]), action.before
+                there, before = does(Action.TELL, OF_WORD[action.member.standing]), action.before
                 if before is not None and before.life != action.member.life:
                     # Another life may have lost its disk: what the former one had seen counts no more.
                     done += self.replica.stands(before.name, False, now)
--- a/sprucegate/fleet/rollout/rollout.py
+++ b/sprucegate/fleet/rollout/rollout.py
@@ -53,10 +53,10 @@
             while len(self.once) > ONCE_MOST:
                 del self.once[next(iter(self.once))]
             return word, granted
-        deed = self.commands.get(command[0])
-        if deed is None:
+        action = self.commands.get(command[0])
+        if action is None:
             return f"{command[0]} is not known here", []
-        word = deed(*command[1:]) or "done"
+        word = action(*command[1:]) or "done"
         self.permits.settled()
         self.releases.moves()
         return word, self.permits.grants(index, self.releases.may)
--- a/sprucegate/fleet/service.py
+++ b/sprucegate/fleet/service.py
@@ -33,7 +33,7 @@
     Send,
     Write,
 )
-from sprucegate.fleet.views.careful import Deed, OwnDeed
+from sprucegate.fleet.views.careful import Action, OwnAction
 from sprucegate.fleet.views.views import Viewed
 from sprucegate.interface import Believed, Resting
 from sprucegate.interface import State as Listed
@@ -286,7 +286,7 @@
     def _hears(self, name, message):
         now = self.driver.clock()
         view = self.peer.views.view
-        if not view.does(Deed.BELIEVE, name) or not view.own_does(OwnDeed.BELIEVE):
+        if not view.does(Action.BELIEVE, name) or not view.own_does(OwnAction.BELIEVE):
             return
         if abs(now - message.at) <= EVIDENCE_OLD:
             self.rows_in += len(message.resting) + len(message.believed)
@@ -328,8 +328,8 @@
 
     # The disk.
 
-    def _disk(self, deed, *given):
-        return self.loop.run_in_executor(self.pool, deed, *given)
+    def _disk(self, action, *given):
+        return self.loop.run_in_executor(self.pool, action, *given)
 
     async def _writes(self, action):
         fault = await self._disk(self.keeping.write, action.record)
@@ -380,14 +380,14 @@
             part.renamed(self.peer.members.own.name, self.peer.members.own.life)
         self.log("fleet_renewed", name=self.peer.members.own.name, life=f"{self.peer.members.own.life:x}")
 
-    def _later(self, deed):
-        task = self.loop.create_task(self._guarded(deed))
+    def _later(self, action):
+        task = self.loop.create_task(self._guarded(action))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def _guarded(self, deed):
+    async def _guarded(self, action):
         try:
-            await deed
+            await action
         except Exception as fault:           # the front goes on whatever breaks here
             self.driver.fault(fault)
 
--- a/sprucegate/fleet/shares/part.py
+++ b/sprucegate/fleet/shares/part.py
@@ -14,7 +14,7 @@
 from sprucegate.fleet.shares.queue import tenant_of
 from sprucegate.fleet.shares.shares import Shares
 from sprucegate.fleet.shares.terms import Asks, GiveUp, Goes, Lent, Moved, Need, Send, Start, Terms
-from sprucegate.fleet.views.careful import Deed, OwnDeed
+from sprucegate.fleet.views.careful import Action, OwnAction
 from sprucegate.interface import Found, Outcome
 
 S = 1_000_000_000
@@ -125,9 +125,9 @@
 
     def viewed(self, view):
         own = self.fleet.peer.members.own
-        lenders = [(name, row.life) for name, row in view.rows.items() if view.does(Deed.LENDS, name)]
-        lenders += [(own.name, own.life)] if view.own_does(OwnDeed.LEND) else []
-        self._do(self.shares.viewed(lenders, view.own_does(OwnDeed.BORROW), view.own_does(OwnDeed.FLOOR),
+        lenders = [(name, row.life) for name, row in view.rows.items() if view.does(Action.LENDS, name)]
+        lenders += [(own.name, own.life)] if view.own_does(OwnAction.LEND) else []
+        self._do(self.shares.viewed(lenders, view.own_does(OwnAction.BORROW), view.own_does(OwnAction.FLOOR),
                                     time.monotonic_ns()))
 
     def heard(self, sender, data):
--- a/sprucegate/fleet/views/careful.py
+++ b/sprucegate/fleet/views/careful.py
@@ -21,7 +21,7 @@
     RETURNING = "returning"
 
 
-class Deed(Enum):
+class Action(Enum):
     TELL = auto()       # purges, drains and removals go to it at once
     BELIEVE = auto()    # its evidence (beliefs, rests) is taken
     LISTED = auto()     # it is one of the fronts that a permit may take out
@@ -36,18 +36,18 @@
 # out, after its lease), not to lend, to count what was lent, to count a floor, and for a steward to stay: each change
 # leaves places idle for a lease. One that goes needs nothing any more, but what it holds it holds to its end.
 IN_STANDING = {
-    Deed.TELL: {LIVE, SUSPECT, ONE_WAY, CUT_OFF, FLAPPING},
-    Deed.BELIEVE: {LIVE, CUT_OFF},
-    Deed.LISTED: {LIVE, SUSPECT, ONE_WAY, CUT_OFF, FLAPPING},
-    Deed.AWAITED: set(Standing),
-    Deed.LEND: {LIVE, CUT_OFF},
-    Deed.HOLDS: set(Standing),
-    Deed.COUNTED: set(Standing),
-    Deed.LENDS: {LIVE, SUSPECT},
+    Action.TELL: {LIVE, SUSPECT, ONE_WAY, CUT_OFF, FLAPPING},
+    Action.BELIEVE: {LIVE, CUT_OFF},
+    Action.LISTED: {LIVE, SUSPECT, ONE_WAY, CUT_OFF, FLAPPING},
+    Action.AWAITED: set(Standing),
+    Action.LEND: {LIVE, CUT_OFF},
+    Action.HOLDS: set(Standing),
+    Action.COUNTED: set(Standing),
+    Action.LENDS: {LIVE, SUSPECT},
 }
 
 
-class OwnDeed(Enum):
+class OwnAction(Enum):
     TELL = auto()       # what it hears of purges and drains goes out
     BELIEVE = auto()    # evidence of others is taken
     SPEAK = auto()      # it says for all which boxes there are, where that is its turn
@@ -59,18 +59,18 @@
 # One that stood still goes by nothing that may be over until it has looked again; one that returns knows too little
 # to speak for all; one that is alone has nobody to ask, and its floor.
 IN_STATE = {
-    OwnDeed.TELL: set(Own),
-    OwnDeed.BELIEVE: {Own.WHOLE, Own.PART, Own.RETURNING},
-    OwnDeed.SPEAK: {Own.WHOLE, Own.PART, Own.ALONE},
-    OwnDeed.LEND: {Own.WHOLE, Own.PART},
-    OwnDeed.BORROW: {Own.WHOLE, Own.PART},
-    OwnDeed.FLOOR: {Own.WHOLE, Own.PART, Own.ALONE},
+    OwnAction.TELL: set(Own),
+    OwnAction.BELIEVE: {Own.WHOLE, Own.PART, Own.RETURNING},
+    OwnAction.SPEAK: {Own.WHOLE, Own.PART, Own.ALONE},
+    OwnAction.LEND: {Own.WHOLE, Own.PART},
+    OwnAction.BORROW: {Own.WHOLE, Own.PART},
+    OwnAction.FLOOR: {Own.WHOLE, Own.PART, Own.ALONE},
 }
 
 
-def does(deed, standing):
-    return standing in IN_STANDING[deed]
+def does(action, standing):
+    return standing in IN_STANDING[action]
 
 
-def own_does(deed, state):
-    return state in IN_STATE[deed]
+def own_does(action, state):
+    return state in IN_STATE[action]
--- a/sprucegate/fleet/views/views.py
+++ b/sprucegate/fleet/views/views.py
@@ -26,15 +26,15 @@
     share: float            # of the fleet's fronts that are with this one, itself counted
     rows: dict              # name -> Row, of the others
 
-    def does(self, deed, name):
+    def does(self, action, name):
         row = self.rows.get(name)
-        return row is not None and careful.does(deed, row.standing)
+        return row is not None and careful.does(action, row.standing)
 
-    def names(self, deed):
-        return sorted(name for name, row in self.rows.items() if careful.does(deed, row.standing))
+    def names(self, action):
+        return sorted(name for name, row in self.rows.items() if careful.does(action, row.standing))
 
-    def own_does(self, deed):
-        return careful.own_does(deed, self.state)
+    def own_does(self, action):
+        return careful.own_does(action, self.state)
 
 
 class Viewed(NamedTuple):
@@ -146,7 +146,7 @@
 
     def _own(self, now):
         """(state, share of the fleet's fronts)."""
-        there = 1 + sum(careful.does(careful.Deed.TELL, row.standing) for row in self.rows.values())
+        there = 1 + sum(careful.does(careful.Action.TELL, row.standing) for row in self.rows.values())
         total = 1 + sum(self._counts(name, row) for name, row in self.rows.items())
         share = there / max(there, total)
         if now < self.still_until:
--- a/sprucegate/front/driver.py
+++ b/sprucegate/front/driver.py
@@ -1,4 +1,4 @@
-"""The driver: what happens becomes calls on the Router, what it decides becomes deeds."""
+"""The driver: what happens becomes calls on the Router, what it decides becomes actions."""
 
 import asyncio
 import heapq
@@ -252,10 +252,10 @@
                 self.guarded(self.open[handle], self.say, self.open[handle], decided, now)
         self.arm(now)
 
-    def guarded(self, get, deed, *given):
-        """Whatever breaks in a deed, its GET still gets its one answer and the others go on."""
+    def guarded(self, get, action, *given):
+        """Whatever breaks in a action, its GET still gets its one answer and the others go on."""
         try:
-            deed(*given)
+            action(*given)
         except Exception as fault:
             self.fault(fault)
             self.relay.answer(get, 500)
--- a/sprucegate/membership/__init__.py
+++ b/sprucegate/membership/__init__.py
@@ -1,1 +1,1 @@
-"""One list of servers from several sources. Decisions in `view`, `gate`, `listfile`; deeds in `watch` and `service`."""
+"""One list of servers from several sources. Decisions in `view`, `gate`, `listfile`; `watch` and `service` act."""
--- a/standins/fleet/keepers.py
+++ b/standins/fleet/keepers.py
@@ -76,13 +76,13 @@
         self.generation += 1
         self.world.note(self.name, "crash")
 
-    def event(self, deed, *given):
+    def event(self, action, *given):
         if not self.up:
             return
         if self.paused:
-            self.lying.append((deed, given))
+            self.lying.append((action, given))
             return
-        self.done(deed(*given))
+        self.done(action(*given))
 
     def done(self, actions):
         world = self.world
@@ -218,11 +218,11 @@
     def note(self, name, what, *more):
         self.trace.append((self.now, name, what, *more))
 
-    def later(self, wait, box, deed, *given):
-        heapq.heappush(self.events, (self.now + wait, next(self.order), box.event, (deed, *given)))
+    def later(self, wait, box, action, *given):
+        heapq.heappush(self.events, (self.now + wait, next(self.order), box.event, (action, *given)))
 
-    def at(self, when, deed, *given):
-        heapq.heappush(self.events, (when, next(self.order), deed, given))
+    def at(self, when, action, *given):
+        heapq.heappush(self.events, (when, next(self.order), action, given))
 
     def send(self, sender, to, message):
         if (base(sender), base(to)) in self.cut or base(to) not in self.boxes:
@@ -253,9 +253,9 @@
 
     def run(self, until):
         while self.events and self.events[0][0] <= until:
-            at, _, deed, given = heapq.heappop(self.events)
+            at, _, action, given = heapq.heappop(self.events)
             self.now = max(self.now, at)
-            deed(*given)
+            action(*given)
         self.now = max(self.now, until)
 
     # What a schedule does.
@@ -287,8 +287,8 @@
             if box.up:
                 self.note(name, "wakes")
             lying, box.lying = box.lying, []
-            for deed, given in lying:
-                box.event(deed, *given)
+            for action, given in lying:
+                box.event(action, *given)
 
     def cuts(self, pairs):
         """Those pairs, from and to, beside what is cut; none: all is healed."""
--- a/standins/fleet/rollouts.py
+++ b/standins/fleet/rollouts.py
@@ -102,11 +102,11 @@
     def crash(self, _=None):
         self.up, self.generation = False, self.generation + 1
 
-    def event(self, deed, *given):
+    def event(self, action, *given):
         if self.up and self.paused:
-            self.lying.append((deed, given))
+            self.lying.append((action, given))
         elif self.up:
-            self.done(deed(*given) or [])
+            self.done(action(*given) or [])
 
     def comes(self, sender, to, message):
         return self.follower.heard(base(sender), message, self.clock())
@@ -479,7 +479,7 @@
             elif command[0] in ("halt", "resume", "back"):
                 halted.setdefault(command[1], []).append((index, command[0]))
         elif what == "grants" and more[3] in halted:
-            before = [deed for index, deed in halted[more[3]] if index <= more[1]]
+            before = [action for index, action in halted[more[3]] if index <= more[1]]
             if before and before[-1] == "halt":
                 found.append(f"{at} {more[0]} is granted under {more[1]} after a halt")
     return found
--- a/standins/fleet/sharing.py
+++ b/standins/fleet/sharing.py
@@ -44,13 +44,13 @@
         self.up, self.generation = False, self.generation + 1
         self.world.note(self.name, "crash")
 
-    def event(self, deed, *given):
+    def event(self, action, *given):
         if not self.up:
             return
         if self.paused:
-            self.lying.append((deed, given))
+            self.lying.append((action, given))
         else:
-            self.done(deed(*given))
+            self.done(action(*given))
 
     def looks(self):
         """Its view: who is there and heard both ways, as it was told a while ago."""
@@ -108,17 +108,17 @@
     def note(self, name, what, *more):
         self.trace.append((self.now, name, what, *more))
 
-    def at(self, when, deed, *given):
-        heapq.heappush(self.events, (max(self.now, int(when)), next(self.order), deed, given))
+    def at(self, when, action, *given):
+        heapq.heappush(self.events, (max(self.now, int(when)), next(self.order), action, given))
 
-    def later(self, wait, _, deed, *given):
-        self.at(self.now + wait, deed, *given)
+    def later(self, wait, _, action, *given):
+        self.at(self.now + wait, action, *given)
 
     def run(self, until):
         while self.events and self.events[0][0] <= until:
-            when, _, deed, given = heapq.heappop(self.events)
+            when, _, action, given = heapq.heappop(self.events)
             self.now = max(self.now, when)
-            deed(*given)
+            action(*given)
         self.now = max(self.now, until)
 
     def send(self, front, to, message):
@@ -190,8 +190,8 @@
             if front.up:
                 self.note(name, "wakes")
             lying, front.lying = front.lying, []
-            for deed, given in lying:
-                front.event(deed, *given)
+            for action, given in lying:
+                front.event(action, *given)
 
     def cuts(self, pairs):
         self.cut = self.cut | set(pairs) if pairs else set()
--- a/standins/fleet/simulated.py
+++ b/standins/fleet/simulated.py
@@ -91,10 +91,10 @@
             self.fleet.note(self.name, "told", key, fact.value, self.peer.replica.counter > before)
         self.done(actions)
 
-    def event(self, deed, *given):
+    def event(self, action, *given):
         """One event of this process; a crash at a disk call ends it there."""
         if self.up:
-            self.done(deed(*given))
+            self.done(action(*given))
 
     def done(self, actions):
         try:
@@ -231,9 +231,9 @@
         self.note(name, "paused" if front.paused else "woken")
         if not on and front.up:
             lying, front.lying = front.lying, []
-            for deed, given in lying:
+            for action, given in lying:
                 if front.up:                 # one of them may be the end of it
-                    deed(*given)
+                    action(*given)
             if front.up:
                 self.wake(front)
 
@@ -261,21 +261,21 @@
 
     def run(self, until):
         while self.events and self.events[0][0] <= until:
-            at, _, front, generation, deed, given = heapq.heappop(self.events)
+            at, _, front, generation, action, given = heapq.heappop(self.events)
             self.now = max(self.now, at)
             if front is None:
-                deed(*given)
+                action(*given)
             elif front.up and (generation is None or generation == front.generation):
                 if front.paused:
-                    front.lying.append((deed, given))
+                    front.lying.append((action, given))
                     del front.lying[:-5000]
                 else:
-                    deed(*given)
+                    action(*given)
         self.now = max(self.now, until)
 
-    def at(self, when, deed, *given):
+    def at(self, when, action, *given):
         """A step of the schedule."""
-        heapq.heappush(self.events, (when, next(self.order), None, None, deed, given))
+        heapq.heappush(self.events, (when, next(self.order), None, None, action, given))
 
     def dump(self):
         for name, front in self.fronts.items():
@@ -287,8 +287,8 @@
     def note(self, front, what, *more):
         self.trace.append((self.now, front, what, *more))
 
-    def later(self, wait, front, deed, *given):
-        heapq.heappush(self.events, (self.now + wait, next(self.order), front, front.generation, deed, given))
+    def later(self, wait, front, action, *given):
+        heapq.heappush(self.events, (self.now + wait, next(self.order), front, front.generation, action, given))
 
     def send(self, front, to, message):
         for wait in self.network.fates(front.name, to, message):
--- a/tests/test_fleet_views.py
+++ b/tests/test_fleet_views.py
@@ -12,7 +12,7 @@
 from sprucegate.fleet.members.swim import All, Answered, Look, Member, Members, Ping, Refused, Send, Stands
 from sprucegate.fleet.members.swim import Standing as Word
 from sprucegate.fleet.views import careful
-from sprucegate.fleet.views.careful import Deed, Own, OwnDeed
+from sprucegate.fleet.views.careful import Action, Own, OwnAction
 from sprucegate.fleet.views.standing import Known, Standing
 from sprucegate.fleet.views.views import HOLD, STILL, Views
 from standins.fleet import viewing
@@ -107,7 +107,7 @@
     assert set(seen(views, HOLD).values()) == {Standing.LIVE} and views.view.state is Own.WHOLE
     views.slept(9 * S)
     assert set(seen(views, 9 * S).values()) == {Standing.LIVE} and views.view.state is Own.STOOD_STILL
-    assert not views.view.own_does(OwnDeed.BORROW) and not views.view.own_does(OwnDeed.FLOOR)
+    assert not views.view.own_does(OwnAction.BORROW) and not views.view.own_does(OwnAction.FLOOR)
     seen(views, 9 * S + STILL)
     assert views.view.state is Own.WHOLE
 
@@ -139,13 +139,15 @@
     assert seen(views, 700 * S) == {}        # and who is gone for long is forgotten
 
 
-def test_each_deed_is_in_the_table_and_none_is_bolder_for_a_worse_standing():
-    assert set(careful.IN_STANDING) == set(Deed) and set(careful.IN_STATE) == set(OwnDeed)
-    for deed in (Deed.BELIEVE, Deed.LEND, Deed.LENDS):   # bold ones: never on one that may be gone, or works otherwise
-        assert not careful.IN_STANDING[deed] & {Standing.GONE, Standing.ONE_WAY, Standing.LEAVING, Standing.OTHER_BUILD}
-    for deed in (Deed.HOLDS, Deed.COUNTED, Deed.AWAITED):        # careful ones: whatever it looks like
-        assert careful.IN_STANDING[deed] == set(Standing)
-    assert not careful.own_does(OwnDeed.BORROW, Own.ALONE) and careful.own_does(OwnDeed.TELL, Own.STOOD_STILL)
+def test_each_action_is_in_the_table_and_none_is_bolder_for_a_worse_standing():
+    assert set(careful.IN_STANDING) == set(Action) and set(careful.IN_STATE) == set(OwnAction)
+    # Bold ones: never on one that may be gone, or works otherwise.
+    for action in (Action.BELIEVE, Action.LEND, Action.LENDS):
+        assert not careful.IN_STANDING[action] & {
+            Standing.GONE, Standing.ONE_WAY, Standing.LEAVING, Standing.OTHER_BUILD}
+    for action in (Action.HOLDS, Action.COUNTED, Action.AWAITED):        # careful ones: whatever it looks like
+        assert careful.IN_STANDING[action] == set(Standing)
+    assert not careful.own_does(OwnAction.BORROW, Own.ALONE) and careful.own_does(OwnAction.TELL, Own.STOOD_STILL)
 
 
 def members(*others):
--- a/tests/test_http2_transport.py
+++ b/tests/test_http2_transport.py
@@ -38,14 +38,14 @@
     return wrap
 
 
-def after(count, deed):
-    """A script: requests are held until `count` are there; then `deed(peer, requests)`."""
+def after(count, action):
+    """A script: requests are held until `count` are there; then `action(peer, requests)`."""
     there = []
 
     def came(peer, request):
         there.append(request)
         if len(there) == count:
-            deed(peer, there)
+            action(peer, there)
 
     return came
 
