One answer at a time on a client connection: nothing piles up for who never reads

Found by a test for "a client that reads none": it went on asking, and each answer of 240 KB was queued behind the one before, without a bound, as a connection rested while its writer still worked (relay kept a deque; take_in looked at the phase alone). Now FLUSHING lies between TAKEN and RESTING: what comes before the answer is written counts as sent ahead, the answer under way is the last, and one whose client has not read it within the longest viewer timeout is ended.

--- a/sprucegate/front/memory/connections.py
+++ b/sprucegate/front/memory/connections.py
@@ -1,7 +1,6 @@
 """What is kept of each connection to a client. How far it has come is one phase, and only `to` changes it."""
 
 import socket
-from collections import deque
 from enum import Enum, auto
 
 from sprucegate.front.protocol.http import RequestReader
@@ -10,15 +9,15 @@
 class Phase(Enum):
     RESTING = auto()    # nothing is owed; part of a request may have come
     TAKEN = auto()      # a whole request was read: one answer is owed
-    FLUSHING = auto()   # the last answer is given, and not all of it written; what comes is discarded
+    FLUSHING = auto()   # the answer is given, and not all of it written
     SHUT = auto()       # our side has ended; what comes is read and discarded until the client ends, within a bound
     CLOSED = auto()
 
 
 LEGAL = {
     Phase.RESTING: (Phase.TAKEN, Phase.FLUSHING, Phase.SHUT, Phase.CLOSED),
-    Phase.TAKEN: (Phase.RESTING, Phase.FLUSHING, Phase.CLOSED),
-    Phase.FLUSHING: (Phase.SHUT, Phase.CLOSED),
+    Phase.TAKEN: (Phase.FLUSHING, Phase.CLOSED),
+    Phase.FLUSHING: (Phase.RESTING, Phase.SHUT, Phase.CLOSED),
     Phase.SHUT: (Phase.CLOSED,),
     Phase.CLOSED: (),
 }
@@ -28,12 +27,12 @@
     """`since` (ns): when it came into its phase, or began a request. `last`: its next answer ends it, nothing is read
     after that."""
 
-    __slots__ = ("sock", "reader", "phase", "last", "since", "asked", "get", "outgoing", "writer")
+    __slots__ = ("sock", "reader", "phase", "last", "since", "asked", "get", "writer")
 
     def __init__(self, sock, now, repeatable=frozenset()):
         self.sock, self.reader = sock, RequestReader(repeatable)
         self.phase, self.last, self.since, self.asked = Phase.RESTING, False, now, False
-        self.get, self.outgoing, self.writer = None, deque(), None
+        self.get, self.writer = None, None
 
     def to(self, phase, now):
         """Any order of events that would skip an answer, or read on after the end, is a fault and not a state."""
@@ -47,12 +46,14 @@
 
     def answered(self, now):
         """Its one answer is given, though perhaps not yet written."""
-        self.to(Phase.FLUSHING if self.last else Phase.RESTING, now)
+        self.to(Phase.FLUSHING, now)
 
     def flushed(self, now):
-        """All that was given is written."""
-        if self.phase is Phase.FLUSHING:
+        """All of the answer is written, so the next request may come. Of who never reads answers would pile up."""
+        if self.last:
             self.shut(now)
+        else:
+            self.to(Phase.RESTING, now)
 
     def shut(self, now):
         """Half a close: a whole one over unread bytes sends a reset, which destroys an answer on its way."""
@@ -76,8 +77,8 @@
 
     def reads(self):
         """Whether what comes may still become a request."""
-        return self.phase in (Phase.RESTING, Phase.TAKEN) and not self.last
+        return self.phase not in (Phase.SHUT, Phase.CLOSED) and not self.last
 
     def rests(self):
         """Nothing is owed, under way or begun: it may be ended, after a look at what has just come."""
-        return self.phase is Phase.RESTING and self.writer is None and not self.outgoing and not self.reader.begun
+        return self.phase is Phase.RESTING and not self.reader.begun
--- a/sprucegate/front/stages/relay.py
+++ b/sprucegate/front/stages/relay.py
@@ -31,9 +31,6 @@
         client.last = client.last or self.ending
         data = http.answer(status, body, headers, client.last)
         client.answered(self.driver.clock())
-        if client.writer is not None:
-            client.outgoing.append(data)
-            return
         try:
             sent = client.sock.send(data)
         except BlockingIOError:
@@ -41,18 +38,15 @@
         except OSError:
             return                           # the reader sees its end too
         if sent < len(data):
-            client.outgoing.append(memoryview(data)[sent:])
-            client.writer = self.loop.create_task(self._write(client))
+            client.writer = self.loop.create_task(self._write(client, memoryview(data)[sent:]))
         else:
             client.flushed(self.driver.clock())
 
-    async def _write(self, client):
+    async def _write(self, client, rest):
         try:
-            while client.outgoing:
-                await self.loop.sock_sendall(client.sock, client.outgoing[0])
-                client.outgoing.popleft()
+            await self.loop.sock_sendall(client.sock, rest)
             client.flushed(self.driver.clock())
         except OSError:
-            client.outgoing.clear()
+            pass                             # the reader sees its end too
         finally:
             client.writer = None
--- a/sprucegate/front/stages/take_in.py
+++ b/sprucegate/front/stages/take_in.py
@@ -182,8 +182,8 @@
             if client.phase is Phase.SHUT:
                 if waited > self.times.lingering:
                     self.close(client)
-            elif client.writer is not None:
-                if client.phase is not Phase.TAKEN and waited > self.times.sending:
+            elif client.phase is Phase.FLUSHING:
+                if waited > self.times.sending:
                     self.driver.book.count("clients_not_reading")
                     self.close(client)
             elif client.phase is Phase.RESTING:
@@ -195,8 +195,6 @@
                         client.shut(now)
                     else:
                         self.end(client)
-            elif client.phase is Phase.FLUSHING:
-                self.close(client)           # its write broke; the reader has not said so
 
     def finish(self, now):
         """One look at all, at the front's end: those that rest are ended. Whether anything still goes on.
