--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -510,7 +510,7 @@
         await loop.sock_sendall(sock, served(b"b" * 16, {}))
         return await made.end(second)
 
-    assert asyncio.run(run()) is Outcome.RETURNED
+    assert asyncio.run(asyncio.wait_for(run(), 10)) is Outcome.RETURNED
 
 
 def until_open(front, count):
@@ -693,6 +693,7 @@
         deaf.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
         deaf.connect(front.address)
         deaf.settimeout(10)
+        deaf.settimeout(10)
         for at in range(60):                 # 14 MB, of which the system itself holds a part
             deaf.sendall(get_text(key(at)).replace(b"7f3a", b"%04x" % at))
         second(front, lambda said: said.get("clients_not_reading") or not said["clients"])
