Only the connection that a forward would take is looked at for its end

Each forward looked at every resting connection of its cache, up to four calls of the system; the one that it takes is enough.

--- a/sprucegate/servers/lines/transport.py
+++ b/sprucegate/servers/lines/transport.py
@@ -100,17 +100,23 @@
         except OSError:
             return True
 
-    def _connection(self, place, get, now):
-        """The least busy one, or a new one while there is room: what spoils one should spoil few GETs."""
+    def _least_busy(self, place, get, now):
         best = None
         for connection in list(place.held):
-            if not connection.open and connection.up and (
-                    now - connection.used > self.idle_most or self._ended_unseen(connection)):
+            if not connection.open and connection.up and now - connection.used > self.idle_most:
                 self.close(connection)
             elif connection in get.left_on or len(connection.open) >= self.streams:
                 continue
             elif best is None or (len(connection.open), -connection.used) < (len(best.open), -best.used):
                 best = connection
+        return best
+
+    def _connection(self, place, get, now):
+        """The least busy one, or a new one while there is room: what spoils one should spoil few GETs."""
+        best = self._least_busy(place, get, now)
+        while best is not None and best.up and not best.open and self._ended_unseen(best):
+            self.close(best)
+            best = self._least_busy(place, get, now)
         ours = self.servers
         full = len(place.held) >= CONNECTIONS or ours.connections >= ours.most - len(ours.places)
         if best is not None and (not best.open or full):
