One look at whether the other side has gone, for clients and caches

The same eight lines stood in the client's connection and in the line transport; they are servers/sockets.py now. No behaviour changes: the tests of many clients that left and of a connection just ended pass.

--- a/sprucegate/front/memory/connections.py
+++ b/sprucegate/front/memory/connections.py
@@ -4,6 +4,7 @@
 from enum import Enum, auto
 
 from sprucegate.front.protocol.http import RequestReader
+from sprucegate.servers.sockets import ended
 
 
 class Phase(Enum):
@@ -67,13 +68,8 @@
         self.to(Phase.CLOSED, now)
 
     def left(self):
-        """Whether its client has ended or reset it, though the loop has not come to that yet."""
-        try:
-            return not self.sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
+        """Whether its client has gone, though the loop has not come to that yet."""
+        return ended(self.sock)
 
     def reads(self):
         """Whether what comes may still become a request."""
--- a/sprucegate/servers/lines/transport.py
+++ b/sprucegate/servers/lines/transport.py
@@ -9,6 +9,7 @@
 from sprucegate.servers.lines import codec
 from sprucegate.servers.lines.connection import LineConnection
 from sprucegate.servers.progress import Progress
+from sprucegate.servers.sockets import ended
 
 
 class Lines:
@@ -88,18 +89,6 @@
             self.loop.call_soon(self.close, connection)
         return None
 
-    def _ended_unseen(self, connection):
-        """Whether a connection that rests has ended, or will not go on, and the loop has not yet come to it.
-
-        Against a request into a connection that its cache has just closed: nobody could tell whether it ran.
-        """
-        try:
-            return not connection.sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
-
     def _least_busy(self, place, get, now):
         best = None
         for connection in list(place.held):
@@ -114,7 +103,8 @@
     def _connection(self, place, get, now):
         """The least busy one, or a new one while there is room: what spoils one should spoil few GETs."""
         best = self._least_busy(place, get, now)
-        while best is not None and best.up and not best.open and self._ended_unseen(best):
+        # Against a request into one that its cache has just closed: nobody could tell whether it ran.
+        while best is not None and best.up and not best.open and ended(best.sock):
             self.close(best)
             best = self._least_busy(place, get, now)
         ours = self.servers
