A time-out in the turn in which news took a forward back counts as never ran

On the last reading: news take a forward back and tell its end in the next turn; a time-out between the two found it gone from its connection, so lines.cancel returned None, "may have run": a non-idempotent GET that never left would be a 502. Now what a forward's own progress says decides.

--- a/sprucegate/front/driver.py
+++ b/sprucegate/front/driver.py
@@ -253,7 +253,7 @@
         self.arm(now)
 
     def guarded(self, get, action, *given):
-        """Whatever breaks in a action, its GET still gets its one answer and the others go on."""
+        """Whatever breaks in an action, its GET still gets its one answer and the others go on."""
         try:
             action(*given)
         except Exception as fault:
--- a/sprucegate/servers/lines/transport.py
+++ b/sprucegate/servers/lines/transport.py
@@ -74,7 +74,8 @@
 
     def cancel(self, out, timed_out=False):
         """The front's side ends at once: NOT_SENT where no byte had left, else nothing is proved."""
-        if self.withdraw(out):
+        self.withdraw(out)
+        if out.progress is Progress.NOT_SENT:    # also where news took it back, and its end is on the way
             return Outcome.NOT_SENT
         connection = out.connection
         if connection is None or connection.open.get(out.get.id) is not out:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -513,6 +513,17 @@
     assert asyncio.run(asyncio.wait_for(run(), 10)) is Outcome.RETURNED
 
 
+def test_a_time_out_in_the_turn_in_which_news_took_a_forward_back_proves_that_it_never_ran():
+    async def run():
+        hill = Uphill()
+        made = Recorder({1: hill.address}, speaks="lines")
+        out = made.send(1, "a" * 16)
+        assert made.servers.withdraw(out)
+        return made.servers.cancel(out, timed_out=True)
+
+    assert asyncio.run(run()) is Outcome.NOT_SENT
+
+
 def until_open(front, count):
     second(front, lambda said: said["open"] == count)
 
