--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -35,7 +35,7 @@
 PROBING = 0.08          # of what looks hopeless is tried all the same, or nothing would show that it passed
 COLD_MOST = 1.4         # times its part of what warm ones return: more would come late
 COLD_SAFETY = 0.7       # of a cold node's budget: the rest is for what this front can't see
-COLD_SUM = 0.9          # of it in any one window, with what was saved up before: the rest is noise over all fronts
+COLD_SUM = 0.9          # of it in any one window, with what was saved up: the rest is noise over all fronts
 SAMPLES, SAMPLE_AGE = 16, 10 * S        # outcomes that a judgement rests on
 REFRESH = 20 * MS       # figures over hundreds of samples are worked out again after this, not for each GET
 LATEST = 6              # ends that tell of failing: a hanging place answers late, and a front asks it little
@@ -445,14 +445,14 @@
         whole = self.get(f"{kind}fall_multiple", 2) * share * rate * window
         budget = min(COLD_MOST * share * rate * window, COLD_SAFETY * whole)
         need, spare = max(1, self.mean_work(ds)), max(0, COLD_SUM * whole - budget)
-        if not self.carried:                 # against a start among cold nodes alone: it would earn nothing, ever
+        if not self.carried:         # against a start among cold nodes alone: it would earn nothing, ever
             budget = spare = need * window / warm
         if node.credit is None:
             # Against many fronts that each see few GETs: all their firsts together would push it over.
             node.credit, node.credit_at = self.chance(node.label.hex()) * need, now
         node.credit += budget * (now - node.credit_at) / window
-        # Kept for good, what each has saved up in a quiet time would come from all of them at once. By whole GETs:
-        # capped alike, all fronts would hold one ready at any time.
+        # Kept for good, what each saved up in a quiet time would come from all of them at once.
+        # By whole GETs: capped alike, all fronts would hold one ready at any time.
         node.credit -= need * max(0, ceil((node.credit - need - spare) / need))
         node.credit_at = now
         return node.credit >= need
