--- a/sprucegate/assembly/run.py
+++ b/sprucegate/assembly/run.py
@@ -46,7 +46,8 @@
         listed = not await driver.membership.recovers() or wanted.fleet is None
         if listed:
             await driver.membership.start()
-    await asyncio.sleep(0)
+    for _ in range(3):                       # turns that a signal takes from the system to its handler, and one more
+        await asyncio.sleep(0)
     if stop.is_set():
         # Nobody was let in yet: there is nothing to serve on for.
         if wanted.membership is not None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -14,6 +14,22 @@
 import time
 
 import pytest
+from crossing import (
+    KINDS,
+    LIVE,
+    NEVER_CANCELS,
+    SLOW_TO_CONNECT,
+    Uphill,
+    answer_of,
+    goes_on,
+    held,
+    key,
+    second,
+    stopped,
+    two,
+    until_open,
+    uphill,
+)
 from helpers import REAL, Front, StandIn, bus, cache, get_text, host, served
 from hypothesis import settings
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
@@ -26,83 +42,6 @@
 from standins.ports import free_port
 from standins.processes import Process
 
-LIVE = b"GET /status/live HTTP/1.1\r\nHost: a\r\n\r\n"
-
-
-def key(at):
-    return f"{at:016x}"
-
-
-def answer_of(sock):
-    """All bytes up to the end that the front makes; a reset in between is an error."""
-    return b"".join(iter(lambda: sock.recv(65_536), b""))
-
-
-def held(go):
-    def reply(call_id, fields, body):
-        go.wait(10)
-        return served(call_id, fields)
-
-    return reply
-
-
-def two(path, reply=served, origin=served, **more):
-    """A front with one cache and an origin."""
-    box, root = cache(reply), cache(origin)
-    return Front(path, host("s-0b", box.address, "std"), host("s-1f", root.address, "origin"), **more), box, root
-
-
-def stopped(front):
-    """The front stands still, so that what comes meanwhile is all there at once when it goes on."""
-    os.kill(front.process.pid, signal.SIGSTOP)
-    os.waitid(os.P_PID, front.process.pid, os.WSTOPPED | os.WNOWAIT)
-
-
-def second(front, is_so):
-    """Waits until a line of the log, of which there is one a second, says so."""
-    for _ in range(10):
-        if is_so(front.until("second")):
-            return
-    raise AssertionError("not so in ten seconds")
-
-
-def goes_on(front):
-    os.kill(front.process.pid, signal.SIGCONT)
-
-
-class Uphill:
-    """A server whose connections come up only once it `lets` them: its queue is full, SYNs are dropped."""
-
-    def __init__(self):
-        self.sock = socket.socket()
-        self.sock.bind(("127.0.0.1", 0))
-        self.sock.listen(0)
-        self.address = f"127.0.0.1:{self.sock.getsockname()[1]}"
-        self.fillers = []
-        for _ in range(3):                   # one more than a queue of 0 holds
-            filler = socket.socket()
-            filler.setblocking(False)
-            filler.connect_ex(self.sock.getsockname())
-            self.fillers.append(filler)
-
-    def lets(self):
-        """The first connection of the front, as a file, once it is up."""
-        self.sock.settimeout(10)
-        ours = {filler.getsockname() for filler in self.fillers}
-        while True:
-            sock, at = self.sock.accept()
-            if at not in ours:
-                sock.settimeout(10)
-                return sock.makefile("rb")
-            sock.close()
-
-
-SLOW_TO_CONNECT = {**REAL["settings"], "allowed": {**REAL["settings"]["allowed"], "connectTimeout": 9_000_000},
-                   "categories": [{**one, "aim": 6_000_000, "deadline": 8_000_000}
-                                  for one in REAL["settings"]["categories"]]}
-NEVER_CANCELS = {**SLOW_TO_CONNECT, "allowed": {**SLOW_TO_CONNECT["allowed"], "cancel": False}}
-
-
 # Shutdown.
 
 def test_twenty_fronts_restarted_at_once_with_discovery_down_are_ready_in_time(tmp_path):
@@ -434,16 +373,6 @@
 
 # Connections to caches, lists and purges that cross a forward.
 
-KINDS = {"lines": None, "http2": 'servers {\n    speak http2 kind=std\n    speak http2 kind=origin\n}\n'}
-
-
-def uphill(path, settings, kdl=None, origin=None, **more):
-    hill, root = Uphill(), cache(served) if origin is None else origin
-    front = Front(path, host("s-0b", hill.address, "std"), host("s-1f", root.address, "origin"), settings=settings,
-                  kdl=kdl, **more)
-    return front, hill, root
-
-
 @pytest.mark.parametrize("settings", [SLOW_TO_CONNECT, NEVER_CANCELS])
 @pytest.mark.parametrize("leaves", ["closes", "resets"])
 def test_a_client_that_left_while_its_get_waited_for_a_connection_is_not_served(tmp_path, settings, leaves):
@@ -463,7 +392,6 @@
         assert sent.read() == b""
 
 
-
 @pytest.mark.parametrize("speaks", KINDS)
 def test_of_many_clients_that_left_before_their_turn_none_is_sent_on(tmp_path, speaks):
     """All have come and gone while the front stood still: it reads the requests first, the ends after them."""
@@ -524,10 +452,6 @@
     assert asyncio.run(run()) is Outcome.NOT_SENT
 
 
-def until_open(front, count):
-    second(front, lambda said: said["open"] == count)
-
-
 def test_a_drain_told_while_a_forward_waits_for_its_connection_sends_it_elsewhere(tmp_path):
     front, hill, root = uphill(tmp_path, SLOW_TO_CONNECT)
     with front:
