What stands unread on a resting connection is read before a forward takes it

Read line by line for what can cross: a resting connection to a cache was looked at for its end by one peeked byte, so late bytes or noise hid the end behind them, and half of an answer that nobody waits for ended the connection 150 ms after a forward was written into it: 'may have run' for what need not have been sent there. Now what stands there is read first (eight reads at most), half an answer is passed by, and of two resting ones that which is up goes before one that still comes up for nobody. Also by reading: a still_good (or 304 over HTTP/2) without the tag of the client's copy was passed on as 304, and NaN or infinity in an answer was believed; both can't be read now, so the connection ends and its GETs by what can have run.

--- a/sprucegate/servers/http2/mapping.py
+++ b/sprucegate/servers/http2/mapping.py
@@ -137,14 +137,19 @@
     return asked_at - (int(age) + 1) * S if age.isdigit() and len(age) < 10 else 0
 
 
-def meaning(status, fields, body, cached_only, asked_at):
-    """What an answer says. `fields` maps lower-case names to bytes; `asked_at` is Unix time in ns."""
+def meaning(status, fields, body, cached_only, asked_at, have=""):
+    """What an answer says. `fields` maps lower-case names to bytes; `asked_at` is Unix time in ns.
+
+    `have` is the tag of the client's copy that was sent along, "" for none.
+    """
     found = _read(_found, fields.get(b"cache-status"), Found.UNTOLD)
     waited = _read(_timed, fields.get(b"server-timing"), 0)
     load = _read(_loads, fields.get(b"spruce-load"), {})
     row = evidence.of_status(status, fields.get(b"spruce-ran") == b"?0", cached_only)
-    if status in (200, 304):
-        returned = Returned(status == 304, _tag(fields.get(b"etag", b"")), _made(fields, asked_at),
+    tag = _tag(fields.get(b"etag", b""))
+    # A 304 that names no copy of the client's is not passed on: it would be shown one that no cache has named.
+    if status == 200 or status == 304 and have and tag == have:
+        returned = Returned(status == 304, tag, _made(fields, asked_at),
                             body if status == 200 else b"")
         return Meaning(Outcome.RETURNED, found, waited, load, returned, None)
     return Meaning(row.outcome if row else Outcome.ERROR, found, waited, load, None, row)
--- a/sprucegate/servers/lines/codec.py
+++ b/sprucegate/servers/lines/codec.py
@@ -1,5 +1,6 @@
 """The lines that caches, parents and the origin speak. Opens no socket, decides nothing."""
 
+from math import isfinite
 from typing import NamedTuple
 
 from sprucegate.interface import Found, Outcome
@@ -112,22 +113,36 @@
     return words[0], words[1], fields, int(words[3])
 
 
-def meaning(answer):
-    """Outcome, where it was found, time waited for the source and load report, as the module knows them."""
+def meaning(answer, have):
+    """Outcome, where it was found, time waited for the source and load report, as the module knows them.
+
+    `have` is the tag of the client's copy that was sent along, "" for none.
+    """
     fields, outcome, report = answer.fields, OUTCOMES.get(answer.word), {}
     if outcome is None:
         raise Unreadable(f"an unknown word {answer.word[:30]!r}")
+    if answer.word == b"still_good" and (not have or fields.get("etag") != have):
+        # Passed on, it would tell a client to show a copy that no cache has named.
+        raise Unreadable(f"still_good of another copy: {fields.get('etag', '')[:30]!r}, asked {have!r}")
     try:
         for pair in filter(None, fields.get("report", "").split(";")):
             name, _, value = pair.partition(":")
             if name in LOADS:                # what is not known is skipped
-                report[LOADS[name]] = float(value)
-        waited = max(0, int(float(fields.get("ttfb", 0)) * MS))
-    except (ValueError, OverflowError):
+                report[LOADS[name]] = _figure(value)
+        waited = int(_figure(fields.get("ttfb", 0)) * MS)
+    except ValueError:
         raise Unreadable(f"no number where one belongs: {fields}"[:200]) from None
     return outcome, REMARKS.get(fields.get("remark"), Found.UNTOLD), waited, report
 
 
+def _figure(text):
+    """Against what is a number to Python and tells nothing: compared, NaN is neither less nor more."""
+    value = float(text)
+    if not isfinite(value):
+        raise ValueError(text)
+    return max(0.0, value)
+
+
 def returned(answer):
     """What goes on to the client of an answer whose outcome is RETURNED."""
     made = answer.fields.get("made", "")
--- a/sprucegate/servers/lines/transport.py
+++ b/sprucegate/servers/lines/transport.py
@@ -9,7 +9,9 @@
 from sprucegate.servers.lines import codec
 from sprucegate.servers.lines.connection import LineConnection
 from sprucegate.servers.progress import Progress
-from sprucegate.servers.sockets import ended
+from sprucegate.servers.sockets import stands
+
+LOOKS = 8               # reads of what stands on resting connections before one is taken
 
 
 class Lines:
@@ -97,20 +99,29 @@
                 self.close(connection)
             elif connection in get.left_on or len(connection.open) >= self.streams:
                 continue
-            elif best is None or (len(connection.open), -connection.used) < (len(best.open), -best.used):
+            elif best is None or self._waits(connection) < self._waits(best):
                 best = connection
         return best
 
+    @staticmethod
+    def _waits(connection):
+        """Its rank for the next forward: behind how many, on half of an answer to nobody, on its coming up."""
+        return len(connection.open), connection.reader.partial(), not connection.up, -connection.used
+
     def _connection(self, place, get, now):
         """The least busy one, or a new one while there is room: what spoils one should spoil few GETs."""
         best = self._least_busy(place, get, now)
-        # Against a request into one that its cache has just closed: nobody could tell whether it ran.
-        while best is not None and best.up and not best.open and ended(best.sock):
-            self.close(best)
+        # Against a request into one that its cache has just closed: nobody could tell whether it ran. What stands
+        # unread before an end hides it, and what can't be read ends the connection just as well.
+        for _ in range(LOOKS):
+            if best is None or not best.up or best.open or not stands(best.sock):
+                break
+            self._readable(best)
             best = self._least_busy(place, get, now)
         ours = self.servers
         full = len(place.held) >= CONNECTIONS or ours.connections >= ours.most - len(ours.places)
-        if best is not None and (not best.open or full):
+        # Half of an answer that nobody waits for may never go on, and would take its connection with it.
+        if best is not None and (not best.open and not best.reader.partial() or full):
             return best
         if not self.servers.room():
             return best
@@ -241,7 +252,7 @@
         if out is None:
             return                       # late: its forward has ended already
         try:
-            outcome, found, waited, load = codec.meaning(answer)
+            outcome, found, waited, load = codec.meaning(answer, out.get.have)
         except codec.Unreadable as fault:
             connection.reader.fault = connection.reader.fault or str(fault)
             return
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -441,6 +441,64 @@
     assert asyncio.run(asyncio.wait_for(run(), 10)) is Outcome.RETURNED
 
 
+@pytest.mark.parametrize("late", [
+    b"half a li", served(b"f" * 16, {}), served(b"f" * 16, {}, b"x" * 9000)[:8000], b"\xff no line\r\n"])
+@pytest.mark.parametrize("ends", [True, False])
+def test_a_resting_connection_on_which_something_unasked_stands_harms_no_forward(late, ends):
+    """Late bytes, half of them, or with an end behind: the next forward goes where it is answered."""
+
+    async def run():
+        loop, listener = asyncio.get_running_loop(), socket.create_server(("127.0.0.1", 0))
+        listener.setblocking(False)
+        made = Recorder({1: f"127.0.0.1:{listener.getsockname()[1]}"}, speaks="lines")
+        first = made.send(1, "a" * 16)
+        old, _ = await loop.sock_accept(listener)
+        assert b"a" * 16 in await loop.sock_recv(old, 4096)
+        await loop.sock_sendall(old, served(b"a" * 16, {}))
+        assert await made.end(first) is Outcome.RETURNED
+        held, = made.servers.places[1].held
+        old.settimeout(5)
+        old.sendall(late)                    # the loop has no turn meanwhile: it all stands in the kernel
+        if ends:
+            old.close()
+        assert select.select([held.sock], [], [], 5)[0]
+        second = made.send(1, "b" * 16)
+        whole = late.endswith(b"\r\n") and late.startswith(b"f")
+        if whole and not ends:               # read and let go, the connection is as good as any
+            sock = old
+            sock.setblocking(False)
+        else:
+            sock, _ = await loop.sock_accept(listener)
+        assert b"b" * 16 in await loop.sock_recv(sock, 4096)
+        await loop.sock_sendall(sock, served(b"b" * 16, {}))
+        return await made.end(second)
+
+    assert asyncio.run(asyncio.wait_for(run(), 10)) is Outcome.RETURNED
+
+
+def test_a_forward_waits_for_no_connection_that_comes_up_while_another_rests():
+    async def run():
+        loop, hill, listener = asyncio.get_running_loop(), Uphill(), socket.create_server(("127.0.0.1", 0))
+        listener.setblocking(False)
+        made = Recorder({1: f"127.0.0.1:{listener.getsockname()[1]}"}, speaks="lines", connect_timeout=9_000_000_000)
+        first = made.send(1, "a" * 16)
+        sock, _ = await loop.sock_accept(listener)
+        assert b"a" * 16 in await loop.sock_recv(sock, 4096)
+        held, = made.servers.places[1].held
+        await loop.sock_sendall(sock, served(b"f" * 16, {}))     # it lives: a time-out there does not end it
+        while held.answered < first.at:
+            await asyncio.sleep(0)
+        made.list({1: hill.address})         # the cache has moved, and its new address hangs
+        assert made.servers.withdraw(made.send(1, "c" * 16))     # whose connection goes on coming up, for nobody
+        made.servers.cancel(first)
+        second = made.send(1, "b" * 16)
+        assert b"b" * 16 in await loop.sock_recv(sock, 4096)
+        await loop.sock_sendall(sock, served(b"b" * 16, {}))
+        return await made.end(second)
+
+    assert asyncio.run(asyncio.wait_for(run(), 10)) is Outcome.RETURNED
+
+
 def test_a_time_out_in_the_turn_in_which_news_took_a_forward_back_proves_that_it_never_ran():
     async def run():
         hill = Uphill()
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -120,6 +120,7 @@
 @pytest.mark.parametrize("spoilt", [
     b"%b served - 5\r\nab", b"%b served etag=t1", b"\xff\x00 noise\r\n", b"%b served - 3000000000\r\nabc",
     b"%b served - many\r\n", b"%b served - 2\r\nabcd\r\n", b"%b served - -2\r\nab\r\n", b"%b", b"",
+    b"%b still_good etag=t9,made=5 0\r\n\r\n", b"%b served etag=t1,report=inflight:nan 2\r\nab\r\n",
 ])
 def test_a_spoilt_answer_harms_its_own_get_alone_and_that_one_is_forwarded_again(tmp_path, spoilt):
     ill, shown = "a" * 16, threading.Event()
--- a/tests/test_front_codecs.py
+++ b/tests/test_front_codecs.py
@@ -66,7 +66,7 @@
     reader = codec.AnswerReader()
     first, second = reader.feed(ANSWERS[:cut]) + reader.feed(ANSWERS[cut:])
     assert (first.id, first.body, first.fields["etag"]) == (b"aa", b"xxxxx", "t1")
-    assert codec.meaning(second) == (
+    assert codec.meaning(second, "") == (
         Outcome.MISS, Found.SOURCE_LACKS, 1_500_000, {"inflight": 7.0, "busy": 0.5})
 
 
@@ -80,10 +80,19 @@
 
 
 @pytest.mark.parametrize("word, fields", [
-    (b"odd", {}), (b"served", {"ttfb": "x"}), (b"served", {"report": "util:x"})])
+    (b"odd", {}), (b"served", {"ttfb": "x"}), (b"served", {"report": "util:x"}), (b"served", {"ttfb": "inf"}),
+    (b"served", {"report": "util:nan"}), (b"not_here", {"report": "inflight:1e999"}),
+    (b"still_good", {"etag": "t1"}), (b"still_good", {})])
 def test_an_answer_without_a_meaning_is_unreadable(word, fields):
     with pytest.raises(codec.Unreadable):
-        codec.meaning(codec.Answer(b"aa", word, fields, b""))
+        codec.meaning(codec.Answer(b"aa", word, fields, b""), "")
+
+
+def test_a_copy_is_current_only_by_its_own_tag():
+    said = codec.Answer(b"aa", b"still_good", {"etag": "t1"}, b"")
+    assert codec.meaning(said, "t1")[0] is Outcome.RETURNED
+    with pytest.raises(codec.Unreadable):
+        codec.meaning(said, "t2")
 
 
 @pytest.mark.parametrize("oldest, said", [(0, None), (999_999, "1"), (1_999_999, "1"), (2_000_000, "2")])
--- a/tests/test_http2_session.py
+++ b/tests/test_http2_session.py
@@ -353,6 +353,15 @@
     assert (said.outcome, said.found) == (outcome, found)
 
 
+@pytest.mark.parametrize("tag, have, outcome", [
+    (b'"t1"', "t1", Outcome.RETURNED), (b'W/"t1"', "t1", Outcome.RETURNED), (b'"t1"', "t2", Outcome.ERROR),
+    (b'"t1"', "", Outcome.ERROR), (b"", "", Outcome.ERROR), (b"", "t1", Outcome.ERROR),
+])
+def test_a_304_returns_only_a_copy_that_the_client_has_and_it_names(tag, have, outcome):
+    said = mapping.meaning(304, {b"etag": tag}, b"", False, 0, have)
+    assert (said.outcome, said.returned is None) == (outcome, outcome is Outcome.ERROR)
+
+
 def test_a_504_is_a_miss_only_where_only_a_cached_copy_was_asked_for():
     assert mapping.meaning(504, {}, b"", True, 0).outcome is Outcome.MISS
     assert mapping.meaning(504, {}, b"", False, 0).outcome is Outcome.ERROR
@@ -364,5 +373,5 @@
                            b"body", False, 100 * S)
     assert said.returned == (False, "t1", 92 * S, b"body")   # a second more than told: Age is cut to seconds
     assert said.waited == 12_500_000 and said.load == {"inflight": 7.0, "busy": 0.25}
-    same = mapping.meaning(304, {b"etag": b'"t1"'}, b"", False, 100 * S)
+    same = mapping.meaning(304, {b"etag": b'"t1"'}, b"", False, 100 * S, "t1")
     assert same.returned == (True, "t1", 0, b"")
