A client that writes slowly has the same time where viewer timeouts are short

The bound for a request to be whole followed from the longest viewer timeout (0.7 of it). It is 2.1 s everywhere now, as before where timeouts are 3 s or more.

--- a/sprucegate/front/lifecycle/configuration.py
+++ b/sprucegate/front/lifecycle/configuration.py
@@ -44,8 +44,9 @@
     longest = max([given for given in settings.get("viewer_timeout") or () if given], default=LONGEST_COUNTED)
     counted = min(longest, LONGEST_COUNTED)
     return Times(
-        # Past seven tenths of its time a request that is still coming can hardly be answered in it.
-        unfinished=counted * 7 // 10, idle=3 * CLIENTS_IDLE,
+        # A request's time is counted from its last byte: short viewer timeouts make no client write faster. Within
+        # this, though, all that was begun before SIGKILL may come can still be whole and answered.
+        unfinished=LONGEST_COUNTED * 7 // 10, idle=3 * CLIENTS_IDLE,
         # Nobody waits for an answer longer than the longest viewer timeout.
         sending=longest, lingering=counted * 7 // 10, fresh=RESENT, still_coming=STILL_COMING,
         last=counted + STILL_COMING - BEFORE_KILL)
--- a/tests/test_crossings_sockets.py
+++ b/tests/test_crossings_sockets.py
@@ -289,3 +289,20 @@
             front.until("second")
         front.process.kill()
         assert sent.read() == b""
+
+
+def test_a_client_that_writes_slowly_is_waited_for_where_viewer_timeouts_are_short(tmp_path):
+    """A request's time is counted from its last byte; this one's pieces come further apart than its viewer timeout."""
+    front, _, _ = two(tmp_path)
+    front.configure(settings={**REAL["settings"], "categories": [
+        {**one, "deadline": 900_000} for one in REAL["settings"]["categories"]]})
+    front.process.kill()
+    front.process.wait()
+    front.restart()
+    with front:
+        sock, text = front.connect(), get_text(patience=900)
+        sock.sendall(text[:30])
+        front.until("second")                # the first one may come at once
+        front.until("second")
+        sock.sendall(text[30:])
+        assert front.ask(b"", sock)[0] == 200
