Tests of resting connections and of fronts not yet started share their openings

Three pairs of places repeated eight to ten lines (a connection brought to rest, an answered forward, the configuration of a front that a test starts itself).

--- a/tests/crossing.py
+++ b/tests/crossing.py
@@ -6,6 +6,8 @@
 
 from helpers import REAL, Front, cache, host, served
 
+from standins.ports import free_port
+
 LIVE = b"GET /status/live HTTP/1.1\r\nHost: a\r\n\r\n"
 
 
@@ -32,6 +34,17 @@
     return Front(path, host("s-0b", box.address, "std"), host("s-1f", root.address, "origin"), **more), box, root
 
 
+def not_started(path):
+    """The configuration of a front that a test starts itself: one cache that refuses, discovery down."""
+    front = Front.__new__(Front)
+    front.config = {**REAL, "listen": f"127.0.0.1:{free_port()}", "bus": f"127.0.0.1:{free_port()}",
+                    "known": {"offset": 1, "batch": [{"offset": 1, "topology": {
+                        "seq": 1, "whole": True, "hosts": [host("s-0b", "127.0.0.1:9", "std")]}}]}}
+    front.file = path / "config.json"
+    front.configure()
+    return front
+
+
 def stopped(front):
     """The front stands still, so that what comes meanwhile is all there at once when it goes on."""
     os.kill(front.process.pid, signal.SIGSTOP)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -24,6 +24,7 @@
     goes_on,
     held,
     key,
+    not_started,
     second,
     stopped,
     two,
@@ -39,7 +40,6 @@
 from sprucegate.front.protocol.http import RequestReader
 from sprucegate.interface import Outcome
 from standins.driver import Recorder
-from standins.ports import free_port
 from standins.processes import Process
 
 # Shutdown.
@@ -50,12 +50,7 @@
     for at in range(20):
         folder = tmp_path / str(at)
         folder.mkdir()
-        front = Front.__new__(Front)
-        front.config = {**REAL, "listen": f"127.0.0.1:{free_port()}", "bus": f"127.0.0.1:{free_port()}",
-                        "known": {"offset": 1, "batch": [{"offset": 1, "topology": {
-                            "seq": 1, "whole": True, "hosts": [host("s-0b", "127.0.0.1:9", "std")]}}]}}
-        front.file = folder / "config.json"
-        front.configure()
+        front = not_started(folder)
         begun = time.monotonic()
         started.append((begun, subprocess.Popen(
             [sys.executable, "-m", "sprucegate"], stdout=subprocess.PIPE, text=True,
@@ -417,26 +412,36 @@
     assert ran == {999, 1000}
 
 
+async def answered(made, sock, out):
+    """A server's side of one forward: it comes on this connection, and is served there; the outcome."""
+    call_id = out.get.id
+    assert call_id in await made.loop.sock_recv(sock, 4096)
+    await made.loop.sock_sendall(sock, served(call_id, {}))
+    return await made.end(out)
+
+
+async def one_at_rest():
+    """A connection that has had one answer: the loop, the server's listener, the driver, and both ends."""
+    loop, listener = asyncio.get_running_loop(), socket.create_server(("127.0.0.1", 0))
+    listener.setblocking(False)
+    made = Recorder({1: f"127.0.0.1:{listener.getsockname()[1]}"}, speaks="lines")
+    first = made.send(1, "a" * 16)
+    sock, _ = await loop.sock_accept(listener)
+    assert await answered(made, sock, first) is Outcome.RETURNED
+    held, = made.servers.places[1].held
+    return loop, listener, made, sock, held
+
+
 def test_a_resting_connection_that_its_cache_has_just_ended_is_not_used():
     """The end stands in the kernel, and the loop has not had a turn since: the forward goes on a new connection."""
 
     async def run():
-        loop, listener = asyncio.get_running_loop(), socket.create_server(("127.0.0.1", 0))
-        listener.setblocking(False)
-        made = Recorder({1: f"127.0.0.1:{listener.getsockname()[1]}"}, speaks="lines")
-        first = made.send(1, "a" * 16)
-        sock, _ = await loop.sock_accept(listener)
-        assert b"a" * 16 in await loop.sock_recv(sock, 4096)
-        await loop.sock_sendall(sock, served(b"a" * 16, {}))
-        assert await made.end(first) is Outcome.RETURNED
-        held, = made.servers.places[1].held
+        loop, listener, made, sock, held = await one_at_rest()
         sock.close()
         assert select.select([held.sock], [], [], 5)[0]
         second = made.send(1, "b" * 16)
         sock, _ = await loop.sock_accept(listener)
-        assert b"b" * 16 in await loop.sock_recv(sock, 4096)
-        await loop.sock_sendall(sock, served(b"b" * 16, {}))
-        return await made.end(second)
+        return await answered(made, sock, second)
 
     assert asyncio.run(asyncio.wait_for(run(), 10)) is Outcome.RETURNED
 
@@ -448,15 +453,7 @@
     """Late bytes, half of them, or with an end behind: the next forward goes where it is answered."""
 
     async def run():
-        loop, listener = asyncio.get_running_loop(), socket.create_server(("127.0.0.1", 0))
-        listener.setblocking(False)
-        made = Recorder({1: f"127.0.0.1:{listener.getsockname()[1]}"}, speaks="lines")
-        first = made.send(1, "a" * 16)
-        old, _ = await loop.sock_accept(listener)
-        assert b"a" * 16 in await loop.sock_recv(old, 4096)
-        await loop.sock_sendall(old, served(b"a" * 16, {}))
-        assert await made.end(first) is Outcome.RETURNED
-        held, = made.servers.places[1].held
+        loop, listener, made, old, held = await one_at_rest()
         old.settimeout(5)
         old.sendall(late)                    # the loop has no turn meanwhile: it all stands in the kernel
         if ends:
@@ -469,9 +466,7 @@
             sock.setblocking(False)
         else:
             sock, _ = await loop.sock_accept(listener)
-        assert b"b" * 16 in await loop.sock_recv(sock, 4096)
-        await loop.sock_sendall(sock, served(b"b" * 16, {}))
-        return await made.end(second)
+        return await answered(made, sock, second)
 
     assert asyncio.run(asyncio.wait_for(run(), 10)) is Outcome.RETURNED
 
@@ -492,9 +487,7 @@
         assert made.servers.withdraw(made.send(1, "c" * 16))     # whose connection goes on coming up, for nobody
         made.servers.cancel(first)
         second = made.send(1, "b" * 16)
-        assert b"b" * 16 in await loop.sock_recv(sock, 4096)
-        await loop.sock_sendall(sock, served(b"b" * 16, {}))
-        return await made.end(second)
+        return await answered(made, sock, second)
 
     assert asyncio.run(asyncio.wait_for(run(), 10)) is Outcome.RETURNED
 
--- a/tests/test_crossings_sockets.py
+++ b/tests/test_crossings_sockets.py
@@ -18,6 +18,7 @@
     goes_on,
     held,
     key,
+    not_started,
     second,
     stopped,
     two,
@@ -26,8 +27,6 @@
 )
 from helpers import REAL, Front, StandIn, cache, get_text, host, served
 
-from standins.ports import free_port
-
 LARGE = 240_000
 PIDFD_GETFD = 438       # pidfd_getfd(2), for which Python has no call of its own
 
@@ -79,12 +78,7 @@
 
 @pytest.mark.parametrize("moment", ["run.Driver.told", "run.Subscription.start", "run.TakeIn.listen"])
 def test_a_signal_between_the_loops_handlers_and_ready_is_kept_for_the_end_of_the_start(tmp_path, moment):
-    front = Front.__new__(Front)
-    front.config = {**REAL, "listen": f"127.0.0.1:{free_port()}", "bus": f"127.0.0.1:{free_port()}",
-                    "known": {"offset": 1, "batch": [{"offset": 1, "topology": {
-                        "seq": 1, "whole": True, "hosts": [host("s-0b", "127.0.0.1:9", "std")]}}]}}
-    front.file = tmp_path / "config.json"
-    front.configure()
+    front = not_started(tmp_path)
     signals_itself = f"""
 import os, signal, sys
 from sprucegate.__main__ import main
