Failing tests: a stepped wall clock loses GETs; faults inside a front's own process

Cause: Driver takes time.time_ns for every deadline, timer and grace, so a step of the wall clock moves them all. Change: standins/faults.py runs the program with its wall clock and system calls led through a shared mapping; the tests' fronts start by it.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -12,6 +12,7 @@
 
 from sprucegate.interface import Asked, Listed, State
 from sprucegate.rules import MS, Router, S
+from standins.faults import Faults
 from standins.ports import free_port
 
 NOW = 1000 * S
@@ -148,7 +149,7 @@
     """The program itself, on its own port, with the given hosts known and a bus of its own."""
 
     def __init__(self, path, *hosts, kdl=None, **more):
-        self.tells = queue.Queue()
+        self.tells, self.faults = queue.Queue(), Faults(path / "faults")
         self.bus = bus(self.tells)
         self.address = ("127.0.0.1", free_port())
         known = [{"offset": 1, "topology": {"seq": 1, "whole": True, "hosts": hosts}}]
@@ -156,7 +157,7 @@
             **REAL, "listen": f"127.0.0.1:{self.address[1]}", "bus": self.bus.address,
             "known": {"offset": 1, "batch": known}, **more}
         self.configure()
-        self.command = [sys.executable, "-m", "sprucegate"]
+        self.command = [sys.executable, "-m", "standins.faults", self.faults.path]
         if kdl is not None:                  # an operator's file: other transports than lines
             (path / "sprucegate.kdl").write_text(kdl)
             self.command += ["front", "--file", str(path / "sprucegate.kdl")]
--- /dev/null
+++ b/tests/test_wall_clock.py
@@ -0,0 +1,72 @@
+"""The wall clock may be stepped at any time: deadlines, waits and answers are spans of real time."""
+
+import threading
+import time
+
+from crossing import held, key, two
+from helpers import get_text
+
+HOUR = 3600
+STEPS = (-HOUR, -3, 3, HOUR)
+
+
+def asked(front, at, found, patience=1500):
+    """One GET in a thread of its own: (status, seconds) into `found`."""
+
+    def run():
+        sock, begun = front.connect(), time.monotonic()
+        sock.settimeout(patience / 1000 + 4)
+        try:
+            found.append((front.ask(get_text(key(at), patience=patience), sock)[0], time.monotonic() - begun))
+        except OSError:
+            found.append((0, time.monotonic() - begun))
+
+    thread = threading.Thread(target=run)
+    thread.start()
+    return thread
+
+
+def test_gets_end_in_their_time_whatever_the_wall_clock_does(tmp_path):
+    for step in STEPS:
+        front, box, root = two(tmp_path, lambda *_: None, lambda *_: None)
+        found = []
+        with front:
+            threads = [asked(front, at, found) for at in range(4)]
+            time.sleep(0.3)
+            front.faults.step_wall(step)
+            for thread in threads:
+                thread.join()
+        assert len(found) == 4 and all(status in (502, 503) and took < 1.7 for status, took in found), (step, found)
+
+
+def test_gets_open_at_a_step_and_those_after_it_are_served(tmp_path):
+    for step in STEPS:
+        go, found, later = threading.Event(), [], []
+        front, box, root = two(tmp_path, held(go))
+        with front:
+            threads = [asked(front, at, found, 3000) for at in range(8)]
+            time.sleep(0.3)
+            front.faults.step_wall(step)
+            time.sleep(0.6)                  # a sweep and a look at what is due, by the stepped clock
+            go.set()
+            for thread in threads:
+                thread.join()
+            for at in range(100, 104):
+                asked(front, at, later).join()
+        assert [status for status, _ in found + later] == [200] * 12, (step, found, later)
+
+
+def test_a_stop_takes_its_time_and_no_more_where_the_clock_is_stepped_within_it(tmp_path):
+    for step in (-HOUR, HOUR):
+        front, box, root = two(tmp_path, lambda *_: None, lambda *_: None)
+        found = []
+        with front:
+            thread = asked(front, 1, found, 2500)
+            time.sleep(0.3)
+            begun = time.monotonic()
+            front.process.terminate()
+            time.sleep(0.2)
+            front.faults.step_wall(step)
+            thread.join()
+            assert front.process.wait(10) == 0
+        assert found[0][0] in (502, 503) and 2.0 < time.monotonic() - begun < 3.7, (step, found)
