Spans stand on the monotonic clock; one module asks the wall clock

Spans are monotonic. Platform stamps are held against each other (PlatformTime): an age of a purge or a start is never more than the true one, a copy's never less, also where the wall clock is wrong from the start. HTTP/2's Age is handed on as the span that it is.

--- a/sprucegate/assembly/run.py
+++ b/sprucegate/assembly/run.py
@@ -38,6 +38,8 @@
                              shares=wanted.shares)
         # Before the first list: it may lift a drain of this front's own that the last run left.
         await driver.fleet.load()
+    for _, news in wanted.known:             # first all of them: the newest tells how old the others are
+        driver.stamped(news, driver.clock())
     for _, news in wanted.known:
         driver.told(news)
     listed = wanted.membership is None
--- a/sprucegate/fleet/agreed.py
+++ b/sprucegate/fleet/agreed.py
@@ -13,6 +13,7 @@
 import msgspec
 import orjson
 
+from sprucegate import clock
 from sprucegate.fleet.agreement import fitness, following
 from sprucegate.fleet.agreement.fitness import Begins, Begun, Fit, Fitness, Keep, PutBack, base, takes_in
 from sprucegate.fleet.agreement.following import Applied, Follow, Follower, Propose, Replaced, Serving, Word
@@ -89,7 +90,7 @@
 
     def _opened(self):
         name, start = self.ledger.begin(self.base)
-        return name, start, self.ledger.known(), self.ledger.open(time.time_ns())
+        return name, start, self.ledger.known(), self.ledger.open(clock.unix())
 
     def due(self, now):
         if self.keeper is None:
@@ -181,7 +182,7 @@
         if isinstance(action, Keep):
             fault = await self._disk(self.ledger.knows, action.known)
         else:
-            fault = await self._disk(self.ledger.write, action, time.time_ns())
+            fault = await self._disk(self.ledger.write, action, clock.unix())
         self.writing = None
         if keeper is not self.keeper:
             return                           # another member by now
--- a/sprucegate/fleet/service.py
+++ b/sprucegate/fleet/service.py
@@ -12,6 +12,7 @@
 
 import orjson
 
+from sprucegate import clock
 from sprucegate.fleet import parts
 from sprucegate.fleet.keeping import PIECE, Keeping, Unreadable, packed
 from sprucegate.fleet.links import codec
@@ -96,7 +97,7 @@
 
     def _opened(self):
         start = self.keeping.start()
-        return start, self.keeping.open(time.time_ns())
+        return start, self.keeping.open(clock.unix())
 
     def start(self):
         if self.peer is None:
@@ -259,7 +260,7 @@
             await asyncio.sleep(EVIDENCE_EVERY)
             said = self.driver.router.tells(self.node.evidence // EVIDENCE_BYTES, self.driver.clock())
             if said:
-                message = Evidence(self.driver.clock(), [one for one in said if isinstance(one, Believed)],
+                message = Evidence(clock.unix(), [one for one in said if isinstance(one, Believed)],
                                    [one for one in said if isinstance(one, Resting)])
                 self.rows_out += len(said)
                 self.do([Send(name, message) for name in self.peer.replica.to(time.monotonic_ns())])
@@ -288,9 +289,11 @@
         view = self.peer.views.view
         if not view.does(Action.BELIEVE, name) or not view.own_does(OwnAction.BELIEVE):
             return
-        if abs(now - message.at) <= EVIDENCE_OLD:
+        # Two machines' wall clocks: where either was stepped the words look too old, or come from the future.
+        age = clock.unix() - message.at
+        if abs(age) <= EVIDENCE_OLD:
             self.rows_in += len(message.resting) + len(message.believed)
-            self.driver.router.hears(message.resting + message.believed, max(0, now - message.at), now)
+            self.driver.router.hears(message.resting + message.believed, max(0, age), now)
 
     def _heard(self, name, message):
         try:
@@ -317,7 +320,7 @@
         if fact.key[0] == PURGE:
             _, kind, at = fact.key
             obj, group = (at, -1) if kind == "object" else (-1, at)
-            self.driver.router.purged(obj, group, max(0, now - fact.value[0]), now)
+            self.driver.router.purged(obj, group, self.driver.platform.age(fact.value[0], now), now)
         elif fact.key[0] == WORD:
             _, server, started, source, owner = fact.key
             own = owner == self.peer.replica.name
@@ -355,7 +358,7 @@
                 pieces.append(packed(held[at:at + PIECE]))
                 await asyncio.sleep(0)
             if fault is None:
-                fault = await self._disk(self.keeping.finish_snapshot, lives, pieces, time.time_ns())
+                fault = await self._disk(self.keeping.finish_snapshot, lives, pieces, clock.unix())
         finally:
             self.snapping = False
         if fault is not None:
@@ -409,7 +412,7 @@
         if question.what not in answers:
             return orjson.dumps({"ok": False, "error": f"{question.what} is not known"})
         said = await answers[question.what](question.given)
-        return orjson.dumps({"ok": True, "at": time.time_ns(), "front": self.peer.members.own.name, **said})
+        return orjson.dumps({"ok": True, "at": clock.unix(), "front": self.peer.members.own.name, **said})
 
     async def _status(self, _):
         replica, members = self.peer.replica, self.peer.members
--- a/sprucegate/fleet/shares/part.py
+++ b/sprucegate/fleet/shares/part.py
@@ -138,7 +138,8 @@
             return
         router, now = self.driver.router, self.driver.clock()
         warm, floor = router.get("parent_warm_time", 0), router.get("parent_cold_share", 0.1)
-        self.shares.factors({node.id: places.cold(node.started, warm, floor, now) for node in router.groups["parent"]})
+        self.shares.factors({node.id: places.cold(node.started and now - router.age(node, now), warm, floor, now)
+                             for node in router.groups["parent"]})
         self.loop.call_later(FACTORS, self._ages)
 
     # What the front says.
--- a/sprucegate/front/driver.py
+++ b/sprucegate/front/driver.py
@@ -2,10 +2,10 @@
 
 import asyncio
 import heapq
-import time
 import traceback
 from itertools import count
 
+from sprucegate import clock as system
 from sprucegate.front.memory.copies import Copies, Copy
 from sprucegate.front.memory.gets import OpenForward
 from sprucegate.front.protocol.http import Refusal, tagged
@@ -22,8 +22,9 @@
 
 
 class Driver:
-    def __init__(self, wanted, pool, log, clock=time.time_ns):
+    def __init__(self, wanted, pool, log, clock=system.now):
         self.wanted, self.log, self.clock, self.loop = wanted, log, clock, asyncio.get_running_loop()
+        self.platform = system.PlatformTime()
         self.router = Router(wanted.settings, wanted.seed, clock())
         self.relay, self.book, self.ready, self.aside = Relay(self), Book(), False, False
         self.servers = Servers(self, pool, wanted.settings, wanted.descriptors // 3, wanted.servers)
@@ -115,10 +116,20 @@
         else:
             self.relay.answer(out.get, 200, said.body, tagged(said.tag))
             get, now = out.get, self.clock()
-            if said.made and self.router.keeps(get.asked, said.made, now):
-                self.copies.put((get.ds, get.thing, get.part), Copy(said.body, said.tag, said.made, now))
+            made = self._made(out, said, now)
+            if made is not None and self.router.keeps(get.asked, made, now):
+                self.copies.put((get.ds, get.thing, get.part), Copy(said.body, said.tag, made, now))
         self.book.count("gets_returned")
 
+    def _made(self, out, said, now):
+        """When a copy was made, at the earliest, on this front's clock; None where that can't be told."""
+        if said.age is not None:
+            return out.at - said.age
+        self.platform.copy_stamped(said.made, out.cache, now)
+        self.router.platform_offset = self.platform.least_offset
+        age = self.platform.copy_age(said.made, now) if said.made else None
+        return None if age is None else now - age
+
     def left(self, get):
         self.book.count("gets_left")
         now = self.clock()
@@ -145,6 +156,7 @@
     def told(self, news):
         """A list or a purge, from the bus or from what was known at the start."""
         now = self.clock()
+        self.stamped(news, now)
         if isinstance(news, Hosts):
             if self.membership is not None:
                 news = self.membership.merged(news, now)
@@ -155,12 +167,21 @@
         elif news is not None:
             if self.fleet is not None:
                 self.fleet.purged(news.object, news.group, news.at)
-            self.router.purged(news.object, news.group, now - news.at, now)
+            self.router.purged(news.object, news.group, self.platform.age(news.at, now), now)
             # The oldest copy that a forward takes was worked out before the purge.
             self.take_back_all(lambda out: news.group == out.get.asked.group if news.object < 0
                                else news.object == out.get.asked.object)
         self.arm(now)
 
+    def stamped(self, news, now):
+        """What news of discovery shows of the platform's clock; known before, their ages are told apart."""
+        if isinstance(news, Hosts):
+            for entry in news.entries:
+                self.platform.stamped(entry.started, now)
+        elif news is not None:
+            self.platform.stamped(news.at, now)
+        self.router.platform_offset = self.platform.least_offset
+
     def apply(self, hosts):
         """A list as it now holds: from the bus alone, or merged from all sources."""
         self.servers.listed(hosts)
--- a/sprucegate/front/lifecycle/log.py
+++ b/sprucegate/front/lifecycle/log.py
@@ -1,10 +1,11 @@
 """One JSON line an event on standard output. A line that would block is dropped and counted."""
 
 import os
-import time
 
 import orjson
 
+from sprucegate import clock
+
 
 class Writer:
     """Whole lines to a descriptor, without blocking and without holding more than one."""
@@ -34,4 +35,4 @@
         if self.writer.dropped:
             fields["lines_dropped"] = self.writer.dropped
         self.writer.write(orjson.dumps(
-            {"at": time.time_ns() // 1_000_000, "front": self.name, "event": event, **fields}, default=str) + b"\n")
+            {"at": clock.unix() // 1_000_000, "front": self.name, "event": event, **fields}, default=str) + b"\n")
--- a/sprucegate/front/memory/copies.py
+++ b/sprucegate/front/memory/copies.py
@@ -7,8 +7,8 @@
 class Copy(NamedTuple):
     body: bytes
     tag: str
-    made: int           # Unix time at which the origin gave it out, nanoseconds
-    since: int
+    made: int           # when the origin gave it out, at the earliest, on this front's clock (ns)
+    since: int          # when it came here, on that clock
 
 
 class Copies:
--- a/sprucegate/membership/service.py
+++ b/sprucegate/membership/service.py
@@ -9,6 +9,7 @@
 import orjson
 import watchfiles
 
+from sprucegate import clock
 from sprucegate.membership import reading
 from sprucegate.membership.gate import Gate
 from sprucegate.membership.listfile import Faulty
@@ -95,7 +96,7 @@
     def _recovered(self):
         if self.snapshots is None:
             return None
-        now = self.driver.clock()
+        now = clock.unix()
         taken, refused = self.snapshots.newest(now, self.node.state_oldest)
         for one in refused:
             self.log("snapshot_refused", name=one.name, error=one.why)
@@ -104,7 +105,7 @@
         try:
             kept = orjson.loads(taken.payload)
             kept["file"] = [row for piece in kept["file"] for row in piece]
-            self.view.restored(kept)
+            self.view.restored(kept, clock.since_unix)
         except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as fault:
             self.log("snapshot_refused", name="servers", error=f"{type(fault).__name__}: {fault}")
             return None
@@ -308,17 +309,18 @@
         """What a restart needs (the file's list, all drains) and what `servers show` prints (the view's rows)."""
         self.dirty, generation, pieces = False, self.view.generation, []
         rows = list(self.view.lists["file"].values())
-        head = orjson.dumps(self.view.kept())[:-1]
+        head = orjson.dumps(self.view.kept(clock.unix_of))[:-1]
         for at in range(0, len(rows), PIECE):
             pieces.append(orjson.dumps([flat(server) for server in rows[at:at + PIECE]]))
             await asyncio.sleep(0)
         shown, rows = [], list(self.view.rows.values())
         for at in range(0, len(rows), PIECE):
-            shown.append(orjson.dumps([[row.server.name, row.server.address, row.standing.name.lower(), row.why,
-                                        row.since, row.server.entry.weight] for row in rows[at:at + PIECE]]))
+            shown.append(orjson.dumps([
+                [row.server.name, row.server.address, row.standing.name.lower(), row.why,
+                 clock.unix_of(row.since), row.server.entry.weight] for row in rows[at:at + PIECE]]))
             await asyncio.sleep(0)
         payload = (head + b',"file":[' + b",".join(pieces) + b'],"rows":[' + b",".join(shown) + b"]}")
-        fault = await asyncio.to_thread(self.snapshots.save, generation, self.driver.clock(), payload)
+        fault = await asyncio.to_thread(self.snapshots.save, generation, clock.unix(), payload)
         if fault:
             self.log("snapshot_failed", error=fault, generation=generation)
 
--- a/sprucegate/membership/view.py
+++ b/sprucegate/membership/view.py
@@ -230,15 +230,16 @@
 
     # What lasts.
 
-    def kept(self):
-        """Each source's list and the drains, as plain data for a snapshot."""
+    def kept(self, unix_of):
+        """Each source's list and the drains, as plain data for a snapshot; `unix_of` makes times that last."""
         return {"generation": self.generation, "order": list(self.order),
-                "drains": [[at, list(map(list, drains))] for at, drains in self.drains.items()]}
+                "drains": [[at, [[one.source, unix_of(one.since), one.started] for one in drains]]
+                           for at, drains in self.drains.items()]}
 
-    def restored(self, kept):
+    def restored(self, kept, since_unix):
         self.generation = kept["generation"]
         for at, drains in kept["drains"]:
-            self.drains[at] = tuple(Drain(*one) for one in drains)
+            self.drains[at] = tuple(Drain(source, since_unix(since), started) for source, since, started in drains)
 
 
 def _with(server, state, weight):
--- a/sprucegate/operator/logs.py
+++ b/sprucegate/operator/logs.py
@@ -3,11 +3,10 @@
 structlog costs 4.5 MB at rest, so the platform's front, held to its memory, does without it.
 """
 
-import time
-
 import orjson
 import structlog
 
+from sprucegate import clock
 from sprucegate.front.lifecycle.log import Writer
 
 
@@ -26,7 +25,7 @@
     writer = Writer(fd)
 
     def stamped(_logger, _method, event):
-        said = {"at": time.time_ns() // 1_000_000, "front": name, "event": event.pop("event"), **event}
+        said = {"at": clock.unix() // 1_000_000, "front": name, "event": event.pop("event"), **event}
         if writer.dropped:
             said["lines_dropped"] = writer.dropped
         return orjson.dumps(said, default=str) + b"\n"
--- a/sprucegate/operator/rollout.py
+++ b/sprucegate/operator/rollout.py
@@ -12,6 +12,7 @@
 from rich.live import Live
 from rich.table import Table
 
+from sprucegate import clock
 from sprucegate.operator import file
 from sprucegate.operator.fleet import AT, JSON, OPERATOR, _ask, _fail, _node, _shown
 
@@ -21,7 +22,7 @@
 
 def _given(request, *words):
     """An id of its own for each call, told, so that the same request can be given again."""
-    made = zlib.crc32("\0".join([*words, str(time.time_ns()), str(os.getpid())]).encode())
+    made = zlib.crc32("\0".join([*words, str(clock.unix()), str(os.getpid())]).encode())
     return request or f"{words[0]}-{made:08x}"
 
 
--- a/sprucegate/operator/servers.py
+++ b/sprucegate/operator/servers.py
@@ -2,13 +2,13 @@
 
 import os
 import sys
-import time
 
 import click
 import orjson
 from rich.console import Console
 from rich.table import Table
 
+from sprucegate import clock
 from sprucegate.interface import State
 from sprucegate.membership import listfile, moves, reading
 from sprucegate.operator import file
@@ -146,7 +146,7 @@
 def show(path, as_json):
     """Show the front's view as its last snapshot has it."""
     node = _membership(path, as_json)
-    now = time.time_ns()
+    now = clock.unix()
     taken, refused = Snapshots(Disk(), node.state, "servers").newest(now, 1 << 62)
     if taken is None:
         _fail(f"{node.state}: holds no readable snapshot" + "".join(f"; {r.name} {r.why}" for r in refused), as_json, 1)
--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -114,15 +114,16 @@
         self.out = self.filling = 0          # forwards out there, and those of them that await a fill
         self.renewed(entry.started)
 
-    def renewed(self, started):
+    def renewed(self, started, began=None):
         self.as_cache, self.as_source = Standing(), Standing()
-        self.load, self.load_at, self.started = {}, NEVER, started
-        self.credit, self.credit_at = None, started     # work that a cold start still allows this front
+        self.load, self.load_at, self.started, self.began = {}, NEVER, started, began
+        # `began`: since when it is another one than listed, on the router's clock.
+        self.credit, self.credit_at = None, NEVER       # work that a cold start still allows this front
 
-    def heard(self, reached, now):
+    def heard(self, reached, now, platform_now):
         # Against restarts that the list tells late: back in reach is cold and empty, or only out of sockets.
         if reached and self.down:
-            self.renewed(now)
+            self.renewed(platform_now, now)
         self.down = 0 if reached else now + DOWN
 
     def crowding(self, now):
@@ -216,6 +217,7 @@
         self.table, self.slot_of, self.purges = [], OrderedDict(), {}    # purges by ("object" or "group", id)
         self.purge_order = []                # (time, key), the oldest first
         self.told_at = NEVER                 # other fronts of this one's beliefs
+        self.platform_offset = 0             # how far the clock of listed starts is ahead of this one's, at least
         self.waiting, self.order = [], count()   # (due, order, Get or None for a list to ask for)
         self.carried, self.further = deque(maxlen=256), deque(maxlen=100)   # (time, work) returned; if so
         self.spents = defaultdict(lambda: deque(maxlen=64))    # by delivery service, the last sending times
@@ -430,10 +432,14 @@
             self.rated = now, sum([w for _, w in self.carried]) / max(S, now - self.carried[0][0])
         return self.rated[1]
 
+    def age(self, node, now):
+        """Nanoseconds since it started, at most the true ones."""
+        return now - node.began if node.began is not None else now + self.platform_offset - node.started
+
     def cold_room(self, node, ds, now):
         # Capacity is never told: what warm ones return is the guide, with the stated floor and slowest rise.
         role, kind = node.role, "parent_" if node.role == "parent" else ""
-        warm, age = self.get(f"{kind}warm_time", 0), now - node.started
+        warm, age = self.get(f"{kind}warm_time", 0), self.age(node, now)
         if role == "origin" or not node.started or age >= warm:
             return True
         floor, window = self.get(f"{kind}cold_share", 0.1), self.get("fall_time", S)
@@ -607,9 +613,9 @@
         # Bad clients make objects up: an error with no source told of, on one never returned, blames nobody.
         bare = outcome is Outcome.ERROR and found is Found.UNTOLD
         if outcome not in (Outcome.TIMED_OUT, Outcome.CANCELLED, Outcome.NOT_SENT):
-            cache.heard(outcome is not Outcome.UNREACHABLE, now)
+            cache.heard(outcome is not Outcome.UNREACHABLE, now, now + self.platform_offset)
         if found in FILLS or outcome.never_ran and found is Found.SOURCE_BROKEN:
-            source.heard(found in FILLS, now)
+            source.heard(found in FILLS, now, now + self.platform_offset)
         cache.load, cache.load_at = (load, now) if load else (cache.load, cache.load_at)
         if cache.role == "cache" and "link_use" in load:
             self.link_use = load["link_use"], now
--- a/sprucegate/servers/http2/mapping.py
+++ b/sprucegate/servers/http2/mapping.py
@@ -131,14 +131,14 @@
     return bare if len(bare) <= 64 and '"' not in bare else ""
 
 
-def _made(fields, asked_at):
-    """When the origin gave it out, at the earliest: Age is in whole seconds (RFC 9111 section 4.2.3)."""
+def _age(fields):
+    """Nanoseconds since the origin gave it out, at the most: Age is in whole seconds (RFC 9111 section 4.2.3)."""
     age = fields.get(b"age", b"")
-    return asked_at - (int(age) + 1) * S if age.isdigit() and len(age) < 10 else 0
+    return (int(age) + 1) * S if age.isdigit() and len(age) < 10 else None
 
 
-def meaning(status, fields, body, cached_only, asked_at, have=""):
-    """What an answer says. `fields` maps lower-case names to bytes; `asked_at` is Unix time in ns.
+def meaning(status, fields, body, cached_only, have=""):
+    """What an answer says. `fields` maps lower-case names to bytes.
 
     `have` is the tag of the client's copy that was sent along, "" for none.
     """
@@ -149,7 +149,6 @@
     tag = _tag(fields.get(b"etag", b""))
     # A 304 that names no copy of the client's is not passed on: it would be shown one that no cache has named.
     if status == 200 or status == 304 and have and tag == have:
-        returned = Returned(status == 304, tag, _made(fields, asked_at),
-                            body if status == 200 else b"")
+        returned = Returned(status == 304, tag, 0, body if status == 200 else b"", _age(fields))
         return Meaning(Outcome.RETURNED, found, waited, load, returned, None)
     return Meaning(row.outcome if row else Outcome.ERROR, found, waited, load, None, row)
--- a/sprucegate/servers/http2/transport.py
+++ b/sprucegate/servers/http2/transport.py
@@ -284,8 +284,7 @@
         out = event.stream.out.out
         if out.ended:
             return
-        said = mapping.meaning(event.status, event.fields, event.body, event.stream.cached_only, out.at,
-                               out.get.have)
+        said = mapping.meaning(event.status, event.fields, event.body, event.stream.cached_only, out.get.have)
         if said.row is not None:
             self.driver.book.count(f"evidence {said.row.name}")
         if said.returned is not None:
--- a/sprucegate/servers/place.py
+++ b/sprucegate/servers/place.py
@@ -23,3 +23,4 @@
     tag: str
     made: int           # Unix time at which the origin gave it out, nanoseconds; 0 where it is not told
     body: bytes
+    age: int | None = None  # when it was asked for, at the most (ns), where a protocol tells ages and no stamps
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -1,8 +1,8 @@
 """Faults inside the program's own process: a wall clock that is stepped, system calls that fail or take a part.
 
-`python -m standins.faults FILE [ARGUMENT ...]` runs `python -m sprucegate ARGUMENT ...` with the standard library's clock
-and socket calls led through FILE, a small shared mapping that another process writes by `Faults`. The program itself
-is not changed and knows nothing of it.
+`python -m standins.faults FILE [ARGUMENT ...]` runs `python -m sprucegate ARGUMENT ...` with the standard library's
+clock and socket calls led through FILE, a small shared mapping that another process writes by `Faults`. The program
+itself is not changed and knows nothing of it.
 """
 
 import errno
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -3,8 +3,9 @@
 import threading
 import time
 
+import pytest
 from crossing import held, key, two
-from helpers import get_text
+from helpers import get_text, served
 
 HOUR = 3600
 STEPS = (-HOUR, -3, 3, HOUR)
@@ -70,3 +71,40 @@
             thread.join()
             assert front.process.wait(10) == 0
         assert found[0][0] in (502, 503) and 2.0 < time.monotonic() - begun < 3.7, (step, found)
+
+
+def made_at(seconds):
+    def reply(call_id, fields, body):
+        made = int((time.time() + seconds) * 1000)
+        return served(call_id, fields).replace(b"made=5", b"made=%d" % made)
+
+    return reply
+
+
+def request_heard(box):
+    while (heard := box.heard.get(timeout=5))[0] != b"serve":
+        pass
+    return heard[2]
+
+
+@pytest.mark.parametrize("step", [-HOUR, 0, HOUR])
+@pytest.mark.parametrize("before", [-HOUR, -3, 0, 3, HOUR])
+def test_no_copy_from_before_a_purge_will_do_whatever_the_clock_says(tmp_path, before, step):
+    """`maxage` is a span: a copy that was made before the purge is older than it by any clock."""
+    front, box, root = two(tmp_path, made_at(0), made_at(0))
+    with front:
+        front.process.kill()
+        front.process.wait()
+        front.tells.put(None)                # ends what the bus tells the one that was killed
+        front.faults.step_wall(before)       # so it starts; and is stepped again in service
+        front.restart()
+        assert front.ask(get_text(key(1)))[0] == 200
+        request_heard(box)
+        front.faults.step_wall(before + step)
+        time.sleep(0.2)
+        purged = time.time()
+        front.tells.put({"offset": 2, "ban": {"url": "7f3a9c21e0b4d655", "ts": int(purged * 1000)}})
+        front.until("told")
+        assert front.ask(get_text(key(2)))[0] == 200
+        fields = request_heard(box)
+        assert 0 < int(fields["maxage"]) <= (time.time() - purged) * 1000 + 5, fields
