--- a/tests/test_fleet_agreed.py
+++ b/tests/test_fleet_agreed.py
@@ -206,6 +206,7 @@
     asks(rig, "n0", "s-10", "h")
     rig.step("h", "cold")
     asks(rig, "n0", "s-11", "i")
+    rig.wait(lambda: rig.permit("n0", "i") and rig.permit("n1", "i"))     # a keeper's word reaches each in its time
     calls = iter(range(1, 1 << 30))
     for _ in range(5):
         # A shed is an answer: on a busy machine what met the dead box first has no time left for another.
