A line to a cache is made when it leaves; what fails for a moment ends no connection

Cause: lines and HTTP/2 requests were worded when a forward was decided, so their wait aged behind a connection that came up late or a peer that read slowly. Any OSError of send, recv or accept counted as the other side's end; one of socket or connect as an unreachable cache; a failed accept as an empty queue at a stop. Change: servers/sending.py is one guard that each forward passes when its first byte is about to go, on lines and HTTP/2: over, late or with its client gone it is not sent and ends as never ran (counted by reason). servers/sockets.py tells transient and local errors from the peer's. Lines are written by one pump a connection in place of tasks; a stop keeps its listener until the queue was seen empty. test_crossings_sockets.py asserted that a write's task still held the descriptor; there is no such task: it asserts now that the number is used again and that nothing of the old answer goes to its new client.

--- a/sprucegate/assembly/run.py
+++ b/sprucegate/assembly/run.py
@@ -92,8 +92,7 @@
     driver.relay.ending = True               # so that clients go elsewhere, and rest on no connection of this one
     began = driver.clock()
     await asyncio.sleep(wanted.times.still_coming / 1e9)
-    take_in.stop_listening()
-    while take_in.finish(driver.clock()) or driver.open:
+    while not take_in.stop_listening() or take_in.finish(driver.clock()) or driver.open:
         # A client that never reads its answer, or a patience past the kill, must not hold up the exit.
         if driver.clock() - began > wanted.times.last:
             driver.stop()
--- a/sprucegate/front/driver.py
+++ b/sprucegate/front/driver.py
@@ -16,6 +16,7 @@
 from sprucegate.interface import Cancel, Errored, Forward, Found, Outcome, Shed, State, Wait
 from sprucegate.rules import OWN_BYTES, Router
 from sprucegate.servers.hosts import Hosts
+from sprucegate.servers.sending import Sending
 from sprucegate.servers.servers import Servers
 
 MS = 1_000_000
@@ -27,6 +28,7 @@
         self.platform = system.PlatformTime()
         self.router = Router(wanted.settings, wanted.seed, clock())
         self.relay, self.book, self.ready, self.aside = Relay(self), Book(), False, False
+        self.sending = Sending(self.book.count)
         self.servers = Servers(self, pool, wanted.settings, wanted.descriptors // 3, wanted.servers)
         self.most = wanted.settings.get("max_open", 1 << 30)
         self.open, self.ids, self.limits, self.order = {}, {}, [], count()
--- a/sprucegate/front/stages/relay.py
+++ b/sprucegate/front/stages/relay.py
@@ -4,6 +4,7 @@
 
 from sprucegate.front.memory.connections import Phase
 from sprucegate.front.protocol import http
+from sprucegate.servers.sockets import PendingWrite, send
 
 
 class Relay:
@@ -25,28 +26,23 @@
         self.write(client, said.status, said.text.encode() + b"\n", b"Content-Type: text/plain\r\n" + said.headers)
 
     def write(self, client, status, body=b"", headers=b""):
-        """At once where the socket takes all of it; the rest by sock_sendall in a task."""
+        """At once where the socket takes all of it; the rest as it takes more."""
         if client.phase is Phase.CLOSED:
             return
         client.last = client.last or self.ending
         data = http.answer(status, body, headers, client.last)
         client.answered(self.driver.clock())
         try:
-            sent = client.sock.send(data)
-        except BlockingIOError:
-            sent = 0
+            sent = send(client.sock, data)
         except OSError:
             return                           # the reader sees its end too
         if sent < len(data):
-            client.writer = self.loop.create_task(self._write(client, memoryview(data)[sent:]))
+            client.writer = PendingWrite(self.loop, client.sock, memoryview(data)[sent:],
+                                         lambda whole: self._written(client, whole))
         else:
             client.flushed(self.driver.clock())
 
-    async def _write(self, client, rest):
-        try:
-            await self.loop.sock_sendall(client.sock, rest)
+    def _written(self, client, whole):
+        client.writer = None
+        if whole:                            # else the reader sees its end too
             client.flushed(self.driver.clock())
-        except OSError:
-            pass                             # the reader sees its end too
-        finally:
-            client.writer = None
--- a/sprucegate/front/stages/take_in.py
+++ b/sprucegate/front/stages/take_in.py
@@ -1,10 +1,10 @@
 """Take in: client connections, and requests as they become whole."""
 
 import asyncio
-import socket
 from collections import deque
 
 from sprucegate.front.memory.connections import Client, Phase
+from sprucegate.servers.sockets import receive_into, set_no_delay
 
 TURN = 3        # requests begun in one turn of the loop
 LOOKS = 16      # connections looked at for one that may give way to a new one
@@ -18,6 +18,7 @@
         self.clients, self.loop = {}, asyncio.get_running_loop()     # the one that asked last stands last
         self.silent = {}                     # those that have not yet sent a whole request, the oldest first
         self.whole, self.begins, self.listener, self.paused = deque(), False, None, None
+        self.emptied = False                 # whether the last look at the queue found nobody there
 
     # Connections.
 
@@ -39,27 +40,31 @@
                 return
 
     def _accept(self):
+        """Whether another one may stand behind the one just taken."""
         try:
             sock, _ = self.listener.accept()
         except BlockingIOError:
+            self.emptied = True
             return False
-        except ConnectionAbortedError:
+        except (ConnectionAbortedError, InterruptedError):
             return True                      # that one has left; others may stand behind it
         except OSError as fault:
             # Out of descriptors: the listener stays readable, and asked at once again it would take all of a core.
             self.driver.log("accept_failed", error=str(fault))
+            self.emptied = False
             self._pause()
             return False
         sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        set_no_delay(sock)
         client = Client(sock, self.driver.clock(), self.repeatable)
         self.clients[client] = self.silent[client] = None
         self.loop.add_reader(sock, self._readable, client)
         return True
 
     def _pause(self):
-        self.loop.remove_reader(self.listener)
-        self.paused = self.loop.call_later(PAUSE, self._go_on)
+        if self.paused is None:
+            self.loop.remove_reader(self.listener)
+            self.paused = self.loop.call_later(PAUSE, self._go_on)
 
     def _go_on(self):
         self.paused = None
@@ -67,14 +72,22 @@
             self.loop.add_reader(self.listener, self._acceptable)
 
     def stop_listening(self):
-        """Takes whoever stands in the queue first: closed with the listener, they would be reset."""
+        """Takes whoever stands in the queue first: closed with the listener, they would be reset.
+
+        False where one could not be taken now, for want of a descriptor or of memory: the listener stays then.
+        """
+        if self.listener is None:
+            return True
         while self._accept():
             pass
+        if not self.emptied:
+            return False
         if self.paused is not None:
             self.paused.cancel()
         self.loop.remove_reader(self.listener)
         self.listener.close()
         self.listener = None
+        return True
 
     def _make_room(self):
         """Ends one for a new one: who was told to go, then who never asked, then the one idle longest.
@@ -109,12 +122,11 @@
         if buffer is None:
             return self.close(client)
         try:
-            if not (size := client.sock.recv_into(buffer)):
+            size = receive_into(client.sock, buffer)
+            if size == 0:
                 self.close(client)
-            elif client.reads():
+            elif size and client.reads():
                 self._fed(client, buffer[:size])
-        except BlockingIOError:
-            pass
         except OSError:
             self.close(client)
         finally:
@@ -128,12 +140,10 @@
         for those in (self.clients, self.silent):
             those.pop(client, None)
         self.loop.remove_reader(client.sock)
-        if client.writer is None:
-            client.sock.close()
-        else:
+        if client.writer is not None:
             # Closed under a pending write, its number could be another connection's by then.
-            client.writer.add_done_callback(lambda _: client.sock.close())
             client.writer.cancel()
+        client.sock.close()
         if client.get is not None:
             self.driver.guarded(client.get, self.driver.left, client.get)
         return True
--- a/sprucegate/servers/http2/mapping.py
+++ b/sprucegate/servers/http2/mapping.py
@@ -35,14 +35,17 @@
     row: evidence.Row | None
 
 
-def request(authority, get, said, source):
-    """A forward's header list. A rounded age or wait is never wider than the decided one."""
+def request(authority, get, said, source, left):
+    """A forward's header list. A rounded age or wait is never wider than the decided one.
+
+    `left` is what the client still waits (ns) when it is sent.
+    """
     path = b"/svc/%b/%b/slice-%d" % (get.ds.encode(), get.thing.encode(), get.part)
     # What differs from GET to GET is kept out of the peer's table (RFC 7541 section 6.2.3), or it would push out
     # what repeats; that also spares 8% of the cost of sending.
     fields = [(b":method", b"PUT" if get.asked.write else b"GET"), (b":scheme", b"http"),
               (b":authority", authority), Once(b":path", path), Once(b"x-call-id", get.id),
-              Once(b"spruce-wait", b"%d" % max(1, said.timeout // MS))]
+              Once(b"spruce-wait", b"%d" % max(1, min(left, said.timeout) // MS))]
     control = []
     if said.oldest:
         # Both: as old as that may be, and stale is as good as fresh up to it (RFC 9111 section 5.2.1).
--- a/sprucegate/servers/http2/transport.py
+++ b/sprucegate/servers/http2/transport.py
@@ -22,6 +22,7 @@
     Spoilt,
 )
 from sprucegate.servers.progress import Progress
+from sprucegate.servers.sockets import is_local, receive_into, send, set_no_delay
 
 
 class Held:
@@ -166,7 +167,11 @@
         out = waiting.out
         if out.ended:                        # given up in the same turn
             return self._do(place, place.held.pool.freed(one.connection, False, self.driver.clock()))
-        fields = mapping.request(place.held.authority, out.get, waiting.said, waiting.source)
+        left = self.driver.sending.left(out, self.driver.clock())
+        if left is None:
+            self.loop.call_soon(self.driver.ended, out, Outcome.NOT_SENT, Found.UNTOLD, 0, {})
+            return self._do(place, place.held.pool.freed(one.connection, False, self.driver.clock()))
+        fields = mapping.request(place.held.authority, out.get, waiting.said, waiting.source, left)
         stream = connection.session.request(waiting, fields, out.get.body, mapping.only_if_cached(waiting.said))
         if stream is None:
             self.loop.call_soon(self.driver.ended, out, Outcome.NOT_SENT, Found.UNTOLD, 0, {})
@@ -192,11 +197,11 @@
         try:
             sock = connection.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
             sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            set_no_delay(sock)
             async with asyncio.timeout(self.limits.connect / 1e9):
                 await self.loop.sock_connect(sock, connection.place.address)
         except OSError as fault:             # a TimeoutError is one
-            connection.in_reach = isinstance(fault, ConnectionResetError)
+            connection.in_reach = isinstance(fault, ConnectionResetError) or is_local(fault)
             why = f"{type(fault).__name__}: {fault}"
         if connection.closed:
             return
@@ -216,12 +221,11 @@
         if buffer is None:
             return self._ended(connection, "no buffer")
         try:
-            if size := connection.sock.recv_into(buffer):
+            size = receive_into(connection.sock, buffer)
+            if size:
                 self._fed(connection, buffer[:size])
-            else:
+            elif size == 0:
                 self._ended(connection, "ended by the server")
-        except BlockingIOError:
-            pass
         except OSError as fault:
             self._ended(connection, f"{type(fault).__name__}")
         finally:
@@ -308,10 +312,8 @@
             return
         session = connection.session
         try:
-            while session.outgoing:
-                session.sent(connection.sock.send(session.outgoing))
-        except BlockingIOError:
-            pass
+            while session.outgoing and (sent := send(connection.sock, session.outgoing)):
+                session.sent(sent)
         except OSError as fault:
             return self._ended(connection, type(fault).__name__)
         if bool(session.outgoing) is not connection.writing:
--- a/sprucegate/servers/lines/codec.py
+++ b/sprucegate/servers/lines/codec.py
@@ -32,9 +32,13 @@
     body: bytes
 
 
-def serve(get_id, ds, thing, part, forward, source, have, body, token=""):
-    """A forward as a line. A rounded limit must not be wider than the decided one, nor 0, which is none."""
-    fields = f"profile={ds},thing={thing},nth={part},max={max(1, forward.timeout // MS)}"
+def serve(get_id, ds, thing, part, forward, source, have, body, token="", left=None):
+    """A forward as a line. A rounded limit must not be wider than the decided one, nor 0, which is none.
+
+    `left` is what the client still waits (ns) when the line is sent, if that is later than it was decided.
+    """
+    wait = forward.timeout if left is None else min(left, forward.timeout)
+    fields = f"profile={ds},thing={thing},nth={part},max={max(1, wait // MS)}"
     if source:
         fields += f",src={source}"
     if forward.rank:
--- a/sprucegate/servers/lines/transport.py
+++ b/sprucegate/servers/lines/transport.py
@@ -9,7 +9,7 @@
 from sprucegate.servers.lines import codec
 from sprucegate.servers.lines.connection import LineConnection
 from sprucegate.servers.progress import Progress
-from sprucegate.servers.sockets import stands
+from sprucegate.servers.sockets import RETRY, is_local, receive_into, send, set_no_delay, stands
 
 LOOKS = 8               # reads of what stands on resting connections before one is taken
 
@@ -55,10 +55,9 @@
             return
         # Never again on this one: a late answer, or a second copy of one, would bear the same id.
         get.left_on.append(connection)
-        line = codec.serve(get.id, get.ds, get.thing, get.part, said, source, get.have, get.body, get.token)
-        out.connection, connection.used = connection, out.at
+        out.connection, connection.used, out.said = connection, out.at, (said, source)
         connection.open[get.id] = out
-        self._queue(connection, line, out)
+        self._queue(connection, None, out)
 
     def withdraw(self, out):
         """Takes a forward back of which no byte has left; whether it could."""
@@ -144,34 +143,80 @@
         return connection
 
     def _queue(self, connection, line, out):
-        if connection.up and connection.writer is None:
-            try:
-                sent = connection.sock.send(line)
-            except BlockingIOError:
-                sent = 0
-            except OSError:
-                sent = 0
-                self.loop.call_soon(self.close, connection)
-            if out is not None:
-                whole = sent == len(line)
-                out.progress = Progress.WHOLE if whole else Progress.PARTLY if sent else Progress.NOT_SENT
-            if sent == len(line):
-                return
-            line = line[sent:]
         connection.queue.append((line, out))
-        if connection.up and connection.writer is None:
-            connection.writer = self.loop.create_task(self._write(connection))
+        if connection.up and not connection.writing and connection.retry is None:
+            self._send(connection)
+
+    def _send(self, connection):
+        """Sends what waits, as far as the socket takes it."""
+        connection.retry = None
+        try:
+            while self._begun(connection):
+                sent = send(connection.sock, connection.rest)
+                connection.rest = connection.rest[sent:]
+                if (out := connection.sending) is not None:
+                    if sent:
+                        out.progress = Progress.PARTLY if connection.rest else Progress.WHOLE
+                    elif out.progress is Progress.NOT_SENT:
+                        # Made anew when it can go: its wait ages, and it may be withdrawn until then.
+                        connection.rest = b""
+                        connection.queue.appendleft((None, out))
+                        return self._send_later(connection, sent)
+                if connection.rest:
+                    return self._send_later(connection, sent)
+        except OSError:
+            self.loop.call_soon(self.close, connection)
+        self._writes(connection, False)
+
+    def _begun(self, connection):
+        """Whether a line is under way, the next one in the queue being begun: it is made now, as its wait ages."""
+        while not connection.rest and connection.queue:
+            line, out = connection.queue.popleft()
+            if out is not None and (left := self.driver.sending.left(out, self.driver.clock())) is None:
+                self._refused(connection, out)
+                continue
+            connection.rest = memoryview(line if out is None else self._line(out, left))
+            connection.sending = out
+        return bool(connection.rest)
+
+    @staticmethod
+    def _line(out, left):
+        get, (said, source) = out.get, out.said
+        return codec.serve(get.id, get.ds, get.thing, get.part, said, source, get.have, get.body, get.token, left)
+
+    def _refused(self, connection, out):
+        """A forward that must not be sent any more, of which nothing has left."""
+        if connection.open.get(out.get.id) is out:
+            del connection.open[out.get.id]
+        self.loop.call_soon(self.driver.ended, out, Outcome.NOT_SENT, Found.UNTOLD, 0, {})
+
+    def _send_later(self, connection, sent):
+        if sent or not connection.writing:
+            self._writes(connection, True)
+        else:
+            # Writable, and yet it takes nothing: asked again at once it would take all of a core.
+            self._writes(connection, False)
+            connection.retry = self.loop.call_later(RETRY, self._send, connection)
+
+    def _writes(self, connection, on):
+        if connection.writing is not on:
+            connection.writing = on
+            if on:
+                self.loop.add_writer(connection.sock, self._send, connection)
+            else:
+                self.loop.remove_writer(connection.sock)
 
     async def _connect_to(self, connection):
         try:
             sock = connection.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
             sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            set_no_delay(sock)
             async with asyncio.timeout(self.connect_timeout / 1e9):
                 await self.loop.sock_connect(sock, connection.place.address)
         except OSError as fault:         # a TimeoutError is one
             # Reset when new, or refused beside others that are up: the cache is in reach, and not cold.
-            connection.in_reach = isinstance(fault, ConnectionResetError) or any(
+            # For want of a descriptor, a port or memory here nothing is known of it.
+            connection.in_reach = isinstance(fault, ConnectionResetError) or is_local(fault) or any(
                 other.up for other in connection.place.held)
             self.close(connection)
         if connection.closed:
@@ -179,28 +224,16 @@
         connection.up, connection.made = True, self.driver.clock()
         self.loop.add_reader(sock, self._readable, connection)
         if connection.queue:
-            connection.writer = self.loop.create_task(self._write(connection))
-
-    async def _write(self, connection):
-        try:
-            while connection.queue:
-                line, out = connection.queue.popleft()
-                if out is not None:
-                    out.progress = Progress.PARTLY
-                await self.loop.sock_sendall(connection.sock, line)
-                if out is not None:
-                    out.progress = Progress.WHOLE
-        except OSError:
-            self.loop.call_soon(self.close, connection)
-        finally:
-            connection.writer = None
+            self._send(connection)
 
     def _readable(self, connection):
         buffer = self.pool.take()
         if buffer is None:
             return self.close(connection)
         try:
-            size = connection.sock.recv_into(buffer)
+            size = receive_into(connection.sock, buffer)
+            if size is None:
+                return
             connection.heard = self.driver.clock()
             for answer in connection.reader.feed(buffer[:size]):
                 self._answered(connection, answer)
@@ -210,8 +243,6 @@
                 self.close(connection)
             elif connection.reader.partial() and not connection.watched:
                 self._watch(connection)
-        except BlockingIOError:
-            pass
         except OSError:
             self.close(connection)
         finally:
@@ -227,7 +258,10 @@
         self.servers.connections -= 1
         if was_up:
             self.loop.remove_reader(sock)
-        pending = connection.writer if connection.writer is not None else connection.task
+            self._writes(connection, False)
+        if connection.retry is not None:
+            connection.retry.cancel()
+        pending = connection.task
         if pending is not None and not pending.done() and pending is not asyncio.current_task():
             pending.add_done_callback(lambda _: sock.close())
             pending.cancel()
@@ -238,6 +272,7 @@
                             cache=connection.place.name, forwards=len(connection.open))
         forwards, connection.open = list(connection.open.values()), {}
         connection.queue.clear()
+        connection.rest = b""
         self.servers.forget(connection.place)
         now = self.driver.clock()            # one end for all of them, however long telling it takes
         for out in forwards:
--- /dev/null
+++ b/sprucegate/servers/sending.py
@@ -0,0 +1,24 @@
+"""The guard that each forward passes when its first byte is about to leave, on every transport.
+
+What was decided earlier may have waited for a connection, for a stream or behind a peer that reads slowly. Decides
+nothing of where a forward goes; what it refuses has not left this front and is told as such.
+"""
+
+
+class Sending:
+    def __init__(self, count):
+        self.count = count                   # told the reason of each refusal
+
+    def left(self, out, now):
+        """Nanoseconds that the client still waits for this forward, or None where it must not be sent any more."""
+        get = out.get
+        if out.ended or get.answered:
+            self.count("sends_refused over")
+            return None
+        if (left := out.limit - now) <= 0:
+            self.count("sends_refused late")
+            return None
+        if get.client is not None and get.client.left():
+            self.count("sends_refused client_left")
+            return None
+        return left
--- a/standins/driver.py
+++ b/standins/driver.py
@@ -12,12 +12,14 @@
 from sprucegate.front.stages.book import Book
 from sprucegate.interface import Asked, Forward, Listed, State
 from sprucegate.servers.hosts import Hosts
+from sprucegate.servers.sending import Sending
 from sprucegate.servers.servers import Servers
 
 
 class Recorder:
     def __init__(self, addresses, speaks="http2", limits=None, most=341, **settings):
         self.loop, self.wanted, self.book = asyncio.get_running_loop(), SimpleNamespace(name="n0"), Book()
+        self.sending = Sending(self.book.count)
         self.ends, self.answers, self.logged, self.waiting = {}, {}, [], {}
         wanted = SimpleNamespace(http2=limits, speaks=lambda name: name == speaks, transport=lambda *_: speaks)
         self.servers = Servers(self, Pool(256), settings, most, wanted if speaks != "lines" else None)
--- a/tests/test_crossings_sockets.py
+++ b/tests/test_crossings_sockets.py
@@ -135,8 +135,9 @@
 # Clients.
 
 def test_a_client_that_resets_under_a_pending_write_leaves_its_number_to_the_next(tmp_path):
-    """The write's task holds the socket until it has ended: closed before, it would write to whoever comes next."""
+    """The write ends before the socket is closed, and its number is free: none of its bytes goes to who comes next."""
     front, _, _ = two(tmp_path, large)
+    reused = []
     with front:
         for at in range(5):
             sock = deaf(front)
@@ -150,8 +151,12 @@
             goes_on(front)
             status, _, body = front.ask(b"", new)
             assert (status, body) == (200, b"\n")
-            assert number_of(front, new) != mine     # still the write's in the turn in which the next one came
+            reused.append(number_of(front, new) == mine)
+            new.settimeout(0.2)
+            with pytest.raises(TimeoutError):
+                new.recv(1)
             new.close()
+        assert any(reused)                   # or nothing was shown
         assert "faults" not in front.until("second")
 
 
--- a/tests/test_deadline_sent.py
+++ b/tests/test_deadline_sent.py
@@ -1,10 +1,15 @@
 """The wait that a server is told (`max`) is at most what the client has left when the request leaves the front."""
 
+import asyncio
+import socket
 import time
 
 from crossing import SLOW_TO_CONNECT, key, uphill
 from helpers import get_text
 
+from sprucegate.interface import Outcome
+from standins.driver import Recorder
+
 SLACK = 0.15
 
 
@@ -19,3 +24,62 @@
         left = 5 - (time.monotonic() - begun)
         told = int(dict(p.split("=", 1) for p in line[2].decode().split(","))["max"]) / 1000
         assert 1 < left < 4.5 and told <= left + SLACK, (told, left)
+
+
+def told(line):
+    return int(dict(p.split("=", 1) for p in line.split()[2].decode().split(","))["max"]) / 1000
+
+
+def behind_a_cache_that_does_not_read(act):
+    """Runs `act(made, sock, second)`: a forward that waits behind a large body, of which a part was sent."""
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        listener = socket.create_server(("127.0.0.1", 0))
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        listener.setblocking(False)
+        made = Recorder({1: f"127.0.0.1:{listener.getsockname()[1]}"}, speaks="lines", most=2)
+        first = made.send(1, "a" * 16, body=b"b" * 8_000_000, timeout=8_000_000_000)
+        sock, _ = await loop.sock_accept(listener)
+        second = made.send(1, "b" * 16, timeout=1_500_000_000)
+        return await act(made, sock, first, second)
+
+    return asyncio.run(asyncio.wait_for(run(), 20))
+
+
+async def line_of(sock, call_id):
+    """The line of a request, behind whatever comes before it."""
+    loop, seen = asyncio.get_running_loop(), b""
+    while b"serve " + call_id not in seen or not seen.endswith(b"\r\n"):
+        seen = seen[-500:] + await loop.sock_recv(sock, 1 << 20)
+    return seen[seen.index(b"serve " + call_id):].split(b"\r\n")[0]
+
+
+def test_a_forward_behind_one_that_goes_slowly_tells_what_is_left_by_then():
+    async def act(made, sock, first, second):
+        await asyncio.sleep(0.8)
+        return told(await line_of(sock, b"b" * 16))
+
+    assert behind_a_cache_that_does_not_read(act) <= 0.7 + SLACK
+
+
+def test_a_forward_whose_time_ended_in_the_queue_is_not_sent_and_ends_as_never_ran():
+    async def act(made, sock, first, second):
+        await asyncio.sleep(1.6)
+        made.send(1, "c" * 16, timeout=8_000_000_000)
+        await line_of(sock, b"c" * 16)       # it would have come before this one
+        return await made.end(second), made.book.counts["sends_refused late"]
+
+    assert behind_a_cache_that_does_not_read(act) == (Outcome.NOT_SENT, 1)
+
+
+def test_one_withdrawn_from_behind_a_blocked_connection_is_not_sent():
+    async def act(made, sock, first, second):
+        assert made.servers.withdraw(second)
+        made.send(1, "c" * 16, timeout=8_000_000_000)
+        loop, seen = asyncio.get_running_loop(), b""
+        while b"serve " + b"c" * 16 not in seen:
+            seen += await loop.sock_recv(sock, 1 << 20)
+        return b"serve " + b"b" * 16 in seen
+
+    assert behind_a_cache_that_does_not_read(act) is False
--- a/tests/test_http2_session.py
+++ b/tests/test_http2_session.py
@@ -319,7 +319,7 @@
 
 def test_a_forward_as_a_request():
     fields = dict(mapping.request(b"a:1", a_get("t1"), forward(rank=2, oldest=9_900_000_000, join=True, number=1,
-                                                               renew=True), 's-"1f'))
+                                                               renew=True), 's-"1f', 5 * S))
     assert fields == {
         b":method": b"GET", b":scheme": b"http", b":authority": b"a:1", b":path": b"/svc/media/7f3a/slice-3",
         b"x-call-id": b"9b1f03aa5c7e2d41", b"spruce-wait": b"1400", b"if-none-match": b'"t1"',
@@ -327,10 +327,11 @@
         b"spruce-fill": b'source="s-\\"1f", rank=2, try=1, join, renew'}
     tokened = a_get()
     tokened.token = "874c-e5"
-    assert dict(mapping.request(b"a:1", tokened, forward(), None))[b"idempotency-key"] == b'"874c-e5"'
-    fields = dict(mapping.request(b"a:1", a_get(), forward(source=1, oldest=10), None))
+    assert dict(mapping.request(b"a:1", tokened, forward(), None, S))[b"idempotency-key"] == b'"874c-e5"'
+    fields = dict(mapping.request(b"a:1", a_get(), forward(source=1, oldest=10), None, 900_000_000))
+    assert fields[b"spruce-wait"] == b"900"         # what is left when it goes, where that is less
     assert fields[b"cache-control"] == b"max-age=0, max-stale=0, only-if-cached"     # never wider than decided
-    fields = dict(mapping.request(b"a:1", a_get(body=b"abc", write=True), forward(), "o"))
+    fields = dict(mapping.request(b"a:1", a_get(body=b"abc", write=True), forward(), "o", S))
     assert (fields[b":method"], fields[b"content-length"]) == (b"PUT", b"3")
 
 
