A GET's cost hardly grows with the number of caches; warm connections keep to the limit

Cause: for each new object, and for all after each change of the list, Router.ranked hashed and sorted all caches; usable, pick, width and each verdict walked them; Lines walked all places each second and for each connection at the limit. At the start a connection was made to every cache, whatever the limit on descriptors. Change: sprucegate/rendezvous.py works out the hashes of a group together and scores just those that may be among the first: the same order as before (tests against sorting). Caches avoided, and peers of a verdict, come from those of which something was seen of late; resting connections are kept in their order; warm connections are bounded and go to those that all GETs need first. python -m benchmarks scale. CPU and connections are still above what production allows.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -6,7 +6,7 @@
 
 import click
 
-NAMES = ("http2", "front", "serverfiles", "replication", "rollout", "views", "shares")
+NAMES = ("http2", "front", "serverfiles", "replication", "rollout", "views", "shares", "scale")
 
 
 @click.command()
--- a/sprucegate/assembly/run.py
+++ b/sprucegate/assembly/run.py
@@ -70,8 +70,7 @@
     listener.listen(1024)
     listener.setblocking(False)
     now = driver.clock()
-    for place in driver.servers.places.values():
-        driver.servers.warm(place, now)
+    driver.servers.warm_up(driver.router.warm_first(driver.servers.most), now)
     subscription = Subscription(driver, wanted)
     subscription.start()
     loop.add_signal_handler(signal.SIGHUP, reload, subscription, wanted, log)
--- a/sprucegate/membership/moves.py
+++ b/sprucegate/membership/moves.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from sprucegate.interface import State
-from sprucegate.rules import Memory, Router
+from sprucegate.rules import Router
 
 OBJECTS = 2000          # looked at in each group of one location and kind
 WORK = 1_000_000        # objects times servers in a group, at most: then fewer are looked at
@@ -29,7 +29,7 @@
     location = entries[0].location
     router = Router({"my_location": location}, 0, 0)
     router.listed(entries, True, 0)
-    return [router.ranked(Memory(0), "cache", at.to_bytes(8, "big") + bytes(4))[0].id for at in range(count)]
+    return [router.rendezvous("cache").best(at.to_bytes(8, "big") + bytes(4), 1)[0].id for at in range(count)]
 
 
 def moves(before, after, objects=OBJECTS):
--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -6,13 +6,13 @@
 import heapq
 from bisect import bisect_left
 from collections import Counter, OrderedDict, defaultdict, deque
-from itertools import count
-from math import ceil, log, sqrt
+from itertools import chain, count, islice
+from math import ceil, sqrt
 from statistics import median, median_low
-from zlib import crc32
 
 from sprucegate import interface
 from sprucegate.interface import Cancel, Errored, Forward, Found, Outcome, Shed, State, Subscribe, Wait
+from sprucegate.rendezvous import Ranking, Rendezvous, label_of, mixed
 
 MS, S, NEVER = 1_000_000, 1_000_000_000, -1 << 62
 
@@ -48,6 +48,11 @@
 OWN_WAIT = 5 * MS * 100 * MS    # queue on the own link times sending: past it a cache answers sooner
 CONNECTIONS = 4         # to one cache: each more is read on its own, and costs the CPU where GETs are many
 STALLED = 150 * MS      # an answer begun and then silent so long won't be finished
+WIDEST = 3              # caches over which a hot object is spread, at most
+FIRST = 8               # of a ranking, worked out at first; most GETs need no more
+PASSED_BY = 128         # crowded caches that a GET passes by at most, looking for one that is in time
+PARENTS = 32            # parents that a fill is weighed among
+RECENT = 256            # nodes whose last ends are held against each other
 HEARD = 0.5             # of what is left of another front's belief or rest: it saw another part of the GETs
 ANSWER_MARGIN = 20 * MS # kept before the end of a viewer's time
 
@@ -55,13 +60,6 @@
 HITS, FILLS = (Found.HIT, Found.STALE_HIT), (Found.FILLED, Found.FILLED_BY_ORIGIN)
 
 
-def mixed(text, start=0):
-    h = crc32(text, start)    # all fronts share it; CRC is linear: unmixed, ranks would differ by a constant
-    h = (h ^ (h >> 16)) * 0x85EBCA6B & 0xFFFFFFFF
-    h = (h ^ (h >> 13)) * 0xC2B2AE35 & 0xFFFFFFFF
-    return h ^ (h >> 16)
-
-
 class Standing:
     """A place judged by its last ends, (time, good), and speeds, (time, slowness, how many shared it)."""
 
@@ -93,13 +91,22 @@
         fresh = [good for at, good in self.ends if now - at < SAMPLE_AGE]
         return fresh.count(False) / len(fresh) if len(fresh) >= 3 else 0
 
-    def judge(self, others, alone, now):
-        """Outlier ejection: far slower than peers, or half failed; all, where it may be another's fault."""
-        if self.until > now or self.ends and self.ends[-1][1] and self.speeds and self.speeds[-1][1] <= SLOW:
-            return                           # a good end at a good pace brings no verdict nearer
+    def due(self, now):
+        """Whether its last end may change a verdict: a good one at a good pace brings none nearer."""
+        return not (self.until > now or self.ends and self.ends[-1][1]
+                    and self.speeds and self.speeds[-1][1] <= SLOW)
+
+    def judge(self, others, alone, now, quiet=0):
+        """Outlier ejection: far slower than peers, or half failed; all, where it may be another's fault.
+
+        `quiet`: how many more peers there are, of which nothing was seen of late.
+        """
+        if not self.due(now):
+            return
         slow, share = self.slowness(now), self.failures(now)
         rivals = [r for o in others if o is not self and (r := o.slowness(now))]
-        usual = 0 if alone else median([o.failures(now) for o in others if o is not self] or [1])
+        failures = [] if alone else [o.failures(now) for o in others if o is not self]
+        usual = 0 if alone or quiet > len(failures) else median(failures + [0] * quiet or [1])
         failing = share > 0.5 if alone else share == 1 and usual < 0.5
         if failing or rivals and slow > SLOW * max(1.0, median(rivals)):
             self.rest = min(8 * REST, max(REST, 2 * self.rest))
@@ -110,7 +117,7 @@
 class Node:
     def __init__(self, index, entry, role):
         self.index, self.id, self.entry, self.role = index, entry.id, entry, role
-        self.label, self.down = entry.id.to_bytes(8, "big"), 0
+        self.label, self.down = label_of(entry.id), 0
         self.out = self.filling = 0          # forwards out there, and those of them that await a fill
         self.renewed(entry.started)
 
@@ -213,11 +220,15 @@
         self.get, self.seed, self.draws, self.now = settings.get, seed, 0, now
         self.nodes, self.index_of, self.indices, self.groups = {}, {}, count(), defaultdict(list)
         self.widest = Counter()              # most weight that a role's group has had
+        self.versions = Counter()            # role -> changes of its group so far
+        self.hashing = {}                    # role -> (version, Rendezvous)
+        self.troubled = {}                   # index -> cache out of reach, set aside or on trial, or once so
+        self.recent = defaultdict(OrderedDict)   # role -> index -> node, the one noted last standing last
         self.paces = OrderedDict()           # object -> its last sending times
         self.table, self.slot_of, self.purges = [], OrderedDict(), {}    # purges by ("object" or "group", id)
         self.purge_order = []                # (time, key), the oldest first
         self.told_at = NEVER                 # other fronts of this one's beliefs
-        self.platform_offset = 0             # how far the clock of listed starts is ahead of this one's, at least
+        self.platform_offset = 0             # how far the clock of listed starts is ahead, at the least
         self.waiting, self.order = [], count()   # (due, order, Get or None for a list to ask for)
         self.carried, self.further = deque(maxlen=256), deque(maxlen=100)   # (time, work) returned; if so
         self.spents = defaultdict(lambda: deque(maxlen=64))    # by delivery service, the last sending times
@@ -277,6 +288,7 @@
         nodes = list(self.nodes.values()) if whole else [self.nodes[self.index_of[at]] for at in seen]
         for role in dict.fromkeys([node.role for node in nodes]):
             self.groups[role] = list(self.groups[role])
+            self.versions[role] += 1
         for node in nodes:
             # By index, and only those that the list names: of 20,000 few change, and grouping all takes long.
             group = self.groups[node.role]
@@ -289,6 +301,8 @@
                 group.insert(at, node)
             if gone:
                 del self.nodes[node.index], self.index_of[node.id]    # its index is never given again
+                self.troubled.pop(node.index, None)
+                self.recent[node.role].pop(node.index, None)
         for role in dict.fromkeys([node.role for node in nodes]):
             self.widest[role] = max(self.widest[role], sum([n.entry.weight for n in self.groups[role]]))
 
@@ -350,14 +364,54 @@
         return self.table[slot]
 
     def ranked(self, memory, role, key):
-        """Weighted rendezvous hashing over real ids, alike at all fronts; kept till the next list."""
-        if memory.ranks.get("of") is not self.groups:
-            memory.ranks = {"of": self.groups}
-        if role not in memory.ranks:
-            key, of = mixed(key), self.groups[role]
-            memory.ranks[role] = sorted(
-                of, key=lambda n: (n.entry.weight / log((mixed(n.label, key) + 0.5) / 2**32), n.id))
-        return memory.ranks[role]
+        """A role's nodes in the order for a key, alike at all fronts; worked out as far as asked for."""
+        version, group = self.versions[role], self.groups[role]
+        kept = memory.ranks.get(role)
+        if kept is None or kept.version != version:
+            kept = memory.ranks[role] = Ranking(version, self.rendezvous(role).best(key, FIRST))
+        at = 0
+        while True:
+            yield from islice(kept.nodes, at, None)
+            at = len(kept.nodes)
+            if at >= len(group):
+                return
+            kept.nodes = self.rendezvous(role).best(key, 4 * at)
+
+    def rendezvous(self, role):
+        version, made = self.hashing.get(role, (None, None))
+        if version != self.versions[role]:
+            made = Rendezvous(self.groups[role])
+            self.hashing[role] = self.versions[role], made
+        return made
+
+    def warm_first(self, most):
+        """Ids of servers to connect to at the start: those that all go through, then caches, drawn by seed.
+
+        All fronts connecting to the same few of thousands of caches would crowd those.
+        """
+        caches = sorted(self.groups["cache"], key=lambda n: mixed(n.label, self.seed % 2**32))
+        nodes = [*self.groups["origin"], *self.groups["parent"], *caches]
+        return [node.id for node in nodes[:most]]
+
+    def in_group(self, node):
+        """Whether GETs or fills may go to it: listed, serving, and near where that counts."""
+        near = node.role != "cache" or node.entry.location == self.get("my_location", 0)
+        return near and node.entry.state is State.SERVING and self.nodes.get(node.index) is node
+
+    def noted(self, node):
+        """Its last end, or another front's word of it, is new."""
+        recent = self.recent[node.role]
+        recent[node.index] = node
+        recent.move_to_end(node.index)
+        if len(recent) > RECENT:
+            recent.popitem(last=False)
+        if node.role == "cache" and (node.down or node.as_cache.trial or node.as_cache.until):
+            self.troubled[node.index] = node
+
+    def peers(self, role):
+        """Those of a role's group of which something was seen of late, and how many more there are."""
+        seen = [n for n in self.recent[role].values() if self.in_group(n)]
+        return seen, len(self.groups[role]) - len(seen)
 
     def believe(self, memory, node, now):
         memory.holders[node.index] = (now + memory.life(), now, node.started)
@@ -370,12 +424,19 @@
         memory.holders = {at: memory.holders[at] for _, at in kept}
         return {self.nodes[at]: -expiry for expiry, at in sorted(kept)}
 
+    def seen_of_late(self):
+        """(index, node) of all that may be known to be slow, or set aside."""
+        found = dict(self.troubled)
+        for recent in self.recent.values():
+            found.update(recent)
+        return found.items()
+
     def tells(self, most, now):
         """What other fronts can use: who is set aside, then beliefs renewed since then, most asked first."""
         # With the age of what it rests on: told on as new, a pace would go round among fronts for good.
         said = [interface.Resting(n.id, n.started, by is n.as_source, max(0, by.until - now),
                                   int(1000 * slow), now - by.speeds[-1][0] if slow else 0)
-                for n in self.nodes.values() for by in (n.as_cache, n.as_source)
+                for _, n in sorted(self.seen_of_late()) for by in (n.as_cache, n.as_source)
                 for slow in [by.slowness(now)] if by.until > now or slow > UNLIKE]
         since, self.told_at = self.told_at, now
         fresh = [(-sum(m.counts[:2]), key, at, held) for key, slot in self.slot_of.items()
@@ -398,6 +459,7 @@
                     by.speeds.extend([(now - age - one.ago, one.slow / 1000, 1)] * 3)  # as few as tell a pace
                 if left > 0 and not any(now - at < SAMPLE_AGE for at, _ in by.ends):
                     by.until, by.trial = max(by.until, now + min(left, 8 * REST)), True
+                self.noted(node)
             elif left > 0 and ((one.object, one.part) in self.slot_of or len(self.table) < TABLE):
                 # One that a full table lacks is not what this front is asked for.
                 holders = self.memory(one, now).holders
@@ -463,33 +525,58 @@
         node.credit_at = now
         return node.credit >= need
 
-    def usable(self, nodes, now):
-        """Never more than half are set aside, whatever the samples say; a trial is one GET at a time."""
-        nodes = [n for n in nodes if not n.down or n.down <= now and not n.out]
-        aside = [n for n in nodes if (by := n.as_cache).until > now or by.trial and n.out]
-        barred = sorted(aside, key=lambda n: (-n.as_cache.until, n.id))[:len(nodes) // 2]
-        return [n for n in nodes if n not in barred]
+    def avoided(self, now):
+        """Indices of caches that get nothing now: out of reach, or set aside.
+
+        Never more than half are set aside, whatever the samples say; a trial is one GET at a time.
+        """
+        down, aside = set(), []
+        for index, node in list(self.troubled.items()):
+            by = node.as_cache
+            if not (node.down or by.trial or by.until > now):
+                del self.troubled[index]
+            elif not self.in_group(node):
+                continue
+            elif node.down and (node.down > now or node.out):
+                down.add(index)
+            elif by.until > now or by.trial and node.out:
+                aside.append(node)
+        aside.sort(key=lambda n: (-n.as_cache.until, n.id))
+        most = (len(self.groups["cache"]) - len(down)) // 2
+        return down.union([n.index for n in aside[:most]])
 
     def width(self, asked, memory, caches, now):
+        """Over how many of so many `caches` an object is spread."""
         # One of the few GETs that a front among many sees makes no object hot: noise (Poisson) goes off.
         asks = (seen := sum(memory.counts[:2])) - 2 * sqrt(seen)
-        share = asks * self.work(asked) / (2 * SPAN) * len(caches)
+        share = asks * self.work(asked) / (2 * SPAN) * caches
         hot = HOT_SHARE * self.rate(now)
         return 1 + (share > hot > 0) + (share > 2 * hot > 0)
 
     def pick(self, get, memory, now):
         asked = get.asked
         key = asked.object.to_bytes(8, "big") + asked.part.to_bytes(4, "big")
-        caches = self.usable(self.ranked(memory, "cache", key), now)
-        caches = [n for n in caches if n.index not in get.lost] or caches if get.lost else caches
-        if not (order := [n for n in caches if not n.started or self.cold_room(n, asked.ds, now)]):
+        avoided = self.avoided(now)
+        order = self.takers(memory, key, avoided | get.lost, asked.ds, now)
+        if not (first := list(islice(order, WIDEST))) and get.lost:
+            order = self.takers(memory, key, avoided, asked.ds, now)
+            first = list(islice(order, WIDEST))
+        if not first:
             return None, False
-        wide = order[:self.width(asked, memory, order, now)]
+        usable = len(self.groups["cache"]) - len(avoided)
+        wide = first[:self.width(asked, memory, usable, now)]
         best = min(wide, key=lambda n: (n.crowding(now), n.busy(now) / n.entry.weight))
         most = max(1.0, AHEAD * (get.limit - now) / max(1, self.work(asked)))
-        fit = next((n for n in [best, *order] if n.crowding(now) <= most), None)
+        tried = chain([best], first, islice(order, PASSED_BY))
+        fit = next((n for n in tried if n.crowding(now) <= most), None)
         return fit or best, fit is not None
 
+    def takers(self, memory, key, avoided, ds, now):
+        """Caches that may take a GET now, in the key's order; cold ones only as far as their budget goes."""
+        for node in self.ranked(memory, "cache", key):
+            if node.index not in avoided and (not node.started or self.cold_room(node, ds, now)):
+                yield node
+
     def sibling(self, get, memory, cache, now):
         allowed = self.get("siblings", "none")
         for node, expiry in self.holders(get.asked, memory, now).items():
@@ -503,8 +590,9 @@
     def upper(self, get, now):
         """A parent that does well by hash, or the origin; and if it may fetch: the origin's share in time."""
         parents = self.ranked(self.memory(get.asked, now), "parent", get.asked.object.to_bytes(8, "big"))
-        order = [n for n in parents if max(n.as_source.until, n.down) <= now
-                 and n.index not in get.lost and self.cold_room(n, get.asked.ds, now)] + self.groups["origin"]
+        parents = (n for n in parents if max(n.as_source.until, n.down) <= now
+                   and n.index not in get.lost and self.cold_room(n, get.asked.ds, now))
+        order = [*islice(parents, PARENTS), *self.groups["origin"]]
         shares = self.in_time(order, now) or [0]
         at = next((at for at, share in enumerate(shares) if share >= WELL), shares.index(max(shares)))
         # Where the origin does worst the parents are not at fault: another one would lack the object too.
@@ -637,7 +725,7 @@
             cache.as_cache.note(now, good, slow if found in (*HITS, Found.UNTOLD) else 0, sent.crowd)
             if sent.fill and found in (Found.FILLED, Found.JOINED):
                 # An ageing parent's slow fills are not laid to the link, which they would close.
-                speeds = [s for n in self.groups["parent"] if (s := n.as_source.slowness(now))] or [9]
+                speeds = [s for n in self.peers("parent")[0] if (s := n.as_source.slowness(now))] or [9]
                 if source.as_source.slowness(now) <= UNLIKE * median_low(speeds):
                     self.link.note(now, good, slow, sent.filling)
         if good:
@@ -666,10 +754,16 @@
             get.lost.add(cache.index)
             if outcome not in (Outcome.FULL, Outcome.NOT_SENT) and (memory.returned or not bare):
                 cache.as_cache.note(now, False, 0)
+        self.noted(cache)
+        self.noted(source)
         # A time-out may be the source's fault: it tells of the cache where all end so and its peers' don't.
-        peers = [n.as_cache for n in self.groups["cache"]]
-        cache.as_cache.judge(peers, outcome is not Outcome.TIMED_OUT, now)
-        if source is not cache and source.role != "origin":
+        if cache.as_cache.due(now):
+            peers, quiet = self.peers("cache")
+            alone = outcome is not Outcome.TIMED_OUT
+            cache.as_cache.judge([n.as_cache for n in peers], alone, now, quiet)
+            self.noted(cache)
+        if source is not cache and source.role != "origin" and source.as_source.due(now):
             # Parents fail alike where the origin or the load is at fault; one out of reach is down alone.
-            peers = [n.as_source for n in self.groups[source.role]]
-            source.as_source.judge(peers, outcome.never_ran and found is Found.SOURCE_BROKEN, now)
+            peers, quiet = self.peers(source.role)
+            alone = outcome.never_ran and found is Found.SOURCE_BROKEN
+            source.as_source.judge([n.as_source for n in peers], alone, now, quiet)
--- a/sprucegate/servers/http2/transport.py
+++ b/sprucegate/servers/http2/transport.py
@@ -58,6 +58,7 @@
         self.servers, self.driver, self.buffers, self.limits = servers, driver, pool, limits
         self.loop, self.instance = asyncio.get_running_loop(), getattr(driver.wanted, "name", "")
         self.timer, self.armed = None, None
+        self.active = {}                     # id -> place with connections, or whose pool has something due
         self.log = driver.log
 
     # The calls of a transport.
@@ -141,9 +142,10 @@
     # What the pool says.
 
     def _places(self):
-        return [place for place in self.servers.places.values() if place.transport is self]
+        return list(self.active.values())
 
     def _do(self, place, said):
+        self.active[place.id] = place
         for one in said:
             match one:
                 case Send():
@@ -406,5 +408,7 @@
         for place in self._places():
             if (due := place.held.pool.next_due()) is not None and due <= now:
                 self._do(place, place.held.pool.due(now))
+            elif due is None and not place.held.connections:
+                self.active.pop(place.id, None)
             else:
                 self._arm(place)
--- a/sprucegate/servers/lines/transport.py
+++ b/sprucegate/servers/lines/transport.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import socket
-from collections import deque
+from collections import OrderedDict, deque
 
 from sprucegate.interface import Found, Outcome
 from sprucegate.rules import CONNECTIONS, STALLED
@@ -24,6 +24,7 @@
         self.idle_most = max(keepalive // 2, keepalive - self.connect_timeout)
         self.loop = asyncio.get_running_loop()
         self.stalls = deque()                # (due, connection): answers begun that may not go on
+        self.resting = OrderedDict()         # connections that are up with nothing open, the longest so first
 
     def kept(self, place):
         return []                            # its connections
@@ -55,6 +56,7 @@
             return
         # Never again on this one: a late answer, or a second copy of one, would bear the same id.
         get.left_on.append(connection)
+        self.resting.pop(connection, None)
         out.connection, connection.used, out.said = connection, out.at, (said, source)
         connection.open[get.id] = out
         self._queue(connection, None, out)
@@ -71,6 +73,7 @@
             if queued is out:
                 del connection.queue[at]
                 break
+        self._rests(connection)
         return True
 
     def cancel(self, out, timed_out=False):
@@ -82,6 +85,7 @@
         if connection is None or connection.open.get(out.get.id) is not out:
             return None
         del connection.open[out.get.id]
+        self._rests(connection)
         # Left open after a spoilt answer it would serve nothing more, and look just like this. The others on
         # it have waited in vain too where the time is up; where a client left, they may still be answered.
         silent = connection.answered < out.at
@@ -118,7 +122,9 @@
             self._readable(best)
             best = self._least_busy(place, get, now)
         ours = self.servers
-        full = len(place.held) >= CONNECTIONS or ours.connections >= ours.most - len(ours.places)
+        # One for each place is kept free, as far as there are so many.
+        kept_free = min(len(ours.places), ours.most // 2)
+        full = len(place.held) >= CONNECTIONS or ours.connections >= ours.most - kept_free
         # Half of an answer that nobody waits for may never go on, and would take its connection with it.
         if best is not None and (not best.open and not best.reader.partial() or full):
             return best
@@ -126,13 +132,13 @@
             return best
         return self._connect(place, now)
 
-    def _places(self):
-        return [place for place in self.servers.places.values() if place.transport is self]
+    def _rests(self, connection):
+        if connection.up and not connection.open:
+            self.resting[connection] = None
 
     def idle(self):
         """The connection unused longest, as (since, its close), or None."""
-        found = [c for place in self._places() for c in place.held if c.up and not c.open]
-        oldest = min(found, key=lambda c: c.used, default=None)
+        oldest = next(iter(self.resting), None)
         return oldest and (oldest.used, lambda: self.close(oldest))
 
     def _connect(self, place, now):
@@ -223,6 +229,7 @@
             return
         connection.up, connection.made = True, self.driver.clock()
         self.loop.add_reader(sock, self._readable, connection)
+        self._rests(connection)
         if connection.queue:
             self._send(connection)
 
@@ -254,6 +261,7 @@
             return
         was_up, sock = connection.up, connection.sock
         connection.closed, connection.up = True, False
+        self.resting.pop(connection, None)
         connection.place.held.remove(connection)
         self.servers.connections -= 1
         if was_up:
@@ -292,6 +300,7 @@
             connection.reader.fault = connection.reader.fault or str(fault)
             return
         del connection.open[answer.id]
+        self._rests(connection)
         if outcome is Outcome.RETURNED:
             self.driver.returned(out, codec.returned(answer))
         self.driver.ended(out, outcome, found, waited, load)
@@ -321,10 +330,8 @@
         self.driver.armed_by(due)
 
     def sweep(self, now):
-        for place in self._places():
-            for connection in list(place.held):
-                if connection.up and not connection.open and now - connection.used > self.idle_most:
-                    self.close(connection)
+        while (oldest := next(iter(self.resting), None)) is not None and now - oldest.used > self.idle_most:
+            self.close(oldest)
 
     def stop(self):
         """Nothing is said at the end: what was open here has had its answer."""
--- a/sprucegate/servers/servers.py
+++ b/sprucegate/servers/servers.py
@@ -6,10 +6,14 @@
 come is in the outcome.
 """
 
+from itertools import islice
+
 from sprucegate.interface import Found, Outcome, State
 from sprucegate.servers.lines.transport import Lines
 from sprucegate.servers.place import Place
 
+WARMED = 0.75           # of the connections that there may be: made before the first GET
+
 
 class Servers:
     def __init__(self, driver, pool, settings, most, wanted=None):
@@ -53,6 +57,12 @@
         if place.gone and not place.transport.open_connections(place) and self.places.get(place.id) is place:
             del self.places[place.id]
 
+    def warm_up(self, first, now):
+        """Connections before the first GET: to `first`, then to others, with room left for what GETs need."""
+        for at in islice(dict.fromkeys([*first, *self.places]), int(WARMED * self.most)):
+            if at in self.places:
+                self.warm(self.places[at], now)
+
     def warm(self, place, now):
         place.transport.warm(place, now)
 
--- a/standins/lines.py
+++ b/standins/lines.py
@@ -15,6 +15,11 @@
 import uvloop
 
 
+def address_of(at):
+    """The loopback's address of one of many caches of one process; they share a port."""
+    return f"127.10.{at >> 8}.{at & 255}"
+
+
 class Peer:
     def __init__(self, server, sock):
         self.server, self.sock, self.loop, self.held, self.open = server, sock, asyncio.get_running_loop(), b"", {}
@@ -82,12 +87,13 @@
 
 
 class Server:
-    def __init__(self, port=0, seed=0, service=0.0, size=5, ran=None, steady=False, made=False):
+    def __init__(self, port=0, seed=0, service=0.0, size=5, ran=None, steady=False, made=False, addresses=0):
         self.port, self.service, self.size, self.chance = port, service, size, random.Random(seed)
         self.file = os.open(ran, os.O_WRONLY | os.O_CREAT | os.O_APPEND) if ran else None
         self.connections = self.count = 0
         self.made = made                     # whether it tells when its copies were made: just now
         self.steady = steady
+        self.addresses = addresses           # on how many of the loopback, each as a cache of its own; 0: 127.0.0.1
 
     def wait(self):
         return self.service * (1.0 if self.steady else 0.5 + self.chance.random())
@@ -101,30 +107,34 @@
             os.write(self.file, b"%s 0 get\n" % call_id)
 
     async def serve(self):
-        listener = socket.create_server(("127.0.0.1", self.port), backlog=512)
-        listener.setblocking(False)
+        listener = socket.create_server((address_of(0) if self.addresses else "127.0.0.1", self.port), backlog=512)
+        port = listener.getsockname()[1]
+        listeners = [listener] + [socket.create_server((address_of(at), port)) for at in range(1, self.addresses)]
         stop, loop = asyncio.Event(), asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, stop.set)
         print(f"listening 127.0.0.1:{listener.getsockname()[1]}", flush=True)
-        task = loop.create_task(self._accept(listener, loop))
+        for one in listeners:
+            one.setblocking(False)
+            loop.add_reader(one, self._accept, one)
         await stop.wait()
-        task.cancel()
         print(f"ran {self.count} connections {self.connections} closes 0", flush=True)
 
-    async def _accept(self, listener, loop):
-        while True:
-            sock, _ = await loop.sock_accept(listener)
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self.connections += 1
-            Peer(self, sock)
+    def _accept(self, listener):
+        try:
+            sock, _ = listener.accept()
+        except BlockingIOError:
+            return
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.connections += 1
+        Peer(self, sock)
 
 
 def main(given):
     flags = argparse.ArgumentParser(prog="python -m standins.lines", description=__doc__.split("\n")[0])
     for name, kind, default in (("port", int, 0), ("seed", int, 0), ("service", float, 0.0), ("size", int, 5),
-                                ("ran", str, None), ("steady", int, 0), ("made", int, 0)):
+                                ("ran", str, None), ("steady", int, 0), ("made", int, 0), ("addresses", int, 0)):
         flags.add_argument("--" + name, type=kind, default=default)
     uvloop.run(Server(**vars(flags.parse_args(given))).serve())
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -19,7 +19,8 @@
 
 def test_an_import_that_runs_up_is_found(tmp_path):
     turned = (ROOT / "pyproject.toml").read_text().replace(
-            '"rules",\n    "interface : clock"', '"interface : clock",\n    "rules"')
+            '"rules",\n    "rendezvous",\n    "interface : clock"',
+            '"interface : clock",\n    "rules",\n    "rendezvous"')
     (tmp_path / "pyproject.toml").write_text(turned)
     done = linted(tmp_path / "pyproject.toml")
     assert done.returncode == 1 and "sprucegate.rules -> sprucegate.interface" in done.stdout
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -136,7 +136,7 @@
     made.carried.extend((NOW - 4 * S + i * 100 * MS, 200 * MS) for i in range(40))
     memory = made.memory(asked(), NOW)
     memory.counts = [count, 0, 0]
-    assert made.width(asked(), memory, made.groups["cache"], NOW) == width
+    assert made.width(asked(), memory, len(made.groups["cache"]), NOW) == width
 
 
 def test_a_crowded_cache_is_passed_by():
@@ -346,7 +346,8 @@
     made = router()
     for cache in CACHES:
         node(made, cache).as_cache.until = NOW + S
-    assert len(made.usable(made.groups["cache"], NOW)) == 2
+        made.noted(node(made, cache))
+    assert len(made.avoided(NOW)) == 2
 
 
 def test_the_origin_fills_when_no_parent_is_up():
@@ -379,6 +380,7 @@
     made = router(client_kb_per_s=1000)
     for parent, slow in zip(PARENTS, (slowness, 1.0), strict=True):
         node(made, parent).as_source.speeds.extend((NOW, slow, 0) for _ in range(4))
+        made.noted(node(made, parent))
     get = get_with(made, asked(size=100), None)
     get.forwards[0].fill = [node(made, 21), NOW, NOW, None]
     made.learn(get, get.forwards[0], Outcome.RETURNED, Found.FILLED, S, 0, {}, NOW)
@@ -389,8 +391,8 @@
     made = router()
     get = get_with(made, asked(), None, None)
     made.learn(get, get.forwards[0], Outcome.UNREACHABLE, Found.UNTOLD, MS, 0, {}, NOW)
-    assert node(made, 11) not in made.usable(made.groups["cache"], NOW + MS)
-    assert node(made, 11) in made.usable(made.groups["cache"], NOW + 2 * S)
+    assert made.avoided(NOW + MS) == {made.index_of[11]}
+    assert made.avoided(NOW + 2 * S) == set()
     believed(made, asked(), 11)
     made.learn(get, get.forwards[1], Outcome.RETURNED, Found.HIT, MS, 0, {}, NOW + 2 * S)
     assert node(made, 11).started == NOW + 2 * S
@@ -629,6 +631,7 @@
             made.take(ask, NOW)
         believed(made, ask, 12, expiry=NOW + expiry)
     node(made, 13).as_cache.until = NOW + S
+    made.noted(node(made, 13))
     assert made.tells(9, NOW) == [Resting(13, 0, False, S, 0, 0), Believed(2, 0, 12, 0, 8 * S, MS),
                                   Believed(1, 0, 12, 0, 8 * S, MS)]
     assert made.tells(9, NOW + 1) == [Resting(13, 0, False, S - 1, 0, 0)] and len(router().tells(0, NOW)) == 0
