--- a/sprucegate/fleet/face.py
+++ b/sprucegate/fleet/face.py
@@ -154,7 +154,7 @@
 
     def _troubles(self):
         """The origin is in trouble where the rules' own brake holds it back."""
-        nodes = self.driver.router.groups["origin"]
+        nodes = self.driver.router.group("origin")
         now = self.driver.clock()
         return {"origin": "rests"} if nodes and all(now < node.as_cache.until for node in nodes) else {}
 
--- a/sprucegate/fleet/shares/part.py
+++ b/sprucegate/fleet/shares/part.py
@@ -109,7 +109,7 @@
         """Sources that are listed, and how many fills each bears at once by the file: by its name, else by its kind."""
         router, kinds = self.driver.router, {value: name for name, value in self.driver.wanted.kinds.items()}
         found = {}
-        for node in [*router.groups["parent"], *router.groups["origin"]]:
+        for node in [*router.group("parent"), *router.group("origin")]:
             at = self.driver.servers.places.get(node.id)
             name = at.name if at is not None else ""
             count = self.node.counts.get(name) or self.node.counts.get(kinds.get(node.entry.kind, ""))
@@ -139,7 +139,7 @@
         router, now = self.driver.router, self.driver.clock()
         warm, floor = router.get("parent_warm_time", 0), router.get("parent_cold_share", 0.1)
         self.shares.factors({node.id: places.cold(node.started and now - router.age(node, now), warm, floor, now)
-                             for node in router.groups["parent"]})
+                             for node in router.group("parent")})
         self.loop.call_later(FACTORS, self._ages)
 
     # What the front says.
--- a/sprucegate/membership/moves.py
+++ b/sprucegate/membership/moves.py
@@ -29,7 +29,7 @@
     location = entries[0].location
     router = Router({"my_location": location}, 0, 0)
     router.listed(entries, True, 0)
-    return [router.rendezvous("cache").best(at.to_bytes(8, "big") + bytes(4), 1)[0].id for at in range(count)]
+    return [router.hashing["cache"].best(at.to_bytes(8, "big") + bytes(4), 1)[0].id for at in range(count)]
 
 
 def moves(before, after, objects=OBJECTS):
--- a/sprucegate/rendezvous.py
+++ b/sprucegate/rendezvous.py
@@ -10,6 +10,7 @@
 """
 
 from array import array
+from collections import Counter
 from functools import lru_cache
 from heapq import nlargest
 from math import exp, log
@@ -54,20 +55,41 @@
     return _Lanes(ones, ones * WORD, int.from_bytes(array("Q", range(count)).tobytes(), "little"))
 
 
+def lane_of(label):
+    """What a node's lane begins with; kept with the node, as groups change more often than nodes come."""
+    return crc32(label).to_bytes(LANE, "little")
+
+
 class Rendezvous:
-    """One group of nodes, each with `id`, `label` and `entry.weight`; made anew when the group changes."""
+    """One group of nodes, each with `id`, `label` and `lane`, in an order that the caller keeps."""
+
+    def __init__(self):
+        self.nodes, self.weights, self.lanes = [], [], bytearray()
+        self.counted = Counter()             # weight -> nodes of it
+
+    def insert(self, at, node, weight):
+        self.nodes.insert(at, node)
+        self.weights.insert(at, weight)
+        self.lanes[LANE * at:LANE * at] = node.lane
+        self.counted[weight] += 1
+
+    def remove(self, at):
+        weight = self.weights.pop(at)
+        del self.nodes[at], self.lanes[LANE * at:LANE * (at + 1)]
+        self.counted[weight] -= 1
+        if not self.counted[weight]:
+            del self.counted[weight]
 
-    def __init__(self, nodes):
-        self.nodes = nodes
-        self.heaviest = max([node.entry.weight for node in nodes], default=0)
-        self.alike = all(node.entry.weight == self.heaviest for node in nodes)
-        self.lanes = None                    # made at the first use: many changes come between two uses
+    def weight(self):
+        """Of all nodes together; by counts, as sums of thousands drift and take long."""
+        return sum([weight * count for weight, count in self.counted.items()])
 
     def best(self, key, most):
         """The first `most` nodes for a key (bytes), or all where there are fewer."""
         start = mixed(key)
         if len(self.nodes) <= FEW or 2 * most >= len(self.nodes):
-            scored = [(score(n.entry.weight, mixed(n.label, start)), n.id, n) for n in self.nodes]
+            scored = [(score(weight, mixed(node.label, start)), node.id, node)
+                      for node, weight in zip(self.nodes, self.weights, strict=True)]
         else:
             scored = self._scored(start, most)
         return [node for _, _, node in sorted(scored)[:most]]
@@ -76,23 +98,20 @@
         """(score, id, node) of all that may be among the first `most`."""
         hashed = self._hashes(start)
         first = nlargest(most, hashed)
-        if not self.alike:
+        if len(self.counted) > 1:
             # A heavier one may come before these by a lower hash, though not by one under this.
-            worst = max(score(self.nodes[h & WORD].entry.weight, h >> 32) for h in first)
-            least = max(0, int(exp(self.heaviest / worst) * SPAN) - 2) << 32
+            worst = max(score(self.weights[h & WORD], h >> 32) for h in first)
+            least = max(0, int(exp(max(self.counted) / worst) * SPAN) - 2) << 32
             first = [h for h in hashed if h >= least]
-        pairs = [(h >> 32, self.nodes[h & WORD]) for h in first]
-        return [(score(node.entry.weight, hashed), node.id, node) for hashed, node in pairs]
+        pairs = [(h & WORD, h >> 32) for h in first]
+        return [(score(self.weights[at], h), self.nodes[at].id, self.nodes[at]) for at, h in pairs]
 
     def _hashes(self, start):
         """Of each node, its hash above its place in the group: `mixed(label, start)` of all at once."""
         count = len(self.nodes)
         ones, words, places = _lanes(count)
-        if self.lanes is None:
-            # crc32(label, start) is crc32(label) xor a term of `start` alone, as CRC is affine.
-            self.lanes = int.from_bytes(
-                b"".join([crc32(n.label).to_bytes(LANE, "little") for n in self.nodes]), "little")
-        h = self.lanes ^ ones * (crc32(ZEROS, start) ^ crc32(ZEROS))
+        # crc32(label, start) is crc32(label) xor a term of `start` alone, as CRC is affine.
+        h = int.from_bytes(self.lanes, "little") ^ ones * (crc32(ZEROS, start) ^ crc32(ZEROS))
         h = (h ^ (h >> 16) & words) * 0x85EBCA6B & words
         h = (h ^ (h >> 13) & words) * 0xC2B2AE35 & words
         h ^= (h >> 16) & words
--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -12,7 +12,7 @@
 
 from sprucegate import interface
 from sprucegate.interface import Cancel, Errored, Forward, Found, Outcome, Shed, State, Subscribe, Wait
-from sprucegate.rendezvous import Ranking, Rendezvous, label_of, mixed
+from sprucegate.rendezvous import Ranking, Rendezvous, label_of, lane_of, mixed
 
 MS, S, NEVER = 1_000_000, 1_000_000_000, -1 << 62
 
@@ -118,6 +118,7 @@
     def __init__(self, index, entry, role):
         self.index, self.id, self.entry, self.role = index, entry.id, entry, role
         self.label, self.down = label_of(entry.id), 0
+        self.lane = lane_of(self.label)
         self.out = self.filling = 0          # forwards out there, and those of them that await a fill
         self.renewed(entry.started)
 
@@ -218,10 +219,10 @@
 class Router:
     def __init__(self, settings, seed, now):
         self.get, self.seed, self.draws, self.now = settings.get, seed, 0, now
-        self.nodes, self.index_of, self.indices, self.groups = {}, {}, count(), defaultdict(list)
+        self.nodes, self.index_of, self.indices = {}, {}, count()
+        self.hashing = defaultdict(Rendezvous)   # role -> its group in the order of indices
         self.widest = Counter()              # most weight that a role's group has had
         self.versions = Counter()            # role -> changes of its group so far
-        self.hashing = {}                    # role -> (version, Rendezvous)
         self.troubled = {}                   # index -> cache out of reach, set aside or on trial, or once so
         self.recent = defaultdict(OrderedDict)   # role -> index -> node, the one noted last standing last
         self.paces = OrderedDict()           # object -> its last sending times
@@ -284,27 +285,25 @@
             if entry.started > node.started:
                 node.renewed(entry.started)
             node.entry = entry
-        here, self.groups = self.get("my_location", 0), self.groups.copy()    # another one: ranks go with it
+        here = self.get("my_location", 0)
         nodes = list(self.nodes.values()) if whole else [self.nodes[self.index_of[at]] for at in seen]
-        for role in dict.fromkeys([node.role for node in nodes]):
-            self.groups[role] = list(self.groups[role])
-            self.versions[role] += 1
         for node in nodes:
             # By index, and only those that the list names: of 20,000 few change, and grouping all takes long.
-            group = self.groups[node.role]
+            group = self.hashing[node.role]
             gone = whole and node.id not in seen or node.entry.state is State.GONE
             near = node.role != "cache" or node.entry.location == here
-            at = bisect_left(group, node.index, key=lambda n: n.index)
-            if at < len(group) and group[at] is node:
-                del group[at]
+            at = bisect_left(group.nodes, node.index, key=lambda n: n.index)
+            if at < len(group.nodes) and group.nodes[at] is node:
+                group.remove(at)
             if not gone and node.entry.state is State.SERVING and near:
-                group.insert(at, node)
+                group.insert(at, node, node.entry.weight)
             if gone:
                 del self.nodes[node.index], self.index_of[node.id]    # its index is never given again
                 self.troubled.pop(node.index, None)
                 self.recent[node.role].pop(node.index, None)
         for role in dict.fromkeys([node.role for node in nodes]):
-            self.widest[role] = max(self.widest[role], sum([n.entry.weight for n in self.groups[role]]))
+            self.versions[role] += 1         # rankings of before are void
+            self.widest[role] = max(self.widest[role], self.hashing[role].weight())
 
     def list_failed(self, now):
         if self.get("discovery") == "ask":
@@ -365,34 +364,31 @@
 
     def ranked(self, memory, role, key):
         """A role's nodes in the order for a key, alike at all fronts; worked out as far as asked for."""
-        version, group = self.versions[role], self.groups[role]
+        version, group = self.versions[role], self.group(role)
         kept = memory.ranks.get(role)
         if kept is None or kept.version != version:
-            kept = memory.ranks[role] = Ranking(version, self.rendezvous(role).best(key, FIRST))
+            kept = memory.ranks[role] = Ranking(version, self.hashing[role].best(key, FIRST))
         at = 0
         while True:
             yield from islice(kept.nodes, at, None)
             at = len(kept.nodes)
             if at >= len(group):
                 return
-            kept.nodes = self.rendezvous(role).best(key, 4 * at)
-
-    def rendezvous(self, role):
-        version, made = self.hashing.get(role, (None, None))
-        if version != self.versions[role]:
-            made = Rendezvous(self.groups[role])
-            self.hashing[role] = self.versions[role], made
-        return made
+            kept.nodes = self.hashing[role].best(key, 4 * at)
 
     def warm_first(self, most):
         """Ids of servers to connect to at the start: those that all go through, then caches, drawn by seed.
 
         All fronts connecting to the same few of thousands of caches would crowd those.
         """
-        caches = sorted(self.groups["cache"], key=lambda n: mixed(n.label, self.seed % 2**32))
-        nodes = [*self.groups["origin"], *self.groups["parent"], *caches]
+        caches = sorted(self.group("cache"), key=lambda n: mixed(n.label, self.seed % 2**32))
+        nodes = [*self.group("origin"), *self.group("parent"), *caches]
         return [node.id for node in nodes[:most]]
 
+    def group(self, role):
+        """Nodes of a role that GETs or fills may go to, in the order of their indices."""
+        return self.hashing[role].nodes
+
     def in_group(self, node):
         """Whether GETs or fills may go to it: listed, serving, and near where that counts."""
         near = node.role != "cache" or node.entry.location == self.get("my_location", 0)
@@ -411,7 +407,7 @@
     def peers(self, role):
         """Those of a role's group of which something was seen of late, and how many more there are."""
         seen = [n for n in self.recent[role].values() if self.in_group(n)]
-        return seen, len(self.groups[role]) - len(seen)
+        return seen, len(self.group(role)) - len(seen)
 
     def believe(self, memory, node, now):
         memory.holders[node.index] = (now + memory.life(), now, node.started)
@@ -542,7 +538,7 @@
             elif by.until > now or by.trial and node.out:
                 aside.append(node)
         aside.sort(key=lambda n: (-n.as_cache.until, n.id))
-        most = (len(self.groups["cache"]) - len(down)) // 2
+        most = (len(self.group("cache")) - len(down)) // 2
         return down.union([n.index for n in aside[:most]])
 
     def width(self, asked, memory, caches, now):
@@ -563,7 +559,7 @@
             first = list(islice(order, WIDEST))
         if not first:
             return None, False
-        usable = len(self.groups["cache"]) - len(avoided)
+        usable = len(self.group("cache")) - len(avoided)
         wide = first[:self.width(asked, memory, usable, now)]
         best = min(wide, key=lambda n: (n.crowding(now), n.busy(now) / n.entry.weight))
         most = max(1.0, AHEAD * (get.limit - now) / max(1, self.work(asked)))
@@ -592,7 +588,7 @@
         parents = self.ranked(self.memory(get.asked, now), "parent", get.asked.object.to_bytes(8, "big"))
         parents = (n for n in parents if max(n.as_source.until, n.down) <= now
                    and n.index not in get.lost and self.cold_room(n, get.asked.ds, now))
-        order = [*islice(parents, PARENTS), *self.groups["origin"]]
+        order = [*islice(parents, PARENTS), *self.group("origin")]
         shares = self.in_time(order, now) or [0]
         at = next((at for at, share in enumerate(shares) if share >= WELL), shares.index(max(shares)))
         # Where the origin does worst the parents are not at fault: another one would lack the object too.
@@ -620,11 +616,11 @@
         write = self.of_ds("runs_at_origin", asked.ds, False)
         cache, in_time = self.pick(get, memory, now)
         if write:
-            source = next(iter(self.groups["origin"]), None) or self.upper(get, now)[0]
+            source = next(iter(self.group("origin")), None) or self.upper(get, now)[0]
             cache = source if self.get("direct") else cache
         elif cache is None:
             cache = self.upper(get, now)[0] if self.get("direct") else None
-            source = next(iter(self.groups["origin"]), None)
+            source = next(iter(self.group("origin")), None)
             if self.late_fill(get, now):
                 return None                  # past the caches it is as long on the link as a fill
         elif not in_time and self.chance(asked.id) >= PROBING:
@@ -716,9 +712,9 @@
             gone = outcome is Outcome.CANCELLED and now < sent.fill[2]
             if found in HITS or bare or gone or outcome in (Outcome.RESET, Outcome.NOT_SENT):
                 sent.fill[2:] = -NEVER, None     # tells of no fill: as one, it would hide how the sources do
-            elif found in (Found.FILLED_BY_ORIGIN, Found.ORIGIN_FAILED) and self.groups["origin"]:
+            elif found in (Found.FILLED_BY_ORIGIN, Found.ORIGIN_FAILED) and self.group("origin"):
                 # What was late for the origin's wait speaks against the origin, not against the parent.
-                sent.fill[0] = self.groups["origin"][-1]
+                sent.fill[0] = self.group("origin")[-1]
                 sent.fill[3] = good and now - spent + waited + self.work(asked) <= sent.fill[2]
         if good and not write and (asked.size or memory.spents):
             slow = (spent - waited) / max(20 * MS, self.work(asked))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -115,7 +115,7 @@
 
 def test_fronts_pick_alike_whatever_the_order_of_their_lists():
     one, other = router(), router()
-    other.groups["cache"].reverse()
+    other.group("cache").reverse()
     for obj in range(50):
         picked = [made.pick(get_with(made, asked(obj=obj)), made.memory(asked(obj=obj), NOW), NOW)[0].id
                   for made in (one, other)]
@@ -136,7 +136,7 @@
     made.carried.extend((NOW - 4 * S + i * 100 * MS, 200 * MS) for i in range(40))
     memory = made.memory(asked(), NOW)
     memory.counts = [count, 0, 0]
-    assert made.width(asked(), memory, len(made.groups["cache"]), NOW) == width
+    assert made.width(asked(), memory, len(made.group("cache")), NOW) == width
 
 
 def test_a_crowded_cache_is_passed_by():
@@ -243,7 +243,7 @@
 def test_what_a_whole_list_leaves_out_is_gone():
     made = router()
     made.listed([entry(11)], True, NOW)
-    assert [n.id for n in made.groups["cache"]] == [11] and not made.groups["parent"]
+    assert [n.id for n in made.group("cache")] == [11] and not made.group("parent")
 
 
 @pytest.mark.parametrize("cache, ago, carried, room", [
