A box is called failed by most fronts heard since the election; free permits are charged

Cause: a new leader counted who calls a box unreachable among the reports that it had, one of five, or words of before its election; what is unreachable costs no budget, and a permit granted so went out although its box was there again. Change: a report counts for 3 s and since the election; most of all fronts that count have to say that a box failed, or that it is back, or that there is a trouble. A permit that was free is charged when its box is back, and waits where the budget has no place; it goes out only where those out by permit leave it one. A measurement that counts a broken promise exits 1.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -1,4 +1,4 @@
-"""Runs one measurement; its last line is one JSON object of its figures."""
+"""Runs one measurement; its last line is one JSON object of its figures. Exit status 1 where a promise broke."""
 
 import importlib
 import json
@@ -9,6 +9,18 @@
 NAMES = ("http2", "front", "serverfiles", "replication", "rollout", "views", "shares", "scale")
 
 
+# Figures that count broken promises: each is to be 0.
+BROKEN = frozenset({
+    "over_budget", "committed_lost", "two_leaders", "votes_twice", "sent_to_drained", "granted_halted", "without_end",
+    "last_gone", "gets_lost", "late_sends_to_drained", "guard_facts_lost", "promises_broken", "places_over",
+    "late_sheds", "orders_twice", "wrong_standing", "healthy_called_gone", "false_halts", "violations"})
+
+
+def broken(figures):
+    """{name: count} of the promises that broke by these figures."""
+    return {name: count for name, count in figures.items() if name in BROKEN and count}
+
+
 @click.command()
 @click.argument("name", type=click.Choice(NAMES))
 @click.option("--against", default="db87e09", show_default=True, help="The revision that `front` is paired with.")
@@ -17,6 +29,9 @@
     more = {"against": against} if name == "front" else {}
     figures = importlib.import_module(f"benchmarks.{name}").measure(quick, **more)
     print(json.dumps(figures))
+    if found := broken(figures):
+        print(f"broken: {found}", file=sys.stderr)
+        sys.exit(1)
 
 
 if __name__ == "__main__":
--- a/sprucegate/fleet/agreement/following.py
+++ b/sprucegate/fleet/agreement/following.py
@@ -177,13 +177,22 @@
         return [Word(one[1], message.word, message.index)]
 
 
+class Heard(NamedTuple):
+    """The last question of a front, and its last report; times in ns on the keeper's clock."""
+
+    life: int
+    at: int
+    report: list
+    reported: int           # when the report came: not each question has one
+
+
 class Serving:
     """A keeper's side: its machine, answers to followers, and words for those that proposed."""
 
     def __init__(self, keeper, machine):
         self.keeper, self.machine = keeper, machine
         self.recent, self.asked = [], {}     # [index, command] applied since the machine's oldest known; index -> whom
-        self.heard_from = {}                 # front -> (life, when, report), for whoever leads
+        self.heard_from = {}                 # front -> Heard, for whoever leads
 
     def installed(self, index, state):
         self.machine.loaded(state)
@@ -207,11 +216,13 @@
     def heard(self, sender, message, now):
         if isinstance(message, Follow):
             if message.life:                 # a front; an agent of boxes has none
-                # Not each question has one: the last of that life stands.
-                life, _, report = self.heard_from.pop(sender, (0, 0, []))
+                last = self.heard_from.pop(sender, None)
                 while len(self.heard_from) >= FOLLOWERS_MOST:
                     del self.heard_from[next(iter(self.heard_from))]     # whoever was heard longest ago
-                self.heard_from[sender] = message.life, now, message.report or (report if life == message.life else [])
+                if message.report or last is None or last.life != message.life:
+                    self.heard_from[sender] = Heard(message.life, now, message.report, now)
+                else:
+                    self.heard_from[sender] = last._replace(at=now)      # the last report of that life stands
             return [Send(sender, self._followed(message, now))]
         index, done = self.keeper.propose(message.command, now)
         if not index:
--- a/sprucegate/fleet/rollout/leader.py
+++ b/sprucegate/fleet/rollout/leader.py
@@ -17,6 +17,7 @@
 MARGIN = 1500 * MS      # a front's own lease ends so much earlier: an election, clocks that drift, a slow answer
 PERMIT_LEASE = 30 * S
 LIVE_MOST = 300 * S     # from the stop of a released box to its being back
+REPORT_LATE = 3 * S     # after which a front's report tells nothing of what is in reach now
 AGAIN = S               # until what was proposed and did not come is proposed anew
 
 
@@ -34,9 +35,10 @@
         self.told, self.totals, self.starts = {}, {}, {}     # last reports; counts by box; starts by box and front
 
     def due(self, heard, now):
-        """Commands to propose. `heard`: front -> (life, when, report)."""
+        """Commands to propose. `heard`: front -> Heard."""
         self.under_way = {c: at for c, at in self.under_way.items() if now - at < AGAIN}
-        wanted = (self._fronts(heard, now) + self._permits(now) + self._failed(heard) + self._troubles(heard)
+        wanted = (self._fronts(heard, now) + self._permits(now) + self._failed(heard, now)
+                  + self._troubles(heard, now)
                   + self._gates(heard, now))
         fresh = [c for c in wanted if repr(c) not in self.under_way]
         self.under_way.update((repr(c), now) for c in fresh)
@@ -44,12 +46,12 @@
 
     def _fronts(self, heard, now):
         known, found = self.machine.permits.fronts, []
-        for name, (life, at, _) in sorted(heard.items()):
+        for name, (life, at, _, _) in sorted(heard.items()):
             left = self.machine.permits.gone.get(name) == life
             if now - at < FRONT_LEASE and known.get(name) != life and not left:
                 found.append(["front", name, life, True])
         for name, life in sorted(known.items()):
-            last = heard[name][1] if name in heard and heard[name][0] == life else 0
+            last = heard[name].at if name in heard and heard[name].life == life else 0
             # Counted from the election at the earliest: whom the former leader heard is not known here.
             if now - max(last, self.since) >= FRONT_LEASE:
                 found.append(["front", name, life, False])
@@ -80,34 +82,44 @@
     def _said(self, heard):
         """Reports of the fronts that count."""
         fronts = self.machine.permits.fronts
-        return {name: report for name, (life, _, report) in heard.items() if fronts.get(name) == life and report}
+        return {name: one.report for name, one in heard.items() if fronts.get(name) == one.life and one.report}
 
-    def _failed(self, heard):
-        """What most fronts can't reach is out by itself, unless a permit says so already."""
-        permits, reports, found = self.machine.permits, self._said(heard), []
+    def _says_now(self, heard, now):
+        """Reports made since this keeper leads, and not long ago: older ones are of what was then."""
+        since = max(self.since, now - REPORT_LATE)
+        return self._said({name: one for name, one in heard.items() if one.reported >= since})
+
+    def _most(self, count):
+        """Whether so many are most of the fronts that count, heard or not."""
+        return 2 * count > len(self.machine.permits.fronts)
+
+    def _failed(self, heard, now):
+        """What most fronts can't reach is out by itself, unless a permit says so already; back by most as well."""
+        permits, reports, found = self.machine.permits, self._says_now(heard, now), []
         missed = {}
         for _, down, _ in reports.values():
             for box in down:
                 missed[box] = missed.get(box, 0) + 1
         for box in permits.boxes:
-            lost = 2 * missed.get(box, 0) > len(reports) > 0
+            lost, well = self._most(missed.get(box, 0)), self._most(len(reports) - missed.get(box, 0))
             permit = permits.of_box.get(box)
             taken = permit is not None and permit.step in TAKES
             if lost and not taken and box not in permits.down:
                 found.append(["stands", box, "unreachable"])
-            elif reports and not lost and permits.down.get(box) == "unreachable":
+            elif well and permits.down.get(box) == "unreachable":
                 found.append(["stands", box, ""])
         return found
 
-    def _troubles(self, heard):
-        reports, told, found = self._said(heard), {}, []
+    def _troubles(self, heard, now):
+        reports, told, found = self._says_now(heard, now), {}, []
         for _, _, troubles in reports.values():
             for what in troubles:
                 told[what] = told.get(what, 0) + 1
         known = self.machine.releases.troubles
         for what in sorted({*told, *known}):
-            on = 2 * told.get(what, 0) > len(reports)
-            if on != (what in known) and reports:
+            on = self._most(told.get(what, 0)) if what not in known else (
+                not self._most(len(reports) - told.get(what, 0)))
+            if on != (what in known):
                 found.append(["trouble", what, f"{told.get(what, 0)} of {len(reports)} fronts" if on else ""])
         return found
 
@@ -124,7 +136,7 @@
             life, before, rows = self.told.get(name, (None, None, {}))
             if report is before:
                 continue
-            rows = rows if life == heard[name][0] else {}
+            rows = rows if life == heard[name].life else {}
             for box, *row in report[0]:
                 if box not in boxes:
                     continue                 # not one that the log knows: it would be counted for ever
@@ -140,7 +152,7 @@
                 # The most of any front; it never falls, so it need not be looked for among all of them each time:
                 # with 200 fronts and boxes that was most of what a leader did.
                 total[5] = max(total[5], seen[name])
-            self.told[name] = heard[name][0], report, rows
+            self.told[name] = heard[name].life, report, rows
 
     def _gates(self, heard, now):
         found = []
--- a/sprucegate/fleet/rollout/permits.py
+++ b/sprucegate/fleet/rollout/permits.py
@@ -224,6 +224,9 @@
         permit = self.permits.get(id)
         if permit is None or permit.step not in (Step.DRAINED, Step.OUT):
             return "not drained" if permit is not None else "no such permit"
+        if permit.step is Step.DRAINED and self._free(permit.box) and (why := self.wait(permit, self._charged(permit))):
+            # It may be there again by now, and nobody here knows yet. The permit stands, and goes out in its turn.
+            return f"held back: {why[0]}"
         permit.step, permit.holder = Step.OUT, holder
         return "out"
 
@@ -287,17 +290,42 @@
         """It failed by itself, or does no more (why "")."""
         if why and box in self.boxes:
             self.down[box] = why
-        else:
-            self.down.pop(box, None)
+        elif self.down.pop(box, None) is not None:
+            self._charge(box)
 
     def front(self, name, life, on):
         """A front that follows the log, or one whose lease ended (not `on`): it is waited for no more."""
         if on and self.gone.get(name) != life:      # one that has left still follows until it ends
+            lost = name not in self.fronts
             self.fronts[name] = life
             self.gone.pop(name, None)
+            if lost:
+                self._charge(name)
         elif not on and self.fronts.get(name) == life:
             del self.fronts[name]
 
+    def _free(self, name):
+        """Whether a box is out by itself, so that a permit of it took no place when it was granted."""
+        box = self.boxes.get(name)
+        return name in self.down or box is not None and box.role == "front" and name not in self.fronts
+
+    def _charged(self, but):
+        """{box: why} of those that take a place by a permit: out, or granted as one that was there."""
+        return {p.box: p.step.name.lower() for p in self.of_box.values()
+                if p is not but and (p.step in (Step.OUT, Step.COLD) or p.step in TAKES and not self._free(p.box))}
+
+    def _charge(self, name):
+        """A box is there again whose permit may have been free, as it was out by itself.
+
+        Where the budgets have no place for it now the permit waits like any other; one that is out stays so.
+        """
+        permit = self.of_box.get(name)
+        if permit is None or permit.step not in (Step.GRANTED, Step.DRAINED):
+            return
+        others = {box: why for box, why in self.out().items() if box != name}
+        if self.wait(permit, others) is not None:
+            permit.step, permit.index, permit.drained = Step.ASKED, 0, []
+
     def left(self, name, life):
         """A front that ends by SIGTERM: nobody has to wait for its lease. Without a permit it is obeyed and counted."""
         if self.fronts.get(name) == life:
--- a/standins/fleet/filling.py
+++ b/standins/fleet/filling.py
@@ -117,6 +117,8 @@
     rows, over = [], 0
     with open(ran) as file:
         for line in file:
+            if not line.endswith("\n"):
+                break                        # being written: the next reading has it
             at, source, thing, took = line.split()
             if took == "over":
                 over += 1
--- /dev/null
+++ b/tests/test_benchmarks.py
@@ -0,0 +1,17 @@
+"""A measurement that counts a broken promise does not pass."""
+
+from types import SimpleNamespace
+
+import pytest
+from click.testing import CliRunner
+
+from benchmarks import __main__ as benchmarks
+
+
+@pytest.mark.parametrize("figures, status", [
+    ({"over_budget": 0, "cpu_ratio": 1.2}, 0), ({"over_budget": 2}, 1), ({"gets_lost": 1, "over_budget": 0}, 1)])
+def test_a_broken_promise_is_the_exit_status(monkeypatch, figures, status):
+    monkeypatch.setattr(benchmarks.importlib, "import_module",
+                        lambda name: SimpleNamespace(measure=lambda quick: figures))
+    said = CliRunner().invoke(benchmarks.main, ["rollout"])
+    assert said.exit_code == status and ("broken" in said.output) is bool(status)
--- a/tests/test_fleet_rollout.py
+++ b/tests/test_fleet_rollout.py
@@ -12,6 +12,7 @@
     Entries,
     Follow,
     Follower,
+    Heard,
     Propose,
     Proposed,
     Serving,
@@ -411,7 +412,7 @@
 # The leader.
 
 def heard(now, fronts=("x", "y"), rows=(), down=(), troubles=None):
-    return {name: (1, now, [list(rows), list(down), troubles or {}]) for name in fronts}
+    return {name: Heard(1, now, [list(rows), list(down), troubles or {}], now) for name in fronts}
 
 
 def test_a_front_is_counted_in_when_heard_and_out_after_its_lease_with_a_halt():
@@ -459,7 +460,7 @@
     log, now = Log(fronts="vwxyz"), 10 * S
     leading = Leading(log.machine, now)
     assert leading.due(heard(now, "v", down=["c3"]), now) == []                        # one of five
-    old = {name: (1, now + S, row[2], now - S) for name, row in heard(now, "vwxyz", down=["c3"]).items()}
+    old = {name: row._replace(at=now + S, reported=now - S) for name, row in heard(now, "vwxyz", down=["c3"]).items()}
     assert leading.due(old, now + S) == []                  # heard anew, but not of the boxes
     said = leading.due(heard(now + S, "vwx", down=["c3"]) | heard(now, "yz"), now + S)
     assert said == [["stands", "c3", "unreachable"]]
@@ -496,6 +497,54 @@
     assert (log.step("r-c0"), log.step("r-c2")) == (Step.GRANTED, Step.OUT)
 
 
+def test_a_free_permit_goes_out_only_where_those_out_by_permit_leave_it_a_place():
+    log = Log(["fleet", "", "cache", 1, 1000])
+    log.ask("c0")
+    log.do("stands", "c2", "unreachable")
+    log.ask("c2")
+    log.drained("r-c0")
+    log.drained("r-c2")
+    assert log.do("out", "r-c2", "agent") == "held back: fleet cache" and log.step("r-c2") is Step.DRAINED
+    log.back("r-c0")
+    assert log.do("out", "r-c2", "agent") == "out"
+
+
+def test_boxes_that_all_failed_by_themselves_go_out_in_turn():
+    log = Log(["fleet", "", "cache", 1, 1000])
+    for box in ("c0", "c2"):
+        log.do("stands", box, "unreachable")
+        log.ask(box)
+        log.drained(f"r-{box}")
+    assert log.do("out", "r-c0", "agent") == "out"
+    assert log.do("out", "r-c2", "agent") == "held back: fleet cache"
+    log.do("started", "r-c0", "s1")
+    for name in "xy":
+        log.do("warm", "r-c0", "s1", name, 1)
+    assert log.do("out", "r-c2", "agent") == "out"
+
+
+@pytest.mark.parametrize("seed", [26, 368])
+def test_a_box_that_comes_back_by_itself_goes_out_within_the_budget(seed):
+    world = rollouts.played(seed, 5, 4, 9, loss=0.1)
+    assert rollouts.broken(world.trace, 9) == []
+
+
+def test_a_fronts_free_permit_is_charged_once_it_follows_again():
+    log = Log(["fleet", "", "front", 1, 1000], fronts=("x", "y", "z"))
+    log.do("boxes", [[name, "front", "a", "front", "g", 1] for name in "xyz"])
+    log.do("front", "x", 1, False)           # its lease ended
+    log.ask("x")
+    assert log.step("r-x") is Step.GRANTED
+    log.ask("y")
+    assert log.step("r-y") is Step.ASKED
+    log.do("front", "x", 2, True)
+    assert log.step("r-x") in (Step.GRANTED, Step.DRAINED)      # the one place there is
+    log.do("front", "z", 1, False)
+    log.do("front", "x", 2, False)
+    log.do("front", "x", 3, True)
+    assert log.step("r-x") is Step.ASKED     # the lost one takes it
+
+
 def test_seed_133_no_more_boxes_go_out_than_the_budgets_allow():
     world = rollouts.played(133, 5, 4, 9, loss=0.1, span=25 * S)
     assert rollouts.over_budget(world.trace) == []
