Invariants of a front are checked as it runs; each breach is counted and logged

Change: front/invariants.py checks each attempt whose first byte has left (its client, its phase, draining servers, what is left, the cap, repeats of what may have run), each answer (in time, 304 by a named copy), each GET that is forgotten, each close by its reason, and what is left once all is quiet; clients_closed REASON counts closes. A GET's last steps go into the line of a breach.

--- a/sprucegate/assembly/run.py
+++ b/sprucegate/assembly/run.py
@@ -100,7 +100,7 @@
         await asyncio.sleep(TURN)
     swept.cancel()
     for client in list(take_in.clients):
-        take_in.close(client)
+        take_in.close(client, "stopping")
     driver.servers.stop()
     if driver.fleet is not None:
         await driver.fleet.stop()
@@ -139,5 +139,7 @@
             now = driver.clock()
             take_in.sweep(now)
         driver.servers.sweep(now)
+        driver.invariants.second()
+        driver.invariants.quiet(len(driver.open), len(driver.ids), pool.out)
         log("second", open=len(driver.open), clients=len(take_in.clients), caches=driver.servers.connections,
             buffers=pool.out, **driver.book.taken())
--- a/sprucegate/front/driver.py
+++ b/sprucegate/front/driver.py
@@ -6,6 +6,7 @@
 from itertools import count
 
 from sprucegate import clock as system
+from sprucegate.front.invariants import Invariants
 from sprucegate.front.memory.copies import Copies, Copy
 from sprucegate.front.memory.gets import OpenForward
 from sprucegate.front.protocol.http import Refusal, tagged
@@ -28,7 +29,8 @@
         self.platform = system.PlatformTime()
         self.router = Router(wanted.settings, wanted.seed, clock())
         self.relay, self.book, self.ready, self.aside = Relay(self), Book(), False, False
-        self.sending = Sending(self.book.count)
+        self.invariants = Invariants(wanted.settings, self.book.count, log)
+        self.sending = Sending(self.book.count, self.invariants.began)
         self.servers = Servers(self, pool, wanted.settings, wanted.descriptors // 3, wanted.servers)
         self.most = wanted.settings.get("max_open", 1 << 30)
         self.open, self.ids, self.limits, self.order = {}, {}, [], count()
@@ -53,7 +55,7 @@
             self.book.count("bad_requests")
             self.relay.refuse(client, get)
             return
-        client.get, self.ids[get.id] = get, get
+        client.get, self.ids[get.id], get.until = get, get, now + get.asked.ttl
         if self.places is not None:
             get.tenant = self.places.tenant(request.headers)
         if len(self.open) >= self.most:
@@ -90,7 +92,8 @@
 
     def _ended(self, out, outcome, found, waited, load, at):
         now, get = at or self.clock(), out.get
-        out.ended = True
+        out.ended, out.may_have_run = True, not outcome.never_ran
+        get.story.append((now, f"attempt {out.number} {outcome.name.lower()}"))
         self.book.count(f"forwards_{outcome.name.lower()}")
         if self.fleet is not None:
             self.fleet.forwarded(out.cache, outcome, found, now - out.at, get.asked)
@@ -104,6 +107,7 @@
             self.forget(get)
 
     def forget(self, get):
+        self.invariants.forgotten(get)
         self.ids.pop(get.id, None)
         if self.places is not None:
             self.places.left(get)
@@ -135,7 +139,8 @@
     def left(self, get):
         self.book.count("gets_left")
         now = self.clock()
-        get.answered, get.client.get = True, None
+        get.answered, get.client.get, get.left_at = True, None, now
+        get.story.append((now, "client left"))
         if self.places is not None:
             self.places.left(get)
         self.take_back(get)
@@ -190,6 +195,7 @@
         self.router.listed(hosts.entries, hosts.whole, self.clock())
         serves = {entry.id for entry in hosts.entries if entry.state is State.SERVING}
         named = hosts.names.keys()
+        self.invariants.listed(serves, named, hosts.whole)
         self.take_back_all(lambda out: any(
             at not in serves and (hosts.whole or at in named) for at in (out.cache, out.source)))
         self.arm(self.clock())
--- /dev/null
+++ b/sprucegate/front/invariants.py
@@ -0,0 +1,92 @@
+"""Invariants of a front, checked as it runs: each breach is counted and logged with its ids, and changes nothing.
+
+A breach is a fault of the program. Guards elsewhere (`servers/sending.py`, `connections.LEGAL`, the relay's one answer)
+keep the rules; this module looks at what was done, from what clients and servers are owed, and not at how the guards
+decide. A count other than 0 in the log's `second` lines is to be reported with the lines around it.
+"""
+
+from sprucegate.front.memory.connections import Phase
+
+MS = 1_000_000
+GONE_LATE = 100 * MS    # an attempt that begins so long after its client went counts as a lost request
+ANSWER_LATE = 500 * MS  # an answer so long after its time counts as none
+WAIT_SLACK = 150 * MS   # by which the wait told to a server may be over what its client has left
+LOGGED = 20             # breaches logged in one second; all are counted
+
+
+class Invariants:
+    """`count(name)` adds one to a counter; `log(event, **fields)` writes a line."""
+
+    def __init__(self, settings, count, log):
+        self.effects = settings.get("effect") or ()
+        self.most_attempts = settings.get("max_forwards", 1 << 30)
+        self.count, self.log, self.logged, self.closed_to = count, log, 0, set()
+
+    def second(self):
+        """Called once a second."""
+        self.logged = 0
+
+    def listed(self, serves, named, whole):
+        """Ids of servers that a list has as serving, and that it names at all."""
+        self.closed_to = (set() if whole else self.closed_to - serves) | (named - serves)
+
+    def broken(self, rule, get, **fields):
+        self.count(f"invariant_violations {rule}")
+        self.logged += 1
+        if self.logged <= LOGGED:
+            self.log("invariant_broken", rule=rule, id=get.id.decode("latin-1"),
+                     story=[f"{at // MS} {what}" for at, what in get.story], **fields)
+
+    # What is checked.
+
+    def began(self, out, now):
+        """The first byte of an attempt has just left."""
+        get = out.get
+        get.story.append((now, f"attempt {out.number} sent"))
+        attempt = {"attempt": out.number, "server": out.cache}
+        if get.answered:
+            self.broken("attempt_after_answer", get, **attempt)
+        if get.left_at is not None and now - get.left_at > GONE_LATE:
+            self.broken("attempt_after_client_left", get, **attempt)
+        if get.client is not None and get.client.phase not in (Phase.TAKEN, Phase.CLOSED):
+            self.broken("attempt_without_request", get, phase=get.client.phase.name, **attempt)
+        if self.closed_to and (out.cache in self.closed_to or out.source in self.closed_to):
+            self.broken("attempt_to_draining", get, source=out.source, **attempt)
+        if out.limit > get.until + WAIT_SLACK:
+            self.broken("wait_over_patience", get, **attempt)
+        if out.number >= self.most_attempts:
+            self.broken("attempts_over_cap", get, **attempt)
+        if out.number and self._may_have_run(get, out) and self._effect(get) != "idempotent":
+            self.broken("repeated_while_it_may_have_run", get, **attempt)
+
+    def answered(self, get, status, named, now):
+        """A GET's one answer is about to be written; `named`: no 304, or one of the copy that its client has."""
+        get.story.append((now, f"answered {status}"))
+        if now - get.until > ANSWER_LATE:
+            self.broken("answered_late", get, status=status, late_ms=(now - get.until) // MS)
+        if not named:
+            self.broken("not_modified_unnamed", get)
+
+    def forgotten(self, get):
+        """Nothing more is kept of a GET."""
+        if not get.answered:
+            self.broken("never_answered", get)
+
+    def closed(self, client, why):
+        """This side closes a client's connection for that reason ("peer": the client ended it)."""
+        if client.phase is Phase.TAKEN and why != "peer" and client.get is not None and not client.left():
+            self.broken("closed_over_request", client.get, why=why)
+
+    def quiet(self, gets, ids, buffers):
+        """With no GET open nothing is left of those that were."""
+        if not gets and (ids or buffers):
+            self.count("invariant_violations left_over")
+            self.log("invariant_broken", rule="left_over", ids=ids, buffers=buffers)
+
+    def _effect(self, get):
+        ds = get.asked.ds
+        return self.effects[ds] if ds < len(self.effects) and self.effects[ds] is not None else "idempotent"
+
+    @staticmethod
+    def _may_have_run(get, out):
+        return any(number < out.number and (not one.ended or one.may_have_run) for number, one in get.forwards.items())
--- a/sprucegate/front/stages/relay.py
+++ b/sprucegate/front/stages/relay.py
@@ -16,6 +16,8 @@
         """At most one a GET, whatever is asked of this."""
         if get.answered:
             return
+        named = status != 304 or bool(get.have) and headers == http.tagged(get.have)
+        self.driver.invariants.answered(get, status, named, self.driver.clock())
         get.answered, client = True, get.client
         client.get = None
         self.write(client, status, body, headers)
--- a/sprucegate/front/stages/take_in.py
+++ b/sprucegate/front/stages/take_in.py
@@ -95,15 +95,15 @@
         Each only after a look at what has just come: a request in the kernel's buffer counts as sent.
         """
         if (gone := next((c for c in self.clients if c.phase is Phase.SHUT), None)) is not None:
-            return self.close(gone)
+            return self.close(gone, "told_to_go")
         for those in (self.silent, self.clients):
             for client in [c for c in those if c.rests()][:LOOKS]:
                 if self.look(client):
                     client.shut(self.driver.clock())
-                    return self.close(client)
+                    return self.close(client, "made_room")
         # Half a request, the oldest one: no answer is owed.
         half = next((c for c in self.silent if c.phase is Phase.RESTING), None)
-        return half is not None and self.close(half)
+        return half is not None and self.close(half, "half_request")
 
     def look(self, client):
         """Whether it still rests once what has just come was read."""
@@ -120,22 +120,24 @@
     def _readable(self, client):
         buffer = self.pool.take()
         if buffer is None:
-            return self.close(client)
+            return self.close(client, "no_buffer")
         try:
             size = receive_into(client.sock, buffer)
             if size == 0:
-                self.close(client)
+                self.close(client, "peer")
             elif size and client.reads():
                 self._fed(client, buffer[:size])
         except OSError:
-            self.close(client)
+            self.close(client, "peer")
         finally:
             self.pool.give_back(buffer)
 
-    def close(self, client):
-        """True, for who made room by it."""
+    def close(self, client, why):
+        """True, for who made room by it. `why` is counted: "peer" where the client ended it."""
         if client.phase is Phase.CLOSED:
             return True
+        self.driver.book.count(f"clients_closed {why}")
+        self.driver.invariants.closed(client, why)
         client.closed(self.driver.clock())
         for those in (self.clients, self.silent):
             those.pop(client, None)
@@ -193,11 +195,11 @@
             waited = now - client.since
             if client.phase is Phase.SHUT:
                 if waited > self.times.lingering:
-                    self.close(client)
+                    self.close(client, "lingered")
             elif client.phase is Phase.FLUSHING:
                 if waited > self.times.sending:
                     self.driver.book.count("clients_not_reading")
-                    self.close(client)
+                    self.close(client, "not_reading")
             elif client.phase is Phase.RESTING:
                 waits = client.reader.begun or not client.asked
                 if waited > (self.times.unfinished if waits else self.times.idle):
--- a/sprucegate/servers/http2/transport.py
+++ b/sprucegate/servers/http2/transport.py
@@ -179,6 +179,7 @@
             self.loop.call_soon(self.driver.ended, out, Outcome.NOT_SENT, Found.UNTOLD, 0, {})
             return self._do(place, place.held.pool.freed(one.connection, False, self.driver.clock()))
         waiting.connection, waiting.stream, out.progress = connection, stream, Progress.PARTLY
+        self.driver.sending.began(out, self.driver.clock())
         self._want_flush(connection)
 
     def _open(self, place, number):
--- a/sprucegate/servers/lines/transport.py
+++ b/sprucegate/servers/lines/transport.py
@@ -162,6 +162,8 @@
                 connection.rest = connection.rest[sent:]
                 if (out := connection.sending) is not None:
                     if sent:
+                        if out.progress is Progress.NOT_SENT:
+                            self.driver.sending.began(out, self.driver.clock())
                         out.progress = Progress.PARTLY if connection.rest else Progress.WHOLE
                     elif out.progress is Progress.NOT_SENT:
                         # Made anew when it can go: its wait ages, and it may be withdrawn until then.
--- a/sprucegate/servers/sending.py
+++ b/sprucegate/servers/sending.py
@@ -6,8 +6,9 @@
 
 
 class Sending:
-    def __init__(self, count):
-        self.count = count                   # told the reason of each refusal
+    def __init__(self, count, began=lambda out, now: None):
+        """`count` is told the reason of each refusal, `began` each forward whose first byte has left."""
+        self.count, self.began = count, began
 
     def left(self, out, now):
         """Nanoseconds that the client still waits for this forward, or None where it must not be sent any more."""
--- /dev/null
+++ b/tests/test_invariants.py
@@ -0,0 +1,122 @@
+"""Each invariant is seen to fail by a seeded defect, and none of them by a front that does what it should."""
+
+import threading
+import time
+from types import SimpleNamespace
+
+import pytest
+from crossing import key, two
+from helpers import SETTINGS, get_text, served
+
+from sprucegate.front.invariants import ANSWER_LATE, GONE_LATE, WAIT_SLACK, Invariants
+from sprucegate.front.memory.connections import Phase
+from sprucegate.front.memory.gets import OpenForward, OpenGet
+from sprucegate.interface import Asked
+
+S, NOW = 1_000_000_000, 100 * 1_000_000_000
+
+
+class Checked:
+    """An open GET of one attempt, as it should be, and what is said of it."""
+
+    def __init__(self, ds=0, phase=Phase.TAKEN):
+        self.counted, self.logged = [], []
+        self.made = Invariants({**SETTINGS, "max_forwards": 3}, self.counted.append,
+                               lambda event, **fields: self.logged.append(fields))
+        client = SimpleNamespace(phase=phase, get=None, left=lambda: False)
+        asked = Asked("9b1f03aa5c7e2d41", 1, 0, 0, ds, 1, False, False, S)
+        self.get = client.get = OpenGet(client, b"9b1f03aa5c7e2d41", "media", "1", 0, "", b"", asked)
+        self.get.until = NOW + S
+        self.out = self.get.forwards[0] = OpenForward(self.get, 0, 11, 21, NOW, NOW + S)
+
+    def again(self, may_have_run):
+        self.out.ended, self.out.may_have_run = True, may_have_run
+        self.out = self.get.forwards[1] = OpenForward(self.get, 1, 12, 21, NOW, NOW + S)
+
+    def rules(self):
+        return [text.removeprefix("invariant_violations ") for text in self.counted]
+
+
+def broken(checked, change, now=NOW):
+    change(checked)
+    checked.made.began(checked.out, now)
+    return checked.rules()
+
+
+@pytest.mark.parametrize("rule, change", [
+    ("attempt_after_answer", lambda c: setattr(c.get, "answered", True)),
+    ("attempt_after_client_left", lambda c: setattr(c.get, "left_at", NOW - GONE_LATE - 1)),
+    ("attempt_without_request", lambda c: setattr(c.get.client, "phase", Phase.SHUT)),
+    ("attempt_to_draining", lambda c: c.made.listed(set(), {11}, False)),
+    ("attempt_to_draining", lambda c: c.made.listed({11}, {11, 21}, False)),
+    ("wait_over_patience", lambda c: setattr(c.out, "limit", c.get.until + WAIT_SLACK + 1)),
+    ("attempts_over_cap", lambda c: setattr(c.out, "number", 3)),
+])
+def test_a_seeded_defect_of_an_attempt_is_found(rule, change):
+    assert broken(Checked(), change) == [rule]
+
+
+@pytest.mark.parametrize("ds, may_have_run, found", [
+    (2, True, ["repeated_while_it_may_have_run"]), (2, False, []), (0, True, [])])
+def test_what_may_have_run_is_repeated_only_by_its_effect(ds, may_have_run, found):
+    assert broken(Checked(ds), lambda c: c.again(may_have_run)) == found
+
+
+@pytest.mark.parametrize("change", [
+    lambda c: None, lambda c: setattr(c.get, "left_at", NOW - GONE_LATE),
+    lambda c: (c.made.listed(set(), {11}, False), c.made.listed({11}, {11}, False)),
+    lambda c: (c.made.listed(set(), {11}, False), c.made.listed({11, 21}, {11, 21}, True))])
+def test_an_attempt_as_it_should_be_is_none(change):
+    assert broken(Checked(), change) == []
+
+
+def test_a_seeded_defect_of_an_answer_is_found():
+    late, unnamed, none, closed, left = [Checked() for _ in range(5)]
+    late.made.answered(late.get, 503, True, late.get.until + ANSWER_LATE + 1)
+    unnamed.made.answered(unnamed.get, 304, False, NOW)
+    none.made.forgotten(none.get)
+    closed.made.closed(closed.get.client, "made_room")
+    left.made.quiet(0, 1, 0)
+    left.made.quiet(0, 0, 1)
+    assert [c.rules() for c in (late, unnamed, none, closed)] == [
+        ["answered_late"], ["not_modified_unnamed"], ["never_answered"], ["closed_over_request"]]
+    assert left.rules() == ["left_over"] * 2
+    assert late.logged[0]["id"] == "9b1f03aa5c7e2d41" and late.logged[0]["story"]
+
+
+def test_answers_and_ends_as_they_should_be_are_none():
+    fine = Checked()
+    fine.made.answered(fine.get, 304, True, fine.get.until + ANSWER_LATE)
+    fine.get.answered = True
+    fine.made.forgotten(fine.get)
+    fine.made.closed(fine.get.client, "peer")
+    fine.made.quiet(1, 1, 1)
+    fine.made.quiet(0, 0, 0)
+    assert fine.rules() == []
+
+
+def test_breaches_are_all_counted_and_few_a_second_logged():
+    many = Checked()
+    for _ in range(100):
+        many.made.forgotten(many.get)
+    assert len(many.counted) == 100 and len(many.logged) == 20
+    many.made.second()
+    many.made.forgotten(many.get)
+    assert len(many.logged) == 21
+
+
+def test_a_front_in_service_breaks_none(tmp_path):
+    front, box, _ = two(tmp_path, served)
+    with front:
+        threads = [threading.Thread(target=lambda at=at: front.ask(get_text(key(at)))) for at in range(30)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        gone = front.connect()
+        gone.sendall(get_text(key(99)))
+        gone.close()
+        time.sleep(0.2)
+        counted = [front.until("second") for _ in range(2)]
+    assert not any(name.startswith("invariant") for line in counted for name in line)
+    assert sum(line.get("clients_closed peer", 0) for line in counted) == 31
