A soak of many real fronts under overlapping troubles; failing test of its first find

Cause of the find: a request's time counts from when the front reads it; one that came while the front stood still (SIGSTOP, a busy core, the accept queue) is told to a server with its whole patience. The soak of HTTP/2 closes is benchmarks/http2_closes.py now.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -6,7 +6,7 @@
 
 import click
 
-NAMES = ("http2", "front", "serverfiles", "replication", "rollout", "views", "shares", "scale")
+NAMES = ("http2", "front", "serverfiles", "replication", "rollout", "views", "shares", "scale", "soak")
 
 
 # Figures that count broken promises: each is to be 0.
@@ -25,8 +25,14 @@
 @click.argument("name", type=click.Choice(NAMES))
 @click.option("--against", default="db87e09", show_default=True, help="The revision that `front` is paired with.")
 @click.option("--quick", is_flag=True, help="Fewer GETs: tells the order of a figure, not its second digit.")
-def main(name, quick, against):
-    more = {"against": against} if name == "front" else {}
+@click.option("--seed", default=1, show_default=True, help="Of a soak's schedule.")
+@click.option("--seconds", default=120, show_default=True, help="Of a soak.")
+@click.option("--fronts", default=24, show_default=True, help="Of a soak.")
+@click.option("--shrink", is_flag=True, help="Play a soak that failed again until each trouble is needed.")
+@click.option("--replay", type=click.Path(exists=True), help="A soak's schedule that was kept.")
+@click.option("--keep", type=click.Path(), help="Where the schedule of a soak that failed is written.")
+def main(name, quick, against, **soak):
+    more = {"front": {"against": against}, "soak": soak}.get(name, {})
     figures = importlib.import_module(f"benchmarks.{name}").measure(quick, **more)
     print(json.dumps(figures))
     if found := broken(figures):
--- a/benchmarks/front.py
+++ b/benchmarks/front.py
@@ -15,7 +15,7 @@
 import time
 from pathlib import Path
 
-from benchmarks.soak import SETTINGS
+from benchmarks.http2_closes import SETTINGS
 from standins.processes import Process
 
 
--- a/benchmarks/http2.py
+++ b/benchmarks/http2.py
@@ -12,7 +12,7 @@
 import uvloop
 from hdrh.histogram import HdrHistogram
 
-from benchmarks.soak import soak
+from benchmarks.http2_closes import soak
 from sprucegate.interface import Outcome
 from sprucegate.servers.http2.limits import Limits, S
 from sprucegate.servers.http2.session import Session
--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -16,7 +16,7 @@
 from pathlib import Path
 
 from benchmarks.front import _Bus, _memory, _stat
-from benchmarks.soak import SETTINGS
+from benchmarks.http2_closes import SETTINGS
 from standins.lines import address_of
 from standins.ports import free_port
 from standins.processes import Process
--- a/benchmarks/serverfiles.py
+++ b/benchmarks/serverfiles.py
@@ -21,7 +21,7 @@
 
 import uvloop
 
-from benchmarks.soak import SETTINGS, _bus, _client
+from benchmarks.http2_closes import SETTINGS, _bus, _client
 from sprucegate.assembly import run
 from sprucegate.front.lifecycle import configuration
 from sprucegate.interface import Listed, State
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -1,39 +1,35 @@
-"""The real front between HTTP/2 stand-ins that close at random points: what it said of each forward against what ran.
+"""Many real fronts on loopback under overlapping troubles, judged by the records of servers and clients.
 
-The front runs in this process with real sockets on both sides, so that each of its verdicts can be written down; the
-servers are processes of their own that write down what ran the moment it runs.
+`python -m benchmarks soak --seed N --seconds S --fronts F`: two or three troubles overlap at each moment of a schedule
+that is drawn from the seed: signals, clock steps and failing system calls at fronts, servers and buses that misbehave,
+drains, restarts and purges, clients of all manners. `--shrink` plays a failing schedule again with fewer troubles
+until each is needed; `--replay FILE` plays one that was written down. Everything is bounded by `--seconds`.
 """
 
 import asyncio
+import errno
 import json
 import os
 import random
 import signal
-import socket
+import subprocess
+import sys
 import tempfile
+import threading
 import time
 from collections import Counter
 from pathlib import Path
 
 import uvloop
 
-from sprucegate.assembly import run
-from sprucegate.front.lifecycle import configuration
-from sprucegate.interface import Outcome
-from sprucegate.operator.file import parse
-from standins.processes import Process
-
-KDL = """servers {
-    speak http2 kind=std
-    speak http2 kind=parent
-    speak http2 kind=origin
-    http2 {
-        connections 2
-    }
-}
-"""
+from standins.faults import SHORT, Faults
+from standins.ports import free_port
+from standins.soak import clients, judge, schedule
+from standins.soak.schedule import Trouble
+
+CACHES, PARENTS = 6, 2
 SETTINGS = {
-    "allowed": {"cancel": True, "connectTimeout": 200_000, "keepalive": 15_000_000, "attemptsCap": 6},
+    "allowed": {"cancel": True, "connectTimeout": 400_000, "keepalive": 15_000_000, "attemptsCap": 6},
     "categories": [
         {"name": "media", "aim": 400_000, "effect": "pure", "worth": 2.0, "deadline": 3_000_000},
         {"name": "order", "aim": 400_000, "effect": "side_effect", "worth": 3.0, "deadline": 3_000_000}],
@@ -41,164 +37,206 @@
     "specifics": {"clientKbPerS": 1000.0, "shieldKind": 1, "storeKind": 2, "goesThrough": [False, True],
                   "straight": True, "classFresh": [0, 0], "usableAfter": [0, 0], "neighbours": "location"},
 }
-
-
-class Verdicts:
-    """A Driver's ends, as it is told them."""
-
-    def __init__(self):
-        self.said = {}                       # (id, number) -> Outcome
-
-    def watched(self, driver_class):
-        verdicts = self.said
-
-        class Watched(driver_class):
-            def _ended(self, out, outcome, *rest):
-                verdicts[out.get.id.decode(), out.number] = outcome
-                return super()._ended(out, outcome, *rest)
-
-        return Watched
-
-
-async def _client(address, work, ends, chance):
-    """One connection after another, one GET at a time; `ends` gets each GET's status, 0 where it got none."""
-    loop, sock = asyncio.get_running_loop(), None
-    while work:
-        call_id, order = work.pop()
-        thing = f"{chance.randrange(1, 400):x}"
-        body = b"o" * 200 if order else b""
-        text = (f"{'PUT' if order else 'GET'} /svc/{'order' if order else 'media'}/{thing}/slice-0 HTTP/1.1\r\n"
-                f"Host: a\r\nX-Call-Id: {call_id}\r\nX-Patience-Ms: 3000\r\nX-Set: 1\r\nX-Heap-Kb: 1\r\n"
-                f"Content-Length: {len(body)}\r\n\r\n").encode() + body
-        begun, status = time.monotonic(), 0
-        try:
-            async with asyncio.timeout(5):
-                if sock is None:
-                    sock = socket.socket()
-                    sock.setblocking(False)
-                    await loop.sock_connect(sock, address)
-                await loop.sock_sendall(sock, text)
-                held = b""
-                while b"\r\n\r\n" not in held:
-                    if not (data := await loop.sock_recv(sock, 65_536)):
-                        raise ConnectionError
-                    held += data
-                head, _, got = held.partition(b"\r\n\r\n")
-                length = next((int(line[15:]) for line in head.lower().split(b"\r\n")
-                               if line.startswith(b"content-length:")), 0)
-                while len(got) < length:
-                    if not (data := await loop.sock_recv(sock, 65_536)):
-                        raise ConnectionError
-                    got += data
-                status = int(head[9:12])
-        except OSError:
-            sock.close()
-            sock = None
-        ends[call_id] = status, time.monotonic() - begun
-    if sock is not None:
-        sock.close()
-
-
-async def _bus(listener):
-    loop = asyncio.get_running_loop()
-    while True:
-        sock, _ = await loop.sock_accept(listener)
-        loop.create_task(_tell(loop, sock))
-
-
-async def _tell(loop, sock):
-    try:
-        await loop.sock_recv(sock, 4096)
-        await loop.sock_sendall(sock, b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")
-        while True:
-            await loop.sock_sendall(sock, b":\n\n")
-            await asyncio.sleep(1)
-    except OSError:
-        sock.close()
-
-
-async def _run(gets, clients, seed, servers, verdicts):
-    loop = asyncio.get_running_loop()
-    listener = socket.create_server(("127.0.0.1", 0))
-    listener.setblocking(False)
-    tells = loop.create_task(_bus(listener))
-    with socket.create_server(("127.0.0.1", 0)) as free:
-        address = free.getsockname()
-    hosts = [{"host": name, "dial": process.address, "site": "here", "class": kind, "block": 0, "health": "up",
-              "share": 1.0, "born_ms": 0} for name, kind, process in servers]
-    wanted = configuration.wanted({
-        "name": "n0", "seed": f"{seed:x}", "listen": f"127.0.0.1:{address[1]}",
-        "bus": f"127.0.0.1:{listener.getsockname()[1]}", "flow_bytes_per_s": 1e7, "link_bytes_per_s": 1e8,
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": SETTINGS,
-        "known": {"offset": 1, "batch": [{"offset": 1, "topology": {"seq": 1, "whole": True, "hosts": hosts}}]}})
-    wanted = wanted._replace(servers=parse(KDL, "soak").servers.resolved(wanted.kinds))
-    chance, ends, events, ready = random.Random(seed), {}, Counter(), asyncio.Event()
-
-    def log(event, **fields):
-        events[event] += 1
-        if event == "ready":
-            ready.set()
-        if event == "fault":
-            print(json.dumps({"event": event, **fields}), flush=True)
-
-    original, run.Driver = run.Driver, verdicts.watched(run.Driver)
-    try:
-        front = loop.create_task(run.serve(wanted, log))
-        await ready.wait()
-        work = [(f"{seed & 0xffff:04x}{n:012x}", chance.random() < 0.03) for n in range(gets)]
-        orders = {call_id for call_id, order in work if order}
+NEVER = 1e12
+READY_IN = 10.0         # seconds in which nine of ten restarted fronts have to be ready
+
+
+class Front:
+    """One front's process with its faults, its log, and how clients see it."""
+
+    def __init__(self, number, folder, hosts, bus):
+        self.number, self.path = number, folder / f"front-{number}.json"
+        self.faults = Faults(folder / f"faults-{number}")
+        self.target = clients.Target(number, ("127.0.0.1", free_port()))
+        self.config = {
+            "name": f"n{number}", "seed": f"{number + 7:x}", "bus": bus,
+            "listen": f"127.0.0.1:{self.target.address[1]}", "flow_bytes_per_s": 1e7, "link_bytes_per_s": 1e8,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256}, "settings": SETTINGS,
+            "known": {"offset": 1, "batch": [{"offset": 1, "topology": {"seq": 1, "whole": True, "hosts": hosts}}]}}
+        self.path.write_text(json.dumps(self.config))
+        self.lines, self.counts, self.process, self.ready_in = [], Counter(), None, []
+        self.last, self.busy = {}, asyncio.Lock()
+
+    async def start(self):
         begun = time.monotonic()
-        await asyncio.gather(*[_client(address, work, ends, chance) for _ in range(clients)])
-        seconds = time.monotonic() - begun
-        os.kill(os.getpid(), signal.SIGTERM)
-        await front
-    finally:
-        run.Driver = original
-    tells.cancel()
-    listener.close()
-    return orders, ends, events, seconds
-
-
-def soak(gets, close_every, seed=7, clients=48):
-    """Figures of one run; `close_every` is the mean number of GETs on a connection before it is closed."""
-    verdicts = Verdicts()
-    with tempfile.TemporaryDirectory() as folder:
-        flags = {"queue": 0.004, "service": 0.004, "close_every": close_every, "limit": 60}
-        kinds = [("s-01", "std"), ("s-02", "std"), ("s-03", "std"), ("s-21", "parent"), ("s-31", "origin")]
-        servers = [(name, kind, Process("http2", seed=seed + at, ran=Path(folder, name), name=name, **flags))
-                   for at, (name, kind) in enumerate(kinds)]
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "standins.faults", self.faults.path], stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE, env={**os.environ, "BALANCER_CONFIG": str(self.path)})
+        ready = threading.Event()
+        threading.Thread(target=self._read, args=(self.process, ready), daemon=True).start()
+        while not ready.is_set() and time.monotonic() - begun < 30 and self.process.poll() is None:
+            await asyncio.sleep(0.02)
+        self.ready_in.append(time.monotonic() - begun)
+        self.target.open_until = self.target.used_until = NEVER
+
+    def _read(self, process, ready):
+        for text in process.stdout:
+            line = json.loads(text)
+            match line["event"]:
+                case "ready":
+                    ready.set()
+                case "second" | "stopped":
+                    self.last = line
+                    self.counts.update({k: v for k, v in line.items() if k.startswith("invariant_violations")})
+                case "fault" | "invariant_broken":
+                    self.lines.append(line)
+        if error := process.stderr.read().decode(errors="replace").strip():
+            self.lines.append({"event": "stderr", "text": error[-2000:]})
+
+
+class Soak:
+    def __init__(self, seed, seconds, count, troubles, folder):
+        self.seed, self.seconds, self.count, self.folder = seed, seconds, count, folder
+        self.troubles, self.windows, self.found = troubles, [], []
+        self.chance = random.Random(f"{seed} soak")
+        self.records = folder / "records"
+
+    async def run(self):
+        self.servers = subprocess.Popen(
+            [sys.executable, "-m", "standins.soak.servers", "--caches", str(CACHES), "--parents", str(PARENTS),
+             "--fronts", str(self.count), "--seed", str(self.seed), "--records", str(self.records)],
+            stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True)
         try:
-            orders, ends, events, seconds = uvloop.run(_run(gets, clients, seed, servers, verdicts))
+            await self._served()
         finally:
-            closes = sum(process.stop()["closes"] for _, _, process in servers)
-        lines = [line.split() for name, _ in kinds for line in Path(folder, name).read_text().splitlines()]
-    return figures(orders, ends, verdicts.said, lines, closes, seconds, events)
-
-
-def _share(ends, ids):
-    return round(sum(ends[i][0] == 200 for i in ids) / len(ids), 4) if ids else None
-
-
-def figures(orders, ends, said, lines, closes, seconds, events):
-    ran = Counter((call_id, int(attempt)) for call_id, attempt, _ in lines)
-    ran_ids = Counter(call_id for call_id, _, _ in lines)
-    never = {key for key, outcome in said.items() if outcome.never_ran}
-    maybe = {key for key, outcome in said.items()
-             if outcome in (Outcome.RESET, Outcome.TIMED_OUT, Outcome.ERROR)}
-    again = {call_id for call_id, _ in never}
-    gets = again - orders
-    return {
-        "gets": len(ends), "orders": len(orders), "closes": closes, "seconds": round(seconds, 1),
-        "orders_duplicated": sum(ran_ids[call_id] > 1 for call_id in orders),
-        "gets_lost": sum(status == 0 for status, _ in ends.values()),
-        "false_never_ran": sum(key in ran for key in never),
-        "never_ran": len(never), "may_have_run": len(maybe),
-        "may_have_run_but_had_not": sum(key not in ran for key in maybe),
-        "recovered_share": _share(ends, gets),
-        "recovered_share_without_later_reset": _share(ends, gets - {call_id for call_id, _ in maybe}),
-        "orders_recovered_share": _share(ends, again & orders),
-        "returned": sum(status in (200, 304) for status, _ in ends.values()),
-        "shed": sum(status == 503 for status, _ in ends.values()),
-        "errored": sum(status == 502 for status, _ in ends.values()),
-        "faults": events["fault"],
-    }
+            for front in getattr(self, "fronts", ()):
+                if front.process is not None and front.process.poll() is None:
+                    front.process.kill()
+                    front.process.wait()
+            self.servers.stdin.close()
+            self.servers.wait(20)
+        rows = [row for front in self.fronts for row in front.target.rows]
+        records = [json.loads(line) for line in self.records.read_text().splitlines()]
+        self.found += judge.judged(rows, records, self.windows)
+        self.found += self._fronts()
+        return rows
+
+    async def _served(self):
+        lines = [self.servers.stdout.readline().strip() for _ in range(CACHES + PARENTS + 1 + self.count)]
+        kinds = ["std"] * CACHES + ["parent"] * PARENTS + ["origin"]
+        hosts = [{"host": f"s-{at + 1:x}", "dial": lines[at], "site": "here", "class": kind, "block": 0,
+                  "health": "up", "share": 1.0, "born_ms": 0} for at, kind in enumerate(kinds)]
+        self.fronts = [Front(at, self.folder, hosts, lines[len(kinds) + at]) for at in range(self.count)]
+        await asyncio.gather(*[front.start() for front in self.fronts])
+        self.begun = time.monotonic()
+        self.all = [clients.Client(at, [f.target for f in self.fronts], self.seed) for at in range(3 * self.count)]
+        asking = [asyncio.ensure_future(one.run(self.begun + self.seconds - 2)) for one in self.all]
+        await asyncio.gather(*[self._trouble(one) for one in self.troubles])
+        await asyncio.gather(*asking)
+        await asyncio.sleep(3.5)             # all that was open has ended, and one `second` has passed
+        for front in self.fronts:
+            if front.last.get("open") or front.last.get("buffers"):
+                self.found.append(("left_over", f"front {front.number}: {front.last}"))
+        await asyncio.gather(*[self._stops(front, last=True) for front in self.fronts])
+
+    def _say(self, **said):
+        self.servers.stdin.write(json.dumps(said) + "\n")
+        self.servers.stdin.flush()
+
+    async def _trouble(self, one):
+        await asyncio.sleep(max(0, self.begun + one.at - time.monotonic()))
+        if one.what in ("server", "bus", "drain", "restart", "purge"):
+            return self._say(do=one.what, where=one.where, how=one.how, seconds=one.seconds)
+        front = self.fronts[one.where]
+        if one.what == "clients":
+            return await self._clients(front, one)
+        async with front.busy:               # a front that is being restarted has no second signal
+            await getattr(self, f"_{one.what}")(front, one)
+
+    async def _clients(self, front, one):
+        if one.how in ("leave", "dribble"):
+            for client in self.all[::4]:
+                client.manner = one.how
+            await asyncio.sleep(one.seconds)
+            for client in self.all[::4]:
+                client.manner = ""
+            return
+        await clients.misbehaves(front.target, one.how, one.seconds, self.chance)
+
+    async def _term(self, front, one):
+        await self._stops(front)
+        await front.start()
+
+    async def _stops(self, front, last=False):
+        begun = time.monotonic()
+        front.target.open_until, front.target.used_until = begun + 0.3, begun + 0.5
+        front.process.send_signal(signal.SIGTERM)
+        while front.process.poll() is None and time.monotonic() - begun < 3.7:
+            await asyncio.sleep(0.02)
+        if front.process.poll() is None:
+            self.found.append(("stop", f"front {front.number}: still there after 3.7 s"))
+            front.process.kill()
+        elif front.process.wait() != 0:
+            self.found.append(("exit", f"front {front.number}: {front.process.returncode}"))
+        self.windows.append(judge.Window(front.number, "term", begun, time.monotonic() + 0.1))
+
+    async def _kill(self, front, one):
+        begun = time.monotonic()
+        front.process.kill()
+        front.process.wait()
+        front.target.open_until = front.target.used_until = 0
+        await front.start()
+        self.windows.append(judge.Window(front.number, "kill", begun - 0.05, time.monotonic()))
+
+    async def _stop(self, front, one):
+        begun = time.monotonic()
+        front.process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(one.seconds)
+        front.process.send_signal(signal.SIGCONT)
+        self.windows.append(judge.Window(front.number, "stop", begun - 0.05, time.monotonic() + 0.3))
+
+    async def _hup(self, front, one):
+        for at in range(int(one.how)):
+            front.path.write_text("{" if at % 3 == 1 else json.dumps(front.config))
+            front.process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.05)
+        front.path.write_text(json.dumps(front.config))
+        front.process.send_signal(signal.SIGHUP)
+
+    async def _wall(self, front, one):
+        front.faults.step_wall(int(one.how))
+
+    async def _call(self, front, one):
+        call, name = one.how.split(":")
+        front.faults.fail(call, SHORT if name == "SHORT" else getattr(errno, name), 3, self.chance.randrange(4))
+
+    def _fronts(self):
+        found = []
+        for front in self.fronts:
+            found += [("invariant", f"front {front.number}: {name} {count}") for name, count in front.counts.items()]
+            found += [(line["event"], f"front {front.number}: {json.dumps(line)[:1500]}") for line in front.lines]
+        times = sorted(t for front in self.fronts for t in front.ready_in)
+        if times[int(0.9 * (len(times) - 1))] > READY_IN:
+            found.append(("ready", f"nine in ten after {times[int(0.9 * (len(times) - 1))]:.1f} s"))
+        return found
+
+
+def played(seed, seconds, count, troubles=None):
+    """(troubles, what was found, figures) of one soak."""
+    if troubles is None:
+        troubles = schedule.drawn(seed, seconds, count, CACHES + PARENTS + 1)
+    with tempfile.TemporaryDirectory() as folder:
+        made = Soak(seed, seconds, count, troubles, Path(folder))
+        rows = uvloop.run(made.run())
+    ended = Counter(row.how for row in rows)
+    ok = sum(row.status == 200 for row in rows)
+    return troubles, made.found, {"requests": len(rows), **ended, "served": ok, "troubles": len(troubles)}
+
+
+def measure(quick, seed=1, seconds=120, fronts=24, shrink=False, replay=None, keep=None):
+    if quick:
+        seconds, fronts = 30, 10
+    troubles = None
+    if replay:
+        troubles = [Trouble(*one) for one in json.loads(Path(replay).read_text())]
+    troubles, found, figures = played(seed, seconds, fronts, troubles)
+    for rule, text in found[:40]:
+        print(f"{rule}: {text}", flush=True)
+    if found and shrink:
+        rules = {rule for rule, _ in found}
+        troubles = schedule.shrunk(troubles, lambda fewer: any(
+            rule in rules for rule, _ in played(seed, seconds, fronts, fewer)[1]))
+    if found and keep:
+        Path(keep).write_text(json.dumps(troubles, indent=1))
+    return {"seed": seed, "seconds": seconds, "fronts": fronts, **figures, "violations": len(found),
+            "rules": dict(Counter(rule for rule, _ in found))}
--- /dev/null
+++ b/standins/soak/clients.py
@@ -0,0 +1,174 @@
+"""Clients of the fronts, and what each request came to: kept, patient or not, in all manners that are met.
+
+A row has the front's number, the request's id and kind, when its last byte was written, and how it ended (`answered`,
+`closed` without an answer, `timeout`, `left`, `crossed` the end of a resting connection, `refused`: never connected).
+"""
+
+import asyncio
+import random
+import time
+from dataclasses import dataclass, field
+
+RESENT = 0.05           # a request that crosses the end of a resting connection within this is sent once more
+LATE = 0.5              # how long over its patience a client waits, to see whether an answer comes at all
+
+
+@dataclass
+class Row:
+    front: int
+    id: str
+    order: bool
+    thing: str
+    group: int
+    patience: float
+    sent: float = 0.0
+    ended: float = 0.0
+    how: str = ""
+    status: int = 0
+    body: bytes = b""
+    left: float | None = None
+    fresh: bool = True      # the first on its connection
+
+
+@dataclass
+class Target:
+    """A front as its clients know it."""
+
+    number: int
+    address: tuple
+    open_until: float = 0.0     # new connections until then; far off while it is in service
+    used_until: float = 0.0     # requests on open ones until then
+    rows: list = field(default_factory=list)
+
+
+def text_of(row, close=False):
+    path = f"/svc/{'order' if row.order else 'media'}/{row.thing}/slice-1"
+    body = b"o" * 300 if row.order else b""
+    return (f"{'PUT' if row.order else 'GET'} {path} HTTP/1.1\r\nHost: a\r\nX-Call-Id: {row.id}\r\n"
+            f"X-Patience-Ms: {int(row.patience * 1000)}\r\nX-Set: {row.group}\r\nX-Heap-Kb: 4.5\r\n"
+            f"{'Connection: close' + chr(13) + chr(10) if close else ''}Content-Length: {len(body)}\r\n\r\n"
+            ).encode() + body
+
+
+class Client:
+    """One that asks one thing after another, of one front at a time."""
+
+    def __init__(self, number, targets, seed):
+        self.targets, self.chance = targets, random.Random(f"{seed} client {number}")
+        self.number, self.count, self.manner = number, 0, ""
+        self.reader = self.writer = self.target = None
+
+    def row(self):
+        self.count += 1
+        chance = self.chance
+        return Row(self.target.number, f"{self.number:06x}{self.count:010x}", chance.random() < 0.1,
+                   f"{int(chance.paretovariate(0.6)) % 4000 + 1:x}", chance.randrange(8),
+                   chance.choice((0.05, 0.3, 1.5, 1.5, 3.0)))
+
+    async def run(self, until):
+        while time.monotonic() < until:
+            now = time.monotonic()
+            if self.writer is None or now > self.target.used_until or self.chance.random() < 0.05:
+                self.drop()
+                open_now = [one for one in self.targets if now < one.open_until]
+                if not open_now:
+                    await asyncio.sleep(0.1)
+                    continue
+                self.target = self.chance.choice(open_now)
+            await self.one(self.row())
+            await asyncio.sleep(self.chance.expovariate(1 / 0.15))
+        self.drop()
+
+    def drop(self):
+        if self.writer is not None:
+            self.writer.transport.abort() if self.chance.random() < 0.3 else self.writer.close()
+        self.reader = self.writer = None
+
+    async def one(self, row):
+        """One request to its row's end; again once, where it crossed the end of a resting connection."""
+        self.target.rows.append(row)
+        row.fresh = self.writer is None
+        if row.fresh and not await self._connects(row):
+            return
+        await self._asks(row)
+        if row.how == "crossed":
+            self.drop()
+            again = self.row()
+            again.order, again.thing = row.order, row.thing
+            if time.monotonic() < self.target.open_until:
+                await self.one(again)
+        elif row.how != "answered":
+            self.drop()
+
+    async def _connects(self, row):
+        try:
+            async with asyncio.timeout(3):
+                self.reader, self.writer = await asyncio.open_connection(*self.target.address)
+        except OSError:
+            row.how, row.ended = "refused", time.monotonic()
+            return False
+        return True
+
+    async def _asks(self, row):
+        leaves = self.manner == "leave" or self.chance.random() < 0.04
+        try:
+            text = text_of(row)
+            if self.manner == "dribble":
+                for at in range(0, len(text), 60):
+                    self.writer.write(text[at:at + 60])
+                    await asyncio.sleep(0.02)
+            else:
+                self.writer.write(text)
+            row.sent = time.monotonic()
+            wait = row.patience + LATE + 0.6
+            if leaves:
+                wait = self.chance.random() * min(0.4, row.patience)
+            async with asyncio.timeout(wait):
+                await self._answer(row)
+            row.how = "answered"
+        except TimeoutError:
+            row.how = "left" if leaves else "timeout"
+            row.left = time.monotonic()
+        except (OSError, asyncio.IncompleteReadError, ValueError) as fault:
+            row.sent = row.sent or time.monotonic()
+            crossed = (not row.fresh and time.monotonic() - row.sent < RESENT
+                       and not getattr(fault, "partial", b""))
+            row.how = "crossed" if crossed else "closed"
+        row.ended = time.monotonic()
+
+    async def _answer(self, row):
+        head = await self.reader.readuntil(b"\r\n\r\n")
+        row.status = int(head[9:12])
+        lines = head.lower().split(b"\r\n")
+        length = next((int(line[15:]) for line in lines if line.startswith(b"content-length:")), 0)
+        row.body = await self.reader.readexactly(length)
+        if b"connection: close" in lines:
+            self.drop()
+
+
+async def misbehaves(target, how, seconds, chance):
+    """A client of no good will; what it sends is not judged, only what it does to others."""
+    end = time.monotonic() + seconds
+    writers = []
+    try:
+        while time.monotonic() < end:
+            reader, writer = await asyncio.open_connection(*target.address)
+            writers.append(writer)
+            if how == "flood":
+                writer.write(b"GET / HTTP/1.1\r\n" + b"X-A: " + b"a" * 20_000 + b"\r\n\r\n")
+            elif how == "pipeline":
+                row = Row(target.number, f"ff{chance.randrange(1 << 56):014x}", False, "1", 1, 1.0)
+                writer.write(text_of(row) * 5)
+            elif how == "burst":
+                writer.write(chance.randbytes(200))
+            if how != "rest" and len(writers) > 20:
+                writers.pop(0).transport.abort()
+            await asyncio.sleep(0.005 if how == "rest" else 0.02)
+            if len(writers) > 200:
+                break
+        await asyncio.sleep(max(0, end - time.monotonic()))
+    except OSError:
+        pass
+    finally:
+        for writer in writers:
+            writer.transport.abort()
--- /dev/null
+++ b/standins/soak/servers.py
@@ -0,0 +1,261 @@
+"""Caches, parents, the origin and a bus for each front, in one process that writes down what reaches it.
+
+`python -m standins.soak.servers --caches 6 --parents 2 --fronts 24 --records FILE` prints the addresses of caches,
+parents, origin, then of the buses, and takes commands as lines of JSON. A record is a line of JSON with the monotonic
+time: `came` (a whole request), `told` (an event to a front).
+"""
+
+import argparse
+import asyncio
+import json
+import random
+import sys
+import time
+
+import uvloop
+
+
+def body_of(thing, nth, made):
+    """The bytes of a part: what it is and when this copy was made, so that a reader can tell."""
+    return b"%s %s %d." % (thing.encode(), nth.encode(), made) * (1 + hash_of(thing) % 40)
+
+
+def hash_of(thing):
+    return int(thing, 16) % 9973
+
+
+class Records:
+    def __init__(self, path):
+        self.file = open(path, "w")     # noqa: SIM115: open as long as the process
+
+    def __call__(self, what, **fields):
+        self.file.write(json.dumps({"at": time.monotonic(), "what": what, **fields}) + "\n")
+
+
+class Server:
+    """One cache, parent or origin."""
+
+    def __init__(self, world, number, name, kind):
+        self.world, self.number, self.name, self.kind = world, number, name, kind
+        self.mode, self.until, self.listener, self.peers, self.address = "", 0.0, None, set(), None
+        self.deaf_until = 0.0                # what comes until then may have stood in the kernel
+
+    async def listens(self):
+        host, port = self.address or ("127.0.0.1", 0)
+        self.listener = await asyncio.get_running_loop().create_server(lambda: Peer(self), host, port)
+        self.address = self.listener.sockets[0].getsockname()
+
+    def now(self):
+        """Its mode, as long as that lasts."""
+        return self.mode if time.monotonic() < self.until else ""
+
+    async def meets(self, mode, seconds):
+        self.mode, self.until = mode, time.monotonic() + seconds
+        if mode in ("refuse", "dies"):
+            self.listener.close()
+            for peer in list(self.peers):
+                peer.transport.abort()
+            await asyncio.sleep(seconds)
+            self.mode = ""
+            await self.listens()
+        elif mode == "deaf":
+            paused = list(self.peers)
+            self.deaf_until = self.until + 0.5
+            for peer in paused:
+                peer.transport.pause_reading()
+            await asyncio.sleep(seconds)
+            for peer in paused:
+                if not peer.transport.is_closing():
+                    peer.transport.resume_reading()
+
+
+class Peer(asyncio.Protocol):
+    """One connection of a front."""
+
+    def __init__(self, server):
+        self.server, self.held, self.open = server, b"", set()
+
+    def connection_made(self, transport):
+        self.transport = transport
+        self.server.peers.add(self)
+
+    def connection_lost(self, fault):
+        self.server.peers.discard(self)
+
+    def data_received(self, data):
+        self.held += data
+        while (at := self.held.find(b"\r\n")) >= 0:
+            words = self.held[:at].split(b" ")
+            if words[0] != b"serve":
+                self.open.discard(words[1])
+                self.held = self.held[at + 2:]
+                continue
+            size = int(words[3])
+            if len(self.held) < at + 4 + size:
+                return
+            self.held = self.held[at + 4 + size:]
+            fields = dict(pair.split("=", 1) for pair in words[2].decode().split(","))
+            self.open.add(words[1])
+            mode = self.server.now()
+            self.server.world.records("came", server=self.server.name, id=words[1].decode(), fields=fields,
+                                      mode=mode, deaf=time.monotonic() < self.server.deaf_until)
+            asyncio.ensure_future(self._answers(words[1], fields, mode))
+
+    async def _answers(self, call, fields, mode):
+        chance = self.server.world.chance
+        if mode in ("hang", "deaf"):
+            return
+        if mode == "reset":
+            return self.transport.abort()
+        await asyncio.sleep(chance.uniform(0.3, 1.2) if mode == "slow" else chance.uniform(0.002, 0.02))
+        if call not in self.open or self.transport.is_closing():
+            return
+        self.open.discard(call)
+        words = {"error": b"crashed", "overload": b"overload", "missing": b"not_here"}
+        if mode in words:
+            return self.transport.write(b"%b %b - 0\r\n\r\n" % (call, words[mode]))
+        if mode == "garbage":
+            spoilt = (b"\xff\xfe\r\n", b"a b c\r\n", b"%b served x 99999999\r\n" % call)
+            return self.transport.write(chance.choice(spoilt))
+        # As old as is let: a purge is kept only by what the front asks for.
+        age = int(fields.get("maxage", 4000)) * chance.random()
+        made = int(time.time() * 1000 - age)
+        body = b"" if fields["profile"] == "order" else body_of(fields["thing"], fields["nth"], made)
+        answer = b"%b served etag=t%d,made=%d,remark=%b %d\r\n%b\r\n" % (
+            call, made, made, b"fetched" if "src" in fields else b"cached", len(body), body)
+        await self._sends(answer, mode, chance)
+
+    async def _sends(self, answer, mode, chance):
+        if mode == "half":
+            return self.transport.write(answer[:len(answer) // 2])
+        if mode == "trickle":
+            while answer and not self.transport.is_closing():
+                size = chance.randrange(1, 120)
+                self.transport.write(answer[:size])
+                answer = answer[size:]
+                await asyncio.sleep(0.005)
+            return
+        self.transport.write(answer)
+        if mode == "twice":
+            await asyncio.sleep(0.01)
+            self.transport.write(answer)
+        if mode == "idle_close" and not self.open:
+            self.transport.close()
+
+
+class Bus:
+    """What one front is told; all of them have the same events."""
+
+    def __init__(self, world, front):
+        self.world, self.front, self.writers = world, front, set()
+
+    async def listens(self):
+        self.listener = await asyncio.start_server(self.serves, "127.0.0.1", 0)
+        self.address = self.listener.sockets[0].getsockname()
+
+    async def serves(self, reader, writer):
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+            last = int(head.lower().split(b"last-event-id:")[1].split(b"\r\n")[0])
+            if self.world.bus_now() == "down":
+                return writer.transport.abort()
+            self.writers.add(writer)
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n:\n\n")
+            while not writer.is_closing():
+                last = await self._tells(writer, last)
+                await asyncio.sleep(0.1)
+        except (OSError, RuntimeError, asyncio.IncompleteReadError, asyncio.CancelledError, IndexError):
+            pass                             # the end of either side, or of this process
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    async def _tells(self, writer, last):
+        mode, world = self.world.bus_now(), self.world
+        if mode == "silent":
+            return last
+        if mode == "down":
+            writer.transport.abort()
+            return last
+        if mode == "late":
+            await asyncio.sleep(1.0)
+        for offset, event in [one for one in world.events if one[0] > last]:
+            said = f"id: {offset}\ndata: {json.dumps(event)}\n\n".encode()
+            if mode == "pieces":
+                for at in range(0, len(said), 40):
+                    writer.write(said[at:at + 40])
+                    await asyncio.sleep(0.005)
+            else:
+                writer.write(said)
+            await writer.drain()
+            world.records("told", front=self.front, offset=offset)
+            last = offset
+        if time.monotonic() % 1.0 < 0.15:
+            writer.write(b":\n\n")
+        return last
+
+
+class World:
+    def __init__(self, given):
+        self.records, self.chance = Records(given.records), random.Random(given.seed)
+        kinds = ["std"] * given.caches + ["parent"] * given.parents + ["origin"]
+        self.servers = [Server(self, at, f"s-{at + 1:x}", kind) for at, kind in enumerate(kinds)]
+        self.buses = [Bus(self, at) for at in range(given.fronts)]
+        self.events, self.offset, self.mode, self.until, self.born = [], 1, "", 0.0, {}
+
+    def bus_now(self):
+        return self.mode if time.monotonic() < self.until else ""
+
+    def host(self, server, health="up"):
+        host, port = server.address
+        return {"host": server.name, "dial": f"{host}:{port}", "site": "here", "class": server.kind, "block": 0,
+                "health": health, "share": 1.0, "born_ms": self.born.get(server.name, 0)}
+
+    def tell(self, **event):
+        self.offset += 1
+        if "topology" in event:
+            event["topology"] |= {"seq": self.offset, "whole": False}
+        self.events.append((self.offset, {"offset": self.offset, **event}))
+        self.records("event", offset=self.offset, event=event)
+
+    async def does(self, said):
+        match said["do"]:
+            case "server":
+                await self.servers[said["where"]].meets(said["how"], said["seconds"])
+            case "bus":
+                self.mode, self.until = said["how"], time.monotonic() + said["seconds"]
+            case "drain":
+                server = self.servers[said["where"]]
+                self.tell(topology={"hosts": [self.host(server, "draining")]})
+                await asyncio.sleep(said["seconds"])
+                self.tell(topology={"hosts": [self.host(server)]})
+            case "restart":
+                server = self.servers[said["where"]]
+                await server.meets("dies", said["seconds"])
+                self.born[server.name] = int(time.time() * 1000)
+                self.tell(topology={"hosts": [self.host(server)]})
+            case "purge":
+                self.tell(ban={"tag": said["where"], "ts": int(time.time() * 1000)})
+
+
+async def main(given):
+    world = World(given)
+    for one in [*world.servers, *world.buses]:
+        await one.listens()
+        print("{}:{}".format(*one.address), flush=True)
+    loop, lines = asyncio.get_running_loop(), asyncio.StreamReader()
+    await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(lines), sys.stdin)
+    tasks = set()
+    while line := await lines.readline():
+        task = asyncio.ensure_future(world.does(json.loads(line)))
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+    world.records.file.close()
+
+
+if __name__ == "__main__":
+    flags = argparse.ArgumentParser(prog="python -m standins.soak.servers", description=__doc__.split("\n")[0])
+    for name, default in (("caches", 6), ("parents", 2), ("fronts", 3), ("seed", 0)):
+        flags.add_argument("--" + name, type=int, default=default)
+    flags.add_argument("--records", required=True)
+    uvloop.run(main(flags.parse_args()))
--- a/tests/test_deadline_sent.py
+++ b/tests/test_deadline_sent.py
@@ -4,7 +4,7 @@
 import socket
 import time
 
-from crossing import SLOW_TO_CONNECT, key, uphill
+from crossing import SLOW_TO_CONNECT, goes_on, key, stopped, two, uphill
 from helpers import get_text
 
 from sprucegate.interface import Outcome
@@ -26,6 +26,23 @@
         assert 1 < left < 4.5 and told <= left + SLACK, (told, left)
 
 
+def test_what_a_request_waited_before_it_could_be_read_is_off_its_time(tmp_path):
+    """The front stands still while it comes, on a resting connection and on one not yet taken."""
+    front, box, _ = two(tmp_path, lambda call, fields, body: None, lambda call, fields, body: None)
+    with front:
+        resting = front.connect()
+        front.ask(b"GET /status/live HTTP/1.1\r\nHost: a\r\n\r\n", resting)
+        stopped(front)
+        begun = time.monotonic()
+        for at, sock in enumerate((resting, front.connect())):
+            sock.sendall(get_text(key(at), patience=3000))
+        time.sleep(0.8)
+        goes_on(front)
+        found = [box.heard.get(timeout=5)[2] for _ in range(2)]
+        left = 3 - (time.monotonic() - begun)
+        assert all(int(fields["max"]) / 1000 <= left + SLACK for fields in found), (left, found)
+
+
 def told(line):
     return int(dict(p.split("=", 1) for p in line.split()[2].decode().split(","))["max"]) / 1000
 
--- a/tests/test_http2_front.py
+++ b/tests/test_http2_front.py
@@ -7,7 +7,7 @@
 import pytest
 from helpers import Front, cache, get_text, host, served
 
-from benchmarks.soak import soak
+from benchmarks.http2_closes import soak
 from standins.http2 import REFUSED_STREAM, Running
 
 KDL = "servers {\n speak http2 kind=std\n speak http2 kind=origin\n}\n"
