--- a/sprucegate/front/driver.py
+++ b/sprucegate/front/driver.py
@@ -55,7 +55,7 @@
             self.book.count("bad_requests")
             self.relay.refuse(client, get)
             return
-        client.get, self.ids[get.id], get.until = get, get, now + get.asked.ttl
+        client.get, self.ids[get.id], get.until = get, get, now + max(0, get.asked.ttl)
         if self.places is not None:
             get.tenant = self.places.tenant(request.headers)
         if len(self.open) >= self.most:
--- a/sprucegate/front/stages/take_in.py
+++ b/sprucegate/front/stages/take_in.py
@@ -4,7 +4,7 @@
 from collections import deque
 
 from sprucegate.front.memory.connections import Client, Phase
-from sprucegate.servers.sockets import receive_into, set_no_delay
+from sprucegate.servers.sockets import receive_into, set_no_delay, waited
 
 TURN = 3        # requests begun in one turn of the loop
 LOOKS = 16      # connections looked at for one that may give way to a new one
@@ -155,6 +155,7 @@
     def _fed(self, client, data):
         now, begun = self.driver.clock(), client.reader.begun
         requests = client.reader.feed(data)
+        came = now - waited(client.sock) if requests else now
         if client.reader.begun and not begun and client.asked and client.phase is Phase.RESTING:
             client.since = now               # not moved by later bytes: one that dribbles is bounded too
         for request in requests:
@@ -166,7 +167,7 @@
             client.last = not request.keep_alive
             self.silent.pop(client, None)
             self.clients[client] = self.clients.pop(client)
-            self.whole.append((client, request, now))
+            self.whole.append((client, request, came))
         if self.whole and not self.begins:
             self.begins = True
             self.loop.call_soon(self._begin)
--- a/sprucegate/servers/sockets.py
+++ b/sprucegate/servers/sockets.py
@@ -7,12 +7,17 @@
 
 import errno
 import socket
+from struct import Struct
+from struct import error as StructError
 
 # Nothing was sent or received, and the connection stands.
 TRANSIENT = frozenset({errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR, errno.ENOBUFS, errno.ENOMEM})
 # A connection could not be begun for a reason on this side: nothing is known of the server.
 LOCAL = TRANSIENT | {errno.EMFILE, errno.ENFILE, errno.EADDRNOTAVAIL, errno.EADDRINUSE, errno.ENETUNREACH,
                      errno.ENETDOWN, errno.EPERM, errno.EACCES}
+# tcp_info of linux/tcp.h up to and with tcpi_last_data_recv, the milliseconds since bytes last came.
+LAST_DATA_RECEIVED = Struct("=52xI")
+WAITED_MOST = 60_000    # milliseconds: a socket that says more says nothing
 RETRY = 0.01            # seconds until a call that failed for a moment is made again
 
 
@@ -41,6 +46,19 @@
         raise
 
 
+def waited(sock):
+    """Nanoseconds since bytes last came to a socket: how long what was just read stood in the kernel.
+
+    0 where the system does not tell.
+    """
+    try:
+        told = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_RECEIVED.size)
+        (milliseconds,) = LAST_DATA_RECEIVED.unpack(told)
+    except (OSError, StructError):
+        return 0
+    return milliseconds * 1_000_000 if milliseconds <= WAITED_MOST else 0
+
+
 def set_no_delay(sock):
     """Small writes go at once; a socket that does not take the option serves all the same."""
     try:
