The first pick of a ranking needs no generators; a client is looked at once

Change: where no cache is avoided, lost or cold the first three of a ranking are taken as they stand; the guard passes by a client that was looked at within the last millisecond.

--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -364,11 +364,8 @@
 
     def ranked(self, memory, role, key):
         """A role's nodes in the order for a key, alike at all fronts; worked out as far as asked for."""
-        version, group = self.versions[role], self.group(role)
-        kept = memory.ranks.get(role)
-        if kept is None or kept.version != version:
-            kept = memory.ranks[role] = Ranking(version, self.hashing[role].best(key, FIRST))
-        at = 0
+        group = self.group(role)
+        kept, at = self.ranking(memory, role, key), 0
         while True:
             yield from islice(kept.nodes, at, None)
             at = len(kept.nodes)
@@ -385,6 +382,12 @@
         nodes = [*self.group("origin"), *self.group("parent"), *caches]
         return [node.id for node in nodes[:most]]
 
+    def ranking(self, memory, role, key):
+        kept, version = memory.ranks.get(role), self.versions[role]
+        if kept is None or kept.version != version:
+            kept = memory.ranks[role] = Ranking(version, self.hashing[role].best(key, FIRST))
+        return kept
+
     def group(self, role):
         """Nodes of a role that GETs or fills may go to, in the order of their indices."""
         return self.hashing[role].nodes
@@ -552,19 +555,24 @@
     def pick(self, get, memory, now):
         asked = get.asked
         key = asked.object.to_bytes(8, "big") + asked.part.to_bytes(4, "big")
-        avoided = self.avoided(now)
+        avoided = self.avoided(now) if self.troubled else set()
         order = self.takers(memory, key, avoided | get.lost, asked.ds, now)
-        if not (first := list(islice(order, WIDEST))) and get.lost:
+        first = self.ranking(memory, "cache", key).nodes[:WIDEST]
+        if avoided or get.lost or any([n.started for n in first]):
+            first = list(islice(order, WIDEST))
+        if not first and get.lost:
             order = self.takers(memory, key, avoided, asked.ds, now)
             first = list(islice(order, WIDEST))
         if not first:
             return None, False
         usable = len(self.group("cache")) - len(avoided)
         wide = first[:self.width(asked, memory, usable, now)]
-        best = min(wide, key=lambda n: (n.crowding(now), n.busy(now) / n.entry.weight))
+        best = wide[0] if len(wide) == 1 else min(
+            wide, key=lambda n: (n.crowding(now), n.busy(now) / n.entry.weight))
         most = max(1.0, AHEAD * (get.limit - now) / max(1, self.work(asked)))
-        tried = chain([best], first, islice(order, PASSED_BY))
-        fit = next((n for n in tried if n.crowding(now) <= most), None)
+        if best.crowding(now) <= most:
+            return best, True
+        fit = next((n for n in chain(first, islice(order, PASSED_BY)) if n.crowding(now) <= most), None)
         return fit or best, fit is not None
 
     def takers(self, memory, key, avoided, ds, now):
@@ -751,7 +759,8 @@
             if outcome not in (Outcome.FULL, Outcome.NOT_SENT) and (memory.returned or not bare):
                 cache.as_cache.note(now, False, 0)
         self.noted(cache)
-        self.noted(source)
+        if source is not cache:
+            self.noted(source)
         # A time-out may be the source's fault: it tells of the cache where all end so and its peers' don't.
         if cache.as_cache.due(now):
             peers, quiet = self.peers("cache")
--- a/sprucegate/servers/sending.py
+++ b/sprucegate/servers/sending.py
@@ -5,6 +5,9 @@
 """
 
 
+LOOKED = 1_000_000      # nanoseconds after a decision in which its client is not looked at again
+
+
 class Sending:
     def __init__(self, count, began=lambda out, now: None):
         """`count` is told the reason of each refusal, `began` each forward whose first byte has left."""
@@ -19,7 +22,8 @@
         if (left := out.limit - now) <= 0:
             self.count("sends_refused late")
             return None
-        if get.client is not None and get.client.left():
+        # One that was decided just now was looked at then.
+        if now - out.at > LOOKED and get.client is not None and get.client.left():
             self.count("sends_refused client_left")
             return None
         return left
