--- /dev/null
+++ b/tests/test_breaks.py
@@ -0,0 +1,115 @@
+"""What breaks inside a front, or is not there for a moment when it starts, costs no more than itself."""
+
+import asyncio
+import socket
+import subprocess
+import sys
+
+from crossing import two
+from helpers import REAL, get_text, host, served
+
+from sprucegate.assembly import run as assembly
+from sprucegate.front import driver
+from sprucegate.front.lifecycle import configuration
+from sprucegate.front.memory.connections import Client
+from sprucegate.front.memory.pool import Pool
+from sprucegate.front.protocol.http import RequestReader
+from sprucegate.front.stages.take_in import TakeIn
+
+
+def wanted(dial=None):
+    hosts = [] if dial is None else [host("s-0b", dial, "std"), host("s-1f", dial, "origin")]
+    known = {"offset": 1, "batch": [{"offset": 1, "topology": {"seq": 1, "whole": True, "hosts": hosts}}]}
+    return configuration.wanted({**REAL, "listen": "127.0.0.1:1", "bus": "127.0.0.1:2", "known": known})
+
+
+def in_a_loop(act, dial=None):
+    """Runs `act(driver, logged)` with a Driver whose list is taken."""
+    logged = []
+
+    async def run():
+        made = driver.Driver(wanted(dial), Pool(8), lambda event, **fields: logged.append((event, fields)))
+        for _, news in made.wanted.known:
+            made.told(news)
+        return await act(made, logged)
+
+    return asyncio.run(asyncio.wait_for(run(), 10))
+
+
+def asked_of(made):
+    near, far = socket.socketpair()
+    near.setblocking(False)
+    client = Client(near, made.clock())
+    client.take(made.clock())
+    made.request(client, *RequestReader().feed(get_text(patience=300)), made.clock())
+    return client, far
+
+
+def test_a_transport_that_breaks_when_it_is_due_keeps_no_get_from_its_answer(monkeypatch):
+    async def act(made, logged):
+        calls = []
+
+        def breaks(now):
+            calls.append(now)
+            raise KeyError("broken")
+
+        monkeypatch.setattr(made.servers, "due", breaks)
+        client, far = asked_of(made)
+        far.settimeout(5)
+        answer = await asyncio.to_thread(far.recv, 4096)
+        return answer, len(calls), [event for event, _ in logged if event == "fault"]
+
+    with socket.socket() as hangs:           # nobody takes the connection's request
+        hangs.bind(("127.0.0.1", 0))
+        hangs.listen(9)
+        answer, calls, faults = in_a_loop(act, f"127.0.0.1:{hangs.getsockname()[1]}")
+    assert answer.startswith(b"HTTP/1.1 50") and calls and len(faults) == calls
+
+
+def test_housekeeping_goes_on_after_a_sweep_that_breaks(monkeypatch):
+    async def act(made, logged):
+        take_in, swept = TakeIn(made, made.servers.transports["lines"].pool, 8, made.wanted.times), []
+
+        def sweep(now):
+            swept.append(now)
+            raise ValueError("broken")
+
+        monkeypatch.setattr(take_in, "sweep", sweep)
+        task = asyncio.ensure_future(assembly.housekeeping(made, take_in, made.servers.transports["lines"].pool,
+                                                           made.log))
+        await asyncio.sleep(1.7)
+        task.cancel()
+        return len(swept), [event for event, _ in logged]
+
+    swept, events = in_a_loop(act)
+    assert swept == 3 and events.count("fault") == 3 and "second" in events
+
+
+def test_a_request_whose_reading_breaks_ends_its_connection_and_no_other(tmp_path):
+    """And nothing is written to standard error, which may block."""
+    front, _, _ = two(tmp_path, served)
+    with front:
+        pass
+    code = ("import sprucegate.front.protocol.http as http\n"
+            "feed = http.RequestReader.feed\n"
+            "def breaks(self, data):\n"
+            "    if b'9b1f03aa5c7e2d41' in bytes(data): raise KeyError('broken')\n"
+            "    return feed(self, data)\n"
+            "http.RequestReader.feed = breaks\n"
+            "import sys, sprucegate.__main__ as program\n"
+            "sys.exit(program.main())\n")
+    front.command = [sys.executable, "-c", code]
+    errors = tmp_path / "errors"
+    with errors.open("w") as file:
+        real, subprocess.Popen = subprocess.Popen, lambda *a, **k: real(*a, stderr=file, **k)
+        try:
+            front.restart()
+        finally:
+            subprocess.Popen = real
+    with front:
+        sock = front.connect()
+        sock.sendall(get_text())
+        sock.settimeout(2)
+        assert sock.recv(1) == b"" and front.until("fault")["error"] == "KeyError: 'broken'"
+        assert front.ask(get_text("a" * 16))[0] == 200
+    assert errors.read_text() == ""
