--- a/sprucegate/assembly/run.py
+++ b/sprucegate/assembly/run.py
@@ -24,6 +24,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     driver = Driver(wanted, pool, log)
+    loop.set_exception_handler(driver.loop_fault)
     if wanted.membership is not None:
         # Here and not above: a front without it loads none of its libraries.
         from sprucegate.membership.service import Membership
@@ -132,13 +133,20 @@
     log("reloaded", bus="{}:{}".format(*wanted.bus), last=subscription.last, needs_restart=restart)
 
 
+def _kept_on(driver, sweep):
+    """A sweep that breaks is a fault, and the next one comes all the same."""
+    try:
+        sweep(driver.clock())
+    except Exception as fault:
+        driver.fault(fault)
+
+
 async def housekeeping(driver, take_in, pool, log):
     while True:
         for _ in range(2):
             await asyncio.sleep(0.5)
-            now = driver.clock()
-            take_in.sweep(now)
-        driver.servers.sweep(now)
+            _kept_on(driver, take_in.sweep)
+        _kept_on(driver, driver.servers.sweep)
         driver.invariants.second()
         driver.invariants.quiet(len(driver.open), len(driver.ids), pool.out)
         log("second", open=len(driver.open), clients=len(take_in.clients), caches=driver.servers.connections,
--- a/sprucegate/front/driver.py
+++ b/sprucegate/front/driver.py
@@ -21,6 +21,7 @@
 from sprucegate.servers.servers import Servers
 
 MS = 1_000_000
+AGAIN = 50 * MS         # until a timer is tried again that could not be worked out
 
 
 class Driver:
@@ -269,17 +270,30 @@
 
     def _due(self):
         now, self.armed, self.timer = self.clock(), None, None
-        self.servers.due(now)
-        # Time-outs first: the module is to learn that a forward came to nothing, not that it was cancelled.
+        # Each by itself: this one timer stands for all deadlines, and has to be armed again whatever breaks.
+        for step in (self.servers.due, self._time_outs, self._given_up, self.arm):
+            try:
+                step(now)
+            except Exception as fault:
+                self.fault(fault)
+        if self.timer is None and self.open:
+            self.armed, self.timer = now + AGAIN, self.loop.call_later(AGAIN / 1e9, self._due)
+
+    def _time_outs(self, now):
+        # Before the module's own: it is to learn that a forward came to nothing, not that it was cancelled.
         while self.limits and self.limits[0][0] <= now:
             out = heapq.heappop(self.limits)[2]
             if not out.ended:
-                never_ran = self.servers.cancel(out, timed_out=True)
-                self.ended(out, never_ran or Outcome.TIMED_OUT, Found.UNTOLD, 0, {})
+                self.guarded(out.get, self._timed_out, out)
+
+    def _timed_out(self, out):
+        never_ran = self.servers.cancel(out, timed_out=True)
+        self.ended(out, never_ran or Outcome.TIMED_OUT, Found.UNTOLD, 0, {})
+
+    def _given_up(self, now):
         for handle, decided in self.router.due(now):
             if handle in self.open:
                 self.guarded(self.open[handle], self.say, self.open[handle], decided, now)
-        self.arm(now)
 
     def guarded(self, get, action, *given):
         """Whatever breaks in an action, its GET still gets its one answer and the others go on."""
@@ -290,7 +304,15 @@
             self.relay.answer(get, 500)
             self.forget(get)
 
+    def loop_fault(self, loop, context):
+        """What no caller caught, in place of asyncio's own handler, which writes to standard error and may block."""
+        fault = context.get("exception")
+        if fault is not None:
+            return self.fault(fault)
+        self.log("fault", error=str(context.get("message", ""))[:200], where="loop")
+        self.book.count("faults")
+
     def fault(self, fault):
-        at = traceback.extract_tb(fault.__traceback__)[-1]
-        self.log("fault", error=f"{type(fault).__name__}: {fault}", where=f"{at.name}:{at.lineno}")
+        at = (traceback.extract_tb(fault.__traceback__) or [None])[-1]
+        self.log("fault", error=f"{type(fault).__name__}: {fault}", where=f"{at.name}:{at.lineno}" if at else "")
         self.book.count("faults")
--- a/sprucegate/front/stages/take_in.py
+++ b/sprucegate/front/stages/take_in.py
@@ -129,6 +129,9 @@
                 self._fed(client, buffer[:size])
         except OSError:
             self.close(client, "peer")
+        except Exception as fault:           # this connection's own, whatever it is
+            self.driver.fault(fault)
+            self.close(client, "fault")
         finally:
             self.pool.give_back(buffer)
 
--- a/sprucegate/servers/lines/transport.py
+++ b/sprucegate/servers/lines/transport.py
@@ -196,6 +196,7 @@
         """A forward that must not be sent any more, of which nothing has left."""
         if connection.open.get(out.get.id) is out:
             del connection.open[out.get.id]
+        self._rests(connection)
         self.loop.call_soon(self.driver.ended, out, Outcome.NOT_SENT, Found.UNTOLD, 0, {})
 
     def _send_later(self, connection, sent):
