Tests of the soak's judge and schedules; what a former process was told binds no next one

Need: a checker is seen to fail by a seeded defect. Cause of the judge's change: a front that was restarted knows its list of the start until its bus has told the rest. Change: each rule of the judge has a record that breaks it and one that keeps it; schedules are alike by seed; shrinking finds what a failure needs.

--- a/standins/soak/judge.py
+++ b/standins/soak/judge.py
@@ -27,19 +27,34 @@
 
 
 def judged(rows, records, windows):
-    came, told, events = defaultdict(list), defaultdict(dict), {}
+    came, told, events = defaultdict(list), defaultdict(list), {}
     for one in records:
         if one["what"] == "came":
             came[one["id"]].append(one)
         elif one["what"] == "told":
-            told[one["front"]].setdefault(one["offset"], one["at"])
+            told[one["front"]].append((one["at"], one["offset"]))
         elif one["what"] == "event":
             events[one["offset"]] = one["event"]
     found = []
     for row in rows:
         found += _answer(row, windows)
-        found += _attempts(row, sorted(came.get(row.id, []), key=lambda one: one["at"]), told[row.front], events)
-        found += _body(row, told[row.front], events)
+        known = _known(row, told[row.front], windows)
+        found += _attempts(row, sorted(came.get(row.id, []), key=lambda one: one["at"]), known, events)
+        found += _body(row, known, events)
+    return found
+
+
+def _known(row, told, windows):
+    """{offset: when} of what a front was told, in the life of its process that a request met, in the order of offsets.
+
+    What is told while a front's connection to its bus is being ended may not have come: told again, it counts then.
+    """
+    begun = max((one.begin for one in windows if one.front == row.front and one.what in ("kill", "term")
+                 and one.end <= row.sent), default=0.0)
+    found = {}
+    for at, offset in told:
+        if at >= begun:
+            found[offset] = at
     return found
 
 
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,83 @@
+"""The soak's judge finds each broken rule in records, its schedules are alike by seed, and one is shrunk to its cause."""
+
+import pytest
+
+from standins.soak import judge, schedule
+from standins.soak.clients import Row
+from standins.soak.judge import Window
+
+BODY = b"1 1 90000."
+
+
+def row(how="answered", status=200, **changed):
+    made = Row(3, "a1", False, "1", 1, 1.0, sent=100.0, ended=100.2, how=how, status=status, body=BODY)
+    for name, value in changed.items():
+        setattr(made, name, value)
+    return made
+
+
+def came(at=100.1, server="s-1", mode="", deaf=False, **fields):
+    return {"what": "came", "at": at, "id": "a1", "server": server, "mode": mode, "deaf": deaf,
+            "fields": {"max": "800", **fields}}
+
+
+def drain(health="draining", offset=2, at=90.0):
+    event = {"topology": {"hosts": [{"host": "s-1", "health": health}]}}
+    return [{"what": "event", "offset": offset, "event": event},
+            {"what": "told", "front": 3, "offset": offset, "at": at}]
+
+
+PURGE = [{"what": "event", "offset": 2, "event": {"ban": {"tag": 1, "ts": 95_000}}},
+         {"what": "told", "front": 3, "offset": 2, "at": 95.0}]
+
+
+@pytest.mark.parametrize("rule, made, records", [
+    ("lost", row(how="closed"), []), ("lost", row(how="timeout", ended=102.0), []),
+    ("late", row(ended=102.0), []), ("status", row(status=500), []),
+    ("max", row(), [came(max="1300")]),
+    ("after_client_left", row(how="left", left=99.8), [came()]),
+    ("after_answer", row(ended=99.8), [came()]),
+    ("attempts", row(), [came() for _ in range(7)]),
+    ("to_draining", row(), [came(), *drain()]),
+    ("to_draining", row(), [came(server="s-2", src="s-1"), *drain()]),
+    ("ran_twice", row(order=True), [came(), came(at=100.15)]),
+    ("body", row(body=b"other"), []), ("body", row(body=b"2 1 90000."), []),
+    ("purged", row(), PURGE),
+])
+def test_each_broken_rule_is_found(rule, made, records):
+    assert [name for name, _ in judge.judged([made], records, [])] == [rule]
+
+
+@pytest.mark.parametrize("made, records", [
+    (row(), [came()]), (row(how="left"), []), (row(how="crossed"), []), (row(status=503), []),
+    (row(), [came(), *drain(), *drain("up", 3, 91.0)]), (row(), [came(), *drain(at=99.9)]),
+    (row(order=True), [came(mode="overload"), came(at=100.15)]), (row(), [came(at=102.0, deaf=True)]),
+    (row(body=b"1 1 96000."), PURGE), (row(group=2), PURGE),
+])
+def test_what_is_as_it_should_be_is_no_finding(made, records):
+    assert judge.judged([made], records, []) == []
+
+
+@pytest.mark.parametrize("window, excused", [
+    (Window(3, "kill", 99.0, 101.0), True), (Window(3, "stop", 100.5, 101.0), True),
+    (Window(3, "kill", 90.0, 99.0), False), (Window(4, "kill", 99.0, 101.0), False),
+    (Window(3, "term", 99.7, 101.0), False), (Window(3, "term", 99.0, 101.0), True)])
+def test_only_a_front_that_was_gone_or_stood_still_is_excused(window, excused):
+    assert (judge.judged([row(how="closed")], [], [window]) == []) is excused
+
+
+def test_what_a_former_process_was_told_binds_not_the_next_one():
+    found = judge.judged([row()], [came(), *drain(at=90.0)], [Window(3, "kill", 95.0, 96.0)])
+    assert found == []
+
+
+def test_a_schedule_follows_from_its_seed_and_overlaps():
+    one, again, other = (schedule.drawn(seed, 60, 24, 9) for seed in (1, 1, 2))
+    assert one == again != other
+    assert sum(b.at - a.at < 1 for a, b in zip(one, one[1:], strict=False)) > len(one) // 3
+
+
+def test_a_failing_schedule_is_shrunk_to_what_it_needs():
+    troubles = schedule.drawn(3, 60, 24, 9)
+    needed = {troubles[3], troubles[17]}
+    assert set(schedule.shrunk(troubles, lambda fewer: needed <= set(fewer))) == needed
