--- a/standins/fleet/rig.py
+++ b/standins/fleet/rig.py
@@ -15,6 +15,7 @@
 import threading
 import time
 
+from standins.faults import Faults
 from standins.ports import free_port
 from standins.processes import Process
 
@@ -54,6 +55,7 @@
         self.rig, self.name, self.number, self.process = rig, name, number, None
         self.folder = rig.folder / name
         self.folder.mkdir()
+        self.faults = Faults(self.folder / "faults")
         self.port, self.fleet_port = free_port(), free_port()
         self.lines, self.fresh = [], threading.Condition()
 
@@ -71,7 +73,8 @@
 
     def start(self):
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "sprucegate", "front", "--file", str(self.folder / "front.kdl")],
+            [sys.executable, "-m", "standins.faults", self.faults.path, "front", "--file",
+             str(self.folder / "front.kdl")],
             stdout=subprocess.PIPE, env={**os.environ, "BALANCER_CONFIG": str(self.folder / "config.json")})
         threading.Thread(target=self._read, args=(self.process,), daemon=True).start()
 
@@ -150,7 +153,7 @@
 
     def start(self, *flags):
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "sprucegate", "fleet", "keeper", self.name, "--file",
+            [sys.executable, "-m", "standins.faults", self.faults.path, "fleet", "keeper", self.name, "--file",
              str(self.folder / "front.kdl"), *flags], stdout=subprocess.PIPE)
         threading.Thread(target=self._read, args=(self.process,), daemon=True).start()
 
