--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,4 +1,4 @@
-"""The soak's judge finds each broken rule in records, its schedules are alike by seed, and one is shrunk to its cause."""
+"""The soak's judge finds each broken rule in records; schedules are alike by seed, and shrunk to their cause."""
 
 import pytest
 
