Failing tests: an absurd stamp, ids kept for good, a reader of answers that breaks

Cause, by reading today's own changes and the transports: PlatformTime believes any stamp of discovery; Invariants.closed_to only grows under replacements; an unforeseen exception in reading an answer goes to the loop, and its connection and forwards stay.

--- a/tests/test_breaks.py
+++ b/tests/test_breaks.py
@@ -9,7 +9,7 @@
 
 import pytest
 from crossing import two
-from helpers import REAL, get_text, host, served
+from helpers import REAL, cache, get_text, host, served
 
 from sprucegate.assembly import run as assembly
 from sprucegate.front import driver
@@ -19,6 +19,7 @@
 from sprucegate.front.protocol.http import RequestReader
 from sprucegate.front.stages.take_in import TakeIn
 from sprucegate.interface import Outcome
+from sprucegate.servers.lines.codec import AnswerReader
 
 
 def wanted(dial=None):
@@ -143,3 +144,24 @@
         return ended[:1], made.servers.connections, kept[0].left()
 
     assert in_a_loop(act, dial) == ([Outcome.UNREACHABLE], 0, False)
+
+
+def test_an_answer_whose_reading_breaks_ends_its_connection_and_the_get_goes_on(tmp_path, monkeypatch):
+    """What can't be foreseen is the end of one connection: its forwards are told at once, not after their time."""
+    async def act(made, logged):
+        ended = []
+        made.ended = lambda out, outcome, found, waited, load, at=None: ended.append(outcome)
+
+        def breaks(self, data):
+            raise KeyError("broken")
+
+        monkeypatch.setattr(AnswerReader, "feed", breaks)
+        kept = asked_of(made)
+        end = time.monotonic() + 2
+        while not ended and time.monotonic() < end:
+            await asyncio.sleep(0.02)
+        return ended[:1], made.servers.connections, [e for e, _ in logged if e == "fault"], kept[0].left()
+
+    with cache(served).sock as listener:
+        said = in_a_loop(act, f"127.0.0.1:{listener.getsockname()[1]}")
+    assert said == ([Outcome.RESET], 0, ["fault"], False)
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -36,6 +36,18 @@
     assert time.copy_age(UNIX + S, AT) == 0 and time.age(UNIX, AT) <= S
 
 
+def test_a_stamp_from_days_ahead_is_no_stamp():
+    """Nanoseconds for milliseconds, or made up: believed, it would make all purges old for good."""
+    for absurd in (UNIX * 1000, 10**4000, UNIX + 25 * HOUR):
+        time = PlatformTime(AT, UNIX)
+        for server in (1, 2):
+            time.copy_stamped(absurd, server, AT)
+        time.stamped(absurd, AT)
+        time.stamped(UNIX, AT)
+        assert time.age(UNIX, AT + S) == S and time.copy_age(UNIX - S, AT) == S
+        assert time.copy_age(absurd, AT) is None and time.age(absurd, AT) == 0
+
+
 def test_stamps_are_held_against_each_other_before_any_copy_has_come():
     time = PlatformTime(AT, UNIX + HOUR)
     for stamp in (UNIX - 60 * S, UNIX):
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -105,6 +105,13 @@
     assert len(many.logged) == 21
 
 
+def test_servers_that_have_gone_are_remembered_within_a_bound():
+    made = Checked().made
+    for at in range(20_000):
+        made.listed(set(), {at}, False)
+    assert len(made.closed_to) <= 10_000 and 19_999 in made.closed_to
+
+
 def test_a_front_in_service_breaks_none(tmp_path):
     front, box, _ = two(tmp_path, served)
     with front:
