--- a/sprucegate/clock.py
+++ b/sprucegate/clock.py
@@ -7,6 +7,8 @@
 
 import time
 
+ABSURD = 24 * 3600 * 1_000_000_000  # nanoseconds that a stamp may be ahead of the wall clock
+
 now = time.monotonic_ns
 
 
@@ -34,7 +36,8 @@
     Where the two differ each age is taken towards the careful side: `age` is never more than the true age, for purges
     and cold starts; `copy_age` never less, for copies, as far as stamps have shown.
 
-    Without any stamp both offsets are those of the wall clock when this object was made.
+    A stamp that is more than ABSURD ahead of the wall clock counts as none. Without any stamp both offsets are those
+    of the wall clock when this object was made.
     """
 
     def __init__(self, at=None, wall=None):
@@ -52,7 +55,8 @@
 
     def stamped(self, stamp, at):
         """A stamp of discovery, whose word is believed: a purge's or a start's, Unix nanoseconds; 0 is none."""
-        if stamp and (self._newest is None or stamp - at > self._newest):
+        if stamp and stamp - at <= self.wall_offset + ABSURD and (
+                self._newest is None or stamp - at > self._newest):
             self._newest = stamp - at
 
     def copy_stamped(self, stamp, server, at):
@@ -60,7 +64,7 @@
 
         It shows that the own wall clock is not ahead; that it is behind takes the word of a second server.
         """
-        if not stamp:
+        if not stamp or stamp - at > self.wall_offset + ABSURD:
             return
         self.stamped(min(stamp, at + self.wall_offset), at)
         lead = stamp - at - self.most_offset
--- a/sprucegate/front/invariants.py
+++ b/sprucegate/front/invariants.py
@@ -11,6 +11,7 @@
 GONE_LATE = 100 * MS    # an attempt that begins so long after its client went counts as a lost request
 ANSWER_LATE = 500 * MS  # an answer so long after its time counts as none
 WAIT_SLACK = 150 * MS   # by which the wait told to a server may be over what its client has left
+REMEMBERED = 10_000     # servers that drain or have gone
 LOGGED = 20             # breaches logged in one second; all are counted
 
 
@@ -20,7 +21,8 @@
     def __init__(self, settings, count, log):
         self.effects = settings.get("effect") or ()
         self.most_attempts = settings.get("max_forwards", 1 << 30)
-        self.count, self.log, self.logged, self.closed_to = count, log, 0, set()
+        self.count, self.log, self.logged = count, log, 0
+        self.closed_to = {}                  # ids of servers that drain or have gone, the latest last
 
     def second(self):
         """Called once a second."""
@@ -28,7 +30,13 @@
 
     def listed(self, serves, named, whole):
         """Ids of servers that a list has as serving, and that it names at all."""
-        self.closed_to = (set() if whole else self.closed_to - serves) | (named - serves)
+        closed = {} if whole else self.closed_to
+        for at in serves:
+            closed.pop(at, None)
+        closed.update(dict.fromkeys(named - serves))
+        while len(closed) > REMEMBERED:
+            del closed[next(iter(closed))]
+        self.closed_to = closed
 
     def broken(self, rule, get, **fields):
         self.count(f"invariant_violations {rule}")
--- a/sprucegate/servers/http2/transport.py
+++ b/sprucegate/servers/http2/transport.py
@@ -231,6 +231,9 @@
                 self._ended(connection, "ended by the server")
         except OSError as fault:
             self._ended(connection, f"{type(fault).__name__}")
+        except Exception as fault:           # this connection's own, whatever it is
+            self.driver.fault(fault)
+            self._ended(connection, "a fault of the program")
         finally:
             self.buffers.give_back(buffer)
 
--- a/sprucegate/servers/lines/transport.py
+++ b/sprucegate/servers/lines/transport.py
@@ -255,6 +255,9 @@
                 self._watch(connection)
         except OSError:
             self.close(connection)
+        except Exception as fault:           # this connection's own, whatever it is
+            self.driver.fault(fault)
+            self.close(connection)
         finally:
             self.pool.give_back(buffer)
 
--- a/standins/driver.py
+++ b/standins/driver.py
@@ -51,6 +51,9 @@
     def log(self, event, **fields):
         self.logged.append((event, fields))
 
+    def fault(self, fault):
+        self.logged.append(("fault", {"error": f"{type(fault).__name__}: {fault}"}))
+
     def armed_by(self, due):
         self.loop.call_later(max(0, due - self.clock()) / 1e9, lambda: self.servers.due(self.clock()))
 
