--- a/sprucegate/front/driver.py
+++ b/sprucegate/front/driver.py
@@ -93,7 +93,7 @@
 
     def _ended(self, out, outcome, found, waited, load, at):
         now, get = at or self.clock(), out.get
-        out.ended, out.may_have_run = True, not outcome.never_ran
+        out.ended, out.outcome, out.may_have_run = True, outcome, not outcome.never_ran
         get.story.append((now, f"attempt {out.number} {outcome.name.lower()}"))
         self.book.count(f"forwards_{outcome.name.lower()}")
         if self.fleet is not None:
@@ -224,6 +224,8 @@
                         self.loop.call_soon(self.ended, out, Outcome.NOT_SENT, Found.UNTOLD, 0, {})
                         self.left(get)
                         continue
+                    if (former := get.forwards.get(one.number - 1)) is not None and former.outcome is not None:
+                        self.book.count(f"retries_after_{former.outcome.name.lower()}")
                     if self.places is not None:
                         self.places.sent(get, out, one, now)
                     self.servers.forward(out, one)
@@ -233,6 +235,7 @@
                     self.places.waits(get, one.source, now)
                 case Shed():
                     self.book.count("gets_shed")
+                    self.book.count("gets_shed_after_attempts" if get.forwards else "gets_shed_unsent")
                     self.take_back(get)
                     wait = b"X-Come-Back-Ms: %d\r\n" % (one.retry_after // MS) if one.retry_after else b""
                     self.relay.answer(get, 503, headers=wait)
--- a/sprucegate/front/memory/gets.py
+++ b/sprucegate/front/memory/gets.py
@@ -5,12 +5,13 @@
 
 class OpenForward:
     __slots__ = ("get", "number", "cache", "source", "at", "limit", "transport", "connection", "progress", "ended",
-                 "place", "said", "may_have_run")
+                 "place", "said", "may_have_run", "outcome")
 
     def __init__(self, get, number, cache, source, at, limit):
         self.get, self.number, self.cache, self.source, self.at, self.limit = get, number, cache, source, at, limit
         self.transport, self.connection, self.progress, self.ended = None, None, Progress.NOT_SENT, False
         self.may_have_run = True             # until it ended in a way that proves it did not
+        self.outcome = None                  # how it ended
         self.said = None                     # what a transport needs to word it once it is sent
         self.place = None                    # by which its fill may run, where places are shared out
 
--- a/standins/soak/servers.py
+++ b/standins/soak/servers.py
@@ -40,6 +40,7 @@
     def __init__(self, world, number, name, kind):
         self.world, self.number, self.name, self.kind = world, number, name, kind
         self.mode, self.until, self.listener, self.peers, self.address = "", 0.0, None, set(), None
+        self.away = asyncio.Lock()
         self.deaf_until = 0.0                # what comes until then may have stood in the kernel
 
     async def listens(self):
@@ -55,12 +56,13 @@
     async def meets(self, mode, seconds):
         self.mode, self.until = mode, time.monotonic() + seconds
         if mode in ("refuse", "dies"):
-            self.listener.close()
-            for peer in list(self.peers):
-                peer.transport.abort()
-            await asyncio.sleep(seconds)
-            self.mode = ""
-            await self.listens()
+            async with self.away:            # two such troubles of one server come one after the other
+                self.listener.close()
+                for peer in list(self.peers):
+                    peer.transport.abort()
+                await asyncio.sleep(seconds)
+                self.mode = ""
+                await self.listens()
         elif mode == "deaf":
             paused = list(self.peers)
             self.deaf_until = self.until + 0.5
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -10,6 +10,7 @@
 import sys
 import threading
 import time
+from collections import Counter
 
 import pytest
 from helpers import REAL, Front, bus, cache, get_text, host, served
@@ -404,3 +405,26 @@
     answer, still_open = asyncio.run(run())
     assert answer.startswith(b"HTTP/1.1 500 ") and answer.count(b"HTTP/1.1") == 1
     assert logged == ["fault"] and still_open == 0
+
+
+def test_why_a_get_was_sent_again_or_shed_and_a_client_closed_is_counted(tmp_path):
+    """The first attempt of all is refused, wherever it goes; a GET with no time left is shed with nothing sent."""
+    first = [True]
+
+    def reply(call_id, fields, body):
+        if first and first.pop():
+            return b"%b overload - 0\r\n\r\n" % call_id
+        return served(call_id, fields)
+
+    boxes = [cache(reply) for _ in range(3)]
+    hosts = [host(f"s-{at + 11:x}", box.address, "std") for at, box in enumerate(boxes)]
+    root = cache(served)
+    with Front(tmp_path, *hosts, host("s-1f", root.address, "origin")) as front:
+        assert front.ask(get_text("a" * 16, extra="Connection: close\r\n"))[0] == 200
+        assert front.ask(get_text("b" * 16, patience=1))[0] == 503
+        counted = Counter()
+        for _ in range(3):
+            counted.update({k: v for k, v in front.until("second").items() if isinstance(v, int)})
+    assert counted["retries_after_full"] == counted["forwards_full"] == 1
+    assert counted["gets_shed_unsent"] == counted["gets_shed"] == 1 and not counted["gets_shed_after_attempts"]
+    assert counted["clients_closed peer"] == 2
