Soak: a third of the fronts are one fleet with folders, and their disks fail as well

Change: every third front has an operator's file with the fleet layer and state of its own; fsync, write, open and replace fail by EIO, ENOSPC or take one byte.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -45,7 +45,8 @@
 class Front:
     """One front's process with its faults, its log, and how clients see it."""
 
-    def __init__(self, number, folder, hosts, bus):
+    def __init__(self, number, folder, hosts, bus, fleet=()):
+        """`fleet`: addresses of the fronts that are one fleet, this one's included; empty: it is alone."""
         self.number, self.path, self.log = number, folder / f"front-{number}.json", folder / f"front-{number}.log"
         self.faults = Faults(folder / f"faults-{number}")
         self.target = clients.Target(number, ("127.0.0.1", free_port()))
@@ -55,14 +56,21 @@
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256}, "settings": SETTINGS,
             "known": {"offset": 1, "batch": [{"offset": 1, "topology": {"seq": 1, "whole": True, "hosts": hosts}}]}}
         self.path.write_text(json.dumps(self.config))
+        self.command = [sys.executable, "-m", "standins.faults", self.faults.path]
+        if fleet:
+            operator = folder / f"front-{number}.kdl"
+            join = " ".join(f'"{at}"' for at in list(fleet.values())[:3])
+            operator.write_text(f'fleet {{\n    name "soak"\n    listen "{fleet[number]}"\n    join {join}\n'
+                                f'    state "{folder}/state-{number}"\n    alone-after (s)2\n}}\n')
+            self.command += ["front", "--file", str(operator)]
         self.lines, self.counts, self.process, self.ready_in = [], Counter(), None, []
         self.last, self.busy = {}, asyncio.Lock()
 
     async def start(self):
         begun = time.monotonic()
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "standins.faults", self.faults.path], stdout=subprocess.PIPE,
-            stderr=subprocess.PIPE, env={**os.environ, "BALANCER_CONFIG": str(self.path)})
+            self.command, stdout=subprocess.PIPE, stderr=subprocess.PIPE,
+            env={**os.environ, "BALANCER_CONFIG": str(self.path)})
         ready = threading.Event()
         threading.Thread(target=self._read, args=(self.process, ready), daemon=True).start()
         while not ready.is_set() and time.monotonic() - begun < 30 and self.process.poll() is None:
@@ -119,7 +127,10 @@
         kinds = ["std"] * CACHES + ["parent"] * PARENTS + ["origin"]
         hosts = [{"host": f"s-{at + 1:x}", "dial": lines[at], "site": "here", "class": kind, "block": 0,
                   "health": "up", "share": 1.0, "born_ms": 0} for at, kind in enumerate(kinds)]
-        self.fronts = [Front(at, self.folder, hosts, lines[len(kinds) + at]) for at in range(self.count)]
+        # A third of them as one fleet, with folders that last; the others as the platform runs them.
+        fleet = {at: f"127.0.0.1:{free_port()}" for at in range(2, self.count, 3)}
+        self.fronts = [Front(at, self.folder, hosts, lines[len(kinds) + at], fleet if at in fleet else ())
+                       for at in range(self.count)]
         await asyncio.gather(*[front.start() for front in self.fronts])
         self.begun = time.monotonic()
         self.all = [clients.Client(at, [f.target for f in self.fronts], self.seed) for at in range(3 * self.count)]
--- a/standins/soak/schedule.py
+++ b/standins/soak/schedule.py
@@ -17,7 +17,8 @@
          ("recv_into", "EINTR"), ("recv_into", "ENOBUFS"), ("recv_into", "SHORT"), ("send", "ENOBUFS"),
          ("send", "EAGAIN"), ("send", "SHORT"), ("send", "EINTR"), ("connect", "EADDRNOTAVAIL"),
          ("connect", "ENETUNREACH"), ("connect", "ETIMEDOUT"), ("connect", "EHOSTUNREACH"), ("socket", "EMFILE"),
-         ("socket", "ENOBUFS"), ("setsockopt", "ENOBUFS"))
+         ("socket", "ENOBUFS"), ("setsockopt", "ENOBUFS"), ("fsync", "EIO"), ("write", "ENOSPC"), ("write", "SHORT"),
+         ("replace", "EIO"), ("open", "ENOSPC"))
 CLIENT_MODES = ("leave", "flood", "pipeline", "dribble", "rest", "burst")
 
 
