Of thousands of caches none is connected to before its first GET

Cause: at 3,200 caches 255 connections were made at the start of which one in ten was used before it went idle.

--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -374,12 +374,12 @@
             kept.nodes = self.hashing[role].best(key, 4 * at)
 
     def warm_first(self, most):
-        """Ids of servers to connect to at the start: those that all go through, then caches, drawn by seed.
-
-        All fronts connecting to the same few of thousands of caches would crowd those.
+        """Ids of servers to connect to at the start, `most` at the most: those that all GETs go through, and
+        the caches where they are so few. One of thousands would go idle before its first GET.
         """
-        caches = sorted(self.group("cache"), key=lambda n: mixed(n.label, self.seed % 2**32))
-        nodes = [*self.group("origin"), *self.group("parent"), *caches]
+        nodes, caches = [*self.group("origin"), *self.group("parent")], self.group("cache")
+        if len(nodes) + len(caches) <= most:
+            nodes += caches
         return [node.id for node in nodes[:most]]
 
     def ranking(self, memory, role, key):
--- a/sprucegate/servers/servers.py
+++ b/sprucegate/servers/servers.py
@@ -6,8 +6,6 @@
 come is in the outcome.
 """
 
-from itertools import islice
-
 from sprucegate.interface import Found, Outcome, State
 from sprucegate.servers.lines.transport import Lines
 from sprucegate.servers.place import Place
@@ -57,9 +55,11 @@
         if place.gone and not place.transport.open_connections(place) and self.places.get(place.id) is place:
             del self.places[place.id]
 
-    def warm_up(self, first, now):
-        """Connections before the first GET: to `first`, then to others, with room left for what GETs need."""
-        for at in islice(dict.fromkeys([*first, *self.places]), int(WARMED * self.most)):
+    def warm_up(self, choose, now):
+        """Connections before the first GET, with room left for what GETs need: to all servers where they are so few,
+        else to those of `choose(most)`."""
+        most = int(WARMED * self.most)
+        for at in list(self.places) if len(self.places) <= most else choose(most):
             if at in self.places:
                 self.warm(self.places[at], now)
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -428,3 +428,15 @@
     assert counted["retries_after_full"] == counted["forwards_full"] == 1
     assert counted["gets_shed_unsent"] == counted["gets_shed"] == 1 and not counted["gets_shed_after_attempts"]
     assert counted["clients_closed peer"] == 2
+
+
+def test_a_front_with_thousands_of_caches_starts_within_its_descriptors(tmp_path):
+    box = cache(served)
+    hosts = [host(f"s-{at + 256:x}", box.address, "std") for at in range(3200)]
+    root = cache(served)
+    limits = {**REAL["limits"], "sockets": 128}
+    with Front(tmp_path, *hosts, host("s-1f", root.address, "origin"), limits=limits) as front:
+        for at in range(200):                # another object each, so other caches
+            text = get_text(f"{at:016x}", extra="Connection: close\r\n").replace(b"7f3a9c21", b"%08x" % at)
+            assert front.ask(text)[0] == 200
+            assert len(os.listdir(f"/proc/{front.process.pid}/fd")) <= 128
