Failing test: over HTTP/2 a connect that fails here sheds GETs for a while

Cause: the pool takes any connection that never came up for the server's failure, and refuses what waits and what comes until its reconnect time.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -82,7 +82,7 @@
     """Listens and gives each connection to `talk`, whose end closes it; `heard` has what came in."""
 
     def __init__(self, talk):
-        self.talk, self.heard = talk, queue.Queue()
+        self.talk, self.heard, self.connections = talk, queue.Queue(), []
         self.sock = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self.sock.getsockname()[1]}"
         threading.Thread(target=self._accept, daemon=True).start()
@@ -97,8 +97,13 @@
                 sock, _ = self.sock.accept()
             except OSError:
                 return
+            self.connections.append(sock)
             threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
 
+    def open(self):
+        """Connections that have not ended yet."""
+        return [sock for sock in self.connections if sock.fileno() >= 0]
+
     def _serve(self, sock):
         with sock:
             try:
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -2,12 +2,14 @@
 
 import errno
 import signal
+import socket
 import time
 
 from crossing import key, two
-from helpers import get_text, served
+from helpers import Front, get_text, host, served
 
 from standins.faults import SHORT
+from standins.http2 import Running
 
 # Errors of this machine's own, for a moment, by the calls that may give them (man pages of Linux, section 2).
 FOR_A_MOMENT = [
@@ -36,16 +38,48 @@
         sock.close()
 
 
-def test_no_get_is_lost_where_a_call_fails_for_a_moment(tmp_path):
-    """The n-th call fails, for each n that a GET comes by; the connection to the cache is made anew each time."""
-    lost = []
+def lost(fronts):
+    """What was not answered: the n-th call fails, for each n that a GET comes by, in a front of its own each time."""
+    found = []
     for call, error in FOR_A_MOMENT:
-        front, box, _ = two(tmp_path, served)
-        with front:
+        with fronts() as front:
             for after in range(4):
                 if not answered(front, call, error, after):
-                    lost.append((call, errno.errorcode.get(error, "SHORT"), after))
-    assert not lost
+                    found.append((call, errno.errorcode.get(error, "SHORT"), after))
+    return found
+
+
+def test_no_get_is_lost_where_a_call_fails_for_a_moment(tmp_path):
+    assert lost(lambda: two(tmp_path, served)[0]) == []
+
+
+def test_none_is_over_http2_either(tmp_path):
+    boxes = [Running(name="s-0b"), Running(name="s-1f")]
+    try:
+        assert lost(lambda: Front(
+            tmp_path, host("s-0b", boxes[0].address, "std"), host("s-1f", boxes[1].address, "origin"),
+            kdl="servers {\n speak http2 kind=std\n speak http2 kind=origin\n}\n")) == []
+    finally:
+        for box in boxes:
+            box.stop()
+
+
+def test_a_connection_that_can_not_be_begun_for_want_of_something_here_blames_no_cache(tmp_path):
+    """The GET after it goes there at once: a cache taken for unreachable is left alone for a second."""
+    for call, error in (("connect", errno.EADDRNOTAVAIL), ("connect", errno.ENETUNREACH), ("socket", errno.EMFILE)):
+        front, box, _ = two(tmp_path, served)
+        with front:
+            text = get_text(key(1), extra="Connection: close\r\n")
+            assert front.ask(text)[0] == 200 and box.heard.get(timeout=5)[0] == b"serve"
+            for connection in box.open():
+                connection.shutdown(socket.SHUT_RDWR)
+            time.sleep(0.1)
+            front.faults.fail(call, error, 1)
+            front.ask(get_text(key(2), extra="Connection: close\r\n"))
+            while not box.heard.empty():
+                box.heard.get()
+            other = get_text(key(3)).replace(b"7f3a9c21", b"00000001")       # of which there is no own copy
+            assert front.ask(other)[0] == 200 and box.heard.get(timeout=1)[0] == b"serve"
 
 
 def test_who_stands_in_the_queue_at_a_stop_is_served_though_descriptors_are_short(tmp_path):
