HTTP/2: a connection that this side could not begin blames no server

Change: for want of a descriptor, a port or memory the pool tries again after 10 ms without a failure of the server; what waits, or comes meanwhile, waits within its bound. The shim's EINTR of connect goes on as the system's does.

--- a/sprucegate/servers/http2/pool.py
+++ b/sprucegate/servers/http2/pool.py
@@ -11,6 +11,8 @@
 
 from sprucegate.interface import Outcome
 
+LACKING = 10_000_000    # nanoseconds until a connection is tried again that this side could not begin
+
 
 class Phase(IntEnum):
     OPENING = 0         # dialled, or up without the peer's SETTINGS
@@ -68,6 +70,7 @@
         self.limits, self.label = limits, f"{instance}/{server}"
         self.connections, self.waiting, self.number, self.draws = {}, OrderedDict(), 0, 0
         self.failures, self.again, self.left_for_good, self.in_reach = 0, 0, False, True
+        self.lacking = False                 # whether `again` is for want of something on this side
 
     # What happens.
 
@@ -78,7 +81,8 @@
         """A forward wants a stream."""
         if self.left_for_good:
             return [Refuse(forward, Outcome.NOT_SENT)]
-        if not any(c.phase is not Phase.DRAINING for c in self.connections.values()) and now < self.again:
+        serving = any(c.phase is not Phase.DRAINING for c in self.connections.values())
+        if not serving and now < self.again and not self.lacking:
             # At once: a server that is known not to be had is not waited for.
             return [Refuse(forward, self._away())]
         if not self.waiting and (best := self._best()) is not None:
@@ -154,6 +158,12 @@
             self._failed(now)
         return self._after_loss(now)
 
+    def lacked(self, number, now):
+        """A connection could not be begun for want of something on this side: what waits for it waits on."""
+        del self.connections[number]
+        self.lacking, self.again = True, now + LACKING
+        return []
+
     def leave(self, now):
         """The server has gone from the list: what is open there may yet be answered."""
         self.left_for_good, said = True, [Refuse(forward, Outcome.NOT_SENT) for forward in self.waiting]
@@ -190,6 +200,8 @@
         """When `due` wants to be called, or None. Never later than the first of its reasons."""
         limits = self.limits
         times = [next(iter(self.waiting.values()))] if self.waiting else []
+        if self.waiting and self.lacking and not self._opening():
+            times.append(self.again)
         for at in self.connections.values():
             if at.phase is Phase.OPENING:
                 continue
@@ -274,6 +286,7 @@
         """Growing waits, spread out: all fronts lose a server at once, and must not come back at once."""
         most = min(self.limits.reconnect_most, self.limits.reconnect_first << min(self.failures, 40))
         self.failures += 1
+        self.lacking = False
         self.again = now + int(most * (0.5 + 0.5 * self._chance()))
 
     def _away(self):
--- a/sprucegate/servers/http2/transport.py
+++ b/sprucegate/servers/http2/transport.py
@@ -36,11 +36,12 @@
 
 class H2Connection:
     __slots__ = ("place", "number", "sock", "session", "task", "up", "closed", "writing", "flushes", "watched",
-                 "in_reach", "blocked", "made")
+                 "in_reach", "blocked", "made", "lacking")
 
     def __init__(self, place, number, session):
         self.place, self.number, self.session, self.sock, self.task = place, number, session, None, None
         self.up = self.closed = self.writing = self.flushes = self.watched = self.in_reach = self.blocked = False
+        self.lacking = False                 # it could not be begun for want of something on this side
         self.made = 0                        # when it came up
 
 
@@ -186,7 +187,7 @@
         session = Session(self.limits.held, self.driver.clock())
         connection = place.held.connections[number] = H2Connection(place, number, session)
         if not self.servers.room():
-            connection.in_reach = True       # nothing is known of the server
+            connection.lacking = True        # nothing is known of the server
             self.loop.call_soon(self._ended, connection, "no room for another connection")
             self.servers.connections += 1
             return
@@ -204,7 +205,7 @@
             async with asyncio.timeout(self.limits.connect / 1e9):
                 await self.loop.sock_connect(sock, connection.place.address)
         except (OSError, UnicodeError) as fault:     # a TimeoutError is one; or the name can't be one
-            connection.in_reach = isinstance(fault, ConnectionResetError) or is_local(fault)
+            connection.in_reach, connection.lacking = isinstance(fault, ConnectionResetError), is_local(fault)
             why = f"{type(fault).__name__}: {fault}"
         if connection.closed:
             return
@@ -366,8 +367,9 @@
             self.log("cache_connection_lost" if session.ready else "cache_unreachable", cache=place.name,
                      forwards=len(streams), why=why)
         if connection.number in place.held.pool.connections:
-            reached = connection.up or connection.in_reach
-            self._do(place, place.held.pool.lost(connection.number, reached, now))
+            pool, reached = place.held.pool, connection.up or connection.in_reach
+            self._do(place, pool.lacked(connection.number, now) if connection.lacking
+                     else pool.lost(connection.number, reached, now))
         self.servers.forget(place)
         for stream in streams:
             self._tell(stream.out.out, evidence.of_end(session.written(stream), stream.id, session.last), now)
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -85,7 +85,14 @@
             super().__init__(family, type, proto, fileno)
 
         def connect(self, address):
-            injected.due("connect")
+            try:
+                injected.due("connect")
+            except InterruptedError:         # it goes on behind the caller's back, as connect(2) says
+                try:
+                    super().connect(address)
+                except BlockingIOError:
+                    pass
+                raise
             return super().connect(address)
 
         def accept(self):
--- a/tests/test_http2_pool.py
+++ b/tests/test_http2_pool.py
@@ -247,6 +247,13 @@
         self.state[number], self.open[number] = "closed", set()
         self.do(self.pool.lost(number, reached, self.now))
 
+    @precondition(lambda self: self.some("opening"))
+    @rule(data=st.data())
+    def can_not_be_begun_here(self, data):
+        number = data.draw(st.sampled_from(self.some("opening")))
+        self.state[number], self.open[number] = "closed", set()
+        self.do(self.pool.lacked(number, self.now))
+
     @precondition(lambda self: self.some("up"))
     @rule(data=st.data(), blocked=st.booleans())
     def stops_reading(self, data, blocked):
@@ -278,3 +285,26 @@
 
 TestPool = PoolMachine.TestCase
 TestPool.settings = profile(max_examples=150, stateful_step_count=60, deadline=None, derandomize=True)
+
+
+def test_what_waits_for_a_connection_that_this_side_could_not_begin_waits_on():
+    made = Pool(Limits(), 1, "n0")
+    assert made.ask("a", NOW) == [Open(1)]
+    assert made.lacked(1, NOW) == [] and made.next_due() == NOW + 10 * MS
+    assert made.ask("b", NOW + MS) == []                    # nor is what comes meanwhile refused
+    assert made.due(NOW + 10 * MS) == [Open(2)]
+    assert [one.forward for one in made.opened(2, 100, NOW + 11 * MS)] == ["a", "b"] and not made.failures
+
+
+def test_what_a_lack_here_leaves_waiting_has_its_bound():
+    made = Pool(Limits(), 1, "n0")
+    made.ask("a", NOW)
+    for at in range(0, 400, 10):
+        for one in made.due(NOW + at * MS):
+            if isinstance(one, Refuse):
+                assert one == Refuse("a", Outcome.FULL) and at == 300
+                return
+            made.lacked(one.connection, NOW + at * MS)
+        if at == 0:
+            made.lacked(1, NOW)
+    raise AssertionError("it waits for good")
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -38,10 +38,10 @@
         sock.close()
 
 
-def lost(fronts):
+def lost(fronts, calls=FOR_A_MOMENT):
     """What was not answered: the n-th call fails, for each n that a GET comes by, in a front of its own each time."""
     found = []
-    for call, error in FOR_A_MOMENT:
+    for call, error in calls:
         with fronts() as front:
             for after in range(4):
                 if not answered(front, call, error, after):
@@ -53,17 +53,29 @@
     assert lost(lambda: two(tmp_path, served)[0]) == []
 
 
-def test_none_is_over_http2_either(tmp_path):
+# uvloop's sock_connect takes EAGAIN for a connection that is on its way, and the socket is none: so does a front.
+NOT_TOLD_APART = ("connect", errno.EAGAIN)
+
+
+def lost_over_http2(path, calls):
     boxes = [Running(name="s-0b"), Running(name="s-1f")]
     try:
-        assert lost(lambda: Front(
-            tmp_path, host("s-0b", boxes[0].address, "std"), host("s-1f", boxes[1].address, "origin"),
-            kdl="servers {\n speak http2 kind=std\n speak http2 kind=origin\n}\n")) == []
+        return lost(lambda: Front(
+            path, host("s-0b", boxes[0].address, "std"), host("s-1f", boxes[1].address, "origin"),
+            kdl="servers {\n speak http2 kind=std\n speak http2 kind=origin\n}\n"), calls)
     finally:
         for box in boxes:
             box.stop()
 
 
+def test_none_is_over_http2_either(tmp_path):
+    assert lost_over_http2(tmp_path, [one for one in FOR_A_MOMENT if one != NOT_TOLD_APART]) == []
+
+
+def test_nor_by_a_connect_that_should_be_tried_again(tmp_path):
+    assert lost_over_http2(tmp_path, [NOT_TOLD_APART]) == []
+
+
 def test_a_connection_that_can_not_be_begun_for_want_of_something_here_blames_no_cache(tmp_path):
     """The GET after it goes there at once: a cache taken for unreachable is left alone for a second."""
     for call, error in (("connect", errno.EADDRNOTAVAIL), ("connect", errno.ENETUNREACH), ("socket", errno.EMFILE)):
