--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -6,14 +6,15 @@
 
 import click
 
-NAMES = ("http2", "front", "serverfiles", "replication", "rollout", "views", "shares", "scale", "soak")
+NAMES = ("http2", "front", "serverfiles", "replication", "rollout", "views", "shares", "scale", "soak", "same")
 
 
 # Figures that count broken promises: each is to be 0.
 BROKEN = frozenset({
     "over_budget", "committed_lost", "two_leaders", "votes_twice", "sent_to_drained", "granted_halted", "without_end",
     "last_gone", "gets_lost", "late_sends_to_drained", "guard_facts_lost", "promises_broken", "places_over",
-    "late_sheds", "orders_twice", "wrong_standing", "healthy_called_gone", "false_halts", "violations"})
+    "late_sheds", "orders_twice", "wrong_standing", "healthy_called_gone", "false_halts", "violations",
+    "apart"})
 
 
 def broken(figures):
@@ -23,7 +24,7 @@
 
 @click.command()
 @click.argument("name", type=click.Choice(NAMES))
-@click.option("--against", default="db87e09", show_default=True, help="The revision that `front` is paired with.")
+@click.option("--against", default="db87e09", show_default=True, help="The revision that `front` and `same` are paired with.")
 @click.option("--quick", is_flag=True, help="Fewer GETs: tells the order of a figure, not its second digit.")
 @click.option("--seed", default=1, show_default=True, help="Of a soak's schedule.")
 @click.option("--seconds", default=120, show_default=True, help="Of a soak.")
@@ -32,7 +33,7 @@
 @click.option("--replay", type=click.Path(exists=True), help="A soak's schedule that was kept.")
 @click.option("--keep", type=click.Path(), help="A folder for what a soak that failed leaves.")
 def main(name, quick, against, **soak):
-    more = {"front": {"against": against}, "soak": soak}.get(name, {})
+    more = {"front": {"against": against}, "same": {"against": against}, "soak": soak}.get(name, {})
     figures = importlib.import_module(f"benchmarks.{name}").measure(quick, **more)
     print(json.dumps(figures))
     if found := broken(figures):
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -23,21 +23,14 @@
 
 import uvloop
 
+from benchmarks import http2_closes
 from standins.faults import SHORT, Faults
 from standins.ports import free_port
 from standins.soak import clients, judge, schedule
 from standins.soak.schedule import Trouble
 
 CACHES, PARENTS = 6, 2
-SETTINGS = {
-    "allowed": {"cancel": True, "connectTimeout": 400_000, "keepalive": 15_000_000, "attemptsCap": 6},
-    "categories": [
-        {"name": "media", "aim": 400_000, "effect": "pure", "worth": 2.0, "deadline": 3_000_000},
-        {"name": "order", "aim": 400_000, "effect": "side_effect", "worth": 3.0, "deadline": 3_000_000}],
-    "failureDomains": ["here"], "shapes": ["std", "parent", "origin"], "myZone": 0,
-    "specifics": {"clientKbPerS": 1000.0, "shieldKind": 1, "storeKind": 2, "goesThrough": [False, True],
-                  "straight": True, "classFresh": [0, 0], "usableAfter": [0, 0], "neighbours": "location"},
-}
+SETTINGS = {**http2_closes.SETTINGS, "allowed": {**http2_closes.SETTINGS["allowed"], "connectTimeout": 400_000}}
 NEVER = 1e12
 READY_IN = 10.0         # seconds in which nine of ten restarted fronts have to be ready
 
--- a/tests/test_benchmarks.py
+++ b/tests/test_benchmarks.py
@@ -15,3 +15,12 @@
                         lambda name: SimpleNamespace(measure=lambda quick: figures))
     said = CliRunner().invoke(benchmarks.main, ["rollout"])
     assert said.exit_code == status and ("broken" in said.output) is bool(status)
+
+
+def test_walks_are_alike_by_seed_and_tell_a_changed_decision(monkeypatch):
+    from benchmarks.same import Walk
+    from sprucegate import rules
+    first = Walk(1).run(400)
+    assert Walk(1).run(400) == first != Walk(2).run(400)
+    monkeypatch.setattr(rules, "RETRY_SHARE", 0.1)
+    assert Walk(1).run(400) != first
