--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -6,15 +6,45 @@
 
 import click
 
-NAMES = ("http2", "front", "serverfiles", "replication", "rollout", "views", "shares", "scale", "soak", "same")
+NAMES = (
+    "http2",
+    "front",
+    "serverfiles",
+    "replication",
+    "rollout",
+    "views",
+    "shares",
+    "scale",
+    "soak",
+    "same",
+)
 
 
 # Figures that count broken promises: each is to be 0.
-BROKEN = frozenset({
-    "over_budget", "committed_lost", "two_leaders", "votes_twice", "sent_to_drained", "granted_halted", "without_end",
-    "last_gone", "gets_lost", "late_sends_to_drained", "guard_facts_lost", "promises_broken", "places_over",
-    "late_sheds", "orders_twice", "wrong_standing", "healthy_called_gone", "false_halts", "violations",
-    "apart"})
+BROKEN = frozenset(
+    {
+        "over_budget",
+        "committed_lost",
+        "two_leaders",
+        "votes_twice",
+        "sent_to_drained",
+        "granted_halted",
+        "without_end",
+        "last_gone",
+        "gets_lost",
+        "late_sends_to_drained",
+        "guard_facts_lost",
+        "promises_broken",
+        "places_over",
+        "late_sheds",
+        "orders_twice",
+        "wrong_standing",
+        "healthy_called_gone",
+        "false_halts",
+        "violations",
+        "apart",
+    }
+)
 
 
 def broken(figures):
@@ -24,7 +54,12 @@
 
 @click.command()
 @click.argument("name", type=click.Choice(NAMES))
-@click.option("--against", default="db87e09", show_default=True, help="The revision that `front` and `same` are paired with.")
+@click.option(
+    "--against",
+    default="db87e09",
+    show_default=True,
+    help="The revision that `front` and `same` are paired with.",
+)
 @click.option("--quick", is_flag=True, help="Fewer GETs: tells the order of a figure, not its second digit.")
 @click.option("--seed", default=1, show_default=True, help="Of a soak's schedule.")
 @click.option("--seconds", default=120, show_default=True, help="Of a soak.")
--- a/benchmarks/exchange.py
+++ b/benchmarks/exchange.py
@@ -15,12 +15,25 @@
 
 CACHES, PARENTS, ORIGIN = tuple(range(11, 19)), (21, 22), 31
 SETTINGS = {
-    "my_location": 0, "parent_kind": 2, "origin_kind": 3, "siblings": "any", "latency_objective": [150 * MS],
-    "revenue": [1.0], "effect": ["idempotent"], "runs_at_origin": [False], "fresh_time": [0], "max_forwards": 3,
-    "tells": "all", "cold_share": 0.2, "warm_time": 5 * S, "fall_time": S, "fall_multiple": 4.0, "parent_warm_time": 0,
+    "my_location": 0,
+    "parent_kind": 2,
+    "origin_kind": 3,
+    "siblings": "any",
+    "latency_objective": [150 * MS],
+    "revenue": [1.0],
+    "effect": ["idempotent"],
+    "runs_at_origin": [False],
+    "fresh_time": [0],
+    "max_forwards": 3,
+    "tells": "all",
+    "cold_share": 0.2,
+    "warm_time": 5 * S,
+    "fall_time": S,
+    "fall_multiple": 4.0,
+    "parent_warm_time": 0,
 }
 TIMES = {"hit": 15 * MS, "sibling": 25 * MS, "parent": 60 * MS, "origin": 300 * MS}
-OBJECTS, RATE = 2000, 600       # and GETs a second over all fronts
+OBJECTS, RATE = 2000, 600  # and GETs a second over all fronts
 
 
 class World:
@@ -54,7 +67,12 @@
         """The list changes: each front hears late by itself, or all by the first that hears."""
         late = [int(self.chance.random() * 4 * S) for _ in self.routers]
         for at, wait in enumerate(late):
-            self.at(self.now + (wait if self.mode == "off" else min(late) + 20 * MS), self.hears, at, self.entry(cache))
+            self.at(
+                self.now + (wait if self.mode == "off" else min(late) + 20 * MS),
+                self.hears,
+                at,
+                self.entry(cache),
+            )
 
     def hears(self, at, entry):
         self.routers[at].listed([entry], False, self.now)
@@ -88,8 +106,13 @@
         return "origin", TIMES["origin"]
 
     def ends(self, router, get, sent, what, spent, begun):
-        found = {"hit": Found.HIT, "sibling": Found.FILLED, "parent": Found.FILLED, "origin": Found.FILLED_BY_ORIGIN,
-                 "lacking": Found.SOURCE_LACKS}[what]
+        found = {
+            "hit": Found.HIT,
+            "sibling": Found.FILLED,
+            "parent": Found.FILLED,
+            "origin": Found.FILLED_BY_ORIGIN,
+            "lacking": Found.SOURCE_LACKS,
+        }[what]
         outcome = Outcome.MISS if what == "lacking" else Outcome.RETURNED
         self.counts[what] += self.counting
         if outcome is Outcome.RETURNED:
@@ -98,7 +121,9 @@
                     self.holds[at].add(get.asked.object)
             self.counts["in_time"] += self.counting and self.now - begun <= SETTINGS["latency_objective"][0]
         waited = spent - TIMES["hit"] if what not in ("hit", "lacking") else 0
-        self.done(router, get, get.ended(sent.number, outcome, found, spent, waited, {}, False, self.now), begun)
+        self.done(
+            router, get, get.ended(sent.number, outcome, found, spent, waited, {}, False, self.now), begun
+        )
 
     def exchange(self):
         self.at(self.now + S, self.exchange)
@@ -126,5 +151,7 @@
     world.news(11)
     world.routers[0] = world.fresh(0)
     world.run(40 * S)
-    return {**{what: world.counts[what] for what in ("gets", "hit", "sibling", "parent", "origin", "in_time")},
-            "to_drained": drained}
+    return {
+        **{what: world.counts[what] for what in ("gets", "hit", "sibling", "parent", "origin", "in_time")},
+        "to_drained": drained,
+    }
--- a/benchmarks/front.py
+++ b/benchmarks/front.py
@@ -58,25 +58,47 @@
     with socket.create_server(("127.0.0.1", 0)) as free:
         port = free.getsockname()[1]
     config = Path(path, "front.json")
-    config.write_text(json.dumps({
-        "name": "n0", "seed": "7f", "listen": f"127.0.0.1:{port}", "bus": bus, "flow_bytes_per_s": 1e7,
-        "link_bytes_per_s": 1e8, "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": SETTINGS,
-        "known": {"offset": 1, "batch": [{"offset": 1, "topology": {"seq": 1, "whole": True, "hosts": hosts}}]}}))
-    process = subprocess.Popen([sys.executable, "-m", "sprucegate"], cwd=folder, stdout=subprocess.PIPE, text=True,
-                               env={**os.environ, "BALANCER_CONFIG": str(config), "PYTHONPATH": str(folder)})
+    config.write_text(
+        json.dumps(
+            {
+                "name": "n0",
+                "seed": "7f",
+                "listen": f"127.0.0.1:{port}",
+                "bus": bus,
+                "flow_bytes_per_s": 1e7,
+                "link_bytes_per_s": 1e8,
+                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+                "settings": SETTINGS,
+                "known": {
+                    "offset": 1,
+                    "batch": [{"offset": 1, "topology": {"seq": 1, "whole": True, "hosts": hosts}}],
+                },
+            }
+        )
+    )
+    process = subprocess.Popen(
+        [sys.executable, "-m", "sprucegate"],
+        cwd=folder,
+        stdout=subprocess.PIPE,
+        text=True,
+        env={**os.environ, "BALANCER_CONFIG": str(config), "PYTHONPATH": str(folder)},
+    )
     try:
         for line in process.stdout:
             if json.loads(line)["event"] == "ready":
                 break
         threading.Thread(target=process.stdout.read, daemon=True).start()
-        time.sleep(0.3)                      # what the start still does
+        time.sleep(0.3)  # what the start still does
         memory, failed = _memory(process.pid), 0
         connection = http.client.HTTPConnection("127.0.0.1", port)
         for n in range(200 + gets):
             if n == 200:
                 cpu = _stat(process.pid)
-            connection.request("GET", f"/svc/media/{n % 700 + 1:x}/slice-0", headers={
-                "X-Call-Id": f"{n:016x}", "X-Patience-Ms": "3000", "X-Set": "1", "X-Heap-Kb": "1"})
+            connection.request(
+                "GET",
+                f"/svc/media/{n % 700 + 1:x}/slice-0",
+                headers={"X-Call-Id": f"{n:016x}", "X-Patience-Ms": "3000", "X-Set": "1", "X-Heap-Kb": "1"},
+            )
             answer = connection.getresponse()
             answer.read()
             failed += answer.status != 200
@@ -90,26 +112,52 @@
 def measure(quick, against):
     gets, turns = (2000, 3) if quick else (6000, 7)
     servers = [Process("lines") for _ in range(3)]
-    hosts = [{"host": name, "dial": one.address, "site": "here", "class": kind, "block": 0, "health": "up",
-              "share": 1.0, "born_ms": 0}
-             for (name, kind), one in zip((("s-01", "std"), ("s-02", "std"), ("s-31", "origin")), servers, strict=True)]
+    hosts = [
+        {
+            "host": name,
+            "dial": one.address,
+            "site": "here",
+            "class": kind,
+            "block": 0,
+            "health": "up",
+            "share": 1.0,
+            "born_ms": 0,
+        }
+        for (name, kind), one in zip(
+            (("s-01", "std"), ("s-02", "std"), ("s-31", "origin")), servers, strict=True
+        )
+    ]
     bus, found = _Bus(), {"before": [], "after": []}
     with tempfile.TemporaryDirectory() as folder:
-        archive = subprocess.run(["git", "archive", against, "sprucegate"], check=True, stdout=subprocess.PIPE).stdout
+        archive = subprocess.run(
+            ["git", "archive", against, "sprucegate"], check=True, stdout=subprocess.PIPE
+        ).stdout
         subprocess.run(["tar", "-x", "-C", folder], input=archive, check=True)
         try:
             for turn in range(turns):
                 order = list(found) if turn % 2 else list(found)[::-1]
                 for name in order:
-                    found[name].append(_turn(folder if name == "before" else os.getcwd(), folder, hosts, bus.address,
-                                             gets))
+                    found[name].append(
+                        _turn(folder if name == "before" else os.getcwd(), folder, hosts, bus.address, gets)
+                    )
                 print(f"turn {turn + 1}:", {k: v[-1] for k, v in found.items()}, flush=True)
         finally:
             for one in servers:
                 one.stop()
-    middle = {name: [statistics.median(column) for column in zip(*rows, strict=True)] for name, rows in found.items()}
+    middle = {
+        name: [statistics.median(column) for column in zip(*rows, strict=True)]
+        for name, rows in found.items()
+    }
     before, after = middle["before"], middle["after"]
-    return {"against": against, "turns": turns, "gets_a_turn": gets, "memory_kb_before": before[0],
-            "memory_kb_after": after[0], "memory_kb_up": after[0] - before[0], "cpu_us_before": round(before[1], 1),
-            "cpu_us_after": round(after[1], 1), "cpu_ratio": round(after[1] / before[1], 3),
-            "failed": int(sum(row[2] for rows in found.values() for row in rows))}
+    return {
+        "against": against,
+        "turns": turns,
+        "gets_a_turn": gets,
+        "memory_kb_before": before[0],
+        "memory_kb_after": after[0],
+        "memory_kb_up": after[0] - before[0],
+        "cpu_us_before": round(before[1], 1),
+        "cpu_us_after": round(after[1], 1),
+        "cpu_ratio": round(after[1] / before[1], 3),
+        "failed": int(sum(row[2] for rows in found.values() for row in rows)),
+    }
--- a/benchmarks/http2.py
+++ b/benchmarks/http2.py
@@ -26,13 +26,15 @@
 
 async def _load(address, speaks, connections, rate, seconds):
     gc.collect()
-    gc.freeze()                              # as the front does
+    gc.freeze()  # as the front does
     gc.set_threshold(20_000, 20, 100)
-    limits = Limits(connections=connections, streams=2000, waiting=2000, open_above=0.0, wait=5 * S, stalled=10 * S)
+    limits = Limits(
+        connections=connections, streams=2000, waiting=2000, open_above=0.0, wait=5 * S, stalled=10 * S
+    )
     lines_transport.CONNECTIONS = connections
     recorder = Recorder({1: address}, speaks, limits, max_streams=2000, connect_timeout=2 * S)
     loop, latencies, worst = asyncio.get_running_loop(), HdrHistogram(1, 60_000_000, 3), 0
-    for n in range(200):                     # connections come up, tables fill
+    for n in range(200):  # connections come up, tables fill
         await recorder.end(recorder.send(1, f"{n:016x}", timeout=20 * S)) if n < connections * 2 else None
     recorder.servers.sweep(recorder.clock())
     begun, cpu, ends, count = loop.time(), time.process_time(), [], int(rate * seconds)
@@ -54,8 +56,14 @@
     used = len(place.held) if speaks == "lines" else len(place.held.connections)
     recorder.servers.stop()
     worst = latencies.get_value_at_percentile(99) / 1000
-    return {"cpu_us": cpu / count * 1e6, "p50_ms": latencies.get_value_at_percentile(50) / 1000, "p99_ms": worst,
-            "open": most, "connections": used, "not_returned": bad}
+    return {
+        "cpu_us": cpu / count * 1e6,
+        "p50_ms": latencies.get_value_at_percentile(50) / 1000,
+        "p99_ms": worst,
+        "open": most,
+        "connections": used,
+        "not_returned": bad,
+    }
 
 
 def side_by_side(connections, rate, service, seconds):
@@ -73,7 +81,9 @@
 async def _most(address, speaks, seconds):
     """GETs a second with 100 always open on one connection: where the transport's own cost sets the limit."""
     lines_transport.CONNECTIONS = 1
-    recorder = Recorder({1: address}, speaks, Limits(connections=1, streams=200, stalled=10 * S), max_streams=200)
+    recorder = Recorder(
+        {1: address}, speaks, Limits(connections=1, streams=200, stalled=10 * S), max_streams=200
+    )
     end, done = time.monotonic() + seconds, 0
 
     async def one(number):
@@ -116,16 +126,23 @@
             print(f"{speaks} over {connections}:", {k: round(v, 2) for k, v in one.items()}, flush=True)
             figures.update({f"{speaks}_{connections}_{k}": round(v, 3) for k, v in one.items()})
     over = {speaks: one["p99_ms"] - service * 1000 for speaks, one in both.items()}
-    figures |= {"p99_ratio": round(both["http2"]["p99_ms"] / both["lines"]["p99_ms"], 3),
-                "p99_over_service_ratio": round(over["http2"] / over["lines"], 2),
-                "cpu_ratio": round(both["http2"]["cpu_us"] / both["lines"]["cpu_us"], 2),
-                "connections": both["http2"]["connections"], "open_gets": both["http2"]["open"]}
+    figures |= {
+        "p99_ratio": round(both["http2"]["p99_ms"] / both["lines"]["p99_ms"], 3),
+        "p99_over_service_ratio": round(over["http2"] / over["lines"], 2),
+        "cpu_ratio": round(both["http2"]["cpu_us"] / both["lines"]["cpu_us"], 2),
+        "connections": both["http2"]["connections"],
+        "open_gets": both["http2"]["open"],
+    }
     for speaks in ("lines", "http2"):
         process = Process(speaks, **({"limit": 2000} if speaks == "http2" else {}))
         most = uvloop.run(_most(process.address, speaks, 2 if quick else 8))
         process.stop()
         print(f"{speaks} at most:", {k: round(v) for k, v in most.items()}, flush=True)
-        figures.update({f"{speaks}_most_per_second": round(most["per_second"]),
-                        f"{speaks}_most_cpu_us": round(most["cpu_us"])})
+        figures.update(
+            {
+                f"{speaks}_most_per_second": round(most["per_second"]),
+                f"{speaks}_most_cpu_us": round(most["cpu_us"]),
+            }
+        )
     figures.update({f"{name}_kb_a_connection": round(kb, 1) for name, kb in memory_a_connection().items()})
     return figures
--- a/benchmarks/http2_closes.py
+++ b/benchmarks/http2_closes.py
@@ -36,10 +36,21 @@
     "allowed": {"cancel": True, "connectTimeout": 200_000, "keepalive": 15_000_000, "attemptsCap": 6},
     "categories": [
         {"name": "media", "aim": 400_000, "effect": "pure", "worth": 2.0, "deadline": 3_000_000},
-        {"name": "order", "aim": 400_000, "effect": "side_effect", "worth": 3.0, "deadline": 3_000_000}],
-    "failureDomains": ["here"], "shapes": ["std", "parent", "origin"], "myZone": 0,
-    "specifics": {"clientKbPerS": 1000.0, "shieldKind": 1, "storeKind": 2, "goesThrough": [False, True],
-                  "straight": True, "classFresh": [0, 0], "usableAfter": [0, 0], "neighbours": "location"},
+        {"name": "order", "aim": 400_000, "effect": "side_effect", "worth": 3.0, "deadline": 3_000_000},
+    ],
+    "failureDomains": ["here"],
+    "shapes": ["std", "parent", "origin"],
+    "myZone": 0,
+    "specifics": {
+        "clientKbPerS": 1000.0,
+        "shieldKind": 1,
+        "storeKind": 2,
+        "goesThrough": [False, True],
+        "straight": True,
+        "classFresh": [0, 0],
+        "usableAfter": [0, 0],
+        "neighbours": "location",
+    },
 }
 
 
@@ -47,7 +58,7 @@
     """A Driver's ends, as it is told them."""
 
     def __init__(self):
-        self.said = {}                       # (id, number) -> Outcome
+        self.said = {}  # (id, number) -> Outcome
 
     def watched(self, driver_class):
         verdicts = self.said
@@ -67,9 +78,11 @@
         call_id, order = work.pop()
         thing = f"{chance.randrange(1, 400):x}"
         body = b"o" * 200 if order else b""
-        text = (f"{'PUT' if order else 'GET'} /svc/{'order' if order else 'media'}/{thing}/slice-0 HTTP/1.1\r\n"
-                f"Host: a\r\nX-Call-Id: {call_id}\r\nX-Patience-Ms: 3000\r\nX-Set: 1\r\nX-Heap-Kb: 1\r\n"
-                f"Content-Length: {len(body)}\r\n\r\n").encode() + body
+        text = (
+            f"{'PUT' if order else 'GET'} /svc/{'order' if order else 'media'}/{thing}/slice-0 HTTP/1.1\r\n"
+            f"Host: a\r\nX-Call-Id: {call_id}\r\nX-Patience-Ms: 3000\r\nX-Set: 1\r\nX-Heap-Kb: 1\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        ).encode() + body
         begun, status = time.monotonic(), 0
         try:
             async with asyncio.timeout(5):
@@ -84,8 +97,14 @@
                         raise ConnectionError
                     held += data
                 head, _, got = held.partition(b"\r\n\r\n")
-                length = next((int(line[15:]) for line in head.lower().split(b"\r\n")
-                               if line.startswith(b"content-length:")), 0)
+                length = next(
+                    (
+                        int(line[15:])
+                        for line in head.lower().split(b"\r\n")
+                        if line.startswith(b"content-length:")
+                    ),
+                    0,
+                )
                 while len(got) < length:
                     if not (data := await loop.sock_recv(sock, 65_536)):
                         raise ConnectionError
@@ -124,13 +143,35 @@
     tells = loop.create_task(_bus(listener))
     with socket.create_server(("127.0.0.1", 0)) as free:
         address = free.getsockname()
-    hosts = [{"host": name, "dial": process.address, "site": "here", "class": kind, "block": 0, "health": "up",
-              "share": 1.0, "born_ms": 0} for name, kind, process in servers]
-    wanted = configuration.wanted({
-        "name": "n0", "seed": f"{seed:x}", "listen": f"127.0.0.1:{address[1]}",
-        "bus": f"127.0.0.1:{listener.getsockname()[1]}", "flow_bytes_per_s": 1e7, "link_bytes_per_s": 1e8,
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": SETTINGS,
-        "known": {"offset": 1, "batch": [{"offset": 1, "topology": {"seq": 1, "whole": True, "hosts": hosts}}]}})
+    hosts = [
+        {
+            "host": name,
+            "dial": process.address,
+            "site": "here",
+            "class": kind,
+            "block": 0,
+            "health": "up",
+            "share": 1.0,
+            "born_ms": 0,
+        }
+        for name, kind, process in servers
+    ]
+    wanted = configuration.wanted(
+        {
+            "name": "n0",
+            "seed": f"{seed:x}",
+            "listen": f"127.0.0.1:{address[1]}",
+            "bus": f"127.0.0.1:{listener.getsockname()[1]}",
+            "flow_bytes_per_s": 1e7,
+            "link_bytes_per_s": 1e8,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "settings": SETTINGS,
+            "known": {
+                "offset": 1,
+                "batch": [{"offset": 1, "topology": {"seq": 1, "whole": True, "hosts": hosts}}],
+            },
+        }
+    )
     wanted = wanted._replace(servers=parse(KDL, "soak").servers.resolved(wanted.kinds))
     chance, ends, events, ready = random.Random(seed), {}, Counter(), asyncio.Event()
 
@@ -165,8 +206,10 @@
     with tempfile.TemporaryDirectory() as folder:
         flags = {"queue": 0.004, "service": 0.004, "close_every": close_every, "limit": 60}
         kinds = [("s-01", "std"), ("s-02", "std"), ("s-03", "std"), ("s-21", "parent"), ("s-31", "origin")]
-        servers = [(name, kind, Process("http2", seed=seed + at, ran=Path(folder, name), name=name, **flags))
-                   for at, (name, kind) in enumerate(kinds)]
+        servers = [
+            (name, kind, Process("http2", seed=seed + at, ran=Path(folder, name), name=name, **flags))
+            for at, (name, kind) in enumerate(kinds)
+        ]
         try:
             orders, ends, events, seconds = uvloop.run(_run(gets, clients, seed, servers, verdicts))
         finally:
@@ -183,16 +226,21 @@
     ran = Counter((call_id, int(attempt)) for call_id, attempt, _ in lines)
     ran_ids = Counter(call_id for call_id, _, _ in lines)
     never = {key for key, outcome in said.items() if outcome.never_ran}
-    maybe = {key for key, outcome in said.items()
-             if outcome in (Outcome.RESET, Outcome.TIMED_OUT, Outcome.ERROR)}
+    maybe = {
+        key for key, outcome in said.items() if outcome in (Outcome.RESET, Outcome.TIMED_OUT, Outcome.ERROR)
+    }
     again = {call_id for call_id, _ in never}
     gets = again - orders
     return {
-        "gets": len(ends), "orders": len(orders), "closes": closes, "seconds": round(seconds, 1),
+        "gets": len(ends),
+        "orders": len(orders),
+        "closes": closes,
+        "seconds": round(seconds, 1),
         "orders_duplicated": sum(ran_ids[call_id] > 1 for call_id in orders),
         "gets_lost": sum(status == 0 for status, _ in ends.values()),
         "false_never_ran": sum(key in ran for key in never),
-        "never_ran": len(never), "may_have_run": len(maybe),
+        "never_ran": len(never),
+        "may_have_run": len(maybe),
         "may_have_run_but_had_not": sum(key not in ran for key in maybe),
         "recovered_share": _share(ends, gets),
         "recovered_share_without_later_reset": _share(ends, gets - {call_id for call_id, _ in maybe}),
--- a/benchmarks/replication.py
+++ b/benchmarks/replication.py
@@ -40,7 +40,9 @@
 def schedules(count, pool):
     """Fault schedules of 5 to 200 fronts: most of them small, as the large ones take longest."""
     sizes = [(5, 0.62), (9, 0.3), (20, 0.06), (50, 0.015), (200, 0.005)]
-    wanted = [(seed, size, (0.0, 0.1, 0.3)[seed % 3]) for size, share in sizes for seed in range(int(count * share))]
+    wanted = [
+        (seed, size, (0.0, 0.1, 0.3)[seed % 3]) for size, share in sizes for seed in range(int(count * share))
+    ]
     broken = sum(pool.map(_one, sorted(wanted, key=lambda w: -w[1]), chunksize=1))
     return len(wanted), broken
 
@@ -59,8 +61,11 @@
         acted = []
         while len(acted) < size - 1 and fleet.now < at + 10 * S:
             fleet.run(fleet.now + S // 5)
-            acted = [t - at for t, _, what, *more in fleet.trace[begun:]
-                     if what == "acts" and more[0] == ("purge", "object", number)]
+            acted = [
+                t - at
+                for t, _, what, *more in fleet.trace[begun:]
+                if what == "acts" and more[0] == ("purge", "object", number)
+            ]
         times += [t / MS for t in acted]
         missed += size - 1 - len(acted)
     frames = fleet.network.frames / (fleet.now / S) / size
@@ -78,7 +83,9 @@
         rig.start_all(patience=120)
         times, chance, old, lost, drainer = [], random.Random(size), 0, 0, ""
         for number in range(count):
-            name = drainer if number % 4 == 3 else chance.choice(rig.names)     # who heard the drain hears its end
+            name = (
+                drainer if number % 4 == 3 else chance.choice(rig.names)
+            )  # who heard the drain hears its end
             drainer = name if number % 4 == 1 else drainer
             lines = {n: len(f.lines) for n, f in rig.fronts.items()}
             if number % 2:
@@ -97,7 +104,7 @@
         time.sleep(1)
         line = {n: len(f.lines) for n, f in rig.fronts.items()}
         for n, f in rig.fronts.items():
-            f.until("second", line[n])       # what was counted before is out
+            f.until("second", line[n])  # what was counted before is out
         line = {n: len(f.lines) for n, f in rig.fronts.items()}
         lost += sum(rig.get(n, 0xABCDEF, next(calls), sock)[0] != 200 for n, sock in socks.items())
         for n, f in rig.fronts.items():
@@ -123,9 +130,11 @@
     start = keeping.start()
     keeping.open(0)
     # Purges of just now, old ones the front would put by at once; the same at all, or each dot had several contents.
-    facts = [Fact(("purge", "object", n), (now - n + later,), ("n0", start << 32, n + 1)) for n in range(count)]
+    facts = [
+        Fact(("purge", "object", n), (now - n + later,), ("n0", start << 32, n + 1)) for n in range(count)
+    ]
     assert keeping.begin_snapshot() is None
-    pieces = [packed(facts[at:at + PIECE]) for at in range(0, count, PIECE)]
+    pieces = [packed(facts[at : at + PIECE]) for at in range(0, count, PIECE)]
     assert keeping.finish_snapshot([("n0", start << 32, [1, count + 1])], pieces, time.time_ns()) is None
     keeping.close()
     return sum(map(len, pieces))
@@ -147,34 +156,40 @@
 
 def catch_up(count, size, away):
     """Seconds to live, bytes over the least, longest answer of one that feeds; `away` of `size` return at once."""
-    with tempfile.TemporaryDirectory() as folder, Rig(pathlib.Path(folder), size, kdl="    purge-life (h)1\n") as rig:
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        Rig(pathlib.Path(folder), size, kdl="    purge-life (h)1\n") as rig,
+    ):
         least, now = 0, time.time_ns()
-        for name in rig.names[:size - away]:
+        for name in rig.names[: size - away]:
             least = filled(rig.fronts[name].folder / "state", count, now)
-        for name in rig.names[:size - away]:
+        for name in rig.names[: size - away]:
             rig.fronts[name].start()
-        for name in rig.names[:size - away]:
+        for name in rig.names[: size - away]:
             rig.fronts[name].until("ready", patience=60)
-        rig.together(60, rig.names[:size - away])
+        rig.together(60, rig.names[: size - away])
         time.sleep(1)
-        sent = sum(rig.fronts[n].ask("status")["bytes_out"] for n in rig.names[:size - away])
+        sent = sum(rig.fronts[n].ask("status")["bytes_out"] for n in rig.names[: size - away])
         stalls, begun = Stalls(rig.fronts["n0"]), time.monotonic()
         stalls.start()
         took = []
-        for name in rig.names[size - away:]:
+        for name in rig.names[size - away :]:
             rig.fronts[name].start()
-        for name in rig.names[size - away:]:
+        for name in rig.names[size - away :]:
             rig.fronts[name].until("ready", patience=240)
             took.append(time.monotonic() - begun)
             assert rig.fronts[name].ask("status")["facts"].get("purge") == count
         stalls.stopped = True
-        sent = sum(rig.fronts[n].ask("status")["bytes_out"] for n in rig.names[:size - away]) - sent
+        sent = sum(rig.fronts[n].ask("status")["bytes_out"] for n in rig.names[: size - away]) - sent
         return max(took), sent / (least * away), stalls.longest * 1000
 
 
 def storm(count):
     """Two folders of one front that went apart: each dot has two contents. Seconds to one state, longest answer."""
-    with tempfile.TemporaryDirectory() as folder, Rig(pathlib.Path(folder), 3, kdl="    purge-life (h)1\n") as rig:
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        Rig(pathlib.Path(folder), 3, kdl="    purge-life (h)1\n") as rig,
+    ):
         now = time.time_ns()
         for at, name in enumerate(("n0", "n1")):
             filled(rig.fronts[name].folder / "state", count, now, later=at)
@@ -184,8 +199,13 @@
         stalls.start()
         for name in ("n1", "n2"):
             rig.fronts[name].start()
-        rig.wait(lambda: len({(s or {}).get("root", n) for n, s in enumerate(f.ask("status") for f in
-                              rig.fronts.values())}) == 1, 300)
+        rig.wait(
+            lambda: len(
+                {(s or {}).get("root", n) for n, s in enumerate(f.ask("status") for f in rig.fronts.values())}
+            )
+            == 1,
+            300,
+        )
         stalls.stopped = True
         held = rig.fronts["n2"].ask("status")["facts"].get("purge")
         assert held == count, held
@@ -194,9 +214,11 @@
 
 def memory(count):
     """Bytes a fact, of a process that holds that many."""
+
     def rss():
         with open("/proc/self/statm") as file:
             return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
     made, before = Replica("n1", 1, Chance("n1", 1), 0), rss()
     for n in range(count):
         made.facts.join(Fact(("purge", "object", n), (n + 1,), ("n0", 1 << 32, n + 1)))
@@ -221,37 +243,63 @@
         print(f"{count} schedules, {broken} broken promises", flush=True)
         for size in (5, 20) if quick else (5, 20, 50, 200):
             for loss in (0.0, 0.1, 0.3):
-                told = list(pool.map(spread_simulated, [(size, loss, seed) for seed in range(2 if quick else 6)]))
+                told = list(
+                    pool.map(spread_simulated, [(size, loss, seed) for seed in range(2 if quick else 6)])
+                )
                 times = [t for one, _, _ in told for t in one]
-                print(f"simulated, {size} fronts, {loss:.0%} lost: ms p50, p99, max {_quantiles(times)}, "
-                      f"{sum(m for _, m, _ in told)} not within 10 s, "
-                      f"{statistics.mean(f for *_, f in told):.0f} frames a second and front", flush=True)
+                print(
+                    f"simulated, {size} fronts, {loss:.0%} lost: ms p50, p99, max {_quantiles(times)}, "
+                    f"{sum(m for _, m, _ in told)} not within 10 s, "
+                    f"{statistics.mean(f for *_, f in told):.0f} frames a second and front",
+                    flush=True,
+                )
     old = lost = 0
     for size in (5, 20) if quick else (5, 20, 50):
         times, late, gone, cpu, sent = spread_real(size, 20 if quick else 60)
         old, lost = old + late, lost + gone
-        print(f"real, {size} fronts: ms p50, p99, max {_quantiles(times)}; at rest {cpu:.1%} of a core and "
-              f"{sent:.0f} bytes a second sent a front", flush=True)
+        print(
+            f"real, {size} fronts: ms p50, p99, max {_quantiles(times)}; at rest {cpu:.1%} of a core and "
+            f"{sent:.0f} bytes a second sent a front",
+            flush=True,
+        )
         figures[f"spread_ms_max_{size}"] = max(times)
     figures |= {"older_copies_served": old, "gets_lost": lost}
     count = 20_000 if quick else 100_000
     took, over, stall = catch_up(count, 3, 1)
-    print(f"catch-up of {count} facts: live after {took:.1f} s, {over:.2f} of the least bytes, longest answer of a "
-          f"front that feeds {stall:.1f} ms", flush=True)
-    figures |= {"catch_up_s": round(took, 2), "catch_up_bytes_over_least": round(over, 2),
-                "loop_stall_ms_max": round(stall, 1)}
+    print(
+        f"catch-up of {count} facts: live after {took:.1f} s, {over:.2f} of the least bytes, longest answer of a "
+        f"front that feeds {stall:.1f} ms",
+        flush=True,
+    )
+    figures |= {
+        "catch_up_s": round(took, 2),
+        "catch_up_bytes_over_least": round(over, 2),
+        "loop_stall_ms_max": round(stall, 1),
+    }
     took, over, stall = catch_up(count, 10, 7)
-    print(f"seven in ten at once: {took:.1f} s, {over:.2f} of the least bytes, longest {stall:.1f} ms", flush=True)
+    print(
+        f"seven in ten at once: {took:.1f} s, {over:.2f} of the least bytes, longest {stall:.1f} ms",
+        flush=True,
+    )
     apart, stall = storm(count)
     figures |= {"twins_s": round(apart, 2), "twins_stall_ms": round(stall, 1)}
-    print(f"{count} dots with two contents each: {apart:.1f} s to one state, longest answer {stall:.1f} ms", flush=True)
+    print(
+        f"{count} dots with two contents each: {apart:.1f} s to one state, longest answer {stall:.1f} ms",
+        flush=True,
+    )
     # In a process that has done nothing else: what was freed before would be taken again and not seen.
     with ProcessPoolExecutor(1, multiprocessing.get_context("spawn")) as fresh:
-        figures |= {"catch_up_s_7_of_10": round(took, 2), "bytes_a_fact": round(fresh.submit(memory, count).result())}
+        figures |= {
+            "catch_up_s_7_of_10": round(took, 2),
+            "bytes_a_fact": round(fresh.submit(memory, count).result()),
+        }
     for share, mode, told in gains(2 if quick else 10):
-        print(f"model, front 0 sees {share:.0%}, exchange {mode}: of {told['gets']} GETs hits {told['hit']}, fills "
-              f"from siblings {told['sibling']}, from parents {told['parent']}, from origin {told['origin']}, in time "
-              f"{told['in_time'] / told['gets']:.4f}; sent to a drained cache {told['to_drained']}", flush=True)
+        print(
+            f"model, front 0 sees {share:.0%}, exchange {mode}: of {told['gets']} GETs hits {told['hit']}, fills "
+            f"from siblings {told['sibling']}, from parents {told['parent']}, from origin {told['origin']}, in time "
+            f"{told['in_time'] / told['gets']:.4f}; sent to a drained cache {told['to_drained']}",
+            flush=True,
+        )
         figures[f"siblings_{mode.split()[0]}_{share}"] = told["sibling"]
     return figures
 
--- a/benchmarks/rollout.py
+++ b/benchmarks/rollout.py
@@ -21,7 +21,7 @@
 from standins.processes import Process
 
 S = 1_000_000_000
-AIM = 0.4               # seconds, of the rig's delivery service
+AIM = 0.4  # seconds, of the rig's delivery service
 THING = 0x7F3A9C21E0B4D655
 BAD = ("bad-errors", "bad-slow", "bad-dies", "never")
 
@@ -30,8 +30,9 @@
     """(which promises broke, by name) of one schedule."""
     seed, size, fronts, caches, span = given
     # With two hundred boxes a release takes an hour of this machine to its end: there it is looked at for a while.
-    world = rollouts.played(seed, size, fronts, caches, loss=(0, 0.1, 0.3)[seed % 3], span=span * S,
-                            ends=fronts < 200)
+    world = rollouts.played(
+        seed, size, fronts, caches, loss=(0, 0.1, 0.3)[seed % 3], span=span * S, ends=fronts < 200
+    )
     return Counter(name for name, _ in rollouts.broken(world.trace, caches))
 
 
@@ -69,6 +70,7 @@
     def starts(version):
         if version != "never":
             real(cache, version)
+
     return starts
 
 
@@ -116,7 +118,9 @@
             if how == "faults":
                 trouble.start()
             while time.monotonic() - begun < 600:
-                said = next((s for s in (rig.agreed(n) for n in rig.names) if s.get("ok") and not s["fenced"]), None)
+                said = next(
+                    (s for s in (rig.agreed(n) for n in rig.names) if s.get("ok") and not s["fenced"]), None
+                )
                 if said is not None:
                     most = max(most, sum(p["step"] in ("out", "cold") for p in said["permits"]))
                     if not said["permits"] and said["index"] > caches:
@@ -131,10 +135,19 @@
         for one in [*loads, *[a for a in agents if a.is_alive()]]:
             one.join(20)
         assert all(one.fault is None for one in agents), [one.fault for one in agents]
-        ran = Counter(line for box in range(caches + 1) for line in (rig.folder / f"ran-{box}").read_text().split("\n"))
+        ran = Counter(
+            line for box in range(caches + 1) for line in (rig.folder / f"ran-{box}").read_text().split("\n")
+        )
         twice = sum(times > 1 for line, times in ran.items() if line)
-        return (took, sum(o.count for o in loads), sum(o.lost for o in loads), sum(o.late for o in loads),
-                sum(a.late for a in agents), most, twice)
+        return (
+            took,
+            sum(o.count for o in loads),
+            sum(o.lost for o in loads),
+            sum(o.late for o in loads),
+            sum(a.late for a in agents),
+            most,
+            twice,
+        )
 
 
 def _replaced(rig, box):
@@ -144,8 +157,13 @@
     old.process.wait()
     old.process.stdout.close()
     time.sleep(0.1)
-    rig.boxes[box] = Process("lines", port=int(old.address.rpartition(":")[2]), service=0.001, made=1,
-                             ran=rig.folder / f"ran-{box}")
+    rig.boxes[box] = Process(
+        "lines",
+        port=int(old.address.rpartition(":")[2]),
+        service=0.001,
+        made=1,
+        ran=rig.folder / f"ran-{box}",
+    )
     time.sleep(0.3)
 
 
@@ -205,19 +223,31 @@
         before = [_cpu(one.process.pid) for one in everyone]
         time.sleep(3)
         rest = [(_cpu(one.process.pid) - was) / 3 for one, was in zip(everyone, before, strict=True)]
-        print(f"at rest: a keeper {max(rest[:3]):.1%} of a core at most, a front {max(rest[3:]):.1%}", flush=True)
+        print(
+            f"at rest: a keeper {max(rest[:3]):.1%} of a core at most, a front {max(rest[3:]):.1%}",
+            flush=True,
+        )
         agents = [Agent(rig, "a0", range(6), down=0.0)]
         agents[0].start()
         longest = 0
         for number in range(times):
             name = f"v{number}"
-            rig.propose("n0", "release", [name, "std", "2", "1", [[f"s-{b + 16:02x}" for b in range(5)]], S], "op")
+            rig.propose(
+                "n0", "release", [name, "std", "2", "1", [[f"s-{b + 16:02x}" for b in range(5)]], S], "op"
+            )
             time.sleep(0.5 + number % 5 / 5)
             begun = time.time() * 1000
             assert rig.propose("n1", "halt", name, "op", "measured")["word"] == "halted"
             rig.wait(lambda: not rig.agreed("n0")["permits"], 30)
-            last = max((line["at"] for k in rig.keepers.values() for line in k.seen("permit_granted")
-                        if line["permit"].startswith(name + "/")), default=0)
+            last = max(
+                (
+                    line["at"]
+                    for k in rig.keepers.values()
+                    for line in k.seen("permit_granted")
+                    if line["permit"].startswith(name + "/")
+                ),
+                default=0,
+            )
             longest = max(longest, last - begun)
             rig.propose("n0", "back", name, "op")
             rig.phase(name, "returned")
@@ -236,10 +266,16 @@
     with ProcessPoolExecutor(os.cpu_count()) as pool:
         count = 200 if quick else 5000
         # Most of them small, as the large ones take longest.
-        sizes = [(4, 9, 25, count)] if quick else [(4, 9, 25, count - 488), (6, 12, 40, 440), (20, 40, 25, 40),
-                                                   (200, 200, 20, 8)]
-        wanted = [(seed, (3, 5)[seed % 2], fronts, caches, span) for fronts, caches, span, many in sizes
-                  for seed in range(many)]
+        sizes = (
+            [(4, 9, 25, count)]
+            if quick
+            else [(4, 9, 25, count - 488), (6, 12, 40, 440), (20, 40, 25, 40), (200, 200, 20, 8)]
+        )
+        wanted = [
+            (seed, (3, 5)[seed % 2], fronts, caches, span)
+            for fronts, caches, span, many in sizes
+            for seed in range(many)
+        ]
         broke = Counter()
         for one in pool.map(_schedule, sorted(wanted, key=lambda w: -w[2]), chunksize=1):
             broke += one
@@ -248,46 +284,66 @@
         for one in pool.map(_log, range(count // 10)):
             logs += one
         print(f"{count // 10} schedules of keepers alone, broken: {dict(logs) or 'none'}", flush=True)
-        figures |= {"schedules": len(wanted), "over_budget": broke["over_budget"],
-                    "committed_lost": broke["machines_apart"] + logs["lost"] + logs["applied_apart"],
-                    "two_leaders": broke["two_leaders"],
-                    "votes_twice": broke["votes_twice"], "sent_to_drained": broke["sent_to_drained"],
-                    "granted_halted": broke["granted_halted"], "without_end": broke["without_end"],
-                    "last_gone": broke["last_gone"]}
+        figures |= {
+            "schedules": len(wanted),
+            "over_budget": broke["over_budget"],
+            "committed_lost": broke["machines_apart"] + logs["lost"] + logs["applied_apart"],
+            "two_leaders": broke["two_leaders"],
+            "votes_twice": broke["votes_twice"],
+            "sent_to_drained": broke["sent_to_drained"],
+            "granted_halted": broke["granted_halted"],
+            "without_end": broke["without_end"],
+            "last_gone": broke["last_gone"],
+        }
         many = 10 if quick else 25
         bad = [(seed, version, 0.3) for version in BAD for seed in range(many)]
         caught = dict(zip(bad, pool.map(_release, bad), strict=True))
         for version in BAD:
             ends = [caught[one] for one in bad if one[1] == version]
             boxes = sorted(worst for _, worst in ends)
-            print(f"bad release, {version}: {sum(halted for halted, _ in ends)} of {len(ends)} halted, boxes that had "
-                  f"it {boxes[len(boxes) // 2]}, at most {boxes[-1]}", flush=True)
+            print(
+                f"bad release, {version}: {sum(halted for halted, _ in ends)} of {len(ends)} halted, boxes that had "
+                f"it {boxes[len(boxes) // 2]}, at most {boxes[-1]}",
+                flush=True,
+            )
         stopped = [halted for halted, _ in caught.values()]
         good = [(seed, "2", 0.5) for seed in range(20 if quick else 200)]
         false = sum(halted for halted, _ in pool.map(_release, good))
         print(f"good releases on noisy days: {false} of {len(good)} halted", flush=True)
-        figures |= {"bad_caught_share": round(sum(stopped) / len(stopped), 3),
-                    "bad_boxes_most": max(worst for _, worst in caught.values()), "false_halts": false,
-                    "good_releases": len(good)}
+        figures |= {
+            "bad_caught_share": round(sum(stopped) / len(stopped), 3),
+            "bad_boxes_most": max(worst for _, worst in caught.values()),
+            "false_halts": false,
+            "good_releases": len(good),
+        }
     states = explore_keepers.explored(4 if quick else 6)
     print(f"explored: {states}", flush=True)
     figures["explored"] = states[0] if isinstance(states, tuple) else states
     with tempfile.TemporaryDirectory() as folder:
         times = _leaders(folder, 5 if quick else 30)
-    print(f"from a killed leader to the next grant: ms p50 {times[len(times) // 2]:.0f}, max {times[-1]:.0f}",
-          flush=True)
+    print(
+        f"from a killed leader to the next grant: ms p50 {times[len(times) // 2]:.0f}, max {times[-1]:.0f}",
+        flush=True,
+    )
     with tempfile.TemporaryDirectory() as folder:
         halt, grants = _halts(folder, 3 if quick else 10)
     print(f"from a halt to the last permit: {halt:.0f} ms; {grants:.0f} grants a second", flush=True)
-    figures |= {"leader_to_grant_ms_p50": round(times[len(times) // 2]), "leader_to_grant_ms_max": round(times[-1]),
-                "halt_ms_max": round(max(0, halt)), "grants_a_second": round(grants)}
+    figures |= {
+        "leader_to_grant_ms_p50": round(times[len(times) // 2]),
+        "leader_to_grant_ms_max": round(times[-1]),
+        "halt_ms_max": round(max(0, halt)),
+        "grants_a_second": round(grants),
+    }
     lost = late = 0
     for how in ("faults", "no faults", "one at a time", "timer", "none"):
         with tempfile.TemporaryDirectory() as folder:
             took, gets, gone, slow, sends, most, twice = _rolling(folder, how, quick)
         in_time = 1 - (slow + gone) / gets
-        print(f"rolling, {how}: {took:.1f} s, {gets} GETs, lost {gone}, in time {in_time:.4f}, sends to a drained box "
-              f"{sends}, most out {most}, order twice {twice}", flush=True)
+        print(
+            f"rolling, {how}: {took:.1f} s, {gets} GETs, lost {gone}, in time {in_time:.4f}, sends to a drained box "
+            f"{sends}, most out {most}, order twice {twice}",
+            flush=True,
+        )
         if how in ("faults", "no faults", "one at a time"):
             lost, late = lost + gone, late + sends
         key = how.replace(" ", "_")
--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -22,14 +22,22 @@
 from standins.processes import Process
 
 SIZES = (200, 800, 3200)
-CHANGED_AFTER = 100.0   # seconds in which each cache changes once
+CHANGED_AFTER = 100.0  # seconds in which each cache changes once
 OBJECTS = 1500
-WEIGHT = 200.0          # of all caches together, so that each has the less of it the more there are
+WEIGHT = 200.0  # of all caches together, so that each has the less of it the more there are
 
 
 def _host(at, port, count, health="up"):
-    return {"host": f"s-{at + 1:x}", "dial": f"{address_of(at)}:{port}", "site": "here", "class": "std", "block": 0,
-            "health": health, "share": WEIGHT / count, "born_ms": 0}
+    return {
+        "host": f"s-{at + 1:x}",
+        "dial": f"{address_of(at)}:{port}",
+        "site": "here",
+        "class": "std",
+        "block": 0,
+        "health": health,
+        "share": WEIGHT / count,
+        "born_ms": 0,
+    }
 
 
 def _descriptors(pid):
@@ -69,8 +77,14 @@
         while not self.stop.wait(CHANGED_AFTER / self.count / 2):
             offset, at = offset + 1, at + 1
             health = "draining" if at % 2 else "up"
-            event = {"offset": offset, "topology": {"seq": offset, "whole": False, "hosts": [
-                _host(at // 2 * 7 % self.count, self.port, self.count, health)]}}
+            event = {
+                "offset": offset,
+                "topology": {
+                    "seq": offset,
+                    "whole": False,
+                    "hosts": [_host(at // 2 * 7 % self.count, self.port, self.count, health)],
+                },
+            }
             self.bytes += len(json.dumps(event))
             self.bus.events.put(event)
 
@@ -83,12 +97,27 @@
     bus = _TellingBus()
     config = Path(path, f"front-{count}.json")
     known = [{"offset": 1, "topology": {"seq": 1, "whole": True, "hosts": hosts}}]
-    config.write_text(json.dumps({
-        "name": "n0", "seed": "7f", "listen": f"127.0.0.1:{listen}", "bus": bus.address, "flow_bytes_per_s": 1e7,
-        "link_bytes_per_s": 1e8, "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": SETTINGS,
-        "known": {"offset": 1, "batch": known}}))
-    process = subprocess.Popen([sys.executable, "-m", "sprucegate"], stdout=subprocess.PIPE, text=True,
-                               env={**os.environ, "BALANCER_CONFIG": str(config)})
+    config.write_text(
+        json.dumps(
+            {
+                "name": "n0",
+                "seed": "7f",
+                "listen": f"127.0.0.1:{listen}",
+                "bus": bus.address,
+                "flow_bytes_per_s": 1e7,
+                "link_bytes_per_s": 1e8,
+                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+                "settings": SETTINGS,
+                "known": {"offset": 1, "batch": known},
+            }
+        )
+    )
+    process = subprocess.Popen(
+        [sys.executable, "-m", "sprucegate"],
+        stdout=subprocess.PIPE,
+        text=True,
+        env={**os.environ, "BALANCER_CONFIG": str(config)},
+    )
     served, most = 0, 0
     try:
         for line in process.stdout:
@@ -104,8 +133,16 @@
             if sent > passed * rate:
                 time.sleep(0.5 / rate)
                 continue
-            connection.request("GET", f"/svc/media/{sent * 7919 % OBJECTS + 1:x}/slice-0", headers={
-                "X-Call-Id": f"{sent:016x}", "X-Patience-Ms": "3000", "X-Set": "1", "X-Heap-Kb": "1"})
+            connection.request(
+                "GET",
+                f"/svc/media/{sent * 7919 % OBJECTS + 1:x}/slice-0",
+                headers={
+                    "X-Call-Id": f"{sent:016x}",
+                    "X-Patience-Ms": "3000",
+                    "X-Set": "1",
+                    "X-Heap-Kb": "1",
+                },
+            )
             answer = connection.getresponse()
             answer.read()
             sent, served = sent + 1, served + (answer.status == 200)
@@ -118,9 +155,16 @@
         process.wait(10)
         origin.stop()
     made = caches.stop()["connections"]
-    return {"caches": count, "gets": sent, "served": round(served / sent, 4),
-            "cpu_ms_a_get": round(1000 * cpu / sent, 3), "memory_kb": memory, "descriptors": most,
-            "connections": made, "list_bytes": changes.bytes}
+    return {
+        "caches": count,
+        "gets": sent,
+        "served": round(served / sent, 4),
+        "cpu_ms_a_get": round(1000 * cpu / sent, 3),
+        "memory_kb": memory,
+        "descriptors": most,
+        "connections": made,
+        "list_bytes": changes.bytes,
+    }
 
 
 def measure(quick):
@@ -131,7 +175,15 @@
             rows.append(_run(path, count, seconds, rate))
             print(rows[-1], flush=True)
     usual, largest = rows[0], rows[-1]
-    ratios = {name: round(largest[field] / usual[field], 3) for name, field in (
-        ("cpu_ratio", "cpu_ms_a_get"), ("memory_ratio", "memory_kb"), ("descriptors_ratio", "descriptors"),
-        ("connections_ratio", "connections"), ("list_bytes_ratio", "list_bytes"), ("served_ratio", "served"))}
+    ratios = {
+        name: round(largest[field] / usual[field], 3)
+        for name, field in (
+            ("cpu_ratio", "cpu_ms_a_get"),
+            ("memory_ratio", "memory_kb"),
+            ("descriptors_ratio", "descriptors"),
+            ("connections_ratio", "connections"),
+            ("list_bytes_ratio", "list_bytes"),
+            ("served_ratio", "served"),
+        )
+    }
     return {**ratios, "rows": rows}
--- a/benchmarks/serverfiles.py
+++ b/benchmarks/serverfiles.py
@@ -59,14 +59,24 @@
 
 
 def _config(folder, port, bus):
-    return {"name": "n0", "seed": "7f", "listen": f"127.0.0.1:{port}", "bus": bus, "flow_bytes_per_s": 1e7,
-            "link_bytes_per_s": 1e8, "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-            "settings": SETTINGS, "known": {"offset": 1, "batch": []}}
+    return {
+        "name": "n0",
+        "seed": "7f",
+        "listen": f"127.0.0.1:{port}",
+        "bus": bus,
+        "flow_bytes_per_s": 1e7,
+        "link_bytes_per_s": 1e8,
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "settings": SETTINGS,
+        "known": {"offset": 1, "batch": []},
+    }
 
 
 def _kdl(folder):
-    return (f'membership {{\n    file "{folder}/list.kdl"\n    state "{folder}/state"\n    ramp (s)2\n'
-            "    hold (s)600\n}\n")
+    return (
+        f'membership {{\n    file "{folder}/list.kdl"\n    state "{folder}/state"\n    ramp (s)2\n'
+        "    hold (s)600\n}\n"
+    )
 
 
 def _free_port():
@@ -80,9 +90,12 @@
         config.write_text(json.dumps(_config(folder, port, bus)))
         kdl.write_text(_kdl(folder))
         self.begun, self.lines = time.monotonic(), []
-        self.process = subprocess.Popen([sys.executable, "-m", "sprucegate", "front", "--file", str(kdl)],
-                                        stdout=subprocess.PIPE, text=True,
-                                        env={**os.environ, "BALANCER_CONFIG": str(config)})
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "sprucegate", "front", "--file", str(kdl)],
+            stdout=subprocess.PIPE,
+            text=True,
+            env={**os.environ, "BALANCER_CONFIG": str(config)},
+        )
         for line in self.process.stdout:
             self.lines.append(json.loads(line))
             if self.lines[-1]["event"] == "ready":
@@ -120,10 +133,13 @@
             draining.append(box.name)
             if len(draining) > 3:
                 lifted = draining.pop(0)
-        listed = [server(b.name, b.address, 0, State.DRAINING if b.name in draining else State.SERVING) for b in boxes]
+        listed = [
+            server(b.name, b.address, 0, State.DRAINING if b.name in draining else State.SERVING)
+            for b in boxes
+        ]
         text = render([*listed, server(root.name, root.address, 2)], LOCATIONS, KINDS) + f"// {count}\n"
         if lifted is not None and lifted not in draining:
-            drains.append((time.time(), lifted, False))      # from now on it may be sent to again
+            drains.append((time.time(), lifted, False))  # from now on it may be sent to again
         if count % 3 == 0:
             path.with_suffix(".new").write_text(text)
             os.rename(path.with_suffix(".new"), path)
@@ -162,8 +178,13 @@
     listener.setblocking(False)
     tasks.append(loop.create_task(_bus(listener)))
     path, port = Path(folder, "list.kdl"), _free_port()
-    path.write_text(render([*[server(b.name, b.address) for b in boxes], server(root.name, root.address, 2)],
-                           LOCATIONS, KINDS))
+    path.write_text(
+        render(
+            [*[server(b.name, b.address) for b in boxes], server(root.name, root.address, 2)],
+            LOCATIONS,
+            KINDS,
+        )
+    )
     front = await asyncio.to_thread(FrontProcess, folder, port, f"127.0.0.1:{listener.getsockname()[1]}")
     address, ends, drains = ("127.0.0.1", port), {}, []
 
@@ -198,25 +219,40 @@
         end = next((t for t, other, b in drains if other == name and not b and t > at), arrivals[-1][0])
         late = [t - at for t, box, source in arrivals if at < t < end and name in (box, source)]
         lasts.append(max(late, default=0) * 1000)
-        taken = next((one["at"] / 1000 - at for one in logged
-                      if one["event"] == "servers_taken" and one["at"] / 1000 >= at - 0.001), None)
+        taken = next(
+            (
+                one["at"] / 1000 - at
+                for one in logged
+                if one["event"] == "servers_taken" and one["at"] / 1000 >= at - 0.001
+            ),
+            None,
+        )
         uses += [max(0, taken) * 1000] if taken is not None else []
     entries = [one["entries"] for one in logged if one["event"] == "servers_taken"]
     return {
-        "rewrites": count, "drains": len(lasts), "gets": len(ends), "gets_lost": sum(s == 0 for s, _ in ends.values()),
+        "rewrites": count,
+        "drains": len(lasts),
+        "gets": len(ends),
+        "gets_lost": sum(s == 0 for s, _ in ends.values()),
         "gets_returned": sum(s == 200 for s, _ in ends.values()),
-        "generations_used": len(entries), "partial_lists_used": sum(n != whole for n in entries),
+        "generations_used": len(entries),
+        "partial_lists_used": sum(n != whole for n in entries),
         "refusals_logged": sum(one["event"] == "servers_refused" for one in logged),
-        "drain_last_send_ms_p50": _percentile(lasts, 0.5), "drain_last_send_ms_p99": _percentile(lasts, 0.99),
-        "drain_last_send_ms_max": _percentile(lasts, 1), "use_ms_p50": _percentile(uses, 0.5),
-        "use_ms_p99": _percentile(uses, 0.99), "cpu_share_still": round(cpu_still, 3),
-        "cpu_share_rewrites": round(cpu, 3), "faults": sum(one["event"] == "fault" for one in logged)}
+        "drain_last_send_ms_p50": _percentile(lasts, 0.5),
+        "drain_last_send_ms_p99": _percentile(lasts, 0.99),
+        "drain_last_send_ms_max": _percentile(lasts, 1),
+        "use_ms_p50": _percentile(uses, 0.5),
+        "use_ms_p99": _percentile(uses, 0.99),
+        "cpu_share_still": round(cpu_still, 3),
+        "cpu_share_rewrites": round(cpu, 3),
+        "faults": sum(one["event"] == "fault" for one in logged),
+    }
 
 
 async def _large(folder, entries):
     """A front in this process takes a list of `entries`; the longest stall of its loop meanwhile."""
     gc.collect()
-    gc.freeze()                              # as the front does
+    gc.freeze()  # as the front does
     gc.set_threshold(20_000, 20, 100)
     loop, events, ready, taken = asyncio.get_running_loop(), Counter(), asyncio.Event(), asyncio.Event()
     listener = socket.create_server(("127.0.0.1", 0))
@@ -260,8 +296,10 @@
     quiet, memory = max(stalls) * 1000, _rss()
     stalls.clear()
     taken.clear()
-    many = small + [server(f"s-{n:x}", f"127.{n >> 16}.{n >> 8 & 255}.{n & 255}:4000")
-                    for n in range(256, 256 + entries - 1)]
+    many = small + [
+        server(f"s-{n:x}", f"127.{n >> 16}.{n >> 8 & 255}.{n & 255}:4000")
+        for n in range(256, 256 + entries - 1)
+    ]
     text = render(many, LOCATIONS, KINDS)
     await asyncio.to_thread(path.with_suffix(".new").write_text, text)
     stalls.clear()
@@ -271,12 +309,17 @@
     while drivers[0].membership.queue:
         await asyncio.sleep(0.005)
     used = time.perf_counter() - begun
-    await asyncio.sleep(3)                   # and the snapshot
+    await asyncio.sleep(3)  # and the snapshot
     stop = True
     await beats
-    figures = {"large_entries": len(drivers[0].membership.view.rows), "large_use_s": round(used, 2),
-               "loop_stall_ms_max": round(max(stalls) * 1000, 1), "loop_stall_ms_quiet": round(quiet, 1),
-               "large_bytes": len(text), "large_memory_mb": round((_rss() - memory) / 1000, 1)}
+    figures = {
+        "large_entries": len(drivers[0].membership.view.rows),
+        "large_use_s": round(used, 2),
+        "loop_stall_ms_max": round(max(stalls) * 1000, 1),
+        "loop_stall_ms_quiet": round(quiet, 1),
+        "large_bytes": len(text),
+        "large_memory_mb": round((_rss() - memory) / 1000, 1),
+    }
     os.kill(os.getpid(), 15)
     await front
     tells.cancel()
@@ -307,15 +350,19 @@
         after = [server("s-1", "127.0.0.1:1", weight=2.0), *before[1:]]
         one = next(iter(moves.moves(before, after, 20_000).values()))
         found[count] = one.moved / max(1, one.least), one.moved / one.objects * 100
-    return {"moved_over_least": round(max(ratio for ratio, _ in found.values()), 3),
-            **{f"moved_percent_{count}": round(share, 2) for count, (_, share) in found.items()}}
+    return {
+        "moved_over_least": round(max(ratio for ratio, _ in found.values()), 3),
+        **{f"moved_percent_{count}": round(share, 2) for count, (_, share) in found.items()},
+    }
 
 
 def crashes(count):
     """Snapshots crashed at a drawn call, with drawn faults; what the start then uses."""
     chance, torn, newest, former, none = random.Random(11), 0, 0, 0, 0
     for seed in range(count):
-        lost = {chance.randrange(1, 40): chance.choice(["short", "lost", OSError(28, "full")]) for _ in range(2)}
+        lost = {
+            chance.randrange(1, 40): chance.choice(["short", "lost", OSError(28, "full")]) for _ in range(2)
+        }
         disk, written, said = FaultyDisk(seed, chance.randrange(1, 40), lost), {}, 0
         kept = Snapshots(disk, "/s", "servers")
         try:
@@ -330,8 +377,13 @@
         newest += taken is not None and taken.generation >= said
         former += taken is not None and taken.generation < said
         none += taken is None
-    return {"crashes": count, "torn_snapshots_used": torn, "newest_used": newest, "former_used": former,
-            "none_used": none}
+    return {
+        "crashes": count,
+        "torn_snapshots_used": torn,
+        "newest_used": newest,
+        "former_used": former,
+        "none_used": none,
+    }
 
 
 def measure(quick):
--- a/benchmarks/shares.py
+++ b/benchmarks/shares.py
@@ -17,8 +17,10 @@
 WEIGHTS = {"gold": 1, "iron": 1, "greedy": 1}
 PLACES, SIZE = 10, 8
 FRONTS = " ".join(f'"n{at}"' for at in range(SIZE))
-SHARES = ('shares {{\n    header "X-Tenant"\n    tenants "gold 1" "iron 1" "greedy 1"\n'
-          f'    places "parent {PLACES}" "origin 5"\n    fronts {FRONTS}\n    longest (s)1\n}}}}\n')
+SHARES = (
+    'shares {{\n    header "X-Tenant"\n    tenants "gold 1" "iron 1" "greedy 1"\n'
+    f'    places "parent {PLACES}" "origin 5"\n    fronts {FRONTS}\n    longest (s)1\n}}}}\n'
+)
 
 
 def one(given):
@@ -47,13 +49,15 @@
             name = self.rig.names[(number + self.chance.randrange(len(self.rig.names))) % len(self.rig.names)]
             with self.lock:
                 call = next(self.calls)
-            begun, sent = due, time.monotonic()      # from when it was due: a slow fleet must not slow its load
+            begun, sent = due, time.monotonic()  # from when it was due: a slow fleet must not slow its load
             try:
                 status, _ = self.rig.get(name, OF[tenant] << 56 | call, call, extra=f"X-Tenant: {tenant}\r\n")
             except OSError:
                 status = 0
             # Also from when it was sent: what a busy machine sends late is not what a front answers late.
-            self.rows.append((tenant, name, time.monotonic() - sent, time.monotonic() - begun, status, time.time_ns()))
+            self.rows.append(
+                (tenant, name, time.monotonic() - sent, time.monotonic() - begun, status, time.time_ns())
+            )
             due = max(due + gap, time.monotonic() - 1)
 
     def end(self):
@@ -104,7 +108,7 @@
         load.begin("gold", 10, 16)
         load.begin("iron", 10, 16)
         if greedy:
-            load.begin("greedy", 400, 120)   # twenty times its part
+            load.begin("greedy", 400, 120)  # twenty times its part
         time.sleep(2)
         begun, since, stall = time.time_ns(), len(load.rows), 0
         until = time.monotonic() + seconds
@@ -122,9 +126,16 @@
 def ready(made, on):
     made.start_all()
     if on:
-        made.wait(lambda: sum(row["all_here"] for front in made.fronts.values()
-                              for row in (front.ask("why", "share", "gold") or {"facts": []})["facts"]
-                              if row["source"] == "s-14") == PLACES, 30)
+        made.wait(
+            lambda: sum(
+                row["all_here"]
+                for front in made.fronts.values()
+                for row in (front.ask("why", "share", "gold") or {"facts": []})["facts"]
+                if row["source"] == "s-14"
+            )
+            == PLACES,
+            30,
+        )
 
 
 def hits(on, seconds):
@@ -156,8 +167,16 @@
         time.sleep(4)
         end = time.monotonic() + seconds
         while time.monotonic() < end:
-            steward = next((row["steward"] for name in made.names if (said := made.fronts[name].ask("why", "share"))
-                            for row in said["facts"] if row["steward"] in made.fronts), made.names[0])
+            steward = next(
+                (
+                    row["steward"]
+                    for name in made.names
+                    if (said := made.fronts[name].ask("why", "share"))
+                    for row in said["facts"]
+                    if row["steward"] in made.fronts
+                ),
+                made.names[0],
+            )
             what, front = chance.choice(("kill", "stop", "cut", "one-way")), made.fronts[steward]
             others, begun = [name for name in made.names if name != steward], time.time_ns()
             lasts = chance.uniform(1, 3)
@@ -189,12 +208,17 @@
             fair = (until - begin) / 1e9 * PLACES / len(OF)
             least.append(min(used.values()) / fair)
             used_share.append(sum(used.values()) / fair / len(OF))
-            print(f"after {what}: {({t: round(s / fair, 2) for t, s in used.items()})} of its part", flush=True)
+            print(
+                f"after {what}: {({t: round(s / fair, 2) for t, s in used.items()})} of its part", flush=True
+            )
         times = [shares_again(folder, begun) for begun, _ in recover]
         _, over = got(folder, 0, time.time_ns())
         # What the front that was hit did meanwhile is no answer of the others: its clients' GETs went with it.
-        rows = [row for row in load.rows
-                if not any(name == row[1] and begin <= row[5] <= end for name, begin, end in hit)]
+        rows = [
+            row
+            for row in load.rows
+            if not any(name == row[1] and begin <= row[5] <= end for name, begin, end in hit)
+        ]
         lost = [row for row in rows if row[4] not in (200, 503, 502)]
         late = [row for row in rows if row[4] == 503 and row[2] > 1.5]
         return least, used_share, over, len(lost), len(late), times
@@ -213,8 +237,11 @@
 def measure(quick):
     sizes = [(3, 0.45), (5, 0.35), (8, 0.2)] if quick else [(3, 0.5), (4, 0.3), (6, 0.16), (12, 0.04)]
     count = 60 if quick else 5000
-    jobs = [(seed, size, (0.0, 0.1, 0.2)[seed % 3] * (seed % 10 != 9), seed % 10 == 9) for size, part in sizes
-            for seed in range(int(count * part))]
+    jobs = [
+        (seed, size, (0.0, 0.1, 0.2)[seed % 3] * (seed % 10 != 9), seed % 10 == 9)
+        for size, part in sizes
+        for seed in range(int(count * part))
+    ]
     cries = {}
     with ProcessPoolExecutor(os.cpu_count()) as pool:
         for job, found in zip(jobs, pool.map(one, jobs, chunksize=2), strict=True):
@@ -230,9 +257,12 @@
         told[on, greedy] = over
         said = [row[4] for row in rows[on, greedy] if row[0] != "greedy"]
         answers = {status: said.count(status) for status in sorted(set(said))}
-        print(f"shares {'on' if on else 'off'}, greedy {'beside' if greedy else 'away'}: neighbours' p99 "
-              f"{p99(rows[on, greedy], ('gold', 'iron')):.0f} ms, their answers {answers}, fills over {over}, place "
-              f"seconds { {t: round(s, 1) for t, s in used.items()} }", flush=True)
+        print(
+            f"shares {'on' if on else 'off'}, greedy {'beside' if greedy else 'away'}: neighbours' p99 "
+            f"{p99(rows[on, greedy], ('gold', 'iron')):.0f} ms, their answers {answers}, fills over {over}, place "
+            f"seconds { {t: round(s, 1) for t, s in used.items()} }",
+            flush=True,
+        )
     neighbours = "gold", "iron"
     ratio = {on: p99(rows[on, True], neighbours) / p99(rows[on, False], neighbours) for on in (True, False)}
     pairs = [(hits(True, span / 2), hits(False, span / 2)) for _ in range(1 if quick else 3)]
@@ -240,13 +270,23 @@
     print(f"CPU a GET that is a hit, on and off: {pairs}", flush=True)
     least, used, over, lost, late, times = troubled(30 if quick else 180, 3)
     parts, shares = [round(x, 2) for x in least], [round(x, 2) for x in used]
-    print(f"under troubles: least part of each span {parts}, used {shares}, "
-          f"steward killed to shares again {times} ms", flush=True)
-    return {"schedules": len(jobs), "promises_broken": sum(map(len, cries.values())),
-            "places_over": len(cries.get("places_over", ())) + over + told[True, False] + told[True, True],
-            "share_least": round(min(least), 3), "neighbour_p99_ratio": round(ratio[True], 3),
-            "neighbour_p99_ratio_off": round(ratio[False], 3), "over_off": told[False, True],
-            "places_used": round(min(used), 3), "gets_lost": lost,
-            "late_sheds": late + len(cries.get("late_sheds", ())), "recover_ms_max": max(times, default=None),
-            "cpu_over_off": round(costs[len(costs) // 2], 3),
-            "loop_stall_ms_max": round(max(stall[True, greedy] for greedy in (True, False)), 1)}
+    print(
+        f"under troubles: least part of each span {parts}, used {shares}, "
+        f"steward killed to shares again {times} ms",
+        flush=True,
+    )
+    return {
+        "schedules": len(jobs),
+        "promises_broken": sum(map(len, cries.values())),
+        "places_over": len(cries.get("places_over", ())) + over + told[True, False] + told[True, True],
+        "share_least": round(min(least), 3),
+        "neighbour_p99_ratio": round(ratio[True], 3),
+        "neighbour_p99_ratio_off": round(ratio[False], 3),
+        "over_off": told[False, True],
+        "places_used": round(min(used), 3),
+        "gets_lost": lost,
+        "late_sheds": late + len(cries.get("late_sheds", ())),
+        "recover_ms_max": max(times, default=None),
+        "cpu_over_off": round(costs[len(costs) // 2], 3),
+        "loop_stall_ms_max": round(max(stall[True, greedy] for greedy in (True, False)), 1),
+    }
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -30,9 +30,12 @@
 from standins.soak.schedule import Trouble
 
 CACHES, PARENTS = 6, 2
-SETTINGS = {**http2_closes.SETTINGS, "allowed": {**http2_closes.SETTINGS["allowed"], "connectTimeout": 400_000}}
+SETTINGS = {
+    **http2_closes.SETTINGS,
+    "allowed": {**http2_closes.SETTINGS["allowed"], "connectTimeout": 400_000},
+}
 NEVER = 1e12
-READY_IN = 10.0         # seconds in which nine of ten restarted fronts have to be ready
+READY_IN = 10.0  # seconds in which nine of ten restarted fronts have to be ready
 
 
 class Front:
@@ -40,21 +43,36 @@
 
     def __init__(self, number, folder, hosts, bus, fleet=()):
         """`fleet`: addresses of the fronts that are one fleet, this one's included; empty: it is alone."""
-        self.number, self.path, self.log = number, folder / f"front-{number}.json", folder / f"front-{number}.log"
+        self.number, self.path, self.log = (
+            number,
+            folder / f"front-{number}.json",
+            folder / f"front-{number}.log",
+        )
         self.faults = Faults(folder / f"faults-{number}")
         self.target = clients.Target(number, ("127.0.0.1", free_port()))
         self.config = {
-            "name": f"n{number}", "seed": f"{number + 7:x}", "bus": bus,
-            "listen": f"127.0.0.1:{self.target.address[1]}", "flow_bytes_per_s": 1e7, "link_bytes_per_s": 1e8,
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256}, "settings": SETTINGS,
-            "known": {"offset": 1, "batch": [{"offset": 1, "topology": {"seq": 1, "whole": True, "hosts": hosts}}]}}
+            "name": f"n{number}",
+            "seed": f"{number + 7:x}",
+            "bus": bus,
+            "listen": f"127.0.0.1:{self.target.address[1]}",
+            "flow_bytes_per_s": 1e7,
+            "link_bytes_per_s": 1e8,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+            "settings": SETTINGS,
+            "known": {
+                "offset": 1,
+                "batch": [{"offset": 1, "topology": {"seq": 1, "whole": True, "hosts": hosts}}],
+            },
+        }
         self.path.write_text(json.dumps(self.config))
         self.command = [sys.executable, "-m", "standins.faults", self.faults.path]
         if fleet:
             operator = folder / f"front-{number}.kdl"
             join = " ".join(f'"{at}"' for at in list(fleet.values())[:3])
-            operator.write_text(f'fleet {{\n    name "soak"\n    listen "{fleet[number]}"\n    join {join}\n'
-                                f'    state "{folder}/state-{number}"\n    alone-after (s)2\n}}\n')
+            operator.write_text(
+                f'fleet {{\n    name "soak"\n    listen "{fleet[number]}"\n    join {join}\n'
+                f'    state "{folder}/state-{number}"\n    alone-after (s)2\n}}\n'
+            )
             self.command += ["front", "--file", str(operator)]
         self.lines, self.counts, self.process, self.ready_in = [], Counter(), None, []
         self.last, self.busy = {}, asyncio.Lock()
@@ -62,8 +80,11 @@
     async def start(self):
         begun = time.monotonic()
         self.process = subprocess.Popen(
-            self.command, stdout=subprocess.PIPE, stderr=subprocess.PIPE,
-            env={**os.environ, "BALANCER_CONFIG": str(self.path)})
+            self.command,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            env={**os.environ, "BALANCER_CONFIG": str(self.path)},
+        )
         ready = threading.Event()
         threading.Thread(target=self._read, args=(self.process, ready), daemon=True).start()
         while not ready.is_set() and time.monotonic() - begun < 30 and self.process.poll() is None:
@@ -81,7 +102,9 @@
                     ready.set()
                 case "second" | "stopped":
                     self.last = line
-                    self.counts.update({k: v for k, v in line.items() if k.startswith("invariant_violations")})
+                    self.counts.update(
+                        {k: v for k, v in line.items() if k.startswith("invariant_violations")}
+                    )
                 case "fault" | "invariant_broken":
                     self.lines.append(line)
         if error := process.stderr.read().decode(errors="replace").strip():
@@ -97,9 +120,25 @@
 
     async def run(self):
         self.servers = subprocess.Popen(
-            [sys.executable, "-m", "standins.soak.servers", "--caches", str(CACHES), "--parents", str(PARENTS),
-             "--fronts", str(self.count), "--seed", str(self.seed), "--records", str(self.records)],
-            stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True)
+            [
+                sys.executable,
+                "-m",
+                "standins.soak.servers",
+                "--caches",
+                str(CACHES),
+                "--parents",
+                str(PARENTS),
+                "--fronts",
+                str(self.count),
+                "--seed",
+                str(self.seed),
+                "--records",
+                str(self.records),
+            ],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
         try:
             await self._served()
         finally:
@@ -118,19 +157,34 @@
     async def _served(self):
         lines = [self.servers.stdout.readline().strip() for _ in range(CACHES + PARENTS + 1 + self.count)]
         kinds = ["std"] * CACHES + ["parent"] * PARENTS + ["origin"]
-        hosts = [{"host": f"s-{at + 1:x}", "dial": lines[at], "site": "here", "class": kind, "block": 0,
-                  "health": "up", "share": 1.0, "born_ms": 0} for at, kind in enumerate(kinds)]
+        hosts = [
+            {
+                "host": f"s-{at + 1:x}",
+                "dial": lines[at],
+                "site": "here",
+                "class": kind,
+                "block": 0,
+                "health": "up",
+                "share": 1.0,
+                "born_ms": 0,
+            }
+            for at, kind in enumerate(kinds)
+        ]
         # A third of them as one fleet, with folders that last; the others as the platform runs them.
         fleet = {at: f"127.0.0.1:{free_port()}" for at in range(2, self.count, 3)}
-        self.fronts = [Front(at, self.folder, hosts, lines[len(kinds) + at], fleet if at in fleet else ())
-                       for at in range(self.count)]
+        self.fronts = [
+            Front(at, self.folder, hosts, lines[len(kinds) + at], fleet if at in fleet else ())
+            for at in range(self.count)
+        ]
         await asyncio.gather(*[front.start() for front in self.fronts])
         self.begun = time.monotonic()
-        self.all = [clients.Client(at, [f.target for f in self.fronts], self.seed) for at in range(3 * self.count)]
+        self.all = [
+            clients.Client(at, [f.target for f in self.fronts], self.seed) for at in range(3 * self.count)
+        ]
         asking = [asyncio.ensure_future(one.run(self.begun + self.seconds - 2)) for one in self.all]
         await asyncio.gather(*[self._trouble(one) for one in self.troubles])
         await asyncio.gather(*asking)
-        await asyncio.sleep(3.5)             # all that was open has ended, and one `second` has passed
+        await asyncio.sleep(3.5)  # all that was open has ended, and one `second` has passed
         for front in self.fronts:
             if front.last.get("open") or front.last.get("buffers"):
                 self.found.append(("left_over", f"front {front.number}: {front.last}"))
@@ -147,7 +201,7 @@
         front = self.fronts[one.where]
         if one.what == "clients":
             return await self._clients(front, one)
-        async with front.busy:               # a front that is being restarted has no second signal
+        async with front.busy:  # a front that is being restarted has no second signal
             await getattr(self, f"_{one.what}")(front, one)
 
     async def _clients(self, front, one):
@@ -205,17 +259,25 @@
 
     async def _call(self, front, one):
         call, name = one.how.split(":")
-        front.faults.fail(call, SHORT if name == "SHORT" else getattr(errno, name), 3, self.chance.randrange(4))
+        front.faults.fail(
+            call, SHORT if name == "SHORT" else getattr(errno, name), 3, self.chance.randrange(4)
+        )
 
     def _fronts(self):
         found = []
         stood = {one.front for one in self.windows if one.what == "stop"}
         for front in self.fronts:
             # A front that stood still answers late, and can't know why; the judge excuses just those requests.
-            found += [("invariant", f"front {front.number}: {name} {count}") for name, count in front.counts.items()
-                      if not (front.number in stood and name.endswith("answered_late"))]
-            found += [(line["event"], f"front {front.number}: {json.dumps(line)[:1500]}") for line in front.lines
-                      if not (front.number in stood and line.get("rule") == "answered_late")]
+            found += [
+                ("invariant", f"front {front.number}: {name} {count}")
+                for name, count in front.counts.items()
+                if not (front.number in stood and name.endswith("answered_late"))
+            ]
+            found += [
+                (line["event"], f"front {front.number}: {json.dumps(line)[:1500]}")
+                for line in front.lines
+                if not (front.number in stood and line.get("rule") == "answered_late")
+            ]
         times = sorted(t for front in self.fronts for t in front.ready_in)
         if times[int(0.9 * (len(times) - 1))] > READY_IN:
             found.append(("ready", f"nine in ten after {times[int(0.9 * (len(times) - 1))]:.1f} s"))
@@ -236,8 +298,11 @@
             shutil.copytree(folder, keep, dirs_exist_ok=True)
             Path(keep, "schedule.json").write_text(json.dumps(troubles, indent=1))
             Path(keep, "found.txt").write_text("".join(f"{rule}: {text}\n" for rule, text in made.found))
-            Path(keep, "rows.json").write_text("".join(
-                json.dumps({**vars(row), "body": row.body[:60].decode("latin-1")}) + "\n" for row in rows))
+            Path(keep, "rows.json").write_text(
+                "".join(
+                    json.dumps({**vars(row), "body": row.body[:60].decode("latin-1")}) + "\n" for row in rows
+                )
+            )
     ended = Counter(row.how for row in rows)
     ok = sum(row.status == 200 for row in rows)
     return troubles, made.found, {"requests": len(rows), **ended, "served": ok, "troubles": len(troubles)}
@@ -254,8 +319,15 @@
         print(f"{rule}: {text}", flush=True)
     if found and shrink:
         rules = {rule for rule, _ in found}
-        troubles = schedule.shrunk(troubles, lambda fewer: any(
-            rule in rules for rule, _ in played(seed, seconds, fronts, fewer)[1]))
+        troubles = schedule.shrunk(
+            troubles, lambda fewer: any(rule in rules for rule, _ in played(seed, seconds, fronts, fewer)[1])
+        )
         print(json.dumps(troubles), flush=True)
-    return {"seed": seed, "seconds": seconds, "fronts": fronts, **figures, "violations": len(found),
-            "rules": dict(Counter(rule for rule, _ in found))}
+    return {
+        "seed": seed,
+        "seconds": seconds,
+        "fronts": fronts,
+        **figures,
+        "violations": len(found),
+        "rules": dict(Counter(rule for rule, _ in found)),
+    }
--- a/benchmarks/views.py
+++ b/benchmarks/views.py
@@ -41,8 +41,13 @@
             others = [name for name in names if name != victim]
             since, begun = _marks(rig), time.time() * 1000
             rig.fronts[victim].kill()
-            killed.append(max(rig.fronts[n].until("fleet_member", since[n], member=victim, standing="gone")["at"]
-                              for n in others) - begun)
+            killed.append(
+                max(
+                    rig.fronts[n].until("fleet_member", since[n], member=victim, standing="gone")["at"]
+                    for n in others
+                )
+                - begun
+            )
             rig.fronts[victim].start()
             rig.fronts[victim].until("ready", since[victim])
             _live(rig)
@@ -50,15 +55,23 @@
             others = [name for name in names if name != victim]
             since, begun = _marks(rig), time.time() * 1000
             rig.fronts[victim].signal(signal.SIGSTOP)
-            silent.append(max(rig.fronts[n].until("fleet_member", since[n], member=victim, standing="suspect")["at"]
-                              for n in others) - begun)
+            silent.append(
+                max(
+                    rig.fronts[n].until("fleet_member", since[n], member=victim, standing="suspect")["at"]
+                    for n in others
+                )
+                - begun
+            )
             rig.fronts[victim].signal(signal.SIGCONT)
             _live(rig)
-            wrong += sum(line["member"] != victim and line["standing"] == "gone" for n in others
-                         for line in rig.fronts[n].seen("fleet_member", since[n]))
+            wrong += sum(
+                line["member"] != victim and line["standing"] == "gone"
+                for n in others
+                for line in rig.fronts[n].seen("fleet_member", since[n])
+            )
             if turn % 4 == 3:
                 since, begun = _marks(rig), time.time() * 1000
-                rig.split(names[:size // 2], names[size // 2:])
+                rig.split(names[: size // 2], names[size // 2 :])
                 seen = [rig.fronts[n].until("fleet_view", since[n], state="part")["at"] for n in names]
                 split.append(max(seen) - begun)
                 rig.trouble("heal")
@@ -73,8 +86,14 @@
 def _live(rig):
     def so():
         said = [front.ask("status") for front in rig.fronts.values()]
-        return all(one and one["view"]["state"] == "whole" and len(one["view"]["fronts"]) == len(said) - 1 and all(
-            row["standing"] in ("live", "flapping") for row in one["view"]["fronts"]) for one in said)
+        return all(
+            one
+            and one["view"]["state"] == "whole"
+            and len(one["view"]["fronts"]) == len(said) - 1
+            and all(row["standing"] in ("live", "flapping") for row in one["view"]["fronts"])
+            for one in said
+        )
+
     rig.wait(so, 60)
 
 
@@ -104,8 +123,11 @@
     sizes = [(3, 12), (5, 12), (8, 12)] + ([] if quick else [(20, 8), (50, 4)])
     count = 200 if quick else 5000
     parts = {3: 0.4, 5: 0.35, 8: 0.2, 20: 0.045, 50: 0.005}
-    jobs = [(seed, size, (0.0, 0.1, 0.3)[seed % 3], span) for size, span in sizes
-            for seed in range(max(2, int(count * parts[size])))]
+    jobs = [
+        (seed, size, (0.0, 0.1, 0.3)[seed % 3], span)
+        for size, span in sizes
+        for seed in range(max(2, int(count * parts[size])))
+    ]
     cries, times = {}, {"killed": [], "silent": []}
     with ProcessPoolExecutor(os.cpu_count()) as pool:
         for job, (broken, detected) in zip(jobs, pool.map(one, jobs, chunksize=4), strict=True):
@@ -116,17 +138,26 @@
                     times[kind] += detected[kind]
     for name, told in cries.items():
         print(f"{name}: {len(told)}, first {told[0]}", flush=True)
-    print(f"simulated, {len(jobs)} schedules; without loss ms p50, p99: killed {quantile(times['killed'], 0.5)}, "
-          f"{quantile(times['killed'], 0.99)}; silent {quantile(times['silent'], 0.5)}, "
-          f"{quantile(times['silent'], 0.99)}", flush=True)
+    print(
+        f"simulated, {len(jobs)} schedules; without loss ms p50, p99: killed {quantile(times['killed'], 0.5)}, "
+        f"{quantile(times['killed'], 0.99)}; silent {quantile(times['silent'], 0.5)}, "
+        f"{quantile(times['silent'], 0.99)}",
+        flush=True,
+    )
     killed, silent, split, wrong = real(8, 4 if quick else 24)
-    print(f"real, 8 fronts, ms to the last of the others, median and most: killed {statistics.median(killed):.0f}, "
-          f"{max(killed):.0f}; silent {statistics.median(silent):.0f}, {max(silent):.0f}; split "
-          f"{statistics.median(split):.0f}, {max(split):.0f}", flush=True)
+    print(
+        f"real, 8 fronts, ms to the last of the others, median and most: killed {statistics.median(killed):.0f}, "
+        f"{max(killed):.0f}; silent {statistics.median(silent):.0f}, {max(silent):.0f}; split "
+        f"{statistics.median(split):.0f}, {max(split):.0f}",
+        flush=True,
+    )
     return {
-            "schedules": len(jobs), "wrong_standing": len(cries.get("live_though_away", ())) + len(
-                cries.get("stays_in_part", ())),
-            "healthy_called_gone": len(cries.get("gone_though_there", ())) + wrong,
-            "detect_killed_ms_p99": max(killed), "detect_silent_ms_p99": max(silent),
-            "split_seen_ms_p99": max(split), "flaps_kept_out": flaps(),
-            "idle_core_share_200": round(idle(50 if quick else 200, 2), 4)}
+        "schedules": len(jobs),
+        "wrong_standing": len(cries.get("live_though_away", ())) + len(cries.get("stays_in_part", ())),
+        "healthy_called_gone": len(cries.get("gone_though_there", ())) + wrong,
+        "detect_killed_ms_p99": max(killed),
+        "detect_silent_ms_p99": max(silent),
+        "split_seen_ms_p99": max(split),
+        "flaps_kept_out": flaps(),
+        "idle_core_share_200": round(idle(50 if quick else 200, 2), 4),
+    }
--- a/sprucegate/__main__.py
+++ b/sprucegate/__main__.py
@@ -21,6 +21,7 @@
     if len(sys.argv) > 1:
         # Here and not above: the platform's front loads none of its libraries.
         from sprucegate.operator.commands import main as command
+
         return command(prog_name="sprucegate")
     try:
         wanted = configuration.read(os.environ)
--- a/sprucegate/assembly/keep.py
+++ b/sprucegate/assembly/keep.py
@@ -31,8 +31,9 @@
         return orjson.dumps({"ok": True, "front": name, **agreed.shown()})
 
     links = Links(fleet.address, log, greeting, heard, asked, KEEPER_MOST)
-    agreed = Agreed(name, life, Node(agreement.addresses, agreement.state, rollout.limits), life, log, links,
-                    **trusted)
+    agreed = Agreed(
+        name, life, Node(agreement.addresses, agreement.state, rollout.limits), life, log, links, **trusted
+    )
     if fault := links.start():
         log("fleet_listen_failed", address=fleet.listen, error=fault)
         return 1
--- a/sprucegate/assembly/run.py
+++ b/sprucegate/assembly/run.py
@@ -15,11 +15,19 @@
 from sprucegate.front.stages.take_in import TakeIn
 
 # Errors of bind, listen and socket that may pass: the address is held by another, or descriptors or memory are out.
-PASSING = (errno.EADDRINUSE, errno.EADDRNOTAVAIL, errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EINTR)
-LISTEN_WITHIN = 5.0     # seconds for which they are tried again
+PASSING = (
+    errno.EADDRINUSE,
+    errno.EADDRNOTAVAIL,
+    errno.EMFILE,
+    errno.ENFILE,
+    errno.ENOBUFS,
+    errno.ENOMEM,
+    errno.EINTR,
+)
+LISTEN_WITHIN = 5.0  # seconds for which they are tried again
 LISTEN_AGAIN = 0.1
-TURN = 0.01             # seconds between two looks at what is still open at the end
-RELOADED = ("bus", "known", "offset")    # what SIGHUP applies; all else takes a restart
+TURN = 0.01  # seconds between two looks at what is still open at the end
+RELOADED = ("bus", "known", "offset")  # what SIGHUP applies; all else takes a restart
 
 
 async def serve(wanted, log=None):
@@ -34,18 +42,28 @@
     if wanted.membership is not None:
         # Here and not above: a front without it loads none of its libraries.
         from sprucegate.membership.service import Membership
+
         driver.membership = Membership(driver, wanted, wanted.membership)
     if wanted.fleet is not None:
         from sprucegate.fleet.service import Fleet
+
         if driver.membership is None:
             from sprucegate.membership.merged import Merged
             from sprucegate.membership.view import View
+
             driver.membership = Merged(driver, View(("bus",), 0, driver.clock()))
-        driver.fleet = Fleet(driver, wanted.fleet, wanted.name, wanted.seed, driver.membership, wanted.agreement,
-                             shares=wanted.shares)
+        driver.fleet = Fleet(
+            driver,
+            wanted.fleet,
+            wanted.name,
+            wanted.seed,
+            driver.membership,
+            wanted.agreement,
+            shares=wanted.shares,
+        )
         # Before the first list: it may lift a drain of this front's own that the last run left.
         await driver.fleet.load()
-    for _, news in wanted.known:             # first all of them: the newest tells how old the others are
+    for _, news in wanted.known:  # first all of them: the newest tells how old the others are
         driver.stamped(news, driver.clock())
     for _, news in wanted.known:
         driver.told(news)
@@ -55,7 +73,7 @@
         listed = not await driver.membership.recovers() or wanted.fleet is None
         if listed:
             await driver.membership.start()
-    for _ in range(3):                       # turns that a signal takes from the system to its handler, and one more
+    for _ in range(3):  # turns that a signal takes from the system to its handler, and one more
         await asyncio.sleep(0)
     if stop.is_set():
         # Nobody was let in yet: there is nothing to serve on for.
@@ -68,7 +86,7 @@
     listener = await _listening(wanted.listen, stop, log)
     if listener is None:
         if wanted.membership is not None:
-            driver.membership.stop()         # or its reading process would outlive the front
+            driver.membership.stop()  # or its reading process would outlive the front
         log("stopped", **driver.book.taken())
         return 0 if stop.is_set() else 1
     now = driver.clock()
@@ -90,7 +108,7 @@
     if driver.fleet is not None:
         driver.fleet.leave()
     log("stopping", gets=len(driver.open))
-    driver.relay.ending = True               # so that clients go elsewhere, and rest on no connection of this one
+    driver.relay.ending = True  # so that clients go elsewhere, and rest on no connection of this one
     began = driver.clock()
     await asyncio.sleep(wanted.times.still_coming / 1e9)
     while not take_in.stop_listening() or take_in.finish(driver.clock()) or driver.open:
@@ -123,14 +141,21 @@
     """SIGHUP: what can change under load is taken over whole; a faulty file changes nothing."""
     try:
         wanted = configuration.read(os.environ)._replace(
-            servers=started_with.servers, membership=started_with.membership, fleet=started_with.fleet,
-            agreement=started_with.agreement, shares=started_with.shares)
-    except Exception as fault:           # whatever a file can hold, the front goes on with the old one
+            servers=started_with.servers,
+            membership=started_with.membership,
+            fleet=started_with.fleet,
+            agreement=started_with.agreement,
+            shares=started_with.shares,
+        )
+    except Exception as fault:  # whatever a file can hold, the front goes on with the old one
         log("reload_failed", error=f"{type(fault).__name__}: {fault}")
         return
     subscription.reloaded(wanted.bus, wanted.known)
-    restart = [key for key in wanted._fields if key not in RELOADED
-               and getattr(wanted, key) != getattr(started_with, key)]
+    restart = [
+        key
+        for key in wanted._fields
+        if key not in RELOADED and getattr(wanted, key) != getattr(started_with, key)
+    ]
     log("reloaded", bus="{}:{}".format(*wanted.bus), last=subscription.last, needs_restart=restart)
 
 
@@ -155,7 +180,12 @@
             lasting = fault.errno not in PASSING or time.monotonic() > end
             if lasting or not told:
                 told = True
-                log("listen_failed", address="{}:{}".format(*address), error=str(fault), tried_again=not lasting)
+                log(
+                    "listen_failed",
+                    address="{}:{}".format(*address),
+                    error=str(fault),
+                    tried_again=not lasting,
+                )
             if lasting:
                 return None
         await asyncio.sleep(LISTEN_AGAIN)
@@ -179,5 +209,11 @@
         _kept_on(driver, driver.servers.sweep)
         driver.invariants.second()
         driver.invariants.quiet(len(driver.open), len(driver.ids), pool.out)
-        log("second", open=len(driver.open), clients=len(take_in.clients), caches=driver.servers.connections,
-            buffers=pool.out, **driver.book.taken())
+        log(
+            "second",
+            open=len(driver.open),
+            clients=len(take_in.clients),
+            caches=driver.servers.connections,
+            buffers=pool.out,
+            **driver.book.taken(),
+        )
--- a/sprucegate/clock.py
+++ b/sprucegate/clock.py
@@ -42,8 +42,8 @@
 
     def __init__(self, at=None, wall=None):
         self.wall_offset = (unix() if wall is None else wall) - (now() if at is None else at)
-        self._newest = None                  # the largest offset that a stamp has shown
-        self._leads = {}                     # server -> how far a stamp of it was ahead (ns), the two largest
+        self._newest = None  # the largest offset that a stamp has shown
+        self._leads = {}  # server -> how far a stamp of it was ahead (ns), the two largest
 
     @property
     def least_offset(self):
@@ -55,8 +55,11 @@
 
     def stamped(self, stamp, at):
         """A stamp of discovery, whose word is believed: a purge's or a start's, Unix nanoseconds; 0 is none."""
-        if stamp and stamp - at <= self.wall_offset + ABSURD and (
-                self._newest is None or stamp - at > self._newest):
+        if (
+            stamp
+            and stamp - at <= self.wall_offset + ABSURD
+            and (self._newest is None or stamp - at > self._newest)
+        ):
             self._newest = stamp - at
 
     def copy_stamped(self, stamp, server, at):
@@ -76,7 +79,9 @@
         if len(self._leads) == 2:
             confirmed = min(self._leads.values())
             self.wall_offset = self.most_offset + confirmed
-            self._leads = {name: ahead - confirmed for name, ahead in self._leads.items() if ahead > confirmed}
+            self._leads = {
+                name: ahead - confirmed for name, ahead in self._leads.items() if ahead > confirmed
+            }
 
     def age(self, stamp, at):
         """Nanoseconds since a stamp, at most the true ones; one from the future counts as just now."""
--- a/sprucegate/documents/places.py
+++ b/sprucegate/documents/places.py
@@ -91,16 +91,16 @@
     def _word(self):
         """Past one identifier, value or property, with any strings in it."""
         begun = self.at
-        while self.at < len(self.text) and self.text[self.at] not in ' \t\r\n;{}\\':
-            hashes = len(self.text) - self.at - len(self.text[self.at:].lstrip("#"))
-            quoted = self.text[self.at + hashes:self.at + hashes + 1] == '"'
+        while self.at < len(self.text) and self.text[self.at] not in " \t\r\n;{}\\":
+            hashes = len(self.text) - self.at - len(self.text[self.at :].lstrip("#"))
+            quoted = self.text[self.at + hashes : self.at + hashes + 1] == '"'
             if quoted:
                 self._string(hashes)
             elif self.text.startswith(("//", "/*"), self.at):
                 return
             else:
                 self.at += 1
-        self.at += self.at == begun          # whatever it is, the reading goes on
+        self.at += self.at == begun  # whatever it is, the reading goes on
 
     def _string(self, hashes):
         self.at += hashes
@@ -119,7 +119,7 @@
 def _parses(text):
     try:
         ckdl.parse(text)
-    except Exception:                        # ckdl raises several kinds
+    except Exception:  # ckdl raises several kinds
         return False
     return True
 
--- a/sprucegate/fleet/agreed.py
+++ b/sprucegate/fleet/agreed.py
@@ -34,13 +34,13 @@
 from sprucegate.state.disk import Disk
 
 S = 1_000_000_000
-TICK = 0.02             # seconds between two looks at what is due
+TICK = 0.02  # seconds between two looks at what is due
 DUTIES = 0.1
-REPORT_EVERY = S // 2   # of a front, about all boxes
-AGAIN = 1.0             # until a disk that failed is tried again
-COMPACT = 2000          # entries after which a snapshot is made
-PATIENCE = 2 * S        # of an operator's request
-SHOWN_MOST = 500        # permits in one answer
+REPORT_EVERY = S // 2  # of a front, about all boxes
+AGAIN = 1.0  # until a disk that failed is tried again
+COMPACT = 2000  # entries after which a snapshot is made
+PATIENCE = 2 * S  # of an operator's request
+SHOWN_MOST = 500  # permits in one answer
 
 
 class Voting:
@@ -51,7 +51,13 @@
         self.loop, self.pool = asyncio.get_running_loop(), ThreadPoolExecutor(1, "keeper-disk")
         self.ledger, self.trusted, self.alone = Ledger(disk or Disk(), node.state), trusted or alone, alone
         self.keeper = self.serving = self.leading = self.fitness = None
-        self.writes, self.writing, self.newcomers, self.duties_at, self.stopped = deque(), None, {}, 0.0, False
+        self.writes, self.writing, self.newcomers, self.duties_at, self.stopped = (
+            deque(),
+            None,
+            {},
+            0.0,
+            False,
+        )
 
     async def begins(self):
         """From the folder; without one that can be read, or written, it is tried again and votes by nothing."""
@@ -121,7 +127,7 @@
                     del self.newcomers[next(iter(self.newcomers))]
             return self.do(self.fitness.heard(sender, message, now))
         if not self.fitness.fit or to != self.keeper.name:
-            return                           # what its former self was told is not its own
+            return  # what its former self was told is not its own
         if isinstance(message, Follow | Propose):
             return self.do(self.serving.heard(sender, message, now))
         self.do(self.keeper.heard(sender, message, now))
@@ -142,8 +148,13 @@
                     sends, granted = self.serving.applied(action.entries, now)
                     for permit in granted:
                         if self.leading is not None:
-                            self.log("permit_granted", permit=permit.id, box=permit.box, by=permit.by,
-                                     index=permit.index)
+                            self.log(
+                                "permit_granted",
+                                permit=permit.id,
+                                box=permit.box,
+                                by=permit.by,
+                                index=permit.index,
+                            )
                     todo.extend(sends)
                     if self.keeper.applied - self.keeper.base >= COMPACT:
                         state = msgspec.msgpack.encode(self.serving.machine.told())
@@ -151,8 +162,11 @@
                 case Install():
                     self.serving.installed(action.index, msgspec.msgpack.decode(action.state))
                 case Leads():
-                    self.log("keeper_leads" if action.on else "keeper_leads_no_more", keeper=self.keeper.name,
-                             term=action.term)
+                    self.log(
+                        "keeper_leads" if action.on else "keeper_leads_no_more",
+                        keeper=self.keeper.name,
+                        term=action.term,
+                    )
                     self.leading = Leading(self.serving.machine, now, self.node.gate) if action.on else None
                     if not action.on:
                         todo.extend(self.serving.lost())
@@ -165,7 +179,7 @@
                     self.loop.create_task(self._anew(action.name))
                     return
                 case Current():
-                    pass                     # what operators are told is a follower's state, with its age
+                    pass  # what operators are told is a follower's state, with its age
 
     # The disk: one write at a time, in order.
 
@@ -185,17 +199,20 @@
             fault = await self._disk(self.ledger.write, action, clock.unix())
         self.writing = None
         if keeper is not self.keeper:
-            return                           # another member by now
+            return  # another member by now
         now = time.monotonic_ns()
         if fault is None:
-            self.do(self.fitness.kept(action.number, now) if isinstance(action, Keep)
-                    else self.keeper.synced(action.number, now))
+            self.do(
+                self.fitness.kept(action.number, now)
+                if isinstance(action, Keep)
+                else self.keeper.synced(action.number, now)
+            )
             return self._next_write()
         self.log("keeper_not_kept", keeper=self.keeper.name, error=fault)
         self.do(self.keeper.not_kept(now))
         self.keeper, self.leading, self.writes = None, None, deque()
         await asyncio.sleep(AGAIN)
-        await self.begins()                  # as after a crash: by what the disk has, and a start that others confirm
+        await self.begins()  # as after a crash: by what the disk has, and a start that others confirm
 
     async def _anew(self, name):
         while not self.stopped:
@@ -214,7 +231,9 @@
     async def stop(self):
         """A leader hands its place on first, so that nobody waits for an election."""
         if self.keeper is not None and self.leading is not None:
-            others = [n for n, m in self.keeper.match.items() if m == max(self.keeper.match.values(), default=0)]
+            others = [
+                n for n, m in self.keeper.match.items() if m == max(self.keeper.match.values(), default=0)
+            ]
             self.do(self.keeper.moves(others[0], time.monotonic_ns()) if others else [])
             await asyncio.sleep(0.1)
         self.stopped = True
@@ -225,9 +244,16 @@
         if self.keeper is None or not self.fitness.fit:
             return {"name": self.base, "role": "not fit to vote" if self.keeper else "off"}
         config = self.keeper.config()
-        return {"name": self.keeper.name, "role": self.keeper.role.name.lower(), "term": self.keeper.term,
-                "leader": self.keeper.leader, "voters": list(config.voters), "learners": list(config.learners),
-                "committed": self.keeper.committed, "last": self.keeper.last()}
+        return {
+            "name": self.keeper.name,
+            "role": self.keeper.role.name.lower(),
+            "term": self.keeper.term,
+            "leader": self.keeper.leader,
+            "voters": list(config.voters),
+            "learners": list(config.learners),
+            "committed": self.keeper.committed,
+            "last": self.keeper.last(),
+        }
 
 
 class AgreedPart(Part):
@@ -289,14 +315,28 @@
 
     def __init__(self, name, life, node, seed, log, links, face=None, disk=None, **trusted):
         self.name, self.life, self.node, self.log, self.links, self.face = name, life, node, log, links, face
-        self.loop, self.tasks, self.words_at, self.waiting, self.counter = asyncio.get_running_loop(), [], 0, {}, 0
-        self.voting = Voting(name, node, seed, log, self._send, disk, **trusted) if name in node.addresses else None
+        self.loop, self.tasks, self.words_at, self.waiting, self.counter = (
+            asyncio.get_running_loop(),
+            [],
+            0,
+            {},
+            0,
+        )
+        self.voting = (
+            Voting(name, node, seed, log, self._send, disk, **trusted) if name in node.addresses else None
+        )
         self.machine = Rollout()
         chance = Chance(f"{name}/follows", seed ^ life)
-        self.follower = Follower(list(node.addresses), life, chance, time.monotonic_ns(),
-                                 front_lease()) if face is not None else None
+        self.follower = (
+            Follower(list(node.addresses), life, chance, time.monotonic_ns(), front_lease())
+            if face is not None
+            else None
+        )
         self.words, self.fenced, self.stale, self.report_at = Words(name, life), True, False, 0
-        self.compared, self.speaks = None, True      # `speaks`: this front knows enough to say which boxes there are
+        self.compared, self.speaks = (
+            None,
+            True,
+        )  # `speaks`: this front knows enough to say which boxes there are
 
     async def start(self):
         if self.voting is not None:
@@ -332,7 +372,7 @@
                     self.voting.due(now)
                 if self.follower is not None:
                     self._follows(now)
-            except Exception as fault:       # one look is lost by it, not the process
+            except Exception as fault:  # one look is lost by it, not the process
                 self.log("agreed_fault", error=f"{type(fault).__name__}: {fault}")
 
     # To and fro.
@@ -343,7 +383,9 @@
         if process == self.name:
             self.loop.call_soon(self.heard, Routed(sender, to, number, data))
         else:
-            self.links.send(process, self.node.addresses.get(process, ""), Routed(sender, to, number, data), False)
+            self.links.send(
+                process, self.node.addresses.get(process, ""), Routed(sender, to, number, data), False
+            )
 
     def heard(self, routed):
         try:
@@ -377,10 +419,16 @@
             self.words_at = now
             wanted = self.words.due(self.machine, self.face.drained, self.face.warm, now)
             # Where nothing changed on either side there is nothing to compare: boxes may be thousands.
-            key = self.face.changed(), id(self.machine.permits.boxes), len(self.machine.permits.boxes), min(
-                self.machine.permits.fronts, default="")
+            key = (
+                self.face.changed(),
+                id(self.machine.permits.boxes),
+                len(self.machine.permits.boxes),
+                min(self.machine.permits.fronts, default=""),
+            )
             if key != self.compared and self.speaks:
-                said = self.words.view(self.machine, self.face.boxes(), self.node.limits(self.face.floor()), now)
+                said = self.words.view(
+                    self.machine, self.face.boxes(), self.node.limits(self.face.floor()), now
+                )
                 self.compared = key if self.words.same else None
                 wanted += said
             for command in wanted:
@@ -425,8 +473,12 @@
         self._do(self.follower.propose(command, token, time.monotonic_ns(), PATIENCE))
         word, index = await waiter
         if not word:
-            return {"ok": False, "error": "no majority of the keepers could be asked in time; the same request may be "
-                                          "given again", "quorum": False}
+            return {
+                "ok": False,
+                "error": "no majority of the keepers could be asked in time; the same request may be "
+                "given again",
+                "quorum": False,
+            }
         return {"ok": True, "word": word, "index": index}
 
     def shown(self):
@@ -435,18 +487,51 @@
         now = time.monotonic_ns()
         fields = [p for p in permits.permits.values() if p.step <= Step.COLD]
         return {
-            "index": machine.index, "voting": self.voting.shown() if self.voting else None,
-            "leader": self.follower.leader if self.follower else "", "fenced": self.fenced,
+            "index": machine.index,
+            "voting": self.voting.shown() if self.voting else None,
+            "leader": self.follower.leader if self.follower else "",
+            "fenced": self.fenced,
             "heard_ms": (now - self.follower.until + front_lease()) // 1_000_000 if self.follower else None,
-            "fronts": sorted(permits.fronts), "out": out, "boxes": len(permits.boxes),
-            "budgets": [list(b) for b in permits.budgets], "troubles": machine.releases.troubles,
-            "permits": [{"id": p.id, "box": p.box, "by": p.by, "why": p.why, "release": p.release, "version": p.version,
-                         "step": p.step.name.lower(), "index": p.index, "drained": p.drained, "warm": p.warm,
-                         "start": p.start, "holder": p.holder, "overdue": p.overdue, "waits": waits.get(p.id)}
-                        for p in fields[:SHOWN_MOST]],
-            "history": machine.releases.history, "left_without_permit": permits.without,
+            "fronts": sorted(permits.fronts),
+            "out": out,
+            "boxes": len(permits.boxes),
+            "budgets": [list(b) for b in permits.budgets],
+            "troubles": machine.releases.troubles,
+            "permits": [
+                {
+                    "id": p.id,
+                    "box": p.box,
+                    "by": p.by,
+                    "why": p.why,
+                    "release": p.release,
+                    "version": p.version,
+                    "step": p.step.name.lower(),
+                    "index": p.index,
+                    "drained": p.drained,
+                    "warm": p.warm,
+                    "start": p.start,
+                    "holder": p.holder,
+                    "overdue": p.overdue,
+                    "waits": waits.get(p.id),
+                }
+                for p in fields[:SHOWN_MOST]
+            ],
+            "history": machine.releases.history,
+            "left_without_permit": permits.without,
             "ended": {id: permits.permits[id].step.name.lower() for id in permits.ended[-SHOWN_MOST:]},
-            "releases": [{"name": n, "by": r.by, "phase": Phase(r.phase).name.lower(), "wave": r.wave, "why": r.why,
-                          "waves": [list(w) for w in r.plan.waves], "done": r.done, "ahead": r.ahead,
-                          "version": r.plan.version, "former": r.plan.former}
-                         for n, r in machine.releases.releases.items()]}
+            "releases": [
+                {
+                    "name": n,
+                    "by": r.by,
+                    "phase": Phase(r.phase).name.lower(),
+                    "wave": r.wave,
+                    "why": r.why,
+                    "waves": [list(w) for w in r.plan.waves],
+                    "done": r.done,
+                    "ahead": r.ahead,
+                    "version": r.plan.version,
+                    "former": r.plan.former,
+                }
+                for n, r in machine.releases.releases.items()
+            ],
+        }
--- a/sprucegate/fleet/agreement/fitness.py
+++ b/sprucegate/fleet/agreement/fitness.py
@@ -21,11 +21,11 @@
 
 MS, S = 1_000_000, 1_000_000_000
 AGAIN = 100 * MS
-ASKS = 6                # turns in which all are asked before some are enough; no time, as one may stand still
-ON = S                  # between two words to those that don't know of all starts yet
-HERE = 2 * S            # since a newcomer was last heard
+ASKS = 6  # turns in which all are asked before some are enough; no time, as one may stand still
+ON = S  # between two words to those that don't know of all starts yet
+HERE = 2 * S  # since a newcomer was last heard
 KNOWN_MOST = 1000
-BETWEEN = "^"           # before what makes a name another one; a twin among fronts has ~ there
+BETWEEN = "^"  # before what makes a name another one; a twin among fronts has ~ there
 NEVER = 1 << 62
 
 
@@ -76,10 +76,16 @@
     def __init__(self, name, start, being, others, known, now, trusted=False, green=False):
         """`others`: who else votes, by the operator's file; `trusted`: an operator's word that it is whole; `green`: by
         its folder it never took part in a vote."""
-        self.name, self.start, self.being, self.others, self.known = name, start, being, list(others), dict(known)
+        self.name, self.start, self.being, self.others, self.known = (
+            name,
+            start,
+            being,
+            list(others),
+            dict(known),
+        )
         self.trusted, self.green, self.fit = trusted, green, trusted or not others
         self.by, self.asked, self.at, self.number, self.held = [], 0, now, 0, []
-        self.lack = [] if trusted else list(others)      # who may not know of all starts that this one knows
+        self.lack = [] if trusted else list(others)  # who may not know of all starts that this one knows
 
     def needed(self):
         """How many others have to say so: most of them where this one was never there, else a majority with itself."""
@@ -112,7 +118,9 @@
             return done
         if not message.ok:
             return done if self.trusted else self._put_back(sender)
-        if sender in self.lack and all(message.known.get(n, (0, 0))[0] >= at for n, (at, _) in self._all().items()):
+        if sender in self.lack and all(
+            message.known.get(n, (0, 0))[0] >= at for n, (at, _) in self._all().items()
+        ):
             self.lack.remove(sender)
         if sender not in self.by and (self.green or not message.green):
             self.by.append(sender)
@@ -142,8 +150,11 @@
 
     def _learns(self, told):
         """Later starts than those known here; whether there were any."""
-        news = {name: tuple(one) for name, one in told.items()
-                if name != self.name and one[0] > self.known.get(name, (0, 0))[0]}
+        news = {
+            name: tuple(one)
+            for name, one in told.items()
+            if name != self.name and one[0] > self.known.get(name, (0, 0))[0]
+        }
         for name in sorted(news):
             if name in self.known or len(self.known) < KNOWN_MOST:
                 self.known[name] = news[name]
@@ -151,7 +162,7 @@
 
     def _keeps(self):
         self.lack = [] if self.trusted else list(self.others)
-        self.at = 0                          # told on at once
+        self.at = 0  # told on at once
         self.number += 1
         return [Keep(self.number, dict(self.known))]
 
@@ -159,15 +170,17 @@
         start, being = self.known.get(sender, (0, 0))
         own = told.start, told.being
         if own != (start, being) and told.start <= start:
-            return [*(self._keeps() if news else []),
-                    Send(sender, Begun(*own, False, self.green and not self.fit, self._all()))]
+            return [
+                *(self._keeps() if news else []),
+                Send(sender, Begun(*own, False, self.green and not self.fit, self._all())),
+            ]
         if own == (start, being):
             # Asked again while its answer waits for the disk: one more write each time would put it off for ever,
             # as each write makes this one ask the others again in turn.
             done = self._keeps() if news else []
             return done + ([] if any(s.to == sender for _, s in self.held) else [self._answer(sender, own)])
         if len(self.known) >= KNOWN_MOST and sender not in self.known:
-            return []                        # it can't be kept, so nothing is said
+            return []  # it can't be kept, so nothing is said
         self.known[sender] = own
         keeps = self._keeps()
         self.held = [(at, send) for at, send in self.held if send.to != sender]
--- a/sprucegate/fleet/agreement/following.py
+++ b/sprucegate/fleet/agreement/following.py
@@ -9,12 +9,12 @@
 from sprucegate.fleet.agreement.keeper import DATA, Role, Send
 
 MS, S = 1_000_000, 1_000_000_000
-EVERY = 100 * MS        # between two questions of a follower
-AGAIN = 400 * MS        # without an answer: the next keeper is asked
-ENTRIES_MOST = 200      # in one answer
-ASKED_MOST = 200        # proposals of one front under way
+EVERY = 100 * MS  # between two questions of a follower
+AGAIN = 400 * MS  # without an answer: the next keeper is asked
+ENTRIES_MOST = 200  # in one answer
+ASKED_MOST = 200  # proposals of one front under way
 HINTS_MOST = 1000
-FOLLOWERS_MOST = 2000   # fronts that a keeper remembers
+FOLLOWERS_MOST = 2000  # fronts that a keeper remembers
 
 
 class Follow(NamedTuple):
@@ -89,8 +89,8 @@
         self.keepers, self.life, self.chance, self.lease = list(keepers), life, chance, lease
         self.index, self.committed, self.number, self.at = 0, 0, 0, now
         self.asked_at, self.answered, self.keeper, self.leader = now, True, "", ""
-        self.until, self.report = now, []    # the lease; what is told the leader
-        self.proposals, self.sent = {}, 0    # number -> [command, token, until, sent at]
+        self.until, self.report = now, []  # the lease; what is told the leader
+        self.proposals, self.sent = {}, 0  # number -> [command, token, until, sent at]
 
     def fenced(self, now):
         """Whether the leader may count without this front. Asked before each action that rests on the lease."""
@@ -142,13 +142,16 @@
             return []
         self.index = fresh[-1][0]
         if self.index < self.committed:
-            self.at = now                    # more is there
+            self.at = now  # more is there
         return [Applied(fresh)]
 
     def _ask(self, now):
         self.number += 1
         self.asked_at, self.answered = now, False
-        report, self.report = self.report, []        # once each: two hundred fronts' reports are what a leader hears
+        report, self.report = (
+            self.report,
+            [],
+        )  # once each: two hundred fronts' reports are what a leader hears
         return [Send(self.keeper, Follow(self.index, self.life, self.number, report))]
 
     def _other(self):
@@ -183,7 +186,7 @@
     life: int
     at: int
     report: list
-    reported: int           # when the report came: not each question has one
+    reported: int  # when the report came: not each question has one
 
 
 class Serving:
@@ -191,8 +194,11 @@
 
     def __init__(self, keeper, machine):
         self.keeper, self.machine = keeper, machine
-        self.recent, self.asked = [], {}     # [index, command] applied since the machine's oldest known; index -> whom
-        self.heard_from = {}                 # front -> Heard, for whoever leads
+        self.recent, self.asked = (
+            [],
+            {},
+        )  # [index, command] applied since the machine's oldest known; index -> whom
+        self.heard_from = {}  # front -> Heard, for whoever leads
 
     def installed(self, index, state):
         self.machine.loaded(state)
@@ -208,21 +214,25 @@
             self.recent.append([entry.index, command])
             for name, number, term in self.asked.pop(entry.index, ()):
                 # Another leader may have put another entry there: then nothing is known of this one here.
-                said = Proposed(number, entry.index, word, "") if term == entry.term else Proposed(number, 0, "", "")
+                said = (
+                    Proposed(number, entry.index, word, "")
+                    if term == entry.term
+                    else Proposed(number, 0, "", "")
+                )
                 sends.append(Send(name, said))
-        del self.recent[:-5 * ENTRIES_MOST]
+        del self.recent[: -5 * ENTRIES_MOST]
         return sends, granted
 
     def heard(self, sender, message, now):
         if isinstance(message, Follow):
-            if message.life:                 # a front; an agent of boxes has none
+            if message.life:  # a front; an agent of boxes has none
                 last = self.heard_from.pop(sender, None)
                 while len(self.heard_from) >= FOLLOWERS_MOST:
-                    del self.heard_from[next(iter(self.heard_from))]     # whoever was heard longest ago
+                    del self.heard_from[next(iter(self.heard_from))]  # whoever was heard longest ago
                 if message.report or last is None or last.life != message.life:
                     self.heard_from[sender] = Heard(message.life, now, message.report, now)
                 else:
-                    self.heard_from[sender] = last._replace(at=now)      # the last report of that life stands
+                    self.heard_from[sender] = last._replace(at=now)  # the last report of that life stands
             return [Send(sender, self._followed(message, now))]
         index, done = self.keeper.propose(message.command, now)
         if not index:
@@ -235,8 +245,11 @@
     def lost(self):
         """This keeper leads no more: what it took may be committed by another, or not."""
         asked, self.asked = self.asked, {}
-        return [Send(name, Proposed(number, 0, "", self._leader()))
-                for whom in asked.values() for name, number, _ in whom]
+        return [
+            Send(name, Proposed(number, 0, "", self._leader()))
+            for whom in asked.values()
+            for name, number, _ in whom
+        ]
 
     def leads(self, now):
         """By a majority heard within an election time: one that stood still does not say so any more."""
@@ -251,5 +264,11 @@
         if asked.index + 1 < first and asked.index < machine.index:
             return State(asked.number, machine.index, machine.told(), leads, self._leader())
         begin = asked.index + 1 - first
-        return Entries(asked.number, asked.index, self.recent[begin:begin + ENTRIES_MOST], machine.index, leads,
-                       self._leader())
+        return Entries(
+            asked.number,
+            asked.index,
+            self.recent[begin : begin + ENTRIES_MOST],
+            machine.index,
+            leads,
+            self._leader(),
+        )
--- a/sprucegate/fleet/agreement/keeper.py
+++ b/sprucegate/fleet/agreement/keeper.py
@@ -14,8 +14,8 @@
 from typing import NamedTuple
 
 MS, S = 1_000_000, 1_000_000_000
-BATCH = 64              # entries in one message
-OPEN_MOST = 256         # entries proposed and not yet committed
+BATCH = 64  # entries in one message
+OPEN_MOST = 256  # entries proposed and not yet committed
 READS_MOST = 1024
 DATA, CONFIG, NOTHING = "data", "config", "nothing"
 
@@ -101,7 +101,7 @@
     vote: str
     cut: int
     entries: list
-    snapshot: object        # (index, term, Config, state) or None
+    snapshot: object  # (index, term, Config, state) or None
 
 
 class Apply(NamedTuple):
@@ -133,13 +133,13 @@
 
 class Role(Enum):
     FOLLOWER = auto()
-    ASKING = auto()         # pre-vote
+    ASKING = auto()  # pre-vote
     CANDIDATE = auto()
     LEADER = auto()
 
 
 class Pace(NamedTuple):
-    election: int = 300 * MS    # without a leader, up to twice that by chance
+    election: int = 300 * MS  # without a leader, up to twice that by chance
     beat: int = 60 * MS
 
 
@@ -149,10 +149,14 @@
         self.name, self.chance, self.pace = name, chance, pace or Pace()
         self.term, self.vote, self.leader, self.role = 0, "", "", Role.FOLLOWER
         self.base, self.base_term, self.base_config, self.base_state = 0, 0, config, None
-        self.log = []                        # entries from base + 1 on
+        self.log = []  # entries from base + 1 on
         self.committed = self.applied = self.synced_to = 0
-        self.number, self.done_number, self.held = 0, 0, deque()     # writes; what waits for them: (number, Send)
-        self.ends = deque()                  # (number, last index) of writes that are under way
+        self.number, self.done_number, self.held = (
+            0,
+            0,
+            deque(),
+        )  # writes; what waits for them: (number, Send)
+        self.ends = deque()  # (number, last index) of writes that are under way
         self.next, self.match, self.heard_at, self.votes = {}, {}, {}, {}
         self.rounds, self.acked, self.reads, self.moving, self.moving_until = 0, {}, deque(), "", 0
         self.leader_at, self.due_at, self.failed = -S, 0, False
@@ -203,9 +207,9 @@
             return []
         if self.role is Role.LEADER:
             if not self.in_touch(now):
-                return self._follows(self.term, "", now)     # cut off: another may lead on the other side
+                return self._follows(self.term, "", now)  # cut off: another may lead on the other side
             if now >= self.moving_until:
-                self.moving = ""             # whoever was to take over did not
+                self.moving = ""  # whoever was to take over did not
             self.due_at = now + self.pace.beat
             return self._all(now)
         if self.name not in self.config().voters:
@@ -228,12 +232,16 @@
         if message.term < self.term:
             return [*done, Send(sender, AppendAnswer(self.term, False, self.last(), 0))]
         if isinstance(message, Stand):
-            return done + (self._asks(now, pre=False, moved=True) if self.name in self.config().voters else [])
+            return done + (
+                self._asks(now, pre=False, moved=True) if self.name in self.config().voters else []
+            )
         if self.role is not Role.FOLLOWER or self.leader != sender:
             done += self._follows(self.term, sender, now)
         self.leader_at = now
         self._wait(now)
-        return done + (self._append(sender, message) if isinstance(message, Append) else self._whole(sender, message))
+        return done + (
+            self._append(sender, message) if isinstance(message, Append) else self._whole(sender, message)
+        )
 
     def propose(self, data, now):
         """(index, actions); index 0 where this one does not lead or has too much open."""
@@ -248,16 +256,27 @@
         this term are committed, or two majorities that don't meet could each decide.
         """
         old, new = self.config(), Config(tuple(voters), tuple(learners))
-        pending = any(e.kind == CONFIG for e in self.log[max(0, self.committed - self.base):])
+        pending = any(e.kind == CONFIG for e in self.log[max(0, self.committed - self.base) :])
         moved = set(old.voters) ^ set(new.voters)
-        if (self.role is not Role.LEADER or self.moving or pending or self.term_of(self.committed) != self.term
-                or len(moved) > 1 or not new.voters or not moved & set(new.voters) <= set(old.learners)):
+        if (
+            self.role is not Role.LEADER
+            or self.moving
+            or pending
+            or self.term_of(self.committed) != self.term
+            or len(moved) > 1
+            or not new.voters
+            or not moved & set(new.voters) <= set(old.learners)
+        ):
             return 0, []
         return self._takes(CONFIG, new, now)
 
     def read(self, token, now):
         """Current is told once a majority has answered a round begun after this: one that stood still finds out."""
-        if self.role is not Role.LEADER or self.term_of(self.committed) != self.term or len(self.reads) >= READS_MOST:
+        if (
+            self.role is not Role.LEADER
+            or self.term_of(self.committed) != self.term
+            or len(self.reads) >= READS_MOST
+        ):
             return [Current(token, -1)]
         done = self._all(now)
         self.reads.append((self.rounds, self.committed, token))
@@ -274,9 +293,17 @@
         """The state at `index`, which is applied, stands for the log up to there."""
         if not self.base < index <= self.applied:
             return []
-        config = next((e.data for e in reversed(self.log[:index - self.base]) if e.kind == CONFIG), self.base_config)
-        term, rest = self.term_of(index), self.log[index - self.base:]
-        self.base, self.base_term, self.base_config, self.base_state, self.log = index, term, config, state, rest
+        config = next(
+            (e.data for e in reversed(self.log[: index - self.base]) if e.kind == CONFIG), self.base_config
+        )
+        term, rest = self.term_of(index), self.log[index - self.base :]
+        self.base, self.base_term, self.base_config, self.base_state, self.log = (
+            index,
+            term,
+            config,
+            state,
+            rest,
+        )
         return [self._write(snapshot=(index, term, config, state), entries=rest, cut=index + 1)]
 
     def synced(self, number, now):
@@ -350,7 +377,12 @@
         if content and not asked.moved:
             return []
         done = self._follows(asked.term, "", now) if asked.term > self.term else []
-        granted = asked.term == self.term and up_to_date and self.vote in ("", sender) and self.role is Role.FOLLOWER
+        granted = (
+            asked.term == self.term
+            and up_to_date
+            and self.vote in ("", sender)
+            and self.role is Role.FOLLOWER
+        )
         if granted and not self.vote:
             self.vote = sender
             done.append(self._write())
@@ -372,7 +404,7 @@
         if self.role is Role.ASKING:
             return self._asks(now, pre=False, moved=False)
         if self.number != self.done_number:
-            return []                        # its own vote is not on disk yet: `synced` counts again
+            return []  # its own vote is not on disk yet: `synced` counts again
         self.role, self.leader, self.rounds = Role.LEADER, self.name, 0
         self.next = dict.fromkeys(self._others(), self.last() + 1)
         self.match, self.acked = dict.fromkeys(self.next, 0), dict.fromkeys(self.next, 0)
@@ -414,10 +446,26 @@
             if self.base_state is None and self.base == 0:
                 begin = 1
             else:
-                return [Send(name, Whole(self.term, self.base, self.base_term, self.base_config, self.base_state,
-                                         self.rounds))]
-        entries = self.log[begin - self.base - 1:begin - self.base - 1 + BATCH]
-        return [Send(name, Append(self.term, begin - 1, self.term_of(begin - 1), entries, self.committed, self.rounds))]
+                return [
+                    Send(
+                        name,
+                        Whole(
+                            self.term,
+                            self.base,
+                            self.base_term,
+                            self.base_config,
+                            self.base_state,
+                            self.rounds,
+                        ),
+                    )
+                ]
+        entries = self.log[begin - self.base - 1 : begin - self.base - 1 + BATCH]
+        return [
+            Send(
+                name,
+                Append(self.term, begin - 1, self.term_of(begin - 1), entries, self.committed, self.rounds),
+            )
+        ]
 
     def _appended(self, sender, answer, now):
         if self.role is not Role.LEADER or answer.term != self.term or sender not in self.match:
@@ -443,27 +491,31 @@
         if self.role is not Role.LEADER:
             return self._applies()
         voters = self.config().voters
-        matches = sorted([self.synced_to if name == self.name else self.match.get(name, 0) for name in voters])
+        matches = sorted(
+            [self.synced_to if name == self.name else self.match.get(name, 0) for name in voters]
+        )
         index = matches[(len(voters) - 1) // 2]
         if index > self.committed and self.term_of(index) == self.term:
             self.committed = index
             done = self._applies()
             if self.name not in self.config().voters:
-                return [*done, *self._follows(self.term, "", now)]    # its own removal is decided
-            return done + self._all(now)     # so that followers act on it now and not at the next beat
+                return [*done, *self._follows(self.term, "", now)]  # its own removal is decided
+            return done + self._all(now)  # so that followers act on it now and not at the next beat
         return self._applies()
 
     def _applies(self):
         upto = min(self.committed, self.last())
         if upto <= self.applied:
             return []
-        entries = self.log[self.applied - self.base:upto - self.base]
+        entries = self.log[self.applied - self.base : upto - self.base]
         self.applied = upto
         return [Apply(entries)]
 
     def _reads_done(self):
         done = []
-        while self.reads and self._quorum([n for n, acked in self.acked.items() if acked >= self.reads[0][0]]):
+        while self.reads and self._quorum(
+            [n for n, acked in self.acked.items() if acked >= self.reads[0][0]]
+        ):
             _, index, token = self.reads.popleft()
             done.append(Current(token, index))
         return done
@@ -480,7 +532,9 @@
         if before < self.base:
             # What the snapshot has is committed, so it is the same there.
             skip = self.base - before
-            message = message._replace(before=self.base, before_term=self.base_term, entries=message.entries[skip:])
+            message = message._replace(
+                before=self.base, before_term=self.base_term, entries=message.entries[skip:]
+            )
             before = self.base
         if before > self.last() or self.term_of(before) != message.before_term:
             hint = min(self.last(), before - 1)
@@ -492,7 +546,7 @@
         if fresh is not None:
             entries = message.entries[fresh:]
             cut = entries[0].index if entries[0].index <= self.last() else 0
-            self.log[entries[0].index - self.base - 1:] = entries
+            self.log[entries[0].index - self.base - 1 :] = entries
             self.synced_to = min(self.synced_to, entries[0].index - 1)
             self.ends = deque((number, min(last, entries[0].index - 1)) for number, last in self.ends)
             done.append(self._write(cut=cut, entries=entries))
@@ -504,12 +558,18 @@
         done = []
         if message.index > self.committed:
             keeps = self.term_of(message.index) == message.index_term
-            self.log = self.log[message.index - self.base:] if keeps else []
+            self.log = self.log[message.index - self.base :] if keeps else []
             self.base, self.base_term = message.index, message.index_term
             self.base_config, self.base_state = message.config, message.state
             self.committed = self.applied = message.index
-            done = [self._write(cut=message.index + 1, entries=self.log,
-                                snapshot=(message.index, message.index_term, message.config, message.state)),
-                    Install(message.index, message.state)]
-        return done + self._after_writes(Send(sender, AppendAnswer(self.term, True, max(message.index, self.base),
-                                                                   message.round)))
+            done = [
+                self._write(
+                    cut=message.index + 1,
+                    entries=self.log,
+                    snapshot=(message.index, message.index_term, message.config, message.state),
+                ),
+                Install(message.index, message.state),
+            ]
+        return done + self._after_writes(
+            Send(sender, AppendAnswer(self.term, True, max(message.index, self.base), message.round))
+        )
--- a/sprucegate/fleet/face.py
+++ b/sprucegate/fleet/face.py
@@ -8,10 +8,10 @@
 from sprucegate.fleet.views.standing import OF_WORD
 from sprucegate.interface import Found, Outcome
 
-SOURCE = "permit"       # whose word a drain by permit is, in the view
-MISSED = 3              # forwards in a row that did not reach a box, until it is told of
+SOURCE = "permit"  # whose word a drain by permit is, in the view
+MISSED = 3  # forwards in a row that did not reach a box, until it is told of
 HITS = (Found.HIT, Found.STALE_HIT, Found.JOINED)
-FORGOTTEN = 5000        # boxes that are counted
+FORGOTTEN = 5000  # boxes that are counted
 
 
 class Node(NamedTuple):
@@ -28,9 +28,12 @@
         """`members()`: {name: member} of the fronts; `views`: what hears of the fronts that the log counts."""
         self.driver, self.merged, self.members, self.views = driver, merged, members, views
         self.placed, self.wanted, self.counts, self.missed = {}, {}, {}, {}
-        self.name, self.aside = driver.wanted.name, False        # whether its own permit keeps clients away
-        self.seen, self.reported = (-1, {}), {}      # rows by the view's generation; what was told of each box last
-        self.cold, self.starts = {}, {}      # box -> (start, since, GETs until then); -> (started, how often)
+        self.name, self.aside = driver.wanted.name, False  # whether its own permit keeps clients away
+        self.seen, self.reported = (
+            (-1, {}),
+            {},
+        )  # rows by the view's generation; what was told of each box last
+        self.cold, self.starts = {}, {}  # box -> (start, since, GETs until then); -> (started, how often)
         self.places = {value: name for name, value in driver.wanted.locations.items()}
         self.kinds = {value: name for name, value in driver.wanted.kinds.items()}
 
@@ -40,9 +43,17 @@
     def _rows(self):
         """Caches and parents of the view by name; the origin never goes out by a permit."""
         view, origin = self.merged.view, self.driver.router.get("origin_kind", -1)
-        if self.seen[0] != view.generation:  # of 20,000 rows few change: all anew each time would hold up GETs
-            self.seen = view.generation, {row.server.name: row for row in view.rows.values()
-                                          if row.standing.name != "GONE" and row.server.entry.kind != origin}
+        if (
+            self.seen[0] != view.generation
+        ):  # of 20,000 rows few change: all anew each time would hold up GETs
+            self.seen = (
+                view.generation,
+                {
+                    row.server.name: row
+                    for row in view.rows.values()
+                    if row.standing.name != "GONE" and row.server.entry.kind != origin
+                },
+            )
         return self.seen[1]
 
     def changed(self):
@@ -50,10 +61,17 @@
         return self.merged.view.generation, [(name, m.standing) for name, m in sorted(self.members().items())]
 
     def boxes(self):
-        found = {name: Box(name, "cache", self.places.get(row.server.entry.location, ""),
-                           self.kinds.get(row.server.entry.kind, ""), str(row.server.entry.cell),
-                           self._weight(row.server.entry.id))
-                 for name, row in self._rows().items()}
+        found = {
+            name: Box(
+                name,
+                "cache",
+                self.places.get(row.server.entry.location, ""),
+                self.kinds.get(row.server.entry.kind, ""),
+                str(row.server.entry.cell),
+                self._weight(row.server.entry.id),
+            )
+            for name, row in self._rows().items()
+        }
         for name, member in self.members().items():
             if does(Action.LISTED, OF_WORD[member.standing]):
                 found[name] = Box(name, "front", "", "front", "", 1)
@@ -97,7 +115,7 @@
                 place = self._place(permit.box, rows)
                 if place is not None:
                     self.missed.pop(permit.box, None)
-                    place.transport.leave(place)     # what was open to the former start says nothing of this one
+                    place.transport.leave(place)  # what was open to the former start says nothing of this one
                     self.driver.servers.warm(place, now)
         open_now = machine.permits.of_box
         self.cold = {box: one for box, one in self.cold.items() if box in open_now}
@@ -112,8 +130,11 @@
         if getattr(self.merged, "queue", None):
             return {}
         rows = self._rows()
-        return {box: index for box, index in self.wanted.items()
-                if box not in rows or rows[box].standing.name == "DRAINING"}
+        return {
+            box: index
+            for box, index in self.wanted.items()
+            if box not in rows or rows[box].standing.name == "DRAINING"
+        }
 
     # What it sees.
 
@@ -147,7 +168,7 @@
         told = []
         for name in rows:
             row = [name, *self.counts.get(name, (0, 0, 0, 0, 0)), self.starts[name][1]]
-            if self.reported.get(name) != row:       # counts go on: one that is lost is made up for by the next
+            if self.reported.get(name) != row:  # counts go on: one that is lost is made up for by the next
                 self.reported[name] = row
                 told.append(row)
         return [told, down, self._troubles()]
@@ -179,4 +200,3 @@
             self.driver.servers.warm(place, now)
             return False
         return now - seen[1] >= need
-
--- a/sprucegate/fleet/keeping.py
+++ b/sprucegate/fleet/keeping.py
@@ -23,7 +23,7 @@
 _record = msgspec.msgpack.Decoder(tuple[list[Fact], list[Span], list[tuple]]).decode
 _head = msgspec.msgpack.Decoder(tuple[list[Life], list[bytes]]).decode
 _facts = msgspec.msgpack.Decoder(list[Fact]).decode
-PIECE = 500             # facts packed in one turn of a loop
+PIECE = 500  # facts packed in one turn of a loop
 START_MOST = 1 << 30
 
 
--- a/sprucegate/fleet/ledger.py
+++ b/sprucegate/fleet/ledger.py
@@ -43,7 +43,14 @@
 
 class Ledger:
     def __init__(self, disk, folder):
-        self.disk, self.folder, self.log, self.generation, self.name, self.start = disk, folder, None, 0, "", 0
+        self.disk, self.folder, self.log, self.generation, self.name, self.start = (
+            disk,
+            folder,
+            None,
+            0,
+            "",
+            0,
+        )
         self.snapshots = Snapshots(disk, folder, "agreed", keep=2)
         self.named = re.compile(r"agreed-([0-9]{16})\.log")
 
--- a/sprucegate/fleet/links/agreed.py
+++ b/sprucegate/fleet/links/agreed.py
@@ -8,19 +8,38 @@
 
 _Row = tuple[int, int, str, object]
 _Starts = dict[str, tuple[int, int]]
-KINDS = (None, keeper.Vote, keeper.VoteAnswer, keeper.Append, keeper.AppendAnswer, keeper.Whole, keeper.Stand,
-         following.Follow, following.Entries, following.State, following.Propose, following.Proposed, fitness.Begins,
-         fitness.Begun)
+KINDS = (
+    None,
+    keeper.Vote,
+    keeper.VoteAnswer,
+    keeper.Append,
+    keeper.AppendAnswer,
+    keeper.Whole,
+    keeper.Stand,
+    following.Follow,
+    following.Entries,
+    following.State,
+    following.Propose,
+    following.Proposed,
+    fitness.Begins,
+    fitness.Begun,
+)
 NUMBERS = {kind: number for number, kind in enumerate(KINDS) if kind}
 SHAPES = {
-    keeper.Vote: tuple[int, int, int, bool, bool], keeper.VoteAnswer: tuple[int, bool, bool],
-    keeper.Append: tuple[int, int, int, list[_Row], int, int], keeper.AppendAnswer: tuple[int, bool, int, int],
-    keeper.Whole: tuple[int, int, int, tuple[list[str], list[str]], bytes, int], keeper.Stand: tuple[int],
+    keeper.Vote: tuple[int, int, int, bool, bool],
+    keeper.VoteAnswer: tuple[int, bool, bool],
+    keeper.Append: tuple[int, int, int, list[_Row], int, int],
+    keeper.AppendAnswer: tuple[int, bool, int, int],
+    keeper.Whole: tuple[int, int, int, tuple[list[str], list[str]], bytes, int],
+    keeper.Stand: tuple[int],
     following.Follow: tuple[int, int, int, list],
     following.Entries: tuple[int, int, list[tuple[int, object]], int, bool, str],
-    following.State: tuple[int, int, object, bool, str], following.Propose: tuple[int, list],
+    following.State: tuple[int, int, object, bool, str],
+    following.Propose: tuple[int, list],
     following.Proposed: tuple[int, int, str, str],
-    fitness.Begins: tuple[int, int, _Starts], fitness.Begun: tuple[int, int, bool, bool, _Starts]}
+    fitness.Begins: tuple[int, int, _Starts],
+    fitness.Begun: tuple[int, int, bool, bool, _Starts],
+}
 _encode = msgspec.msgpack.Encoder().encode
 _decoders = {kind: msgspec.msgpack.Decoder(shape).decode for kind, shape in SHAPES.items()}
 
--- a/sprucegate/fleet/links/codec.py
+++ b/sprucegate/fleet/links/codec.py
@@ -32,11 +32,28 @@
 
 
 VERSION = 1
-FRAME_MOST = 8 << 20        # bytes: what a fleet has seen, with the gaps of a transfer under way
+FRAME_MOST = 8 << 20  # bytes: what a fleet has seen, with the gaps of a transfer under way
 GREETING_MOST = 1024
-KINDS = (None, swim.Ping, swim.Ack, swim.PingFor, swim.Nack, swim.All, replica.Tell, replica.Done, replica.Held,
-         replica.Have, replica.Mark, replica.Ranges, replica.Keys, replica.Repair, replica.Evidence, Routed,
-         swim.Refused, Word)
+KINDS = (
+    None,
+    swim.Ping,
+    swim.Ack,
+    swim.PingFor,
+    swim.Nack,
+    swim.All,
+    replica.Tell,
+    replica.Done,
+    replica.Held,
+    replica.Have,
+    replica.Mark,
+    replica.Ranges,
+    replica.Keys,
+    replica.Repair,
+    replica.Evidence,
+    Routed,
+    swim.Refused,
+    Word,
+)
 NUMBERS = {kind: number for number, kind in enumerate(KINDS) if kind}
 
 
@@ -66,14 +83,22 @@
 _Key, _Dot = tuple, tuple[str, int, int]
 _Lives = list[tuple[str, int, list[int]]]
 SHAPES = {
-    swim.Ping: tuple[int, str, int, list[swim.Member]], swim.Ack: tuple[int, int, list[swim.Member]],
-    swim.PingFor: tuple[int, str, list[swim.Member]], swim.Nack: tuple[int],
-    swim.All: tuple[list[swim.Member], bool], replica.Tell: tuple[list[Fact], int, int],
-    replica.Done: tuple[int, int, _Lives], replica.Held: tuple[int],
-    replica.Have: tuple[_Lives, int, tuple[int, int], int], replica.Mark: tuple[int, _Lives, bool],
-    replica.Ranges: tuple[list[int]], replica.Keys: tuple[list[int], list[tuple[_Key, _Dot, int]], bool],
-    replica.Repair: tuple[list[Fact]], replica.Evidence: tuple[int, list[Believed], list[Resting]],
-    Routed: tuple[str, str, int, bytes], swim.Refused: tuple[str, int],
+    swim.Ping: tuple[int, str, int, list[swim.Member]],
+    swim.Ack: tuple[int, int, list[swim.Member]],
+    swim.PingFor: tuple[int, str, list[swim.Member]],
+    swim.Nack: tuple[int],
+    swim.All: tuple[list[swim.Member], bool],
+    replica.Tell: tuple[list[Fact], int, int],
+    replica.Done: tuple[int, int, _Lives],
+    replica.Held: tuple[int],
+    replica.Have: tuple[_Lives, int, tuple[int, int], int],
+    replica.Mark: tuple[int, _Lives, bool],
+    replica.Ranges: tuple[list[int]],
+    replica.Keys: tuple[list[int], list[tuple[_Key, _Dot, int]], bool],
+    replica.Repair: tuple[list[Fact]],
+    replica.Evidence: tuple[int, list[Believed], list[Resting]],
+    Routed: tuple[str, str, int, bytes],
+    swim.Refused: tuple[str, int],
     Word: tuple[str, bytes],
 }
 _encode = msgspec.msgpack.Encoder().encode
@@ -110,7 +135,7 @@
         for fact in made.facts:
             _checked(fact)
     if isinstance(made, replica.Done | replica.Have | replica.Mark):
-        for _, _, ends in (made.claims if isinstance(made, replica.Done) else made.lives):
+        for _, _, ends in made.claims if isinstance(made, replica.Done) else made.lives:
             if len(ends) % 2 or any(a >= b for a, b in zip(ends, ends[1:], strict=False)):
                 raise Unreadable("counters that are no intervals")
     return made
@@ -133,11 +158,18 @@
 def _checked(fact):
     kind = fact.key[0] if fact.key else None
     shape = KEYS.get(kind)
-    if (shape is None or len(fact.key) != 1 + len(shape) or len(fact.dot) != 3
-            or not all(type(part) is wanted for part, wanted in zip(fact.key[1:], shape, strict=True))
-            or len(fact.value) != VALUES[kind] or not all(type(part) is int for part in fact.value)
-            or [type(part) for part in fact.dot] != [str, int, int] or fact.dot[2] < 1
-            or kind == replica.WORD and fact.value[2] not in list(State)):
+    if (
+        shape is None
+        or len(fact.key) != 1 + len(shape)
+        or len(fact.dot) != 3
+        or not all(type(part) is wanted for part, wanted in zip(fact.key[1:], shape, strict=True))
+        or len(fact.value) != VALUES[kind]
+        or not all(type(part) is int for part in fact.value)
+        or [type(part) for part in fact.dot] != [str, int, int]
+        or fact.dot[2] < 1
+        or kind == replica.WORD
+        and fact.value[2] not in list(State)
+    ):
         raise Unreadable(f"a fact of no known kind: {str(fact.key)[:80]}")
 
 
@@ -156,11 +188,11 @@
                 raise Unreadable(f"a record of {length} bytes, more than {self.most}")
             if len(self.held) - at < records.HEAD.size + length:
                 break
-            scanned = records.scan(memoryview(self.held)[at:at + records.HEAD.size + length])
+            scanned = records.scan(memoryview(self.held)[at : at + records.HEAD.size + length])
             if scanned.fault:
                 raise Unreadable(scanned.fault)
             found += scanned.records
             at += records.HEAD.size + length
-            self.most = FRAME_MOST           # the greeting is short, whatever comes after it need not be
+            self.most = FRAME_MOST  # the greeting is short, whatever comes after it need not be
         del self.held[:at]
         return found
--- a/sprucegate/fleet/links/links.py
+++ b/sprucegate/fleet/links/links.py
@@ -14,20 +14,26 @@
 from sprucegate.fleet.links.outgoing import Outgoing
 
 OUT_MOST, IN_MOST = 12, 64  # connections: those of this front's own choice, and those that chose it
-KEEPER_MOST = 1024          # and those of a keeper, whom every front follows
-GREET = 2.0                 # seconds for the greeting
-IDLE = 30.0                 # seconds without a byte either way, after which one is closed
+KEEPER_MOST = 1024  # and those of a keeper, whom every front follows
+GREET = 2.0  # seconds for the greeting
+IDLE = 30.0  # seconds without a byte either way, after which one is closed
 READ = 256 << 10
-TURN = 0.003                # seconds of work on what one read brought, after which GETs come in between
-SLOW = 256 << 10            # bytes
-SHORT_MOST = 32             # connections beyond what is taken that are greeted before they are closed
-SHORT = 1.0                 # seconds until such a one is closed
+TURN = 0.003  # seconds of work on what one read brought, after which GETs come in between
+SLOW = 256 << 10  # bytes
+SHORT_MOST = 32  # connections beyond what is taken that are greeted before they are closed
+SHORT = 1.0  # seconds until such a one is closed
 
 
 class Connection:
     def __init__(self, links, sock, address=""):
         self.links, self.sock, self.address = links, sock, address
-        self.name, self.out, self.wake, self.used, self.bytes = "", Outgoing(), asyncio.Event(), time.monotonic(), 0
+        self.name, self.out, self.wake, self.used, self.bytes = (
+            "",
+            Outgoing(),
+            asyncio.Event(),
+            time.monotonic(),
+            0,
+        )
         self.task, self.writer = None, None
 
     def put(self, message, guard):
@@ -59,7 +65,7 @@
         self.loop, self.listener, self.task = asyncio.get_running_loop(), None, None
         self.dialled, self.taken, self.by_name, self.taken_most = {}, set(), {}, taken_most
         self.bytes_out, self.bytes_in, self.refused, self.reading = 0, 0, 0, None
-        self.sent = {}                       # messages by kind
+        self.sent = {}  # messages by kind
 
     def start(self):
         """None, or why it can't listen."""
@@ -130,7 +136,7 @@
                 await self.loop.sock_connect(connection.sock, (host, int(port)))
                 await self.loop.sock_sendall(connection.sock, codec.greeting(self.greeting()))
         except (OSError, TimeoutError, ValueError):
-            return self._close(connection)   # it is down or cut off: membership finds that by itself
+            return self._close(connection)  # it is down or cut off: membership finds that by itself
         except asyncio.CancelledError:
             self._close(connection)
             raise
@@ -160,7 +166,9 @@
         try:
             sock.setblocking(False)
             sock.send(codec.greeting(self.greeting()))
-            sock.shutdown(socket.SHUT_WR)    # not closed at once: what it sent lies unread, and would reset this
+            sock.shutdown(
+                socket.SHUT_WR
+            )  # not closed at once: what it sent lies unread, and would reset this
         except OSError:
             pass
         self.loop.call_later(SHORT, self._short_over, sock)
@@ -231,8 +239,12 @@
                         return await self.loop.sock_sendall(sock, await self.asked(codec.asked(payload)))
         except codec.Unreadable as fault:
             self.refused += 1
-            self.log("fleet_peer_refused", peer=connection.name or connection.address or "unknown", error=str(fault))
-        except OSError as fault:             # a TimeoutError is one; what it brought stands
+            self.log(
+                "fleet_peer_refused",
+                peer=connection.name or connection.address or "unknown",
+                error=str(fault),
+            )
+        except OSError as fault:  # a TimeoutError is one; what it brought stands
             if isinstance(fault, ConnectionError):
                 self._reset(connection)
         finally:
@@ -255,7 +267,7 @@
         if said.role != "front":
             return False
         connection.name = said.name
-        if said.name != own.name:            # a twin of this front is heard, but never taken for it
+        if said.name != own.name:  # a twin of this front is heard, but never taken for it
             self.by_name[said.name] = connection
         return True
 
--- a/sprucegate/fleet/links/outgoing.py
+++ b/sprucegate/fleet/links/outgoing.py
@@ -5,17 +5,17 @@
 from sprucegate.fleet.links import codec
 from sprucegate.fleet.replica.replica import CHUNK, Evidence, Tell
 
-SAID_MOST = 512 << 10       # bytes of what the protocol itself says
-PIECES_MOST = 4 << 20       # bytes of transfers
-FACTS_MOST = 20_000         # keys that spread
-ONCE = 64 << 10             # bytes handed over in one go
+SAID_MOST = 512 << 10  # bytes of what the protocol itself says
+PIECES_MOST = 4 << 20  # bytes of transfers
+FACTS_MOST = 20_000  # keys that spread
+ONCE = 64 << 10  # bytes handed over in one go
 
 
 class Outgoing:
     def __init__(self):
         self.said, self.pieces, self.facts = deque(), deque(), OrderedDict()
         self.said_bytes = self.piece_bytes = self.dropped = 0
-        self.evidence = None                 # the latest alone: an older one is worth nothing beside it
+        self.evidence = None  # the latest alone: an older one is worth nothing beside it
 
     def __bool__(self):
         return bool(self.said or self.pieces or self.facts or self.evidence)
@@ -35,7 +35,7 @@
         data = codec.frame(message)
         if guard:
             if self.piece_bytes + len(data) > PIECES_MOST:
-                self.dropped += 1            # the transfer never becomes whole, and is asked for again
+                self.dropped += 1  # the transfer never becomes whole, and is asked for again
                 return
             self.pieces.append(data)
             self.piece_bytes += len(data)
--- a/sprucegate/fleet/members/swim.py
+++ b/sprucegate/fleet/members/swim.py
@@ -17,7 +17,7 @@
 from sprucegate.fleet.members.pace import Pace
 
 MEMBERS_MOST = 1000
-HURRY = 30_000_000_000      # ns after the start
+HURRY = 30_000_000_000  # ns after the start
 
 
 class Standing(IntEnum):
@@ -148,16 +148,16 @@
         self.own, self.chance, self.pace = own, chance, pace or Pace()
         self.seeds = [address for address in seeds if address != own.address]
         self.known = {own.name: own}
-        self.health = 0                      # Lifeguard's local health: 0 is well
+        self.health = 0  # Lifeguard's local health: 0 is well
         self.numbers, self.order, self.timers = count(1), count(), []
         self.probe, self.nacks, self.round = None, 0, []
-        self.helping = {}                    # number of a probe for another -> (who asked, its number, until)
-        self.accusers, self.suspected = {}, {}      # name -> who accuse; -> (since, when it is gone)
-        self.news = {}                       # name -> how often its word was borne
+        self.helping = {}  # number of a probe for another -> (who asked, its number, until)
+        self.accusers, self.suspected = {}, {}  # name -> who accuse; -> (since, when it is gone)
+        self.news = {}  # name -> how often its word was borne
         self.held, self.renewals, self.doubtful = 0, 0, False
         self.refusals, self.looked = {}, {}  # name -> (life, by whom); -> when it was dialled last
-        self.ended = {}                      # name -> the life whose end was confirmed
-        self.met = False                     # whether any other front has ever been heard
+        self.ended = {}  # name -> the life whose end was confirmed
+        self.met = False  # whether any other front has ever been heard
         self.begun = now
         for what, wait in (("probe", 0), ("sync", self.pace.sync), ("reach", 0)):
             self._arm(now + wait, what, None)
@@ -166,10 +166,16 @@
 
     def alive(self):
         """Others that are not known to be gone, by name."""
-        return [m for _, m in sorted(self.known.items()) if m.standing <= Standing.SUSPECT and m.name != self.own.name]
+        return [
+            m
+            for _, m in sorted(self.known.items())
+            if m.standing <= Standing.SUSPECT and m.name != self.own.name
+        ]
 
     def size(self):
-        return 1 + sum([m.standing <= Standing.SUSPECT for m in self.known.values() if m.name != self.own.name])
+        return 1 + sum(
+            [m.standing <= Standing.SUSPECT for m in self.known.values() if m.name != self.own.name]
+        )
 
     def next_due(self):
         return self.timers[0][0] if self.timers else None
@@ -209,7 +215,7 @@
             case Ping():
                 done = self._news(message.news, now)
                 if message.to != self.own.name:
-                    return done              # meant for whoever had this address before
+                    return done  # meant for whoever had this address before
                 return [*done, Send(sender, "", Ack(message.number, self.held, self._bear(sender)))]
             case PingFor():
                 done = self._news(message.news, now)
@@ -219,7 +225,10 @@
                 self.helping[number] = sender, message.number, now + 4 * self.pace.answer
                 self._arm(now + self.pace.answer * 4 // 5, "nack", number)
                 self._arm(now + 4 * self.pace.answer, "helped", number)
-                return [*done, Send(target.name, "", Ping(number, target.name, self.held, self._bear(target.name)))]
+                return [
+                    *done,
+                    Send(target.name, "", Ping(number, target.name, self.held, self._bear(target.name))),
+                ]
             case Ack():
                 done = self._news(message.news, now)
                 if asked := self.helping.pop(message.number, None):
@@ -241,8 +250,12 @@
     def reset(self, name, now):
         """A link to that member ended from its side: a process that ends, or one that had no use for it."""
         member = self.known.get(name)
-        if (member is None or name == self.own.name or member.standing > Standing.SUSPECT
-                or now - self.looked.get(name, -HURRY) < self.pace.look):
+        if (
+            member is None
+            or name == self.own.name
+            or member.standing > Standing.SUSPECT
+            or now - self.looked.get(name, -HURRY) < self.pace.look
+        ):
             return []
         if len(self.looked) >= MEMBERS_MOST:
             del self.looked[next(iter(self.looked))]
@@ -270,7 +283,12 @@
     def _refused(self, name, life, by, now):
         """Ended, once this front and another found so: well before a silent one, which may only be slow."""
         member = self.known.get(name)
-        if member is None or member.life != life or member.standing > Standing.SUSPECT or name == self.own.name:
+        if (
+            member is None
+            or member.life != life
+            or member.standing > Standing.SUSPECT
+            or name == self.own.name
+        ):
             return []
         was, whose = self.refusals.get(name, (0, ()))
         whose = whose if was == life else ()
@@ -281,8 +299,10 @@
         if by == self.own.name:
             self._arm(now + self.pace.look, "retell", (name, life, 1))
             others = [m for m in self.alive() if m.name != name and m.standing == Standing.ALIVE]
-            done = [Send(m.name, "", Refused(name, life))
-                    for m in self.chance.pick("refused", others, self.pace.helpers)]
+            done = [
+                Send(m.name, "", Refused(name, life))
+                for m in self.chance.pick("refused", others, self.pace.helpers)
+            ]
         elif self.own.name not in whose:
             done = self.reset(name, now)
         whose = self.refusals[name][1]
@@ -295,13 +315,20 @@
         """Nobody confirmed it yet: the word may be lost, or the others' links to it last a little longer."""
         name, life, times = given
         member = self.known.get(name)
-        if (member is None or member.life != life or member.standing > Standing.SUSPECT or times > self.pace.retells
-                or self.refusals.get(name, (0,))[0] != life):
+        if (
+            member is None
+            or member.life != life
+            or member.standing > Standing.SUSPECT
+            or times > self.pace.retells
+            or self.refusals.get(name, (0,))[0] != life
+        ):
             return []
         self._arm(now + self.pace.look, "retell", (name, life, times + 1))
         others = [m for m in self.alive() if m.name != name]
-        return [Send(m.name, "", Refused(name, life))
-                for m in self.chance.pick("refused", others, self.pace.helpers)]
+        return [
+            Send(m.name, "", Refused(name, life))
+            for m in self.chance.pick("refused", others, self.pace.helpers)
+        ]
 
     # What is due.
 
@@ -333,8 +360,10 @@
         if self.probe is None or self.probe.number != number:
             return []
         others = [m for m in self.alive() if m.name != self.probe.target and m.standing == Standing.ALIVE]
-        return [Send(m.name, "", PingFor(number, self.probe.target, self._bear(m.name)))
-                for m in self.chance.pick("helpers", others, self.pace.helpers)]
+        return [
+            Send(m.name, "", PingFor(number, self.probe.target, self._bear(m.name)))
+            for m in self.chance.pick("helpers", others, self.pace.helpers)
+        ]
 
     def _nack(self, number, now):
         asked = self.helping.get(number)
@@ -364,7 +393,9 @@
         self._arm(now + self.pace.reach // (4 if hurried else 1), "reach", None)
         lost = sorted([m.address for m in self.known.values() if m.standing == Standing.GONE] + unmet)
         tries = len(lost) if hurried else 1
-        return [Send("", address, All(self._all(), True)) for address in self.chance.pick("reach", lost, tries)]
+        return [
+            Send("", address, All(self._all(), True)) for address in self.chance.pick("reach", lost, tries)
+        ]
 
     # How a word is taken.
 
@@ -375,7 +406,11 @@
         if word.name == self.own.name:
             return self._of_own(word)
         mine = self.known.get(word.name)
-        if mine is not None and word.standing == Standing.SUSPECT and (word.life, word.turn) == (mine.life, mine.turn):
+        if (
+            mine is not None
+            and word.standing == Standing.SUSPECT
+            and (word.life, word.turn) == (mine.life, mine.turn)
+        ):
             if mine.standing == Standing.SUSPECT:
                 return self._accused(word, now)
         if mine is not None and not word.over(mine):
@@ -392,8 +427,10 @@
         if word.standing == Standing.GONE and mine is not None and mine.standing <= Standing.SUSPECT:
             # Told on at once, by each that hears it first: borne on probes it took seconds to reach all.
             self.refusals.pop(word.name, None)
-            done = [Send(m.name, "", All([word], False))
-                    for m in self.chance.pick("gone", self.alive(), self.pace.helpers)]
+            done = [
+                Send(m.name, "", All([word], False))
+                for m in self.chance.pick("gone", self.alive(), self.pace.helpers)
+            ]
             return [Stands(word, mine), *done]
         if word.standing == Standing.SUSPECT:
             self.accusers[word.name] = {word.by: None}
@@ -408,7 +445,7 @@
         if word.by in accusers or len(accusers) > self.pace.accusers:
             return []
         accusers[word.by] = None
-        self.known[word.name], self.news[word.name] = word, 0        # borne on, so that others count it as well
+        self.known[word.name], self.news[word.name] = word, 0  # borne on, so that others count it as well
         since, _ = self.suspected[word.name]
         end = since + self.pace.suspicion(self.size(), len(accusers))
         self.suspected[word.name] = since, end
@@ -417,7 +454,11 @@
 
     def _of_own(self, word):
         if word.life == self.own.life:
-            if word.standing == Standing.ALIVE or self.own.standing == Standing.LEFT or word.turn < self.own.turn:
+            if (
+                word.standing == Standing.ALIVE
+                or self.own.standing == Standing.LEFT
+                or word.turn < self.own.turn
+            ):
                 return []
             self.health = min(self.pace.health_most, self.health + 1)
             self._own(turn=word.turn + 1)
@@ -462,7 +503,7 @@
         borne = [suspect] if suspect is not None and suspect.standing != Standing.ALIVE else []
         # Its own as well: a twin of that member learns by it that there is a later life.
         names = sorted([n for n in self.news if n in self.known], key=lambda n: (self.news[n], n))
-        for name in names[:self.pace.news - len(borne)]:
+        for name in names[: self.pace.news - len(borne)]:
             self.news[name] += 1
             borne.append(self.known[name])
         return borne
--- a/sprucegate/fleet/parts.py
+++ b/sprucegate/fleet/parts.py
@@ -3,9 +3,9 @@
 
 
 class Part:
-    name, takes = "", ()    # whose words of `codec.Word` it is given; other messages that it takes
-    asked = ""              # by which word `fleet why` asks it
-    answers = {}            # question -> awaited call with what was given: its answer as a map
+    name, takes = "", ()  # whose words of `codec.Word` it is given; other messages that it takes
+    asked = ""  # by which word `fleet why` asks it
+    answers = {}  # question -> awaited call with what was given: its answer as a map
 
     async def start(self):
         pass
@@ -43,8 +43,10 @@
     made = []
     if fleet.agreement is not None:
         from sprucegate.fleet.agreed import AgreedPart
+
         made.append(AgreedPart(fleet, *fleet.agreement))
     if fleet.shares is not None:
         from sprucegate.fleet.shares.part import SharesPart
+
         made.append(SharesPart(fleet, fleet.shares))
     return made
--- a/sprucegate/fleet/replica/facts.py
+++ b/sprucegate/fleet/replica/facts.py
@@ -22,8 +22,8 @@
 
 from sprucegate.fleet.replica.seen import Seen
 
-BUCKETS = 256               # ranges of keys that are compared by digest
-FACTS_MOST = 250_000        # a snapshot of as many stays within its bound in bytes
+BUCKETS = 256  # ranges of keys that are compared by digest
+FACTS_MOST = 250_000  # a snapshot of as many stays within its bound in bytes
 
 
 class State(IntEnum):
@@ -39,10 +39,10 @@
 
 
 class Joined(Enum):
-    NEW = auto()            # it holds from here on
-    OLD = auto()            # seen before, or what is held stands against it
-    OTHER = auto()          # another content under a dot that was seen: a twin of its owner, or a disk put back
-    FULL = auto()           # no room; what is held stays
+    NEW = auto()  # it holds from here on
+    OLD = auto()  # seen before, or what is held stands against it
+    OTHER = auto()  # another content under a dot that was seen: a twin of its owner, or a disk put back
+    FULL = auto()  # no room; what is held stays
 
 
 _packed = msgspec.msgpack.Encoder().encode
@@ -61,10 +61,12 @@
 
     def __init__(self, most=FACTS_MOST):
         self.most, self.held, self.seen = most, {}, Seen()
-        self.kinds = {}                      # how many are held, by kind
-        self.counters, self.at = {}, {}      # (owner, life) -> counters, sorted; -> {counter: key}
-        self.ranges = [0] * BUCKETS          # xor of the digests of the facts in each
-        self.in_range = [{} for _ in range(BUCKETS)]    # key -> digest: a packed fact is not hashed anew to be compared
+        self.kinds = {}  # how many are held, by kind
+        self.counters, self.at = {}, {}  # (owner, life) -> counters, sorted; -> {counter: key}
+        self.ranges = [0] * BUCKETS  # xor of the digests of the facts in each
+        self.in_range = [
+            {} for _ in range(BUCKETS)
+        ]  # key -> digest: a packed fact is not hashed anew to be compared
 
     def root(self):
         return xxhash.xxh64_intdigest(b"".join(one.to_bytes(8, "big") for one in self.ranges))
@@ -75,10 +77,10 @@
         if self.seen.has(fact.dot):
             there = self.at.get(fact.dot[:2], {}).get(fact.dot[2])
             if there is None or there == fact.key and mine.value == fact.value:
-                return Joined.OLD, mine      # let go, replaced, or the same once more
+                return Joined.OLD, mine  # let go, replaced, or the same once more
             return Joined.OTHER, mine
         if mine is None and len(self.held) >= self.most:
-            return Joined.FULL, None         # not seen either: it may come again once there is room
+            return Joined.FULL, None  # not seen either: it may come again once there is room
         self.seen.add(fact.dot)
         if mine is not None and (mine.value, mine.dot) >= (fact.value, fact.dot):
             return Joined.OLD, mine
@@ -95,13 +97,15 @@
         """At most `most` facts under the counters [first, past), and up to which counter these are all."""
         counters, at = self.counters.get((owner, life), []), self.at.get((owner, life), {})
         begin = bisect_left(counters, first)
-        taken = counters[begin:begin + most]
+        taken = counters[begin : begin + most]
         upto = past if len(taken) < most or taken[-1] >= past else taken[-1] + 1
         return [self.held[at[n]] for n in taken if n < past], min(past, upto)
 
     def keys_in(self, chosen):
         """(fact, digest) of those whose keys lie in those ranges."""
-        return [(self.held[key], hashed) for at in sorted(chosen) for key, hashed in self.in_range[at].items()]
+        return [
+            (self.held[key], hashed) for at in sorted(chosen) for key, hashed in self.in_range[at].items()
+        ]
 
     def put(self, fact):
         self.held[fact.key] = fact
--- a/sprucegate/fleet/replica/replica.py
+++ b/sprucegate/fleet/replica/replica.py
@@ -18,24 +18,24 @@
 from sprucegate.fleet.replica.seen import Seen
 
 MS, S = 1_000_000, 1_000_000_000
-FAN_OUT = 4             # neighbours that a front chooses; as many choose it, on average
-HELD_EVERY = 250 * MS   # a digest to each neighbour
-HAVE_AGAIN = 500 * MS   # between two lists of what was seen to one peer: they cost bytes by the fleet's size
-SEEN_EVERY = 5 * S      # what was seen to one front at random, so that all can tell what may be let go
-NEIGHBOURS_FOR = 30 * S     # then others are chosen: a split of the choice must not last
+FAN_OUT = 4  # neighbours that a front chooses; as many choose it, on average
+HELD_EVERY = 250 * MS  # a digest to each neighbour
+HAVE_AGAIN = 500 * MS  # between two lists of what was seen to one peer: they cost bytes by the fleet's size
+SEEN_EVERY = 5 * S  # what was seen to one front at random, so that all can tell what may be let go
+NEIGHBOURS_FOR = 30 * S  # then others are chosen: a split of the choice must not last
 CALLER_FOR = 2 * S
-CHUNK = 200             # facts in one message
-FACT_BYTES, SPAN_BYTES = 90, 40     # of one on the way, about: what is sent is held to a rate by it
-ASKED = 3               # peers from which a front that returns gets what it lacks
-SLOW_FOR = 10 * MS      # until a peer that takes nothing is looked at again
-TWINS = 50              # facts in one repair: each with another content under its dot costs 0.1 ms
-BLOCK = 4096            # counters that one of them is asked for in one piece
-ASK_EVERY = 50 * MS     # how it stands is looked at, while a front catches up
-MEET = 100 * MS         # from the first peer that is met until some are asked
-STUCK = 500 * MS        # without progress: others are asked
+CHUNK = 200  # facts in one message
+FACT_BYTES, SPAN_BYTES = 90, 40  # of one on the way, about: what is sent is held to a rate by it
+ASKED = 3  # peers from which a front that returns gets what it lacks
+SLOW_FOR = 10 * MS  # until a peer that takes nothing is looked at again
+TWINS = 50  # facts in one repair: each with another content under its dot costs 0.1 ms
+BLOCK = 4096  # counters that one of them is asked for in one piece
+ASK_EVERY = 50 * MS  # how it stands is looked at, while a front catches up
+MEET = 100 * MS  # from the first peer that is met until some are asked
+STUCK = 500 * MS  # without progress: others are asked
 LET_GO_EVERY = 2 * S
 RANGES_AGAIN = 500 * MS
-KEYS_MOST = 1500        # facts whose keys are compared in one go: one turn of the loop on either side
+KEYS_MOST = 1500  # facts whose keys are compared in one go: one turn of the loop on either side
 PURGE, WORD, HELD = "purge", "word", "held"
 
 
@@ -63,8 +63,8 @@
 
 
 class Have(NamedTuple):
-    """What the sender has seen, on its disk; with `number` it asks for a share of the rest, `part` (which of how many).
-    """
+    """What the sender has seen, on its disk; with `number` it asks for a share of the rest, `part` (which of how
+    many)."""
 
     lives: list
     root: int
@@ -112,14 +112,14 @@
 class Send(NamedTuple):
     to: str
     message: tuple
-    guard: bool = False     # facts: bounded apart from what the protocol itself says
+    guard: bool = False  # facts: bounded apart from what the protocol itself says
 
 
 class Write(NamedTuple):
     """To be kept and synced; then `synced(number)` is called, or `not_kept` with the fault."""
 
     number: int
-    record: tuple           # (facts, claims, keys let go)
+    record: tuple  # (facts, claims, keys let go)
 
 
 class Act(NamedTuple):
@@ -179,30 +179,51 @@
 
 
 class Replica:
-    def __init__(self, name, life, chance, now, rate=8 << 20, purge_life=60 * S, word_life=86_400 * S,
-                 alone_after=5 * S, most=FACTS_MOST):
+    def __init__(
+        self,
+        name,
+        life,
+        chance,
+        now,
+        rate=8 << 20,
+        purge_life=60 * S,
+        word_life=86_400 * S,
+        alone_after=5 * S,
+        most=FACTS_MOST,
+    ):
         """`rate`: bytes a second for all that catch up from here; lives: ns after which a purge, and the word of a
         server that is gone, may be let go."""
         self.name, self.life, self.chance = name, life, chance
         self.rate, self.alone_after = rate, alone_after
         self.lives = {PURGE: purge_life, WORD: word_life}
         self.facts, self.counter, self.phase = Facts(most), 0, Phase.IDLE
-        self.ageing, self.order, self.transfers = [], count(), count(1)     # (when, order, key) of what may be let go
+        self.ageing, self.order, self.transfers = (
+            [],
+            count(),
+            count(1),
+        )  # (when, order, key) of what may be let go
         self.unsaved, self.writing, self.number = ([], [], []), None, 0
-        self.on_disk, self.kept = Seen(), True      # seen, as far as it is synced; whether the disk takes it
-        self.capturing = False               # a snapshot is under way after the disk failed
-        self.waiting = []                    # own facts, until they are on disk
-        self.peers, self.gone = {}, {}       # names there -> what they were last known to have seen; not there
+        self.on_disk, self.kept = Seen(), True  # seen, as far as it is synced; whether the disk takes it
+        self.capturing = False  # a snapshot is under way after the disk failed
+        self.waiting = []  # own facts, until they are on disk
+        self.peers, self.gone = {}, {}  # names there -> what they were last known to have seen; not there
         self.epoch, self.neighbours, self.callers = 0, [], {}
         self.differs, self.have_at, self.ranges_at = {}, {}, {}
         self.plans, self.tokens, self.tokens_at = {}, 0, now
-        self.slow = ()                       # peers that have not taken what waits for them: told from outside
-        self.coming, self.repaired_at = {}, -S       # peer -> Transfer; when a repair last brought something
-        self.asked, self.marks, self.ask_number, self.ask_until, self.ask_at, self.moved = {}, {}, 0, 0, 0, now
-        self.meet_at = 0                     # until when peers are met before some are asked; 0: none was met
-        self.unmet = False                   # whether some of the file's fronts are not known yet: told from outside
-        self.sharing = {}                    # asked ones whose share is not there yet
-        self.waiting_too = {}                # peers that answered -> whether they still catch up as well
+        self.slow = ()  # peers that have not taken what waits for them: told from outside
+        self.coming, self.repaired_at = {}, -S  # peer -> Transfer; when a repair last brought something
+        self.asked, self.marks, self.ask_number, self.ask_until, self.ask_at, self.moved = (
+            {},
+            {},
+            0,
+            0,
+            0,
+            now,
+        )
+        self.meet_at = 0  # until when peers are met before some are asked; 0: none was met
+        self.unmet = False  # whether some of the file's fronts are not known yet: told from outside
+        self.sharing = {}  # asked ones whose share is not there yet
+        self.waiting_too = {}  # peers that answered -> whether they still catch up as well
         self.cached, self.changes, self.full, self.bytes_out = (-1, 0), 0, False, 0
         self.timers = {"held": now, "seen": now + SEEN_EVERY, "let_go": now + LET_GO_EVERY, "choose": now}
 
@@ -218,7 +239,11 @@
     def next_due(self):
         due = min(self.timers.values())
         if self.plans:
-            wait = SLOW_FOR if all(name in self.slow for name in self.plans) else CHUNK * FACT_BYTES * S // self.rate
+            wait = (
+                SLOW_FOR
+                if all(name in self.slow for name in self.plans)
+                else CHUNK * FACT_BYTES * S // self.rate
+            )
             due = min(due, self.tokens_at + wait)
         return min(due, self.ask_at) if self.phase is Phase.ASKING else due
 
@@ -302,7 +327,9 @@
 
     def fenced(self, now):
         """The others went on without this front: what they let go is learnt before anything is told."""
-        return [Send(peer, self._have_message()) for peer in self.chance.pick("fenced", sorted(self.peers), ASKED)]
+        return [
+            Send(peer, self._have_message()) for peer in self.chance.pick("fenced", sorted(self.peers), ASKED)
+        ]
 
     def renewed(self, name, life):
         """This front is another life from here on; what waited for the disk goes out as it is."""
@@ -318,7 +345,12 @@
 
     def not_kept(self, number, fault, now):
         """The disk fails. A guard fact makes others more careful, so it goes on; what was seen is not said any more."""
-        released, self.writing, was, self.kept = self.writing[2] if self.writing else [], None, self.kept, False
+        released, self.writing, was, self.kept = (
+            self.writing[2] if self.writing else [],
+            None,
+            self.kept,
+            False,
+        )
         self.waiting = released + self.waiting
         note = [Note("fleet_not_kept", {"error": fault})] if was else []
         return note + self._unkept(now) + self._caught_up(now)
@@ -334,7 +366,12 @@
         done = []
         for what in [what for what, at in self.timers.items() if at <= now]:
             done += getattr(self, "_due_" + what)(now)
-        return done + self._unkept(now) + self._feed(now) + (self._asking(now) if self.phase is Phase.ASKING else [])
+        return (
+            done
+            + self._unkept(now)
+            + self._feed(now)
+            + (self._asking(now) if self.phase is Phase.ASKING else [])
+        )
 
     # Own facts and the disk.
 
@@ -409,7 +446,7 @@
         if message.transfer:
             coming = self._coming(sender, message.transfer, now)
             coming.pieces.add(message.at)
-            return done + self._whole(sender, coming) + self._saved()    # who else lacks it asks as well
+            return done + self._whole(sender, coming) + self._saved()  # who else lacks it asks as well
         # What a full table has no room for is obeyed and not passed on: it would go round for ever.
         new = [a.fact for a in done if isinstance(a, Act) and a.fact.key in self.facts.held]
         return done + self._spread(new, sender, now) + self._saved()
@@ -561,7 +598,7 @@
                 done.append(Send(peer, Tell(facts, plan.number, plan.pieces), True))
                 plan.pieces += 1
             if plan.spans:
-                self.plans[peer] = plan      # at the end: the next one's turn
+                self.plans[peer] = plan  # at the end: the next one's turn
             else:
                 done.append(Send(peer, Done(plan.number, plan.pieces, plan.claims), True))
                 cost += len(plan.claims) * SPAN_BYTES
@@ -585,16 +622,22 @@
 
     def _keys(self, sender, message, now):
         """What differs goes there; a word that the other has seen and let go is let go here as well."""
-        chosen, theirs = {at for at in message.ranges if 0 <= at < BUCKETS}, {k: h for k, _, h in message.facts}
+        chosen, theirs = (
+            {at for at in message.ranges if 0 <= at < BUCKETS},
+            {k: h for k, _, h in message.facts},
+        )
         differ, done, seen = [], [], self.peers.get(sender) or Seen()
         for fact, hashed in self.facts.keys_in(chosen):
             if fact.key not in theirs:
                 if fact.key[0] == WORD and seen.has(fact.dot):
-                    done += [*self._forget(fact.key), Act(fact._replace(value=(*fact.value[:2], int(State.LIFTED))))]
+                    done += [
+                        *self._forget(fact.key),
+                        Act(fact._replace(value=(*fact.value[:2], int(State.LIFTED)))),
+                    ]
             elif theirs[fact.key] != hashed:
                 differ.append(fact)
         # In pieces: each fact takes a new dot over there, and thousands in one turn would hold up its GETs.
-        done += [Send(sender, Repair(differ[at:at + TWINS]), True) for at in range(0, len(differ), TWINS)]
+        done += [Send(sender, Repair(differ[at : at + TWINS]), True) for at in range(0, len(differ), TWINS)]
         if message.answer:
             done.append(Send(sender, self._keys_of(sorted(chosen), False)))
         return done + self._saved()
@@ -608,7 +651,7 @@
             key = heapq.heappop(self.ageing)[2]
             fact = self.facts.held.get(key)
             if fact is None or self._life(fact) is None:
-                continue                     # a newer one of this key has a time of its own
+                continue  # a newer one of this key has a time of its own
             if self.on_disk.has(fact.dot) and all(seen.has(fact.dot) for seen in self.peers.values()):
                 done += self._forget(key)
             else:
@@ -642,8 +685,10 @@
     def _choose(self, now):
         """By hash, so that fronts choose apart; others after a while."""
         self.timers["choose"] = now + NEIGHBOURS_FOR
-        ranked = sorted(self.peers, key=lambda name: (crc32(f"{self.name}/{name}/{self.epoch}".encode()) * 2654435761
-                                                      % 2**32, name))
+        ranked = sorted(
+            self.peers,
+            key=lambda name: (crc32(f"{self.name}/{name}/{self.epoch}".encode()) * 2654435761 % 2**32, name),
+        )
         self.neighbours = ranked[:FAN_OUT]
         return []
 
@@ -659,10 +704,14 @@
     def _ask(self, now):
         self.ask_number += 1
         # Against many that return at once and ask each other: those known to wait as well come last.
-        names = sorted(self.peers, key=lambda name: (self.waiting_too.get(name, False), self.chance(name)))[:ASKED]
+        names = sorted(self.peers, key=lambda name: (self.waiting_too.get(name, False), self.chance(name)))[
+            :ASKED
+        ]
         self.asked, self.marks, self.moved = dict.fromkeys(names), {}, now
         self.sharing = dict.fromkeys(names)
-        return [Send(name, self._have_message((at, len(names)), self.ask_number)) for at, name in enumerate(names)]
+        return [
+            Send(name, self._have_message((at, len(names)), self.ask_number)) for at, name in enumerate(names)
+        ]
 
     def _asking(self, now):
         # A time of its own: by those that have passed while it waits for more, it would be due without end.
@@ -678,10 +727,13 @@
         patience = min(6 * STUCK, self.alone_after // 2) if self.coming else STUCK
         if now - self.moved < patience and (self.sharing or not self.marks):
             return []
-        uncovered = [name for name, mark in self.marks.items()
-                     if name in self.peers and not self.facts.seen.covers(mark)]
+        uncovered = [
+            name
+            for name, mark in self.marks.items()
+            if name in self.peers and not self.facts.seen.covers(mark)
+        ]
         if not uncovered and any(not self.on_disk.covers(mark) for mark in self.marks.values()) and self.kept:
-            return []                        # it is all here, and being written
+            return []  # it is all here, and being written
         if uncovered:
             # Shares overlap where peers had seen different things: the rest from each that still has some.
             self.moved, self.sharing = now, dict.fromkeys(uncovered[:1])
@@ -694,13 +746,19 @@
             return []
         there = [name for name in self.asked if name in self.peers]
         if now >= self.ask_until:
-            there = [name for name in there if name in self.marks]       # one that is heard but doesn't hear
+            there = [name for name in there if name in self.marks]  # one that is heard but doesn't hear
         if not there or any(name not in self.marks for name in there):
             return []
-        if now < self.ask_until + self.alone_after and all(self.waiting_too[n] for n in there) and (
+        if (
+            now < self.ask_until + self.alone_after
+            and all(self.waiting_too[n] for n in there)
+            and (
                 any(not self.waiting_too.get(name, False) for name in self.peers)
-                or self.unmet and now < self.ask_until):
-            return []                        # none of them can tell more than this one, and others may
+                or self.unmet
+                and now < self.ask_until
+            )
+        ):
+            return []  # none of them can tell more than this one, and others may
         seen = self.on_disk if self.kept else self.facts.seen
         if not all(seen.covers(self.marks[name]) for name in there):
             return []
--- a/sprucegate/fleet/replica/seen.py
+++ b/sprucegate/fleet/replica/seen.py
@@ -26,7 +26,7 @@
         if past <= first:
             return
         ends = self.lives.setdefault((owner, life), [])
-        if not ends or first > ends[-1]:     # what comes in order is by far the most frequent
+        if not ends or first > ends[-1]:  # what comes in order is by far the most frequent
             ends += [first, past]
             return
         # Intervals that touch become one: left and right are the first and past-the-last ends that it covers.
--- a/sprucegate/fleet/rollout/commands.py
+++ b/sprucegate/fleet/rollout/commands.py
@@ -4,21 +4,33 @@
 
 from sprucegate.fleet.rollout.gates import MEASURES
 
-TEXT_MOST = 200         # characters of a name or a reason
+TEXT_MOST = 200  # characters of a name or a reason
 BOXES_MOST = 5000
 SHAPES = {
-    "ask": tuple[str, str, str, str], "withdraw": tuple[str], "drained": tuple[str, str, int], "out": tuple[str, str],
-    "renew": tuple[str, str], "late": tuple[str, int], "started": tuple[str, str], "warm": tuple[str, str, str, int],
-    "give-up": tuple[str], "stands": tuple[str, str], "front": tuple[str, int, bool],
+    "ask": tuple[str, str, str, str],
+    "withdraw": tuple[str],
+    "drained": tuple[str, str, int],
+    "out": tuple[str, str],
+    "renew": tuple[str, str],
+    "late": tuple[str, int],
+    "started": tuple[str, str],
+    "warm": tuple[str, str, str, int],
+    "give-up": tuple[str],
+    "stands": tuple[str, str],
+    "front": tuple[str, int, bool],
     "left": tuple[str, int],
     "boxes": tuple[list[tuple[str, str, str, str, str, int]]],
     "limits": tuple[list[tuple[str, str, str, int, int]], tuple[int, int]],
-    "release": tuple[tuple[str, str, str, str, list[list[str]], int], str], "halt": tuple[str, str, str],
-    "resume": tuple[str, str], "back": tuple[str, str], "gate": tuple[str, int, int, bool, str],
-    "trouble": tuple[str, str]}
+    "release": tuple[tuple[str, str, str, str, list[list[str]], int], str],
+    "halt": tuple[str, str, str],
+    "resume": tuple[str, str],
+    "back": tuple[str, str],
+    "gate": tuple[str, int, int, bool, str],
+    "trouble": tuple[str, str],
+}
 BY_OPERATORS = ("ask", "withdraw", "give-up", "release", "halt", "resume", "back", "out", "renew", "started")
 REPORT = tuple[list[tuple[str, int, int, int, int, int, int]], list[str], dict[str, str]]
-assert len(MEASURES) == 5       # the columns of a report after the count of GETs, starts in the place of crashes
+assert len(MEASURES) == 5  # the columns of a report after the count of GETs, starts in the place of crashes
 
 
 def fault(command):
--- a/sprucegate/fleet/rollout/follower.py
+++ b/sprucegate/fleet/rollout/follower.py
@@ -3,7 +3,7 @@
 from sprucegate.fleet.rollout.permits import Step
 
 S = 1_000_000_000
-AGAIN = S               # until a word that is not in the log is said anew
+AGAIN = S  # until a word that is not in the log is said anew
 
 
 class Words:
@@ -32,7 +32,7 @@
         known = [list(b) for b in permits.boxes.values() if b.name not in out or b.name in boxes]
         if sorted(known) != sorted(map(list, boxes.values())):
             found.append(["boxes", [list(b) for b in boxes.values()]])
-        self.same = not found                # in the log, not merely proposed
+        self.same = not found  # in the log, not merely proposed
         return self._fresh(found, now)
 
     def _fresh(self, found, now):
--- a/sprucegate/fleet/rollout/gates.py
+++ b/sprucegate/fleet/rollout/gates.py
@@ -10,12 +10,12 @@
 from statistics import NormalDist
 from typing import NamedTuple
 
-LOOKS = 40              # at most, of one wave
+LOOKS = 40  # at most, of one wave
 MEASURES = ("errors", "sheds", "late", "misses", "crashes")
 
 
 class Verdict(IntEnum):
-    FEW = 0             # not enough seen to say: not a pass
+    FEW = 0  # not enough seen to say: not a pass
     PASS = 1
     FAIL = 2
 
@@ -25,8 +25,8 @@
 
     worse: tuple = (5, 20, 50, 100, 0)
     risk: float = 0.01
-    least: int = 200    # GETs of the released
-    starts: int = 2     # of one box within a wave: past that it is taken for one that does not live
+    least: int = 200  # GETs of the released
+    starts: int = 2  # of one box within a wave: past that it is taken for one that does not live
 
 
 class Seen(NamedTuple):
@@ -48,8 +48,10 @@
     z = NormalDist().inv_cdf(1 - risk)
     (low1, high1), (low2, high2) = wilson(one, of_one, z), wilson(other, of_other, z)
     apart, share1, share2 = one / of_one - other / of_other, one / of_one, other / of_other
-    return (apart - ((share1 - low1) ** 2 + (high2 - share2) ** 2) ** 0.5,
-            apart + ((high1 - share1) ** 2 + (share2 - low2) ** 2) ** 0.5)
+    return (
+        apart - ((share1 - low1) ** 2 + (high2 - share2) ** 2) ** 0.5,
+        apart + ((high1 - share1) ** 2 + (share2 - low2) ** 2) ** 0.5,
+    )
 
 
 def verdict(released, others, starts, baked, limits):
@@ -61,9 +63,16 @@
     if not released.gets or not others.gets:
         return Verdict.FEW, "gets", (released.gets, others.gets)
     unsure = ""
-    for name, bad, fine, worse in zip(MEASURES[:-1], released.counts, others.counts, limits.worse, strict=False):
-        least, most = worse_by(min(bad, released.gets), released.gets, min(fine, others.gets), others.gets,
-                               limits.risk / (LOOKS * (len(MEASURES) - 1)))
+    for name, bad, fine, worse in zip(
+        MEASURES[:-1], released.counts, others.counts, limits.worse, strict=False
+    ):
+        least, most = worse_by(
+            min(bad, released.gets),
+            released.gets,
+            min(fine, others.gets),
+            others.gets,
+            limits.risk / (LOOKS * (len(MEASURES) - 1)),
+        )
         if least * 1000 > worse:
             return Verdict.FAIL, name, (bad / released.gets, fine / others.gets)
         # A pass is no proof that it is as good: what was seen must not be past the limit, and enough was seen.
