--- a/sprucegate/fleet/rollout/leader.py
+++ b/sprucegate/fleet/rollout/leader.py
@@ -13,12 +13,12 @@
 from sprucegate.fleet.rollout.releases import Phase
 
 MS, S = 1_000_000, 1_000_000_000
-FRONT_LEASE = 6 * S     # from the last question of a front to its being counted out
-MARGIN = 1500 * MS      # a front's own lease ends so much earlier: an election, clocks that drift, a slow answer
+FRONT_LEASE = 6 * S  # from the last question of a front to its being counted out
+MARGIN = 1500 * MS  # a front's own lease ends so much earlier: an election, clocks that drift, a slow answer
 PERMIT_LEASE = 30 * S
-LIVE_MOST = 300 * S     # from the stop of a released box to its being back
-REPORT_LATE = 3 * S     # after which a front's report tells nothing of what is in reach now
-AGAIN = S               # until what was proposed and did not come is proposed anew
+LIVE_MOST = 300 * S  # from the stop of a released box to its being back
+REPORT_LATE = 3 * S  # after which a front's report tells nothing of what is in reach now
+AGAIN = S  # until what was proposed and did not come is proposed anew
 
 
 def front_lease():
@@ -30,16 +30,24 @@
 
     def __init__(self, machine, now, gate=None):
         self.machine, self.since, self.gate = machine, now, gate or gates.Limits()
-        self.under_way = {}                  # command as text -> when proposed
+        self.under_way = {}  # command as text -> when proposed
         self.renewed_at, self.away, self.waves, self.looked = {}, {}, {}, {}
-        self.told, self.totals, self.starts = {}, {}, {}     # last reports; counts by box; starts by box and front
+        self.told, self.totals, self.starts = (
+            {},
+            {},
+            {},
+        )  # last reports; counts by box; starts by box and front
 
     def due(self, heard, now):
         """Commands to propose. `heard`: front -> Heard."""
         self.under_way = {c: at for c, at in self.under_way.items() if now - at < AGAIN}
-        wanted = (self._fronts(heard, now) + self._permits(now) + self._failed(heard, now)
-                  + self._troubles(heard, now)
-                  + self._gates(heard, now))
+        wanted = (
+            self._fronts(heard, now)
+            + self._permits(now)
+            + self._failed(heard, now)
+            + self._troubles(heard, now)
+            + self._gates(heard, now)
+        )
         fresh = [c for c in wanted if repr(c) not in self.under_way]
         self.under_way.update((repr(c), now) for c in fresh)
         return fresh
@@ -60,8 +68,11 @@
         return found
 
     def _halts(self, why, release=None):
-        return [["halt", name, "fleet", why] for name, one in self.machine.releases.releases.items()
-                if one.phase is Phase.RUNNING and release in (None, name)]
+        return [
+            ["halt", name, "fleet", why]
+            for name, one in self.machine.releases.releases.items()
+            if one.phase is Phase.RUNNING and release in (None, name)
+        ]
 
     def _permits(self, now):
         found, open_now = [], self.machine.permits.of_box.values()
@@ -82,7 +93,9 @@
     def _said(self, heard):
         """Reports of the fronts that count."""
         fronts = self.machine.permits.fronts
-        return {name: one.report for name, one in heard.items() if fronts.get(name) == one.life and one.report}
+        return {
+            name: one.report for name, one in heard.items() if fronts.get(name) == one.life and one.report
+        }
 
     def _says_now(self, heard, now):
         """Reports made since this keeper leads, and not long ago: older ones are of what was then."""
@@ -117,8 +130,11 @@
                 told[what] = told.get(what, 0) + 1
         known = self.machine.releases.troubles
         for what in sorted({*told, *known}):
-            on = self._most(told.get(what, 0)) if what not in known else (
-                not self._most(len(reports) - told.get(what, 0)))
+            on = (
+                self._most(told.get(what, 0))
+                if what not in known
+                else (not self._most(len(reports) - told.get(what, 0)))
+            )
             if on != (what in known):
                 found.append(["trouble", what, f"{told.get(what, 0)} of {len(reports)} fronts" if on else ""])
         return found
@@ -139,10 +155,10 @@
             rows = rows if life == heard[name].life else {}
             for box, *row in report[0]:
                 if box not in boxes:
-                    continue                 # not one that the log knows: it would be counted for ever
+                    continue  # not one that the log knows: it would be counted for ever
                 old, rows[box] = rows.get(box), row
                 if old is None:
-                    continue                 # the first word of a front, or to a new leader, is where it begins
+                    continue  # the first word of a front, or to a new leader, is where it begins
                 total = self.totals.setdefault(box, [0] * 6)
                 for at in range(5):
                     total[at] += max(0, row[at] - old[at])
@@ -169,7 +185,9 @@
             for box in release.done:
                 # From when it is back: what was served before by the former version is not its own.
                 begun.setdefault(box, self._of(box))
-            if whole is None and not any(b not in release.done and b in self.machine.permits.boxes for b in wave):
+            if whole is None and not any(
+                b not in release.done and b in self.machine.permits.boxes for b in wave
+            ):
                 whole = now
                 self.waves[name] = at, base, begun, whole
             # Looks are counted by what the gate's risk is divided by.
@@ -177,15 +195,23 @@
                 continue
             self.looked[name] = now
             released = self._sum(release.done, begun)
-            others = [b.name for b in self.machine.permits.boxes.values() if b.kind == release.plan.kind
-                      and b.name not in release.done and b.name not in self.machine.permits.of_box]
+            others = [
+                b.name
+                for b in self.machine.permits.boxes.values()
+                if b.kind == release.plan.kind
+                and b.name not in release.done
+                and b.name not in self.machine.permits.of_box
+            ]
             rest = self._sum(others, base)
             starts = max([self._of(b)[5] - begun[b][5] + 1 for b in release.done], default=0)
             baked = whole is not None and now - whole >= release.plan.bake
             if not others and baked:
                 # The last wave has nobody beside it: held against those that were released first.
-                older = [b for w in release.plan.waves[:release.wave] for b in w if b in release.done]
-                released, rest = self._sum([b for b in wave if b in release.done], begun), self._sum(older, begun)
+                older = [b for w in release.plan.waves[: release.wave] for b in w if b in release.done]
+                released, rest = (
+                    self._sum([b for b in wave if b in release.done], begun),
+                    self._sum(older, begun),
+                )
             said, by, figures = gates.verdict(released, rest, starts, baked, self.gate)
             if said is not Verdict.FEW:
                 text = f"{by}: {figures[0]:.3g} beside {figures[1]:.3g}" if by else ""
--- a/sprucegate/fleet/rollout/permits.py
+++ b/sprucegate/fleet/rollout/permits.py
@@ -12,8 +12,8 @@
 from enum import IntEnum
 from typing import NamedTuple
 
-ENDED_MOST = 1000       # permits that are over and still told of
-OPEN_MOST = 2000        # requests at one time
+ENDED_MOST = 1000  # permits that are over and still told of
+OPEN_MOST = 2000  # requests at one time
 SCOPES = ("fleet", "location", "kind", "group")
 
 
@@ -29,14 +29,14 @@
 
 
 OPEN = (Step.ASKED, Step.GRANTED, Step.DRAINED, Step.OUT, Step.COLD)
-TAKES = (Step.GRANTED, Step.DRAINED, Step.OUT, Step.COLD)      # a place
+TAKES = (Step.GRANTED, Step.DRAINED, Step.OUT, Step.COLD)  # a place
 
 
 class Box(NamedTuple):
     """A cache, a parent or a front. `weight`: its part of what its kind carries there."""
 
     name: str
-    role: str               # "cache" or "front"
+    role: str  # "cache" or "front"
     location: str
     kind: str
     group: str
@@ -56,8 +56,7 @@
     share: int
 
     def binds(self, box):
-        return (self.role in ("", box.role)
-                and (not self.of or self.of == self.place(box)))
+        return self.role in ("", box.role) and (not self.of or self.of == self.place(box))
 
     def place(self, box):
         return "" if self.scope == "fleet" else getattr(box, self.scope)
@@ -72,15 +71,44 @@
 
 
 class Permit:
-    FIELDS = ("id", "box", "by", "why", "release", "version", "step", "index", "drained", "warm", "start", "holder",
-              "renewed", "overdue")
-
-    def __init__(self, id, box, by, why, release, version, step=Step.ASKED, index=0, drained=(), warm=(), start="",
-                 holder="", renewed=0, overdue=False):
+    FIELDS = (
+        "id",
+        "box",
+        "by",
+        "why",
+        "release",
+        "version",
+        "step",
+        "index",
+        "drained",
+        "warm",
+        "start",
+        "holder",
+        "renewed",
+        "overdue",
+    )
+
+    def __init__(
+        self,
+        id,
+        box,
+        by,
+        why,
+        release,
+        version,
+        step=Step.ASKED,
+        index=0,
+        drained=(),
+        warm=(),
+        start="",
+        holder="",
+        renewed=0,
+        overdue=False,
+    ):
         self.id, self.box, self.by, self.why, self.release, self.step = id, box, by, why, release, Step(step)
-        self.version = version               # to be put there; "" as it is
-        self.index = index                   # of the entry that granted it: the later one is the newer
-        self.drained, self.warm = list(drained), list(warm)    # fronts that said so
+        self.version = version  # to be put there; "" as it is
+        self.index = index  # of the entry that granted it: the later one is the newer
+        self.drained, self.warm = list(drained), list(warm)  # fronts that said so
         self.start, self.holder, self.renewed, self.overdue = start, holder, renewed, overdue
 
     def told(self):
@@ -90,16 +118,24 @@
 class Permits:
     def __init__(self):
         self.budgets, self.warmth = [], Warmth(0, 1000)
-        self.boxes, self.down = {}, {}       # name -> Box; -> why it is out by itself
-        self.fronts = {}                     # live ones by the log: name -> life
-        self.permits, self.of_box = {}, {}   # in the order of asking; box -> its open one
-        self.ended, self.over = [], []       # ids that are told of still; permits that ended by this command
-        self.without, self.gone = 0, {}      # fronts that went without a permit; by name the life that left last
+        self.boxes, self.down = {}, {}  # name -> Box; -> why it is out by itself
+        self.fronts = {}  # live ones by the log: name -> life
+        self.permits, self.of_box = {}, {}  # in the order of asking; box -> its open one
+        self.ended, self.over = [], []  # ids that are told of still; permits that ended by this command
+        self.without, self.gone = 0, {}  # fronts that went without a permit; by name the life that left last
 
     def told(self):
-        return [[list(b) for b in self.budgets], list(self.warmth), [list(b) for b in self.boxes.values()], self.down,
-                self.fronts, [p.told() for p in self.permits.values()], self.ended, self.without,
-                self.gone]
+        return [
+            [list(b) for b in self.budgets],
+            list(self.warmth),
+            [list(b) for b in self.boxes.values()],
+            self.down,
+            self.fronts,
+            [p.told() for p in self.permits.values()],
+            self.ended,
+            self.without,
+            self.gone,
+        ]
 
     def loaded(self, told):
         budgets, warmth, boxes, down, fronts, permits, ended, self.without, gone = told
@@ -115,7 +151,9 @@
     def out(self):
         """{box: why} of all that take a place: by permit, or by themselves."""
         taken = dict(self.down)
-        taken.update({b.name: "lost" for b in self.boxes.values() if b.role == "front" and b.name not in self.fronts})
+        taken.update(
+            {b.name: "lost" for b in self.boxes.values() if b.role == "front" and b.name not in self.fronts}
+        )
         taken.update({p.box: p.step.name.lower() for p in self.of_box.values() if p.step in TAKES})
         return {name: why for name, why in taken.items() if name in self.boxes}
 
@@ -126,8 +164,12 @@
             return "gone", permit.box, 0, 0
         out = self.out() if out is None else out
         if box.name in out:
-            return None                      # it takes its place already, as it failed by itself
-        same = [b for b in self.boxes.values() if (b.role, b.location, b.kind) == (box.role, box.location, box.kind)]
+            return None  # it takes its place already, as it failed by itself
+        same = [
+            b
+            for b in self.boxes.values()
+            if (b.role, b.location, b.kind) == (box.role, box.location, box.kind)
+        ]
         if not any(b.name != box.name and b.name not in out for b in same):
             return "last", f"{box.kind} in {box.location}", len(same) - 1, len(same) - 1
         away = sum(b.name in out for b in same) + 1
@@ -163,7 +205,8 @@
 
     def _places(self, box):
         return [(*budget, budget.place(box)) for budget in self.budgets if budget.binds(box)] + [
-            ("warm", box.role, box.location, box.kind)]
+            ("warm", box.role, box.location, box.kind)
+        ]
 
     # Commands.
 
@@ -186,8 +229,10 @@
         while True:
             # Anew after each: what is granted takes a place that the next one may have wanted.
             waits = self.waits(may)
-            free = next((p for p in self.of_box.values()
-                         if p.step is Step.ASKED and p.id not in waits and may(p)), None)
+            free = next(
+                (p for p in self.of_box.values() if p.step is Step.ASKED and p.id not in waits and may(p)),
+                None,
+            )
             if free is None:
                 return granted
             free.step, free.index = Step.GRANTED, index
@@ -207,7 +252,11 @@
         of_front = box is not None and box.role == "front"
         # Nobody sends to a front but clients: it says by itself that it takes none any more, or serves again.
         asked = [n for n in self.fronts if n == permit.box] if of_front else list(self.fronts)
-        if permit.step is Step.GRANTED and (asked or of_front) and all(name in permit.drained for name in asked):
+        if (
+            permit.step is Step.GRANTED
+            and (asked or of_front)
+            and all(name in permit.drained for name in asked)
+        ):
             permit.step = Step.DRAINED
         # Not of all: one that sees few GETs would take an hour to earn its part of a cold one's warmth.
         if permit.step is Step.COLD and asked and 2 * sum(name in permit.warm for name in asked) > len(asked):
@@ -224,7 +273,11 @@
         permit = self.permits.get(id)
         if permit is None or permit.step not in (Step.DRAINED, Step.OUT):
             return "not drained" if permit is not None else "no such permit"
-        if permit.step is Step.DRAINED and self._free(permit.box) and (why := self.wait(permit, self._charged(permit))):
+        if (
+            permit.step is Step.DRAINED
+            and self._free(permit.box)
+            and (why := self.wait(permit, self._charged(permit)))
+        ):
             # It may be there again by now, and nobody here knows yet. The permit stands, and goes out in its turn.
             return f"held back: {why[0]}"
         permit.step, permit.holder = Step.OUT, holder
@@ -253,8 +306,13 @@
     def said_warm(self, id, start, front, life):
         """That front sees this start answer and sends it its part: the word of who replaced it is not enough."""
         permit = self.permits.get(id)
-        if (permit is None or permit.step is not Step.COLD or permit.start != start or not start
-                or self.fronts.get(front) != life):
+        if (
+            permit is None
+            or permit.step is not Step.COLD
+            or permit.start != start
+            or not start
+            or self.fronts.get(front) != life
+        ):
             return
         if front not in permit.warm:
             permit.warm.append(front)
@@ -295,7 +353,7 @@
 
     def front(self, name, life, on):
         """A front that follows the log, or one whose lease ended (not `on`): it is waited for no more."""
-        if on and self.gone.get(name) != life:      # one that has left still follows until it ends
+        if on and self.gone.get(name) != life:  # one that has left still follows until it ends
             lost = name not in self.fronts
             self.fronts[name] = life
             self.gone.pop(name, None)
@@ -311,8 +369,11 @@
 
     def _charged(self, but):
         """{box: why} of those that take a place by a permit: out, or granted as one that was there."""
-        return {p.box: p.step.name.lower() for p in self.of_box.values()
-                if p is not but and (p.step in (Step.OUT, Step.COLD) or p.step in TAKES and not self._free(p.box))}
+        return {
+            p.box: p.step.name.lower()
+            for p in self.of_box.values()
+            if p is not but and (p.step in (Step.OUT, Step.COLD) or p.step in TAKES and not self._free(p.box))
+        }
 
     def _charge(self, name):
         """A box is there again whose permit may have been free, as it was out by itself.
--- a/sprucegate/fleet/rollout/releases.py
+++ b/sprucegate/fleet/rollout/releases.py
@@ -8,13 +8,13 @@
 
 from sprucegate.fleet.rollout.permits import Step
 
-HISTORY_MOST = 500      # events of releases that are told of
+HISTORY_MOST = 500  # events of releases that are told of
 
 
 class Phase(IntEnum):
     RUNNING = 0
     HALTED = 1
-    BACK = 2            # the released go back, in waves under the same budgets
+    BACK = 2  # the released go back, in waves under the same budgets
     DONE = 3
     RETURNED = 4
 
@@ -31,14 +31,30 @@
 
 
 class Release:
-    def __init__(self, plan, by, phase=Phase.RUNNING, wave=0, why="", done=(), turn=0, passed=False, ahead=()):
+    def __init__(
+        self, plan, by, phase=Phase.RUNNING, wave=0, why="", done=(), turn=0, passed=False, ahead=()
+    ):
         self.plan, self.by, self.phase, self.wave, self.why = plan, by, Phase(phase), wave, why
-        self.done, self.turn, self.passed = list(done), turn, passed     # boxes at the new version; turn: of direction
-        self.ahead = list(ahead)             # on the way back: boxes still to go
+        self.done, self.turn, self.passed = (
+            list(done),
+            turn,
+            passed,
+        )  # boxes at the new version; turn: of direction
+        self.ahead = list(ahead)  # on the way back: boxes still to go
 
     def told(self):
         plan = [*self.plan[:4], [list(wave) for wave in self.plan.waves], self.plan.bake]
-        return [plan, self.by, int(self.phase), self.wave, self.why, self.done, self.turn, self.passed, self.ahead]
+        return [
+            plan,
+            self.by,
+            int(self.phase),
+            self.wave,
+            self.why,
+            self.done,
+            self.turn,
+            self.passed,
+            self.ahead,
+        ]
 
     @classmethod
     def of(cls, told):
@@ -59,8 +75,8 @@
 class Releases:
     def __init__(self, permits):
         self.permits, self.releases = permits, {}
-        self.troubles = {}                   # what -> why: while there is one, releases wait by themselves
-        self.history, self.index = [], 0     # (entry, release, what, by or why)
+        self.troubles = {}  # what -> why: while there is one, releases wait by themselves
+        self.history, self.index = [], 0  # (entry, release, what, by or why)
 
     def told(self):
         return [[one.told() for one in self.releases.values()], self.troubles, self.history]
@@ -88,7 +104,9 @@
         of_kind = [box.name for box in self.permits.boxes.values() if box.kind == plan.kind]
         if set(of_kind) <= set(plan.waves[0]):
             return "no such plan: a gate holds the first wave against boxes beside it, and there is none"
-        while len(self.releases) >= 100 and (over := next((n for n, r in self.releases.items() if r.over()), None)):
+        while len(self.releases) >= 100 and (
+            over := next((n for n, r in self.releases.items() if r.over()), None)
+        ):
             del self.releases[over]
         self.releases[plan.name] = Release(plan, by)
         self._note(plan.name, "started", by)
@@ -109,9 +127,13 @@
         release = self.releases.get(name)
         if release is None or release.phase is not Phase.HALTED:
             return "is not halted"
-        release.phase, release.why, release.passed = (Phase.BACK if release.ahead else Phase.RUNNING), "", False
+        release.phase, release.why, release.passed = (
+            (Phase.BACK if release.ahead else Phase.RUNNING),
+            "",
+            False,
+        )
         self._note(name, "resumed", by)
-        release.turn += 1                    # what was withdrawn is asked for anew, under other ids
+        release.turn += 1  # what was withdrawn is asked for anew, under other ids
         return "resumed"
 
     def back(self, name, by):
@@ -123,7 +145,11 @@
             return "goes back"
         self._withdraw(release)
         # What is out for it has the new version, or may have; it goes back once it is back from this one.
-        out = [p.box for p in self.permits.of_box.values() if p.release == name and p.version == release.plan.version]
+        out = [
+            p.box
+            for p in self.permits.of_box.values()
+            if p.release == name and p.version == release.plan.version
+        ]
         release.ahead = [*reversed(release.done), *[box for box in out if box not in release.done]]
         release.phase, release.why = Phase.BACK, f"{by} turned it back"
         self._note(name, "goes back", by)
@@ -133,7 +159,11 @@
     def gate(self, name, turn, wave, passed, why):
         """The leader's look at that wave; a word about another wave or direction comes too late."""
         release = self.releases.get(name)
-        if release is None or release.phase is not Phase.RUNNING or (release.turn, release.wave) != (turn, wave):
+        if (
+            release is None
+            or release.phase is not Phase.RUNNING
+            or (release.turn, release.wave) != (turn, wave)
+        ):
             return
         if passed:
             release.passed = True
@@ -144,8 +174,12 @@
     def may(self, permit):
         """A halt holds back what was asked for and not granted, a trouble too, but for the way back."""
         release = self.releases.get(permit.release)
-        return (release is None or release.phase is Phase.BACK
-                or release.phase is Phase.RUNNING and not self.troubles)
+        return (
+            release is None
+            or release.phase is Phase.BACK
+            or release.phase is Phase.RUNNING
+            and not self.troubles
+        )
 
     def trouble(self, what, why):
         if why:
@@ -164,7 +198,9 @@
                     if box not in release.done:
                         self._ask(release, box)
                 # One that was given up is waited for no more, and counts as nothing.
-                if release.passed and all(box in release.done or box not in self.permits.boxes for box in wave):
+                if release.passed and all(
+                    box in release.done or box not in self.permits.boxes for box in wave
+                ):
                     release.wave, release.passed = release.wave + 1, False
                     if release.wave == len(release.plan.waves):
                         release.wave, release.phase = release.wave - 1, Phase.DONE
@@ -181,7 +217,9 @@
 
     def _ask(self, release, box):
         if box in self.permits.boxes and box not in self.permits.of_box:
-            self.permits.ask(release.request(box), box, release.by, "release", release.plan.name, release.version())
+            self.permits.ask(
+                release.request(box), box, release.by, "release", release.plan.name, release.version()
+            )
 
     def _taken(self, release, back):
         for permit in back:
--- a/sprucegate/fleet/rollout/rollout.py
+++ b/sprucegate/fleet/rollout/rollout.py
@@ -8,7 +8,7 @@
 from sprucegate.fleet.rollout.releases import Plan, Releases
 
 FORMAT = 1
-ONCE_MOST = 1000        # requests of operators whose words are kept
+ONCE_MOST = 1000  # requests of operators whose words are kept
 
 
 class Rollout:
@@ -17,13 +17,29 @@
         self.releases = Releases(self.permits)
         permits, releases = self.permits, self.releases
         self.commands = {
-            "ask": permits.ask, "withdraw": permits.withdraw, "drained": permits.said_drained, "out": permits.went,
-            "renew": permits.renew, "late": permits.late, "started": permits.started, "warm": permits.said_warm,
-            "give-up": permits.give_up, "stands": permits.stands, "front": permits.front, "left": permits.left,
-            "boxes": lambda boxes: permits.listed([Box(*box) for box in boxes]), "limits": self._limits,
-            "release": lambda plan, by: releases.start(Plan(*plan[:4], tuple(map(tuple, plan[4])), plan[5]), by),
-            "halt": releases.halt, "resume": releases.resume, "back": releases.back, "gate": releases.gate,
-            "trouble": releases.trouble}
+            "ask": permits.ask,
+            "withdraw": permits.withdraw,
+            "drained": permits.said_drained,
+            "out": permits.went,
+            "renew": permits.renew,
+            "late": permits.late,
+            "started": permits.started,
+            "warm": permits.said_warm,
+            "give-up": permits.give_up,
+            "stands": permits.stands,
+            "front": permits.front,
+            "left": permits.left,
+            "boxes": lambda boxes: permits.listed([Box(*box) for box in boxes]),
+            "limits": self._limits,
+            "release": lambda plan, by: releases.start(
+                Plan(*plan[:4], tuple(map(tuple, plan[4])), plan[5]), by
+            ),
+            "halt": releases.halt,
+            "resume": releases.resume,
+            "back": releases.back,
+            "gate": releases.gate,
+            "trouble": releases.trouble,
+        }
 
     def told(self):
         return [FORMAT, self.index, self.permits.told(), self.releases.told(), self.once]
@@ -42,7 +58,7 @@
         """(the word for whoever asked, permits that are granted by it)."""
         self.index = self.releases.index = index
         if not command:
-            return "", []                    # an entry of the log's own
+            return "", []  # an entry of the log's own
         if command[0] == "once":
             # Given again as its answer was lost, perhaps to another leader: a halt must not undo a later resume.
             _, id, wanted = command
@@ -74,5 +90,10 @@
         for permit in self.permits.of_box.values():
             if permit.step is Step.ASKED and not self.releases.may(permit):
                 release = self.releases.releases[permit.release]
-                found[permit.id] = "trouble", next(iter(self.releases.troubles), release.phase.name.lower()), 0, 0
+                found[permit.id] = (
+                    "trouble",
+                    next(iter(self.releases.troubles), release.phase.name.lower()),
+                    0,
+                    0,
+                )
         return found
--- a/sprucegate/fleet/service.py
+++ b/sprucegate/fleet/service.py
@@ -41,14 +41,14 @@
 from sprucegate.state.disk import Disk
 
 S = 1_000_000_000
-AGAIN = 1.0             # seconds until a disk that failed is tried again
+AGAIN = 1.0  # seconds until a disk that failed is tried again
 SWEEP = 5.0
-TOLD_EACH = 20          # facts of one message that have a line each in the log
-STAY = 2000             # new facts after which the collector is told that they stay
-EVIDENCE_EVERY = 1.0    # seconds
-EVIDENCE_BYTES = 45     # of one row on the way, about
-EVIDENCE_OLD = 2 * S    # past it, or that far ahead: a front that stood still, or clocks apart, tell nothing
-SHOWN_MOST = 1000       # facts in one answer to an operator
+TOLD_EACH = 20  # facts of one message that have a line each in the log
+STAY = 2000  # new facts after which the collector is told that they stay
+EVIDENCE_EVERY = 1.0  # seconds
+EVIDENCE_BYTES = 45  # of one row on the way, about
+EVIDENCE_OLD = 2 * S  # past it, or that far ahead: a front that stood still, or clocks apart, tell nothing
+SHOWN_MOST = 1000  # facts in one answer to an operator
 STATES = {Listed.DRAINING: State.DRAINING, Listed.SERVING: State.LIFTED, Listed.GONE: State.GONE}
 
 
@@ -60,12 +60,12 @@
         self.name, self.seed, self.loop = name, seed, asyncio.get_running_loop()
         self.keeping, self.pool = Keeping(disk or Disk(), node.state), ThreadPoolExecutor(1, "fleet-disk")
         self.peer, self.links, self.timer, self.up = None, None, None, asyncio.Event()
-        self.agreement, self.shares = agreement, shares      # nodes of the file, for the parts
+        self.agreement, self.shares = agreement, shares  # nodes of the file, for the parts
         self.tasks, self.snapping, self.stopped, self.waiting = set(), False, False, []
-        self.rows_out, self.rows_in = 0, 0   # of evidence
+        self.rows_out, self.rows_in = 0, 0  # of evidence
         self.being = int.from_bytes(os.urandom(4), "big")
         self.parts = parts.wanted(self)
-        self.fresh = 0                       # facts since the collector was told
+        self.fresh = 0  # facts since the collector was told
         merged.view.news = []
 
     # Start and end.
@@ -82,9 +82,18 @@
             self.log("fleet_state_refused", error=why)
         now = time.monotonic_ns()
         address, life = self.node.advertise or self.node.listen, start << 32 | self.being
-        self.peer = Peer(self.name, address, life, self.node.join, self.seed, now, rate=self.node.catch_up,
-                         purge_life=self.node.purge_life, word_life=self.node.word_life,
-                         alone_after=self.node.alone_after)
+        self.peer = Peer(
+            self.name,
+            address,
+            life,
+            self.node.join,
+            self.seed,
+            now,
+            rate=self.node.catch_up,
+            purge_life=self.node.purge_life,
+            word_life=self.node.word_life,
+            alone_after=self.node.alone_after,
+        )
         facts = list(kept.facts.values())
         self.peer.loaded(facts, kept.lives, now)
         for at, fact in enumerate(facts):
@@ -105,13 +114,21 @@
                 part.off()
             return self.up.set()
         keeps = self.agreement is not None and self.name in self.agreement[0].addresses
-        self.links = Links(self.node.address, self.log, self._greeting, self._heard, self._asked,
-                           KEEPER_MOST if keeps else IN_MOST, self._reset, self._other_build)
+        self.links = Links(
+            self.node.address,
+            self.log,
+            self._greeting,
+            self._heard,
+            self._asked,
+            KEEPER_MOST if keeps else IN_MOST,
+            self._reset,
+            self._other_build,
+        )
         if fault := self.links.start():
             self.log("fleet_listen_failed", address=self.node.listen, error=fault)
         self.do(self.peer.starts(time.monotonic_ns()))
         waiting, self.waiting = self.waiting, []
-        for key, value in waiting:           # heard with the first list
+        for key, value in waiting:  # heard with the first list
             self._told(key, value)
         self._later(self._sweeps())
         for part in self.parts:
@@ -193,7 +210,7 @@
 
     def do(self, actions):
         told = sum(isinstance(action, Act) for action in actions)
-        if told > TOLD_EACH:                 # a transfer: a line for each would be a log of the whole table
+        if told > TOLD_EACH:  # a transfer: a line for each would be a log of the whole table
             self.log("fleet_told", kind="several", key=[], count=told)
         self.fresh += told
         if self.fresh > STAY:
@@ -213,9 +230,12 @@
                 case Act():
                     self._in_force(action.fact, quiet=told > TOLD_EACH)
                 case Live():
-                    self.log("fleet_" + action.how.replace("-", "_"), asked=action.asked,
-                             facts=len(self.peer.replica.facts.held))
-                    gc.freeze()              # as after the loading
+                    self.log(
+                        "fleet_" + action.how.replace("-", "_"),
+                        asked=action.asked,
+                        facts=len(self.peer.replica.facts.held),
+                    )
+                    gc.freeze()  # as after the loading
                     self.up.set()
                 case Note():
                     self.log(action.event, **action.said)
@@ -225,18 +245,29 @@
                     self._viewed(action)
                 case Stands():
                     member, before = action.member, action.before
-                    self.log("fleet_member", member=member.name, standing=Standing(member.standing).name.lower(),
-                             before=Standing(before.standing).name.lower() if before else None, by=member.by,
-                             life=f"{member.life:x}", address=member.address)
+                    self.log(
+                        "fleet_member",
+                        member=member.name,
+                        standing=Standing(member.standing).name.lower(),
+                        before=Standing(before.standing).name.lower() if before else None,
+                        by=member.by,
+                        life=f"{member.life:x}",
+                        address=member.address,
+                    )
                 case Fenced():
                     self.log("fleet_fenced")
                 case Doubled():
-                    self.log("fleet_name_twice", own=f"{action.own:x}", other=f"{action.other:x}", alias=action.alias)
+                    self.log(
+                        "fleet_name_twice",
+                        own=f"{action.own:x}",
+                        other=f"{action.other:x}",
+                        alias=action.alias,
+                    )
                     self._later(self._renew(action.least, action.alias))
                 case Doubted():
                     self._later(self._renew(0, ""))
                 case LetGo():
-                    pass                     # the front's own table forgets by age as well
+                    pass  # the front's own table forgets by age as well
         if not self.stopped and self.peer is not None:
             self._arm()
 
@@ -250,7 +281,7 @@
         try:
             self.peer.replica.slow = self.links.slow()
             self.do(self.peer.due(time.monotonic_ns()))
-        except Exception as fault:           # without a next time this front would fall silent for good
+        except Exception as fault:  # without a next time this front would fall silent for good
             self.driver.fault(fault)
             self.timer = self.loop.call_later(AGAIN, self._due)
 
@@ -260,8 +291,11 @@
             await asyncio.sleep(EVIDENCE_EVERY)
             said = self.driver.router.tells(self.node.evidence // EVIDENCE_BYTES, self.driver.clock())
             if said:
-                message = Evidence(clock.unix(), [one for one in said if isinstance(one, Believed)],
-                                   [one for one in said if isinstance(one, Resting)])
+                message = Evidence(
+                    clock.unix(),
+                    [one for one in said if isinstance(one, Believed)],
+                    [one for one in said if isinstance(one, Resting)],
+                )
                 self.rows_out += len(said)
                 self.do([Send(name, message) for name in self.peer.replica.to(time.monotonic_ns())])
 
@@ -277,10 +311,18 @@
 
     def _viewed(self, action):
         view = action.view
-        self.log("fleet_view", number=view.number, agreed=view.agreed, state=view.state.value,
-                 share=round(view.share, 3), changed={
-                     name: view.rows[name].standing.name.lower() for name in action.changed[:TOLD_EACH]
-                     if name in view.rows})
+        self.log(
+            "fleet_view",
+            number=view.number,
+            agreed=view.agreed,
+            state=view.state.value,
+            share=round(view.share, 3),
+            changed={
+                name: view.rows[name].standing.name.lower()
+                for name in action.changed[:TOLD_EACH]
+                if name in view.rows
+            },
+        )
         for part in self.parts:
             part.viewed(view)
 
@@ -305,11 +347,11 @@
             if taken := [part for part in self.parts if isinstance(message, part.takes)]:
                 return taken[0].heard(name, message)
             if isinstance(message, codec.Routed):
-                return None                  # of a log that this front does not follow
+                return None  # of a log that this front does not follow
             self.do(self.peer.heard(name, message, time.monotonic_ns()))
         except codec.Unreadable:
-            raise                            # a part can't read it: the peer loses its connection
-        except Exception as fault:           # one message is lost by it, and repaired as a lost one is
+            raise  # a part can't read it: the peer loses its connection
+        except Exception as fault:  # one message is lost by it, and repaired as a lost one is
             self.driver.fault(fault)
 
     def _in_force(self, fact, loaded=False, quiet=False):
@@ -325,9 +367,10 @@
             _, server, started, source, owner = fact.key
             own = owner == self.peer.replica.name
             if own and not loaded:
-                return                       # its own sources say here what holds
-            self.merged.word(server, started, source if own else f"{source}@{owner}",
-                             fact.value[2] != State.LIFTED, now)
+                return  # its own sources say here what holds
+            self.merged.word(
+                server, started, source if own else f"{source}@{owner}", fact.value[2] != State.LIFTED, now
+            )
 
     # The disk.
 
@@ -355,7 +398,7 @@
             pieces, repairing = [], not replica.kept
             held, lives = replica.captured()
             for at in range(0, len(held), PIECE):
-                pieces.append(packed(held[at:at + PIECE]))
+                pieces.append(packed(held[at : at + PIECE]))
                 await asyncio.sleep(0)
             if fault is None:
                 fault = await self._disk(self.keeping.finish_snapshot, lives, pieces, clock.unix())
@@ -391,7 +434,7 @@
     async def _guarded(self, action):
         try:
             await action
-        except Exception as fault:           # the front goes on whatever breaks here
+        except Exception as fault:  # the front goes on whatever breaks here
             self.driver.fault(fault)
 
     async def _sweeps(self):
@@ -416,18 +459,38 @@
 
     async def _status(self, _):
         replica, members = self.peer.replica, self.peer.members
-        lag = {name: sum(past - first for _, _, first, past in seen.lacks(replica.facts.seen))
-               for name, seen in replica.peers.items()}
+        lag = {
+            name: sum(past - first for _, _, first, past in seen.lacks(replica.facts.seen))
+            for name, seen in replica.peers.items()
+        }
         kinds = {kind: count for kind, count in replica.facts.kinds.items() if count}
-        return {"fleet": self.node.name, "phase": "caught up" if replica.phase is Phase.TOGETHER else
-                replica.phase.name.lower(), "root": f"{replica.facts.root():016x}", "kept": replica.kept,
-                "health": members.health, "facts": kinds, "view": self._shown_view(),
-                "bytes_out": self.links.bytes_out, "bytes_in": self.links.bytes_in, "refused": self.links.refused,
-                "sent": self.links.sent, "evidence_out": self.rows_out, "evidence_in": self.rows_in,
-                "connections": len(self.links.dialled) + len(self.links.taken),
-                "members": [{"name": m.name, "address": m.address, "standing": Standing(m.standing).name.lower(),
-                             "by": m.by, "life": f"{m.life:x}", "lag": lag.get(name)}
-                            for name, m in sorted(members.known.items())]}
+        return {
+            "fleet": self.node.name,
+            "phase": "caught up" if replica.phase is Phase.TOGETHER else replica.phase.name.lower(),
+            "root": f"{replica.facts.root():016x}",
+            "kept": replica.kept,
+            "health": members.health,
+            "facts": kinds,
+            "view": self._shown_view(),
+            "bytes_out": self.links.bytes_out,
+            "bytes_in": self.links.bytes_in,
+            "refused": self.links.refused,
+            "sent": self.links.sent,
+            "evidence_out": self.rows_out,
+            "evidence_in": self.rows_in,
+            "connections": len(self.links.dialled) + len(self.links.taken),
+            "members": [
+                {
+                    "name": m.name,
+                    "address": m.address,
+                    "standing": Standing(m.standing).name.lower(),
+                    "by": m.by,
+                    "life": f"{m.life:x}",
+                    "lag": lag.get(name),
+                }
+                for name, m in sorted(members.known.items())
+            ],
+        }
 
     async def _facts(self, given):
         count, found = await self._found(lambda key: not given or key[0] == given[0])
@@ -435,15 +498,30 @@
 
     def _shown_view(self):
         view, now = self.peer.views.view, time.monotonic_ns()
-        return {"number": view.number, "agreed": view.agreed, "state": view.state.value, "share": round(view.share, 3),
-                "fronts": [{"name": name, "standing": row.standing.name.lower().replace("_", "-"), "by": row.by,
-                            "since_ms": (now - row.since) // 1_000_000, "life": f"{row.life:x}"}
-                           for name, row in sorted(view.rows.items())]}
+        return {
+            "number": view.number,
+            "agreed": view.agreed,
+            "state": view.state.value,
+            "share": round(view.share, 3),
+            "fronts": [
+                {
+                    "name": name,
+                    "standing": row.standing.name.lower().replace("_", "-"),
+                    "by": row.by,
+                    "since_ms": (now - row.since) // 1_000_000,
+                    "life": f"{row.life:x}",
+                }
+                for name, row in sorted(view.rows.items())
+            ],
+        }
 
     async def _why(self, given):
         if given[:1] == ["view"]:
             view = self._shown_view()
-            return {"facts": [one for one in view["fronts"] if one["name"] in given[1:] or not given[1:]], "view": view}
+            return {
+                "facts": [one for one in view["fronts"] if one["name"] in given[1:] or not given[1:]],
+                "view": view,
+            }
         for part in self.parts:
             if given[:1] == [part.asked] and (rows := part.why(given[1:])) is not None:
                 return {"facts": rows}
@@ -456,7 +534,7 @@
         for keys in facts.in_range:
             of_range = [key for key in keys if chosen(key)]
             count += len(of_range)
-            found += [facts.held[key] for key in of_range[:SHOWN_MOST - len(found)]]
+            found += [facts.held[key] for key in of_range[: SHOWN_MOST - len(found)]]
             await asyncio.sleep(0)
         return count, [_shown(fact) for fact in sorted(found, key=lambda fact: tuple(map(str, fact.key)))]
 
--- a/sprucegate/fleet/shares/part.py
+++ b/sprucegate/fleet/shares/part.py
@@ -18,15 +18,28 @@
 from sprucegate.interface import Found, Outcome
 
 S = 1_000_000_000
-FACTORS = 0.5           # seconds between two looks at which sources have just started
+FACTORS = 0.5  # seconds between two looks at which sources have just started
 HITS = (Found.HIT, Found.STALE_HIT, Found.JOINED)
-GOES_ON = (Outcome.CANCELLED, Outcome.TIMED_OUT, Outcome.RESET)     # at the source, for all that is known here
+GOES_ON = (Outcome.CANCELLED, Outcome.TIMED_OUT, Outcome.RESET)  # at the source, for all that is known here
 
 _Count = msgspec.Meta(ge=0, le=1 << 20)
 _Time = msgspec.Meta(ge=0, le=1 << 62)
-_needs = msgspec.msgpack.Decoder(tuple[int, int, int, int, int, int, int, int, list[
-    tuple[int, int, int, int, int, list[tuple[int, int, int]]]]]).decode
-_lents = msgspec.msgpack.Decoder(tuple[int, int, int, int, list[tuple[int, int, list[tuple[int, int]]]]]).decode
+_needs = msgspec.msgpack.Decoder(
+    tuple[
+        int,
+        int,
+        int,
+        int,
+        int,
+        int,
+        int,
+        int,
+        list[tuple[int, int, int, int, int, list[tuple[int, int, int]]]],
+    ]
+).decode
+_lents = msgspec.msgpack.Decoder(
+    tuple[int, int, int, int, list[tuple[int, int, list[tuple[int, int]]]]]
+).decode
 _word = msgspec.msgpack.Decoder(tuple[int, msgspec.Raw]).decode
 _encode = msgspec.msgpack.Encoder().encode
 _goes = msgspec.msgpack.Decoder(tuple[str, int, int]).decode
@@ -82,7 +95,9 @@
         longest = node.longest or max(timeouts, default=3 * S)
         self.terms = Terms(tuple(node.weights), tuple(node.fronts), {}, longest, node.waiting)
         self.shares = Shares(fleet.name, fleet.being, self.terms, time.monotonic_ns())
-        self.shares.borrower.floors = True   # until a view says otherwise, once no former life can have lent them
+        self.shares.borrower.floors = (
+            True  # until a view says otherwise, once no former life can have lent them
+        )
         self.tokens, self.timer, self.names, self.up = {}, None, {}, False
         self.driver.places, self.driver.router.shared = self, self.terms.places
 
@@ -127,8 +142,11 @@
         own = self.fleet.peer.members.own
         lenders = [(name, row.life) for name, row in view.rows.items() if view.does(Action.LENDS, name)]
         lenders += [(own.name, own.life)] if view.own_does(OwnAction.LEND) else []
-        self._do(self.shares.viewed(lenders, view.own_does(OwnAction.BORROW), view.own_does(OwnAction.FLOOR),
-                                    time.monotonic_ns()))
+        self._do(
+            self.shares.viewed(
+                lenders, view.own_does(OwnAction.BORROW), view.own_does(OwnAction.FLOOR), time.monotonic_ns()
+            )
+        )
 
     def heard(self, sender, data):
         self._do(self.shares.heard(sender, unpacked(data, self.terms), time.monotonic_ns()))
@@ -138,8 +156,12 @@
             return
         router, now = self.driver.router, self.driver.clock()
         warm, floor = router.get("parent_warm_time", 0), router.get("parent_cold_share", 0.1)
-        self.shares.factors({node.id: places.cold(node.started and now - router.age(node, now), warm, floor, now)
-                             for node in router.group("parent")})
+        self.shares.factors(
+            {
+                node.id: places.cold(node.started and now - router.age(node, now), warm, floor, now)
+                for node in router.group("parent")
+            }
+        )
         self.loop.call_later(FACTORS, self._ages)
 
     # What the front says.
@@ -161,8 +183,13 @@
     def sent(self, get, out, forward, now):
         """A forward goes out: by the GET's place, if it is the fill that the place is for."""
         token = self.tokens.get(get)
-        if token is not None and token.has and token.out is None and forward.source == token.source and (
-                not forward.held_only):
+        if (
+            token is not None
+            and token.has
+            and token.out is None
+            and forward.source == token.source
+            and (not forward.held_only)
+        ):
             token.out, out.place = out, token
             out.limit = min(out.limit, now + self.terms.longest)
 
@@ -221,14 +248,14 @@
             return self._do(self.shares.unused(token, time.monotonic_ns()))
         token.has, get.handle.place = True, source
         self.driver.guarded(get, self._routes, get, now)
-        if token.out is None:                # a sibling has it by now, or another source is to be asked
+        if token.out is None:  # a sibling has it by now, or another source is to be asked
             if self.tokens.get(get) is token:
                 del self.tokens[get]
             self._do(self.shares.unused(token, time.monotonic_ns()))
 
     def _routes(self, get, now):
         decided = get.handle.route(now)
-        get.handle.place = None              # for this forward alone
+        get.handle.place = None  # for this forward alone
         self.driver.say(get, decided, now)
         self.driver.arm(now)
 
@@ -256,7 +283,7 @@
     def _due(self):
         try:
             self._do(self.shares.due(time.monotonic_ns()))
-        except Exception as fault:           # without a next time all slow GETs would wait until their end
+        except Exception as fault:  # without a next time all slow GETs would wait until their end
             self.driver.fault(fault)
             self.timer = self.loop.call_later(0.1, self._due)
 
@@ -273,13 +300,22 @@
                 if given and name not in given and self.names.get(source) not in given:
                     continue
                 row = queue.sources.get(source)
-                rows.append({
-                    "source": self.names.get(source, f"{source:x}"), "tenant": name,
-                    "weight": self.terms.tenants[tenant][0], "using": said.get(tenant, (0, 0))[0],
-                    "waiting": said.get(tenant, (0, 0))[1], "lent": lent.get(tenant, 0), "all_here": places_now,
-                    "used_here": using, "floor": self.terms.floor(self.shares.name, source), "places": count,
-                    "mean_ms": row.mean() // 1_000_000 if row else None, "fills": len(row.times) if row else 0,
-                    "steward": borrower.steward[0] or "none: its floor",
-                    "lease_ms": max(0, borrower.until - now) // 1_000_000})
+                rows.append(
+                    {
+                        "source": self.names.get(source, f"{source:x}"),
+                        "tenant": name,
+                        "weight": self.terms.tenants[tenant][0],
+                        "using": said.get(tenant, (0, 0))[0],
+                        "waiting": said.get(tenant, (0, 0))[1],
+                        "lent": lent.get(tenant, 0),
+                        "all_here": places_now,
+                        "used_here": using,
+                        "floor": self.terms.floor(self.shares.name, source),
+                        "places": count,
+                        "mean_ms": row.mean() // 1_000_000 if row else None,
+                        "fills": len(row.times) if row else 0,
+                        "steward": borrower.steward[0] or "none: its floor",
+                        "lease_ms": max(0, borrower.until - now) // 1_000_000,
+                    }
+                )
         return rows
-
--- a/sprucegate/fleet/shares/places.py
+++ b/sprucegate/fleet/shares/places.py
@@ -5,11 +5,11 @@
 """
 
 S = 1_000_000_000
-SPAN = S                # over which fills are judged
-FEW = 8                 # of them tell nothing yet
+SPAN = S  # over which fills are judged
+FEW = 8  # of them tell nothing yet
 LATE, WELL = 0.2, 0.05  # share that came late: from which on less is lent, and up to which more is
 LESS, MORE = 0.8, 0.05
-LEAST = 0.25            # of what the file gives: some fills have to show that it passed
+LEAST = 0.25  # of what the file gives: some fills have to show that it passed
 
 
 class Learned:
--- a/sprucegate/fleet/shares/queue.py
+++ b/sprucegate/fleet/shares/queue.py
@@ -15,10 +15,10 @@
 
 from sprucegate.fleet.shares.terms import COMMON, MS, GiveUp, Start
 
-SAMPLES = 64            # last fills of a source that its mean is taken of
-USUAL = 100 * MS        # charged before any was seen
-LEAN = 4                # samples that it counts for
-DEBT = 8                # fills of the mean: what a tenant owes, or is owed, by settling at the most
+SAMPLES = 64  # last fills of a source that its mean is taken of
+USUAL = 100 * MS  # charged before any was seen
+LEAN = 4  # samples that it counts for
+DEBT = 8  # fills of the mean: what a tenant owes, or is owed, by settling at the most
 SOURCES_MOST = 1000
 
 
@@ -38,9 +38,9 @@
 
 class Source:
     def __init__(self):
-        self.using, self.waiting, self.tags = {}, {}, {}     # by tenant: open fills; GETs; finish tags
+        self.using, self.waiting, self.tags = {}, {}, {}  # by tenant: open fills; GETs; finish tags
         self.virtual, self.times = 0, deque(maxlen=SAMPLES)
-        self.ended = self.late = 0           # fills since they were last told to the steward
+        self.ended = self.late = 0  # fills since they were last told to the steward
 
     def mean(self):
         # Few samples lean on the usual: by a first one of 10 ms all that waited were answered 10 ms before their end.
@@ -53,9 +53,9 @@
 class Queue:
     def __init__(self, terms, room):
         self.terms, self.room = terms, room
-        self.sources, self.waits, self.filling = {}, {}, {}      # by source; by token
+        self.sources, self.waits, self.filling = {}, {}, {}  # by source; by token
         self.ends, self.order = [], count()  # (latest start, order, Waiting)
-        self.lingering = []                  # (until, order, token) of fills that may go on at the source
+        self.lingering = []  # (until, order, token) of fills that may go on at the source
 
     # Asked.
 
@@ -94,7 +94,9 @@
             return [GiveUp(token, source)]
         queue.append(waiting)
         self.waits[token] = waiting
-        if len(self.ends) > 1000 + 2 * len(self.waits):      # those that have started stand there until their time
+        if len(self.ends) > 1000 + 2 * len(
+            self.waits
+        ):  # those that have started stand there until their time
             self.ends = [end for end in self.ends if end[2].open]
             heapq.heapify(self.ends)
         heapq.heappush(self.ends, (due - one.mean(), next(self.order), waiting))
@@ -113,7 +115,9 @@
     def lingers(self, token, now):
         """Nobody waits for it here any more, and it may go on at the source: its place is taken until it can't."""
         if (was := self.filling.get(token)) is not None:
-            heapq.heappush(self.lingering, (max(now, was.since + self.terms.longest), next(self.order), token))
+            heapq.heappush(
+                self.lingering, (max(now, was.since + self.terms.longest), next(self.order), token)
+            )
 
     def ended(self, token, took, good, now):
         """Its fill took that long (0: there was none); `good`: it came in time, None: nothing is known by it."""
@@ -162,7 +166,9 @@
 
     def _source(self, source):
         if source not in self.sources and len(self.sources) >= SOURCES_MOST:
-            idle = next((at for at, one in self.sources.items() if not one.using and not one.backlogged()), None)
+            idle = next(
+                (at for at, one in self.sources.items() if not one.using and not one.backlogged()), None
+            )
             if idle is None:
                 return None
             del self.sources[idle]
--- a/sprucegate/fleet/shares/shares.py
+++ b/sprucegate/fleet/shares/shares.py
@@ -8,7 +8,7 @@
 from sprucegate.fleet.shares.terms import AVOID, MERGE, MS, SILENT, Asks, Goes, Lent, Moved, Need, Send
 
 LATER = 1 << 62
-LOOK = 50 * MS          # between two looks at a queue that waits for leases
+LOOK = 50 * MS  # between two looks at a queue that waits for leases
 
 
 class Shares:
@@ -42,7 +42,7 @@
 
     def ended(self, token, took, good, now):
         done = self.queue.ended(token, took, good, now)
-        self.borrower.wants(now)             # its place may be lent on at once
+        self.borrower.wants(now)  # its place may be lent on at once
         return done
 
     def heard(self, sender, message, now):
@@ -68,10 +68,10 @@
         own = self.borrower.steward
         if steward == own or steward not in self._able():
             return []
-        if sender != own[0]:                 # else the one asked goes by another itself, and so does this front
+        if sender != own[0]:  # else the one asked goes by another itself, and so does this front
             if own != self._own():
                 return []
-            if not size and sender != steward[0]:            # by hearsay: that one is asked itself
+            if not size and sender != steward[0]:  # by hearsay: that one is asked itself
                 return [Send(steward[0], Asks(own[1], self.steward.size(now)))]
             if (-size, _order(steward)) > (-self.steward.size(now), _order(own)):
                 return []
@@ -128,8 +128,11 @@
             if self.borrower.steward == self._own() and now - self.merged_at >= MERGE:
                 self.merged_at = now
                 others = [one for one in able if one != self._own() and not self.steward.hears(*one, now)]
-                return [Send(min(others, key=_order)[0], Asks(self.borrower.life, self.steward.size(now)))
-                        ] if others else []
+                return (
+                    [Send(min(others, key=_order)[0], Asks(self.borrower.life, self.steward.size(now)))]
+                    if others
+                    else []
+                )
             return []
         steward = min(able, key=_order, default=NOBODY)
         if steward == self.borrower.steward:
--- a/sprucegate/fleet/shares/steward.py
+++ b/sprucegate/fleet/shares/steward.py
@@ -9,10 +9,10 @@
 from sprucegate.fleet.shares.places import Learned
 from sprucegate.fleet.shares.terms import DRIFT, LEASE, MS, Lent, Send, later
 
-FRESH = 20 * MS         # a table of who gets what is made anew after this, or with other demand
+FRESH = 20 * MS  # a table of who gets what is made anew after this, or with other demand
 FORGOTTEN = 60_000_000_000
 FRONTS_MOST = 1000
-ON_MOST = 8             # fronts that one question gives something to besides the one that asked
+ON_MOST = 8  # fronts that one question gives something to besides the one that asked
 
 
 class Front:
@@ -21,21 +21,26 @@
     def __init__(self, life, turn):
         self.life, self.turn, self.number = life, turn, 0
         self.waived, self.old_until, self.held_until, self.old, self.using, self.want = 0, 0, 0, {}, {}, {}
-        self.grants, self.at = [], 0         # (grant, {source: places}, end); when it was heard last
+        self.grants, self.at = [], 0  # (grant, {source: places}, end); when it was heard last
 
     def busy(self, source, longest, now):
         """What it may use now: by its last word, and by all leases that it may have started fills on since."""
         said = self.using.get(source, 0) if now < self.at + later(LEASE + longest) else 0
-        return max([said, *[lent.get(source, 0) for _, lent, end in self.grants if now < end + later(longest)]])
+        return max(
+            [said, *[lent.get(source, 0) for _, lent, end in self.grants if now < end + later(longest)]]
+        )
 
 
 class Steward:
     def __init__(self, life, terms, now):
         self.life, self.terms = life, terms
-        self.fronts, self.ghosts = {}, []    # name -> Front; former lives, until their fills have ended
-        self.had, self.had_at = {}, {}       # (source, tenant[, front]) -> place time by weight; when it was charged
+        self.fronts, self.ghosts = {}, []  # name -> Front; former lives, until their fills have ended
+        self.had, self.had_at = (
+            {},
+            {},
+        )  # (source, tenant[, front]) -> place time by weight; when it was charged
         self.tables, self.learned, self.factor = {}, {}, {}
-        self.grant = int(now)                # rises over restarts of what this name says as well
+        self.grant = int(now)  # rises over restarts of what this name says as well
 
     def heard(self, sender, need, now):
         """The answer to a front's question: all that it holds from here on."""
@@ -72,12 +77,18 @@
         """
         done = []
         for name, front in self.fronts.items():
-            if name == sender or now - front.at > LEASE // 2 or not any(
-                    waiting for rows in front.want.values() for _, waiting in rows.values()):
+            if (
+                name == sender
+                or now - front.at > LEASE // 2
+                or not any(waiting for rows in front.want.values() for _, waiting in rows.values())
+            ):
                 continue
             had = front.grants[-1][1] if front.grants else {}
-            if any(sum(tenants.values()) + spare > had.get(source, 0) for source in front.want
-                   for tenants, spare in [self._lends(name, front, source, now)]):
+            if any(
+                sum(tenants.values()) + spare > had.get(source, 0)
+                for source in front.want
+                for tenants, spare in [self._lends(name, front, source, now)]
+            ):
                 done.append(self._grant(name, front, now))
                 if len(done) >= ON_MOST:
                     break
@@ -126,8 +137,12 @@
 
     def _front(self, sender, need, now):
         front = self.fronts.get(sender)
-        if front is not None and (need.life, need.turn, need.number) <= (front.life, front.turn, front.number):
-            return None                      # late, or twice
+        if front is not None and (need.life, need.turn, need.number) <= (
+            front.life,
+            front.turn,
+            front.number,
+        ):
+            return None  # late, or twice
         if front is None or front.life != need.life:
             # Names come and go with twins and machines: without this a thousand names would be all there ever are.
             if max(len(self.fronts), len(self.ghosts)) >= FRONTS_MOST:
@@ -135,7 +150,7 @@
             if front is None and len(self.fronts) >= FRONTS_MOST or len(self.ghosts) >= FRONTS_MOST:
                 return None
             if front is not None:
-                self.ghosts.append(front)    # its fills may go on at the source
+                self.ghosts.append(front)  # its fills may go on at the source
             front = self.fronts[sender] = Front(need.life, need.turn)
         elif front.turn != need.turn:
             # It went by another since: what it was lent here it has dropped, what it uses it says.
@@ -152,9 +167,14 @@
 
     def _busy(self, source, now, but=None):
         longest = self.terms.longest
-        self.ghosts = [one for one in self.ghosts
-                       if now < max([one.at + LEASE, *[end for *_, end in one.grants]]) + 2 * later(longest)]
-        return sum(one.busy(source, longest, now) for one in [*self.fronts.values(), *self.ghosts] if one is not but)
+        self.ghosts = [
+            one
+            for one in self.ghosts
+            if now < max([one.at + LEASE, *[end for *_, end in one.grants]]) + 2 * later(longest)
+        ]
+        return sum(
+            one.busy(source, longest, now) for one in [*self.fronts.values(), *self.ghosts] if one is not but
+        )
 
     def _lends(self, sender, front, source, now):
         """({tenant: places}, spare) for one front, never more than is free or its own."""
@@ -180,11 +200,17 @@
         span = min(now - front.at, LEASE) if front.at else 0
         for source, *_, tenants in need.rows:
             for tenant, using, _ in tenants:
-                for key, weight in (((source, tenant), self.terms.tenants[tenant][0]), ((source, tenant, sender), 1)):
+                for key, weight in (
+                    ((source, tenant), self.terms.tenants[tenant][0]),
+                    ((source, tenant, sender), 1),
+                ):
                     if now - self.had_at.get(key, -FORGOTTEN) > LEASE:
                         # It was idle: it begins at the present, that is where the least of those that were not stands.
-                        present = [self.had[k] for k, at in self.had_at.items()
-                                   if len(k) == len(key) and k[:len(k) - 1] == key[:-1] and now - at <= LEASE]
+                        present = [
+                            self.had[k]
+                            for k, at in self.had_at.items()
+                            if len(k) == len(key) and k[: len(k) - 1] == key[:-1] and now - at <= LEASE
+                        ]
                         self.had[key] = max(self.had.get(key, 0), min(present, default=0))
                     self.had[key] = self.had.get(key, 0) + using * span // weight
                     self.had_at[key] = now
@@ -195,7 +221,9 @@
     def _table(self, source, now):
         """{front: ({tenant: places}, spare)}: whole places, the next one always to who had least by its weight."""
         made = self.tables.get(source)
-        wants = {name: one.want.get(source, {}) for name, one in self.fronts.items() if now - one.at < 2 * LEASE}
+        wants = {
+            name: one.want.get(source, {}) for name, one in self.fronts.items() if now - one.at < 2 * LEASE
+        }
         capacity = self.capacity(source, now)
         if made is not None and now - made[0] < FRESH and made[1:3] == (capacity, wants):
             return made[3]
@@ -214,13 +242,19 @@
             for tenant, (using, waiting) in rows.items():
                 want[tenant] = want.get(tenant, 0) + using + waiting
         given, left = dict.fromkeys(want, 0), capacity
-        for tenant in sorted(want):          # what the file keeps for a tenant goes first
+        for tenant in sorted(want):  # what the file keeps for a tenant goes first
             given[tenant] = min(want[tenant], self.terms.tenants[tenant][1], left)
             left -= given[tenant]
         while left and (open_now := [t for t in sorted(want) if given[t] < want[t]]):
             # A place of the next lease counts as had: else one that had a little less would get all of them.
-            tenant = min(open_now, key=lambda t: (
-                self._had(source, t) + (given[t] - (given[t] < held.get(t, 0))) * LEASE // self.terms.tenants[t][0], t))
+            tenant = min(
+                open_now,
+                key=lambda t: (
+                    self._had(source, t)
+                    + (given[t] - (given[t] < held.get(t, 0))) * LEASE // self.terms.tenants[t][0],
+                    t,
+                ),
+            )
             given[tenant] += 1
             left -= 1
         table = {name: ({}, 0) for name in sorted(wants)}
@@ -237,9 +271,14 @@
         rows = {name: one[tenant] for name, one in sorted(wants.items()) if tenant in one}
         given, held = dict.fromkeys(rows, 0), {n: was.get(n, ({}, 0))[0].get(tenant, 0) for n in rows}
         for _ in range(count):
-            name = min([n for n in rows if given[n] < sum(rows[n])], key=lambda n: (
-                given[n] >= rows[n][0],
-                self.had.get((source, tenant, n), 0) + (given[n] - (given[n] < held[n])) * LEASE, n))
+            name = min(
+                [n for n in rows if given[n] < sum(rows[n])],
+                key=lambda n: (
+                    given[n] >= rows[n][0],
+                    self.had.get((source, tenant, n), 0) + (given[n] - (given[n] < held[n])) * LEASE,
+                    n,
+                ),
+            )
             given[name] += 1
         for name, places in given.items():
             if places:
--- a/sprucegate/fleet/shares/terms.py
+++ b/sprucegate/fleet/shares/terms.py
@@ -4,16 +4,16 @@
 
 MS, S = 1_000_000, 1_000_000_000
 
-LEASE = 400 * MS        # a borrower's, counted from the question that it answers
-MARGIN = 60 * MS        # by which a lender counts a promise as longer, and a borrower of one that it gave
-DRIFT = 1000            # one in so many ns: what two clocks may go apart, both stalls of a machine included
-SLACK = S               # between two questions of a front: its floor is lent on so long after the last
-TELL = 50 * MS          # between two questions while there is demand; by size of the fleet, see `pace`
-QUIET = 300 * MS        # and while there is none
-SILENT = 3              # questions in a row without an answer: the steward is passed over
-AVOID = 3 * S           # for so long
-MERGE = S               # between two questions of one steward for another that it should give way to
-COMMON = 0              # the tenant of all that are not listed
+LEASE = 400 * MS  # a borrower's, counted from the question that it answers
+MARGIN = 60 * MS  # by which a lender counts a promise as longer, and a borrower of one that it gave
+DRIFT = 1000  # one in so many ns: what two clocks may go apart, both stalls of a machine included
+SLACK = S  # between two questions of a front: its floor is lent on so long after the last
+TELL = 50 * MS  # between two questions while there is demand; by size of the fleet, see `pace`
+QUIET = 300 * MS  # and while there is none
+SILENT = 3  # questions in a row without an answer: the steward is passed over
+AVOID = 3 * S  # for so long
+MERGE = S  # between two questions of one steward for another that it should give way to
+COMMON = 0  # the tenant of all that are not listed
 
 
 class Need(NamedTuple):
--- a/sprucegate/fleet/views/careful.py
+++ b/sprucegate/fleet/views/careful.py
@@ -22,14 +22,14 @@
 
 
 class Action(Enum):
-    TELL = auto()       # purges, drains and removals go to it at once
-    BELIEVE = auto()    # its evidence (beliefs, rests) is taken
-    LISTED = auto()     # it is one of the fronts that a permit may take out
-    AWAITED = auto()    # its word on a drain is waited for
-    LEND = auto()       # places are lent to it anew
-    HOLDS = auto()      # what it was lent counts as in use until it is over
-    COUNTED = auto()    # it has a floor of places
-    LENDS = auto()      # it may be steward of a source's places
+    TELL = auto()  # purges, drains and removals go to it at once
+    BELIEVE = auto()  # its evidence (beliefs, rests) is taken
+    LISTED = auto()  # it is one of the fronts that a permit may take out
+    AWAITED = auto()  # its word on a drain is waited for
+    LEND = auto()  # places are lent to it anew
+    HOLDS = auto()  # what it was lent counts as in use until it is over
+    COUNTED = auto()  # it has a floor of places
+    LENDS = auto()  # it may be steward of a source's places
 
 
 # More careful is: to tell (a purge too many does nothing), not to believe, to list, to await (the log alone counts one
@@ -48,12 +48,12 @@
 
 
 class OwnAction(Enum):
-    TELL = auto()       # what it hears of purges and drains goes out
-    BELIEVE = auto()    # evidence of others is taken
-    SPEAK = auto()      # it says for all which boxes there are, where that is its turn
-    LEND = auto()       # it lends places as steward
-    BORROW = auto()     # it goes by leases beyond its floor
-    FLOOR = auto()      # it goes by its floor
+    TELL = auto()  # what it hears of purges and drains goes out
+    BELIEVE = auto()  # evidence of others is taken
+    SPEAK = auto()  # it says for all which boxes there are, where that is its turn
+    LEND = auto()  # it lends places as steward
+    BORROW = auto()  # it goes by leases beyond its floor
+    FLOOR = auto()  # it goes by its floor
 
 
 # One that stood still goes by nothing that may be over until it has looked again; one that returns knows too little
--- a/sprucegate/fleet/views/standing.py
+++ b/sprucegate/fleet/views/standing.py
@@ -11,27 +11,31 @@
 from sprucegate.fleet.members.swim import Standing as Word
 
 MS, S = 1_000_000, 1_000_000_000
-HEARD = 1500 * MS       # a frame that came so lately: it is heard
-AFTER = 100 * MS        # behind an accusation, from which on a frame speaks against it: one may have been under way
-INDIRECT = 2            # probes in a row that only helpers saw answered
-JOINING = 2 * S         # in which one that just came need not stand in the log yet
+HEARD = 1500 * MS  # a frame that came so lately: it is heard
+AFTER = 100 * MS  # behind an accusation, from which on a frame speaks against it: one may have been under way
+INDIRECT = 2  # probes in a row that only helpers saw answered
+JOINING = 2 * S  # in which one that just came need not stand in the log yet
 # Damping as of routes that flap (RFC 2439): each loss adds one, half of it is forgotten in HALF.
 HALF, FLAPS, CALM, LOSSES_MOST = 30 * S, 2.5, 1.0, 6.0
 
 
 class Standing(IntEnum):
     LIVE = 0
-    SUSPECT = 1         # accused, or seen for less than what makes bold
-    ONE_WAY = 2         # it is heard, and hears not: accused or gone by its answers, and frames of it still come
-    CUT_OFF = 3         # others reach it and this front does not, or it follows no keeper
-    FLAPPING = 4        # it came and went too often; its own traffic goes on
-    LEAVING = 5         # it said that it goes
+    SUSPECT = 1  # accused, or seen for less than what makes bold
+    ONE_WAY = 2  # it is heard, and hears not: accused or gone by its answers, and frames of it still come
+    CUT_OFF = 3  # others reach it and this front does not, or it follows no keeper
+    FLAPPING = 4  # it came and went too often; its own traffic goes on
+    LEAVING = 5  # it said that it goes
     GONE = 6
-    OTHER_BUILD = 7     # it speaks another format
+    OTHER_BUILD = 7  # it speaks another format
 
 
-OF_WORD = {Word.ALIVE: Standing.LIVE, Word.SUSPECT: Standing.SUSPECT, Word.GONE: Standing.GONE,
-           Word.LEFT: Standing.LEAVING}
+OF_WORD = {
+    Word.ALIVE: Standing.LIVE,
+    Word.SUSPECT: Standing.SUSPECT,
+    Word.GONE: Standing.GONE,
+    Word.LEFT: Standing.LEAVING,
+}
 
 
 class Row(NamedTuple):
@@ -57,9 +61,13 @@
         fresh = member.life != self.life
         if not self.life:
             self.met_at = now
-        elif fresh and self.word not in (Standing.LEAVING, Standing.GONE) or word is Standing.GONE and (
-                self.word is not Standing.GONE):
-            self.lost(now)                   # a restart that was not announced, or a loss: not a planned one
+        elif (
+            fresh
+            and self.word not in (Standing.LEAVING, Standing.GONE)
+            or word is Standing.GONE
+            and (self.word is not Standing.GONE)
+        ):
+            self.lost(now)  # a restart that was not announced, or a loss: not a planned one
         if fresh:
             self.indirect, self.format, self.heard_at = 0, False, -1 << 62
         if fresh or word is not self.word:
--- a/sprucegate/fleet/views/views.py
+++ b/sprucegate/fleet/views/views.py
@@ -13,9 +13,9 @@
 from sprucegate.fleet.views.standing import Known, Row, Standing
 
 MS, S = 1_000_000, 1_000_000_000
-HOLD = 1 * S            # for which what makes bold has to hold
-STILL = 1 * S           # after a stand-still: what came meanwhile is read by then
-FORGET = 600 * S        # after which one that is gone no more counts as a part of the fleet
+HOLD = 1 * S  # for which what makes bold has to hold
+STILL = 1 * S  # after a stand-still: what came meanwhile is read by then
+FORGET = 600 * S  # after which one that is gone no more counts as a part of the fleet
 LATER = 1 << 62
 
 
@@ -23,8 +23,8 @@
     number: int
     agreed: int
     state: Own
-    share: float            # of the fleet's fronts that are with this one, itself counted
-    rows: dict              # name -> Row, of the others
+    share: float  # of the fleet's fronts that are with this one, itself counted
+    rows: dict  # name -> Row, of the others
 
     def does(self, action, name):
         row = self.rows.get(name)
@@ -47,7 +47,11 @@
 class Views:
     def __init__(self, now):
         self.known, self.rows, self.bolder = {}, {}, {}
-        self.set, self.index, self.fenced = None, 0, True       # the log's fronts by life, None without one; since when
+        self.set, self.index, self.fenced = (
+            None,
+            0,
+            True,
+        )  # the log's fronts by life, None without one; since when
         self.still_until, self.returning, self.at = 0, True, now
         self.view = View(0, 0, Own.RETURNING, 1.0, {})
 
--- a/sprucegate/front/driver.py
+++ b/sprucegate/front/driver.py
@@ -21,7 +21,7 @@
 from sprucegate.servers.servers import Servers
 
 MS = 1_000_000
-AGAIN = 50 * MS         # until a timer is tried again that could not be worked out
+AGAIN = 50 * MS  # until a timer is tried again that could not be worked out
 
 
 class Driver:
@@ -36,7 +36,7 @@
         self.most = wanted.settings.get("max_open", 1 << 30)
         self.open, self.ids, self.limits, self.order = {}, {}, [], count()
         self.timer, self.armed, self.membership, self.fleet = None, None, None, None
-        self.places = None                   # who shares out places for slow fills; None: each starts at once
+        self.places = None  # who shares out places for slow fills; None: each starts at once
         self.copies = Copies(min(OWN_BYTES, int(wanted.memory_mb * 2**20) // 3), wanted.link)
 
     # What happens.
@@ -77,8 +77,11 @@
         """Answers from a copy of the front's own, where it has one and the module lets it."""
         key = get.ds, get.thing, get.part
         copy = self.copies.find(key)
-        if copy is None or get.asked.write or not self.router.owns(
-                get.asked, copy.made, copy.since, self.copies.wait(now), now):
+        if (
+            copy is None
+            or get.asked.write
+            or not self.router.owns(get.asked, copy.made, copy.since, self.copies.wait(now), now)
+        ):
             return False
         same = copy.tag and get.have == copy.tag
         self.copies.sent(key, len(copy.body) // 20 if same else len(copy.body), now)
@@ -177,8 +180,11 @@
                 self.fleet.purged(news.object, news.group, news.at)
             self.router.purged(news.object, news.group, self.platform.age(news.at, now), now)
             # The oldest copy that a forward takes was worked out before the purge.
-            self.take_back_all(lambda out: news.group == out.get.asked.group if news.object < 0
-                               else news.object == out.get.asked.object)
+            self.take_back_all(
+                lambda out: news.group == out.get.asked.group
+                if news.object < 0
+                else news.object == out.get.asked.object
+            )
         self.arm(now)
 
     def stamped(self, news, now):
@@ -197,8 +203,11 @@
         serves = {entry.id for entry in hosts.entries if entry.state is State.SERVING}
         named = hosts.names.keys()
         self.invariants.listed(serves, named, hosts.whole)
-        self.take_back_all(lambda out: any(
-            at not in serves and (hosts.whole or at in named) for at in (out.cache, out.source)))
+        self.take_back_all(
+            lambda out: any(
+                at not in serves and (hosts.whole or at in named) for at in (out.cache, out.source)
+            )
+        )
         self.arm(self.clock())
 
     def stop(self):
@@ -218,13 +227,16 @@
             match one:
                 case Forward():
                     out = get.forwards[one.number] = OpenForward(
-                        get, one.number, one.cache, one.source, now, now + one.timeout)
+                        get, one.number, one.cache, one.source, now, now + one.timeout
+                    )
                     if get.client.left():
                         # Its end stands behind what this turn of the loop still does: nobody waits any more.
                         self.loop.call_soon(self.ended, out, Outcome.NOT_SENT, Found.UNTOLD, 0, {})
                         self.left(get)
                         continue
-                    if (former := get.forwards.get(one.number - 1)) is not None and former.outcome is not None:
+                    if (
+                        former := get.forwards.get(one.number - 1)
+                    ) is not None and former.outcome is not None:
                         self.book.count(f"retries_after_{former.outcome.name.lower()}")
                     if self.places is not None:
                         self.places.sent(get, out, one, now)
@@ -317,5 +329,7 @@
 
     def fault(self, fault):
         at = (traceback.extract_tb(fault.__traceback__) or [None])[-1]
-        self.log("fault", error=f"{type(fault).__name__}: {fault}", where=f"{at.name}:{at.lineno}" if at else "")
+        self.log(
+            "fault", error=f"{type(fault).__name__}: {fault}", where=f"{at.name}:{at.lineno}" if at else ""
+        )
         self.book.count("faults")
--- a/sprucegate/front/invariants.py
+++ b/sprucegate/front/invariants.py
@@ -8,11 +8,11 @@
 from sprucegate.front.memory.connections import Phase
 
 MS = 1_000_000
-GONE_LATE = 100 * MS    # an attempt that begins so long after its client went counts as a lost request
+GONE_LATE = 100 * MS  # an attempt that begins so long after its client went counts as a lost request
 ANSWER_LATE = 500 * MS  # an answer so long after its time counts as none
-WAIT_SLACK = 150 * MS   # by which the wait told to a server may be over what its client has left
-REMEMBERED = 10_000     # servers that drain or have gone
-LOGGED = 20             # breaches logged in one second; all are counted
+WAIT_SLACK = 150 * MS  # by which the wait told to a server may be over what its client has left
+REMEMBERED = 10_000  # servers that drain or have gone
+LOGGED = 20  # breaches logged in one second; all are counted
 
 
 class Invariants:
@@ -22,7 +22,7 @@
         self.effects = settings.get("effect") or ()
         self.most_attempts = settings.get("max_forwards", 1 << 30)
         self.count, self.log, self.logged = count, log, 0
-        self.closed_to = {}                  # ids of servers that drain or have gone, the latest last
+        self.closed_to = {}  # ids of servers that drain or have gone, the latest last
 
     def second(self):
         """Called once a second."""
@@ -42,8 +42,13 @@
         self.count(f"invariant_violations {rule}")
         self.logged += 1
         if self.logged <= LOGGED:
-            self.log("invariant_broken", rule=rule, id=get.id.decode("latin-1"),
-                     story=[f"{at // MS} {what}" for at, what in get.story], **fields)
+            self.log(
+                "invariant_broken",
+                rule=rule,
+                id=get.id.decode("latin-1"),
+                story=[f"{at // MS} {what}" for at, what in get.story],
+                **fields,
+            )
 
     # What is checked.
 
@@ -97,4 +102,7 @@
 
     @staticmethod
     def _may_have_run(get, out):
-        return any(number < out.number and (not one.ended or one.may_have_run) for number, one in get.forwards.items())
+        return any(
+            number < out.number and (not one.ended or one.may_have_run)
+            for number, one in get.forwards.items()
+        )
--- a/sprucegate/front/lifecycle/configuration.py
+++ b/sprucegate/front/lifecycle/configuration.py
@@ -21,23 +21,29 @@
 MS, S = 1_000_000, 1_000_000_000
 
 # What the platform's protocol states for all deployments alike, none of it in the settings.
-STILL_COMING = 700 * MS     # after SIGTERM clients send for 0.4 s at most on new connections, 0.2 s more on open ones
-LONGEST_COUNTED = 3 * S     # SIGKILL comes no earlier than the longest viewer timeout, or this, plus STILL_COMING
-CLIENTS_IDLE = 4 * S        # clients close a connection that is idle for so long
-RESENT = 200 * MS           # a client sends on a connection it has just opened, or sees that one has ended
-BEFORE_KILL = 400 * MS      # kept free before SIGKILL may come, for answers that have to be written on a busy core
+STILL_COMING = (
+    700 * MS
+)  # after SIGTERM clients send for 0.4 s at most on new connections, 0.2 s more on open ones
+LONGEST_COUNTED = (
+    3 * S
+)  # SIGKILL comes no earlier than the longest viewer timeout, or this, plus STILL_COMING
+CLIENTS_IDLE = 4 * S  # clients close a connection that is idle for so long
+RESENT = 200 * MS  # a client sends on a connection it has just opened, or sees that one has ended
+BEFORE_KILL = (
+    400 * MS
+)  # kept free before SIGKILL may come, for answers that have to be written on a busy core
 
 
 class Times(NamedTuple):
     """Bounds of connections to clients and of a front's end, nanoseconds; from the settings but for the page's own."""
 
-    unfinished: int         # for a first request, or one begun, to be whole
-    idle: int               # between two requests
-    sending: int            # for an answer to be read
-    lingering: int          # for a client to go once it is told so
-    fresh: int              # for the first request on a connection, when the front ends
-    still_coming: int       # from SIGTERM to the listener's end
-    last: int               # from SIGTERM until all that is open is given up
+    unfinished: int  # for a first request, or one begun, to be whole
+    idle: int  # between two requests
+    sending: int  # for an answer to be read
+    lingering: int  # for a client to go once it is told so
+    fresh: int  # for the first request on a connection, when the front ends
+    still_coming: int  # from SIGTERM to the listener's end
+    last: int  # from SIGTERM until all that is open is given up
 
 
 def times_from(settings):
@@ -46,10 +52,15 @@
     return Times(
         # A request's time is counted from its last byte: short viewer timeouts make no client write faster. Within
         # this, though, all that was begun before SIGKILL may come can still be whole and answered.
-        unfinished=LONGEST_COUNTED * 7 // 10, idle=3 * CLIENTS_IDLE,
+        unfinished=LONGEST_COUNTED * 7 // 10,
+        idle=3 * CLIENTS_IDLE,
         # Nobody waits for an answer longer than the longest viewer timeout.
-        sending=longest, lingering=counted * 7 // 10, fresh=RESENT, still_coming=STILL_COMING,
-        last=counted + STILL_COMING - BEFORE_KILL)
+        sending=longest,
+        lingering=counted * 7 // 10,
+        fresh=RESENT,
+        still_coming=STILL_COMING,
+        last=counted + STILL_COMING - BEFORE_KILL,
+    )
 
 
 class Wanted(NamedTuple):
@@ -61,26 +72,26 @@
     memory_mb: float
     descriptors: int
     bus: tuple
-    flow: float             # bytes a second of one transfer to a client
-    link: float             # bytes a second of all of them
-    offset: int             # last event known at the start
-    known: list             # events up to then, as bus.read gives them
-    ds_names: dict          # delivery service's name -> its index
+    flow: float  # bytes a second of one transfer to a client
+    link: float  # bytes a second of all of them
+    offset: int  # last event known at the start
+    known: list  # events up to then, as bus.read gives them
+    ds_names: dict  # delivery service's name -> its index
     locations: dict
     kinds: dict
-    settings: dict          # for the module, under its own names
+    settings: dict  # for the module, under its own names
     times: Times
     servers: object = None  # what the operator's file says of them; None: all speak lines
-    membership: object = None   # and of sources of the list; None: the bus alone
-    fleet: object = None    # and of other fronts; None: this one is alone
-    agreement: object = None    # and of the agreed log, with the limits of going out; None: nothing is agreed
-    shares: object = None   # and of places for slow fills; None: each starts at once
+    membership: object = None  # and of sources of the list; None: the bus alone
+    fleet: object = None  # and of other fronts; None: this one is alone
+    agreement: object = None  # and of the agreed log, with the limits of going out; None: nothing is agreed
+    shares: object = None  # and of places for slow fills; None: each starts at once
 
 
 def _pick(data, key, kind, default=REQUIRED):
     *path, last = key.split(".")
     for at, name in enumerate(path):
-        data = _checked(data.get(name, {}), ".".join(path[:at + 1]), dict)
+        data = _checked(data.get(name, {}), ".".join(path[: at + 1]), dict)
     if data.get(last) is not None:
         return _checked(data[last], key, kind)
     if default is REQUIRED:
@@ -175,7 +186,9 @@
         seed = int(seed, 16)
     except ValueError:
         raise Faulty(f"seed: must be hex digits, not {seed[:60]!r}") from None
-    settings = settings_from(_flat(_pick(data, "settings", dict), "", {}), lambda text: Faulty(f"settings: {text}"))
+    settings = settings_from(
+        _flat(_pick(data, "settings", dict), "", {}), lambda text: Faulty(f"settings: {text}")
+    )
     for name, path in (("connect_timeout", "allowed.connectTimeout"), ("keepalive", "allowed.keepalive")):
         # Without them a front would go by another deployment's: connections would be used as their caches close them.
         if name not in settings:
--- a/sprucegate/front/lifecycle/log.py
+++ b/sprucegate/front/lifecycle/log.py
@@ -18,10 +18,10 @@
         try:
             # The end of a line cut before goes first, so that each line stays one.
             if self.rest:
-                self.rest = self.rest[os.write(self.fd, self.rest):]
+                self.rest = self.rest[os.write(self.fd, self.rest) :]
             if self.rest:
                 raise BlockingIOError
-            self.rest = line[os.write(self.fd, line):]
+            self.rest = line[os.write(self.fd, line) :]
             self.dropped = 0
         except OSError:
             self.dropped += 1
@@ -34,5 +34,9 @@
     def __call__(self, event, **fields):
         if self.writer.dropped:
             fields["lines_dropped"] = self.writer.dropped
-        self.writer.write(orjson.dumps(
-            {"at": clock.unix() // 1_000_000, "front": self.name, "event": event, **fields}, default=str) + b"\n")
+        self.writer.write(
+            orjson.dumps(
+                {"at": clock.unix() // 1_000_000, "front": self.name, "event": event, **fields}, default=str
+            )
+            + b"\n"
+        )
--- a/sprucegate/front/lifecycle/shape.py
+++ b/sprucegate/front/lifecycle/shape.py
@@ -15,9 +15,21 @@
     "weights": ("none", "nominal", "rough", "live"),
     "discovery": ("push", "ask"),
 }
-SIZES = ("client_kb_per_s", "link_in_kb_per_s", "fronts_by_location", "max_retry_after", "purge_grace", "purge_done",
-         "fall_multiple", "parent_fall_multiple", "cold_share", "parent_cold_share", "warm_time", "parent_warm_time",
-         "fall_time")
+SIZES = (
+    "client_kb_per_s",
+    "link_in_kb_per_s",
+    "fronts_by_location",
+    "max_retry_after",
+    "purge_grace",
+    "purge_done",
+    "fall_multiple",
+    "parent_fall_multiple",
+    "cold_share",
+    "parent_cold_share",
+    "warm_time",
+    "parent_warm_time",
+    "fall_time",
+)
 SHARES = ("cold_share", "parent_cold_share")
 BY_LOCATION = ("link_in_kb_per_s", "fronts_by_location", "hub_of_location")
 PATHS = {name: path for path, (name, _) in NAMES.items()}
--- a/sprucegate/front/lifecycle/subscribe.py
+++ b/sprucegate/front/lifecycle/subscribe.py
@@ -7,7 +7,7 @@
 from sprucegate.front.protocol import bus
 from sprucegate.servers.sockets import set_no_delay
 
-SILENCE = 1.7       # seconds without a byte: a comment comes each second, what is missed counts after 4
+SILENCE = 1.7  # seconds without a byte: a comment comes each second, what is missed counts after 4
 WAITS = (0.1, 0.2, 0.4, 0.8, 1.0)
 
 
@@ -17,7 +17,7 @@
         self.loop, self.task = asyncio.get_running_loop(), None
         # Its own: lent one by one to whoever reads, none could be left for the list.
         self.buffer = memoryview(bytearray(SIZE))
-        self.doubted = -1                    # the last event before a fault for which the bus was asked again
+        self.doubted = -1  # the last event before a fault for which the bus was asked again
 
     def start(self):
         """Asks for what comes after the last event seen; a stream that was open before is left."""
@@ -31,7 +31,7 @@
             seen = self.last
             try:
                 error = await self._read()
-            except Exception as fault:       # or nothing would be told any more
+            except Exception as fault:  # or nothing would be told any more
                 self.driver.fault(fault)
                 error = "a fault of the program"
             self.driver.log("bus_lost", error=error, last=self.last)
@@ -49,9 +49,13 @@
             async with asyncio.timeout(SILENCE):
                 await self.loop.sock_connect(sock, self.wanted.bus)
                 host = "{}:{}".format(*self.wanted.bus)
-                await self.loop.sock_sendall(sock, (
-                    f"GET /bus/read HTTP/1.1\r\nHost: {host}\r\nAccept: text/event-stream\r\n"
-                    f"Last-Event-ID: {self.last}\r\n\r\n").encode())
+                await self.loop.sock_sendall(
+                    sock,
+                    (
+                        f"GET /bus/read HTTP/1.1\r\nHost: {host}\r\nAccept: text/event-stream\r\n"
+                        f"Last-Event-ID: {self.last}\r\n\r\n"
+                    ).encode(),
+                )
             stream = bus.StreamReader()
             while True:
                 async with asyncio.timeout(SILENCE):
@@ -76,7 +80,7 @@
                 try:
                     self._apply(offset, news)
                 except bus.Malformed:
-                    break                # the bus is asked for it
+                    break  # the bus is asked for it
         self.start()
 
     def _event(self, data):
@@ -97,10 +101,10 @@
 
     def _apply(self, offset, news):
         if offset <= self.last:
-            return                       # sent again after a break
+            return  # sent again after a break
         try:
             self.driver.told(news)
-        except Exception as fault:           # half applied: asked for again, and applied whole if it can be
+        except Exception as fault:  # half applied: asked for again, and applied whole if it can be
             self.driver.fault(fault)
             self._doubt(bus.Malformed(f"event {offset} could not be applied"))
         self.last = offset
--- a/sprucegate/front/memory/connections.py
+++ b/sprucegate/front/memory/connections.py
@@ -8,10 +8,12 @@
 
 
 class Phase(Enum):
-    RESTING = auto()    # nothing is owed; part of a request may have come
-    TAKEN = auto()      # a whole request was read: one answer is owed
-    FLUSHING = auto()   # the answer is given, and not all of it written
-    SHUT = auto()       # our side has ended; what comes is read and discarded until the client ends, within a bound
+    RESTING = auto()  # nothing is owed; part of a request may have come
+    TAKEN = auto()  # a whole request was read: one answer is owed
+    FLUSHING = auto()  # the answer is given, and not all of it written
+    SHUT = (
+        auto()
+    )  # our side has ended; what comes is read and discarded until the client ends, within a bound
     CLOSED = auto()
 
 
@@ -62,7 +64,7 @@
         try:
             self.sock.shutdown(socket.SHUT_WR)
         except OSError:
-            pass                             # gone already: the reader sees that too
+            pass  # gone already: the reader sees that too
 
     def closed(self, now):
         self.to(Phase.CLOSED, now)
--- a/sprucegate/front/memory/copies.py
+++ b/sprucegate/front/memory/copies.py
@@ -7,8 +7,8 @@
 class Copy(NamedTuple):
     body: bytes
     tag: str
-    made: int           # when the origin gave it out, at the earliest, on this front's clock (ns)
-    since: int          # when it came here, on that clock
+    made: int  # when the origin gave it out, at the earliest, on this front's clock (ns)
+    since: int  # when it came here, on that clock
 
 
 class Copies:
@@ -24,7 +24,7 @@
         self.kept[key] = copy
         self.held += len(copy.body)
         while self.held > self.most:
-            self.drop(next(iter(self.kept)))     # used longest ago
+            self.drop(next(iter(self.kept)))  # used longest ago
 
     def drop(self, key):
         if (copy := self.kept.pop(key, None)) is not None:
--- a/sprucegate/front/protocol/bus.py
+++ b/sprucegate/front/protocol/bus.py
@@ -11,7 +11,7 @@
 from sprucegate.servers.hosts import Hosts, number_of
 
 MS = 1_000_000
-EVENT_MOST = 4 << 20    # bytes of one event; the whole list is the largest
+EVENT_MOST = 4 << 20  # bytes of one event; the whole list is the largest
 STATES = {"up": State.SERVING, "draining": State.DRAINING, "removed": State.GONE}
 
 
@@ -22,7 +22,7 @@
 class Purge(NamedTuple):
     object: int
     group: int
-    at: int             # Unix time, nanoseconds
+    at: int  # Unix time, nanoseconds
 
 
 class EventReader:
@@ -95,10 +95,14 @@
 
 def _listed(entry, locations, kinds):
     return Listed(
-        id=number_of(entry["host"]), location=locations.get(entry.get("site"), -1),
-        kind=kinds.get(entry.get("class"), -1), cell=int(entry.get("block", 0)),
-        state=STATES[entry["health"]], weight=float(entry.get("share", 1.0)),
-        started=int(entry.get("born_ms", 0)) * MS)
+        id=number_of(entry["host"]),
+        location=locations.get(entry.get("site"), -1),
+        kind=kinds.get(entry.get("class"), -1),
+        cell=int(entry.get("block", 0)),
+        state=STATES[entry["health"]],
+        weight=float(entry.get("share", 1.0)),
+        started=int(entry.get("born_ms", 0)) * MS,
+    )
 
 
 def _checked(listed, address):
@@ -106,6 +110,6 @@
     if not (isfinite(listed.weight) and listed.weight > 0):
         raise ValueError(f"share {listed.weight}")
     host, _, port = address.rpartition(":")
-    if address or listed.state is not State.GONE:    # where one was that has gone is no longer wanted
+    if address or listed.state is not State.GONE:  # where one was that has gone is no longer wanted
         if not host or not port.isdecimal() or not 0 < int(port) < 65536:
             raise ValueError(f"dial {address[:60]!r}")
--- a/sprucegate/front/protocol/http.py
+++ b/sprucegate/front/protocol/http.py
@@ -4,12 +4,21 @@
 
 import httptools
 
-HEAD_MOST = 8192        # bytes of a request line and its headers
-BODY_MOST = 48_000      # bytes of a write
-REASONS = {200: "OK", 304: "Not Modified", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-           409: "Conflict",
-           413: "Content Too Large", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
-           502: "Bad Gateway", 503: "Service Unavailable"}
+HEAD_MOST = 8192  # bytes of a request line and its headers
+BODY_MOST = 48_000  # bytes of a write
+REASONS = {
+    200: "OK",
+    304: "Not Modified",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    409: "Conflict",
+    413: "Content Too Large",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+}
 
 
 class Request(NamedTuple):
@@ -71,8 +80,15 @@
 
     def on_message_complete(self):
         if not self.fault:
-            self.whole.append(Request(self.parser.get_method(), self.target, self.headers, self.body,
-                                      self.parser.should_keep_alive()))
+            self.whole.append(
+                Request(
+                    self.parser.get_method(),
+                    self.target,
+                    self.headers,
+                    self.body,
+                    self.parser.should_keep_alive(),
+                )
+            )
         self._clear()
 
     def feed(self, data):
@@ -103,4 +119,3 @@
 
 def tagged(tag):
     return b'ETag: "%b"\r\n' % tag.encode() if tag else b""
-
--- a/sprucegate/front/stages/admit.py
+++ b/sprucegate/front/stages/admit.py
@@ -22,7 +22,7 @@
         value = float(text)
     except ValueError:
         return None
-    return value if 0 <= value <= most else None    # neither NaN nor infinity is
+    return value if 0 <= value <= most else None  # neither NaN nor infinity is
 
 
 def _of(settings, name, ds, default):
@@ -45,8 +45,11 @@
         return Refusal(404, "no such delivery service")
     wanted = b"PUT" if _of(settings, "runs_at_origin", ds, False) else b"GET"
     if request.method != wanted or request.body and wanted == b"GET":
-        return Refusal(405, f"this delivery service takes {wanted.decode()}, a GET without a body",
-                       b"Allow: %b\r\n" % wanted)
+        return Refusal(
+            405,
+            f"this delivery service takes {wanted.decode()}, a GET without a body",
+            b"Allow: %b\r\n" % wanted,
+        )
     call_id = headers.get(b"x-call-id", b"")
     if not CALL_ID.fullmatch(call_id):
         return Refusal(400, "X-Call-Id: 16 hex digits are wanted")
@@ -71,8 +74,24 @@
     have = headers.get(b"if-none-match")
     have = have and TAG.fullmatch(have)
     asked = Asked(
-        id=call_id.decode(), object=int(thing, 16), part=int(part or 0), group=int(group), ds=ds,
-        size=int(size), write=request.method == b"PUT", repeat=False,
-        ttl=min(int(patience * MS), longest) - waited)
-    return OpenGet(client, call_id, ds_name.decode(), thing.decode(), int(part or 0),
-                   have[1].decode() if have else "", request.body, asked, token.decode())
+        id=call_id.decode(),
+        object=int(thing, 16),
+        part=int(part or 0),
+        group=int(group),
+        ds=ds,
+        size=int(size),
+        write=request.method == b"PUT",
+        repeat=False,
+        ttl=min(int(patience * MS), longest) - waited,
+    )
+    return OpenGet(
+        client,
+        call_id,
+        ds_name.decode(),
+        thing.decode(),
+        int(part or 0),
+        have[1].decode() if have else "",
+        request.body,
+        asked,
+        token.decode(),
+    )
--- a/sprucegate/front/stages/relay.py
+++ b/sprucegate/front/stages/relay.py
@@ -10,7 +10,7 @@
 class Relay:
     def __init__(self, driver):
         self.driver, self.loop = driver, asyncio.get_running_loop()
-        self.ending = False                  # the front stops: each answer is its connection's last
+        self.ending = False  # the front stops: each answer is its connection's last
 
     def answer(self, get, status, body=b"", headers=b""):
         """At most one a GET, whatever is asked of this."""
@@ -25,7 +25,9 @@
     def refuse(self, client, said):
         """The plain answer to what is no valid request; nothing more is read after it."""
         client.last = True
-        self.write(client, said.status, said.text.encode() + b"\n", b"Content-Type: text/plain\r\n" + said.headers)
+        self.write(
+            client, said.status, said.text.encode() + b"\n", b"Content-Type: text/plain\r\n" + said.headers
+        )
 
     def write(self, client, status, body=b"", headers=b""):
         """At once where the socket takes all of it; the rest as it takes more."""
@@ -37,14 +39,15 @@
         try:
             sent = send(client.sock, data)
         except OSError:
-            return                           # the reader sees its end too
+            return  # the reader sees its end too
         if sent < len(data):
-            client.writer = PendingWrite(self.loop, client.sock, memoryview(data)[sent:],
-                                         lambda whole: self._written(client, whole))
+            client.writer = PendingWrite(
+                self.loop, client.sock, memoryview(data)[sent:], lambda whole: self._written(client, whole)
+            )
         else:
             client.flushed(self.driver.clock())
 
     def _written(self, client, whole):
         client.writer = None
-        if whole:                            # else the reader sees its end too
+        if whole:  # else the reader sees its end too
             client.flushed(self.driver.clock())
--- a/sprucegate/front/stages/take_in.py
+++ b/sprucegate/front/stages/take_in.py
@@ -6,19 +6,19 @@
 from sprucegate.front.memory.connections import Client, Phase
 from sprucegate.servers.sockets import receive_into, set_no_delay, waited
 
-TURN = 3        # requests begun in one turn of the loop
-LOOKS = 16      # connections looked at for one that may give way to a new one
-PAUSE = 0.02    # seconds for which the listener rests where nobody can be taken: the rest wait in its queue
+TURN = 3  # requests begun in one turn of the loop
+LOOKS = 16  # connections looked at for one that may give way to a new one
+PAUSE = 0.02  # seconds for which the listener rests where nobody can be taken: the rest wait in its queue
 
 
 class TakeIn:
     def __init__(self, driver, pool, most, times, repeatable=frozenset()):
         """`most` connections at a time; `times` are the bounds of the configuration, in nanoseconds."""
         self.driver, self.pool, self.most, self.times, self.repeatable = driver, pool, most, times, repeatable
-        self.clients, self.loop = {}, asyncio.get_running_loop()     # the one that asked last stands last
-        self.silent = {}                     # those that have not yet sent a whole request, the oldest first
+        self.clients, self.loop = {}, asyncio.get_running_loop()  # the one that asked last stands last
+        self.silent = {}  # those that have not yet sent a whole request, the oldest first
         self.whole, self.begins, self.listener, self.paused = deque(), False, None, None
-        self.emptied = False                 # whether the last look at the queue found nobody there
+        self.emptied = False  # whether the last look at the queue found nobody there
 
     # Connections.
 
@@ -31,7 +31,7 @@
         for at in range(LOOKS):
             if len(self.clients) >= self.most:
                 if at:
-                    return                   # whether another one stands there, only the next turn tells
+                    return  # whether another one stands there, only the next turn tells
                 if not self._make_room():
                     # Left in the queue, it may still be served; closed at once it would have no answer at all.
                     self.driver.book.count("accepts_put_off")
@@ -47,7 +47,7 @@
             self.emptied = True
             return False
         except (ConnectionAbortedError, InterruptedError):
-            return True                      # that one has left; others may stand behind it
+            return True  # that one has left; others may stand behind it
         except OSError as fault:
             # Out of descriptors: the listener stays readable, and asked at once again it would take all of a core.
             self.driver.log("accept_failed", error=str(fault))
@@ -129,7 +129,7 @@
                 self._fed(client, buffer[:size])
         except OSError:
             self.close(client, "peer")
-        except Exception as fault:           # this connection's own, whatever it is
+        except Exception as fault:  # this connection's own, whatever it is
             self.driver.fault(fault)
             self.close(client, "fault")
         finally:
@@ -160,7 +160,7 @@
         requests = client.reader.feed(data)
         came = now - waited(client.sock) if requests else now
         if client.reader.begun and not begun and client.asked and client.phase is Phase.RESTING:
-            client.since = now               # not moved by later bytes: one that dribbles is bounded too
+            client.since = now  # not moved by later bytes: one that dribbles is bounded too
         for request in requests:
             if client.phase is not Phase.RESTING:
                 # One at a time is agreed; what was sent ahead goes unread, and the answer under way is the last.
@@ -226,5 +226,6 @@
             if client.rests() and not fresh:
                 self.end(client)
             goes_on |= client.phase is not Phase.CLOSED and not (
-                client.phase is Phase.SHUT and now - client.since > self.times.fresh)
+                client.phase is Phase.SHUT and now - client.since > self.times.fresh
+            )
         return goes_on
--- a/sprucegate/membership/gate.py
+++ b/sprucegate/membership/gate.py
@@ -10,11 +10,11 @@
 
 
 class Held(NamedTuple):
-    number: int             # by which it is confirmed
+    number: int  # by which it is confirmed
     servers: list
-    until: int              # ns: then it is applied all the same
+    until: int  # ns: then it is applied all the same
     location: int
-    share: float            # of that location that it takes away
+    share: float  # of that location that it takes away
 
 
 class Passed(NamedTuple):
@@ -31,15 +31,14 @@
         self.share, self.hold, self.held, self.number = share, hold, None, 0
 
     def offered(self, current, servers, now, held=False):
-        """A whole list, against `current`, what this source's list was (Server by id); `held`: by another front.
-        """
+        """A whole list, against `current`, what this source's list was (Server by id); `held`: by another front."""
         self.number += 1
         before = Counter(s.entry.location for s in current.values())
         stays = {s.entry.id for s in servers}
         lost = Counter(s.entry.location for at, s in current.items() if at not in stays)
         worst = max(((lost[place] / count, place) for place, count in before.items()), default=(0, -1))
         if worst[0] <= self.share and not (held and worst[0]):
-            self.held = None                 # a newer list stands for one that was held
+            self.held = None  # a newer list stands for one that was held
             return Passed(servers, True, None)
         drains = [s for s in servers if s.entry.state is State.DRAINING and s.entry.id in current]
         self.held = Held(self.number, servers, now + self.hold, worst[1], worst[0])
--- a/sprucegate/membership/listfile.py
+++ b/sprucegate/membership/listfile.py
@@ -48,8 +48,11 @@
             try:
                 one = msgspec.convert(_plain(node), Node)
                 server = _server(one, locations, kinds)
-                for seen, what, value in ((seen_names, "server", one.name), (seen_ids, "server", server.entry.id),
-                                          (seen_addresses, "address", one.address)):
+                for seen, what, value in (
+                    (seen_names, "server", one.name),
+                    (seen_ids, "server", server.entry.id),
+                    (seen_addresses, "address", one.address),
+                ):
                     if value in seen:
                         raise ValueError(f"{what}: {value!r} stands on {seen[value]} already")
                     seen[value] = f"entry {at + 1} of {file}"
@@ -74,7 +77,7 @@
 def _nodes(file, text):
     try:
         nodes = ckdl.parse(text).nodes
-    except Exception:                        # ckdl raises several kinds
+    except Exception:  # ckdl raises several kinds
         line = places.fault_line(text) if len(text) < 20_000 else text.count("\n") + 1
         raise Faulty(file, line, "", "is not KDL, or is cut") from None
     if [node.name for node in nodes] != ["servers"] or nodes[0].args or nodes[0].properties:
@@ -105,10 +108,19 @@
     if not match or not 0 < int(match[1]) < 65_536:
         raise ValueError(f"address: must be HOST:PORT, not {one.address[:60]!r}")
     if one.cold and not one.started:
-        raise ValueError("started: is wanted of a cold server: without it the front would send as to a warm one")
+        raise ValueError(
+            "started: is wanted of a cold server: without it the front would send as to a warm one"
+        )
     state = State.DRAINING if one.state == "draining" else State.SERVING
-    entry = Listed(number_of(one.name), locations[one.location], kinds[one.kind], one.cell, state, one.weight,
-                   one.started * MS)
+    entry = Listed(
+        number_of(one.name),
+        locations[one.location],
+        kinds[one.kind],
+        one.cell,
+        state,
+        one.weight,
+        one.started * MS,
+    )
     return Server(entry, one.name, one.address, one.state == "held")
 
 
@@ -126,7 +138,9 @@
     for server in servers:
         entry = server.entry
         state = "held" if server.held else "draining" if entry.state is State.DRAINING else "serving"
-        lines.append(f'    server "{server.name}" address="{server.address}" location="{places_of[entry.location]}" '
-                     f'kind="{kinds_of[entry.kind]}" cell={entry.cell} weight={entry.weight!r} state="{state}" '
-                     f"started={entry.started // MS}")
+        lines.append(
+            f'    server "{server.name}" address="{server.address}" location="{places_of[entry.location]}" '
+            f'kind="{kinds_of[entry.kind]}" cell={entry.cell} weight={entry.weight!r} state="{state}" '
+            f"started={entry.started // MS}"
+        )
     return "\n".join([*lines, "}", ""])
--- a/sprucegate/membership/merged.py
+++ b/sprucegate/membership/merged.py
@@ -29,5 +29,8 @@
 
 
 def hosts_of(servers):
-    return Hosts(False, [server.entry for server in servers],
-                 {server.entry.id: (server.name, server.address) for server in servers})
+    return Hosts(
+        False,
+        [server.entry for server in servers],
+        {server.entry.id: (server.name, server.address) for server in servers},
+    )
--- a/sprucegate/membership/moves.py
+++ b/sprucegate/membership/moves.py
@@ -6,15 +6,15 @@
 from sprucegate.interface import State
 from sprucegate.rules import Router
 
-OBJECTS = 2000          # looked at in each group of one location and kind
-WORK = 1_000_000        # objects times servers in a group, at most: then fewer are looked at
+OBJECTS = 2000  # looked at in each group of one location and kind
+WORK = 1_000_000  # objects times servers in a group, at most: then fewer are looked at
 
 
 class Moved(NamedTuple):
     objects: int
     moved: int
-    least: int              # that had to move, by how many more each server has afterwards
-    gained: dict            # server's id -> objects that it has now and had not
+    least: int  # that had to move, by how many more each server has afterwards
+    gained: dict  # server's id -> objects that it has now and had not
 
 
 def _groups(servers):
--- a/sprucegate/membership/reading.py
+++ b/sprucegate/membership/reading.py
@@ -14,14 +14,14 @@
 
 from sprucegate.membership.listfile import SIZE_MOST, Faulty
 
-SETTLE = 0.03           # seconds between two reads of a file without a digest
+SETTLE = 0.03  # seconds between two reads of a file without a digest
 MANIFEST = "manifest.kdl"
 PARTS_MOST = 64
 
 
 class Read(NamedTuple):
-    texts: list         # (file, text) of each part
-    digest: str         # of all bytes: the same content is no new generation
+    texts: list  # (file, text) of each part
+    digest: str  # of all bytes: the same content is no new generation
 
 
 class Unsettled(Exception):
@@ -94,9 +94,15 @@
     named = []
     for at, node in enumerate(nodes):
         digest = node.properties.get("sha256")
-        if node.name != "part" or len(node.args) != 1 or not isinstance(node.args[0], str) or (
-                not isinstance(digest, str)) or "/" in node.args[0] or node.args[0].startswith("."):
-            raise Faulty(str(base / MANIFEST), at + 1, node.name, "wants `part \"NAME\" sha256=\"...\"`")
+        if (
+            node.name != "part"
+            or len(node.args) != 1
+            or not isinstance(node.args[0], str)
+            or (not isinstance(digest, str))
+            or "/" in node.args[0]
+            or node.args[0].startswith(".")
+        ):
+            raise Faulty(str(base / MANIFEST), at + 1, node.name, 'wants `part "NAME" sha256="..."`')
         named.append((node.args[0], digest))
     if not named or len(named) > PARTS_MOST:
         raise Faulty(str(base / MANIFEST), 1, "part", f"from 1 to {PARTS_MOST} parts are wanted")
--- a/sprucegate/membership/service.py
+++ b/sprucegate/membership/service.py
@@ -19,11 +19,11 @@
 from sprucegate.state.disk import Disk
 from sprucegate.state.snapshots import Snapshots
 
-MANY = 1000             # entries of a change after which the collector is told that they stay
-PIECE = 100             # entries handed over in one turn of the loop
-TURN = 0.001            # seconds between two such turns, so that a GET comes in between
-UNSETTLED = 1.0         # seconds after which a list that does not become whole is logged
-AGAIN = 0.05            # seconds until one that is being written is read again
+MANY = 1000  # entries of a change after which the collector is told that they stay
+PIECE = 100  # entries handed over in one turn of the loop
+TURN = 0.001  # seconds between two such turns, so that a GET comes in between
+UNSETTLED = 1.0  # seconds after which a list that does not become whole is logged
+AGAIN = 0.05  # seconds until one that is being written is read again
 LINE_MOST = 4 << 20
 S = 1_000_000_000
 
@@ -40,7 +40,7 @@
         self.wake, self.digest, self.refused, self.unsettled = asyncio.Event(), "", None, None
         self.worker, self.dirty, self.tasks, self.seen, self.events = None, False, [], None, 0
         self.polled, self.telling = False, asyncio.Lock()
-        self.serving, self.kept = False, None        # whether changes go on by pieces; entries of the snapshot
+        self.serving, self.kept = False, None  # whether changes go on by pieces; entries of the snapshot
 
     # The bus.
 
@@ -50,7 +50,7 @@
         if change is None:
             return None
         self.dirty = True
-        if self.queue:                       # in order behind what is being handed over
+        if self.queue:  # in order behind what is being handed over
             self.hand_over(change)
             return None
         return hosts_of(change.servers)
@@ -78,8 +78,10 @@
             self._all_handed()
         while self.queue:
             await asyncio.sleep(TURN)
-        await asyncio.to_thread(int)         # the first thread takes a tenth of a second: now, not in service
-        self.tasks = [self.loop.create_task(each()) for each in (self._watch, self._poll, self._run, self._keep)]
+        await asyncio.to_thread(int)  # the first thread takes a tenth of a second: now, not in service
+        self.tasks = [
+            self.loop.create_task(each()) for each in (self._watch, self._poll, self._run, self._keep)
+        ]
 
     def _all_handed(self):
         """What waits at once, and from here on in pieces: words of other fronts come before the first reading."""
@@ -109,7 +111,12 @@
         except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as fault:
             self.log("snapshot_refused", name="servers", error=f"{type(fault).__name__}: {fault}")
             return None
-        self.log("snapshot_read", generation=taken.generation, age_s=(now - taken.at) // S, entries=len(kept["file"]))
+        self.log(
+            "snapshot_read",
+            generation=taken.generation,
+            age_s=(now - taken.at) // S,
+            entries=len(kept["file"]),
+        )
         return kept
 
     # Loading.
@@ -138,11 +145,24 @@
     async def _asked(self):
         if self.worker is None or self.worker.returncode is not None:
             self.worker = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "sprucegate.membership.worker", stdin=asyncio.subprocess.PIPE,
-                stdout=asyncio.subprocess.PIPE, limit=LINE_MOST)
-        self.worker.stdin.write(orjson.dumps({
-            "path": self.node.file, "digest": self.digest, "locations": self.wanted.locations,
-            "kinds": self.wanted.kinds}) + b"\n")
+                sys.executable,
+                "-m",
+                "sprucegate.membership.worker",
+                stdin=asyncio.subprocess.PIPE,
+                stdout=asyncio.subprocess.PIPE,
+                limit=LINE_MOST,
+            )
+        self.worker.stdin.write(
+            orjson.dumps(
+                {
+                    "path": self.node.file,
+                    "digest": self.digest,
+                    "locations": self.wanted.locations,
+                    "kinds": self.wanted.kinds,
+                }
+            )
+            + b"\n"
+        )
         servers, digest = [], ""
         while True:
             async with asyncio.timeout(30):
@@ -159,14 +179,20 @@
             if not said["more"]:
                 self.digest = digest
                 return servers
-            await asyncio.sleep(0)           # lines that lie ready must not become one long turn
+            await asyncio.sleep(0)  # lines that lie ready must not become one long turn
 
     def _refuse(self, fault):
         self.unsettled = None
-        if str(fault) != self.refused:       # once, however often it is read again
+        if str(fault) != self.refused:  # once, however often it is read again
             self.refused = str(fault)
-            self.log("servers_refused", file=fault.file, line=fault.line, key=fault.key, error=fault.text,
-                     generation=self.view.generation)
+            self.log(
+                "servers_refused",
+                file=fault.file,
+                line=fault.line,
+                key=fault.key,
+                error=fault.text,
+                generation=self.view.generation,
+            )
 
     def _wait(self, why):
         """Being written, or gone for a moment: the last list stands; after a second it is told."""
@@ -191,9 +217,15 @@
         await asyncio.sleep(0)
         if passed.held is not None:
             held = passed.held
-            self.log("servers_held", number=held.number, location=_name(self.wanted.locations, held.location),
-                     share=round(held.share, 3), until_s=(held.until - now) // S, entries=len(held.servers),
-                     generation=self.view.generation)
+            self.log(
+                "servers_held",
+                number=held.number,
+                location=_name(self.wanted.locations, held.location),
+                share=round(held.share, 3),
+                until_s=(held.until - now) // S,
+                entries=len(held.servers),
+                generation=self.view.generation,
+            )
         await self._file_told(passed.servers, passed.whole)
 
     async def _file_told(self, servers, whole):
@@ -209,13 +241,17 @@
         if self.driver.fleet is not None:
             self.driver.fleet.listed()
         if changed:
-            self.log("servers_taken", generation=self.view.generation, changed=changed, entries=len(self.view.rows))
+            self.log(
+                "servers_taken", generation=self.view.generation, changed=changed, entries=len(self.view.rows)
+            )
         if changed > MANY:
             # What such a list built stays: the collector need not walk it, which would take longer than a turn.
             gc.freeze()
 
     def hand_over(self, change):
-        self.queue += [hosts_of(change.servers[at:at + PIECE]) for at in range(0, len(change.servers), PIECE)]
+        self.queue += [
+            hosts_of(change.servers[at : at + PIECE]) for at in range(0, len(change.servers), PIECE)
+        ]
         if self.serving and self.handing is None:
             self._piece()
 
@@ -235,8 +271,15 @@
             base = os.path.dirname(os.path.abspath(self.node.file))
             folders = [base] + ([self.node.file] if os.path.isdir(self.node.file) else [])
             try:
-                async for _ in watchfiles.awatch(*folders, watch_filter=None, debounce=20, step=10, recursive=False,
-                                                 rust_timeout=1000, yield_on_timeout=False):
+                async for _ in watchfiles.awatch(
+                    *folders,
+                    watch_filter=None,
+                    debounce=20,
+                    step=10,
+                    recursive=False,
+                    rust_timeout=1000,
+                    yield_on_timeout=False,
+                ):
                     self.events += 1
                     self.wake.set()
                     if len(folders) == 1 and os.path.isdir(self.node.file):
@@ -288,7 +331,7 @@
         """Loads after a change, never more often than `least`; what changes meanwhile is read after it."""
         while True:
             await self.wake.wait()
-            while self.queue:                # a storm of large lists must not pile up what is to be handed over
+            while self.queue:  # a storm of large lists must not pile up what is to be handed over
                 await asyncio.sleep(TURN)
             self.wake.clear()
             loaded = await self._loaded()
@@ -311,15 +354,27 @@
         rows = list(self.view.lists["file"].values())
         head = orjson.dumps(self.view.kept(clock.unix_of))[:-1]
         for at in range(0, len(rows), PIECE):
-            pieces.append(orjson.dumps([flat(server) for server in rows[at:at + PIECE]]))
+            pieces.append(orjson.dumps([flat(server) for server in rows[at : at + PIECE]]))
             await asyncio.sleep(0)
         shown, rows = [], list(self.view.rows.values())
         for at in range(0, len(rows), PIECE):
-            shown.append(orjson.dumps([
-                [row.server.name, row.server.address, row.standing.name.lower(), row.why,
-                 clock.unix_of(row.since), row.server.entry.weight] for row in rows[at:at + PIECE]]))
+            shown.append(
+                orjson.dumps(
+                    [
+                        [
+                            row.server.name,
+                            row.server.address,
+                            row.standing.name.lower(),
+                            row.why,
+                            clock.unix_of(row.since),
+                            row.server.entry.weight,
+                        ]
+                        for row in rows[at : at + PIECE]
+                    ]
+                )
+            )
             await asyncio.sleep(0)
-        payload = (head + b',"file":[' + b",".join(pieces) + b'],"rows":[' + b",".join(shown) + b"]}")
+        payload = head + b',"file":[' + b",".join(pieces) + b'],"rows":[' + b",".join(shown) + b"]}"
         fault = await asyncio.to_thread(self.snapshots.save, generation, clock.unix(), payload)
         if fault:
             self.log("snapshot_failed", error=fault, generation=generation)
--- a/sprucegate/membership/view.py
+++ b/sprucegate/membership/view.py
@@ -9,14 +9,14 @@
 
 from sprucegate.interface import Listed, State
 
-DRAINS_MOST = 20_000    # drains remembered, also of servers that no source lists any more
-STEPS = 10              # of a ramp: each is a change of weight, which moves objects
+DRAINS_MOST = 20_000  # drains remembered, also of servers that no source lists any more
+STEPS = 10  # of a ramp: each is a change of weight, which moves objects
 
 
 class Standing(Enum):
     SERVING = auto()
     DRAINING = auto()
-    HELD = auto()           # known, not yet to be used
+    HELD = auto()  # known, not yet to be used
     GONE = auto()
 
 
@@ -42,14 +42,14 @@
 class Drain(NamedTuple):
     source: str
     since: int
-    started: int            # of the server that drains: a later start is another one
+    started: int  # of the server that drains: a later start is another one
 
 
 class Change(NamedTuple):
     """A new generation of the view, as entries that router and transports take. Drains and removals come first."""
 
     generation: int
-    servers: list           # Server, with the state and the weight that hold now
+    servers: list  # Server, with the state and the weight that hold now
 
 
 class View:
@@ -58,8 +58,8 @@
         self.order, self.ramp, self.generation = tuple(order), ramp, 0
         self.lists = {source: {} for source in order}
         self.rows, self.drains, self.ramps = {}, OrderedDict(), {}
-        self.begun, self.missing = now, OrderedDict()     # ids that were here and went, for the ramp
-        self.news = None                     # a list, where others are to know: (source, id, start, State)
+        self.begun, self.missing = now, OrderedDict()  # ids that were here and went, for the ramp
+        self.news = None  # a list, where others are to know: (source, id, start, State)
 
     # What happens.
 
@@ -86,11 +86,11 @@
         else:
             removed = []
         for begin in range(0, max(1, len(removed) + len(servers)), piece):
-            touched = removed[begin:begin + piece]
+            touched = removed[begin : begin + piece]
             for at in touched:
                 self._tells(source, listed.pop(at), State.GONE)
             from_here = max(0, begin - len(removed))
-            for server in servers[from_here:max(0, begin + piece - len(removed))]:
+            for server in servers[from_here : max(0, begin + piece - len(removed))]:
                 at = server.entry.id
                 touched.append(at)
                 if server.entry.state is State.GONE:
@@ -155,8 +155,9 @@
 
     def due(self, now):
         """The ramps' next steps."""
-        made = self._worked_out([at for at, (begun, step) in self.ramps.items()
-                                 if now >= begun + self.ramp * step // STEPS], now)
+        made = self._worked_out(
+            [at for at, (begun, step) in self.ramps.items() if now >= begun + self.ramp * step // STEPS], now
+        )
         self.generation += bool(made)
         return Change(self.generation, made) if made else None
 
@@ -232,14 +233,21 @@
 
     def kept(self, unix_of):
         """Each source's list and the drains, as plain data for a snapshot; `unix_of` makes times that last."""
-        return {"generation": self.generation, "order": list(self.order),
-                "drains": [[at, [[one.source, unix_of(one.since), one.started] for one in drains]]
-                           for at, drains in self.drains.items()]}
+        return {
+            "generation": self.generation,
+            "order": list(self.order),
+            "drains": [
+                [at, [[one.source, unix_of(one.since), one.started] for one in drains]]
+                for at, drains in self.drains.items()
+            ],
+        }
 
     def restored(self, kept, since_unix):
         self.generation = kept["generation"]
         for at, drains in kept["drains"]:
-            self.drains[at] = tuple(Drain(source, since_unix(since), started) for source, since, started in drains)
+            self.drains[at] = tuple(
+                Drain(source, since_unix(since), started) for source, since, started in drains
+            )
 
 
 def _with(server, state, weight):
--- a/sprucegate/membership/worker.py
+++ b/sprucegate/membership/worker.py
@@ -18,8 +18,18 @@
 def flat(server):
     one = server.entry
     state = "draining" if one.state is State.DRAINING else "serving"
-    return [one.id, one.location, one.kind, one.cell, state, one.weight, one.started, server.name, server.address,
-            server.held]
+    return [
+        one.id,
+        one.location,
+        one.kind,
+        one.cell,
+        state,
+        one.weight,
+        one.started,
+        server.name,
+        server.address,
+        server.held,
+    ]
 
 
 def server_of(row):
@@ -38,9 +48,11 @@
         return [{"unsettled": str(fault)}]
     except listfile.Faulty as fault:
         return [{"faulty": [fault.file, fault.line, fault.key, fault.text]}]
-    pieces = [servers[at:at + PIECE] for at in range(0, len(servers), PIECE)]
-    return [{"digest": read.digest, "servers": list(map(flat, piece)), "more": at + 1 < len(pieces)}
-            for at, piece in enumerate(pieces)]
+    pieces = [servers[at : at + PIECE] for at in range(0, len(servers), PIECE)]
+    return [
+        {"digest": read.digest, "servers": list(map(flat, piece)), "more": at + 1 < len(pieces)}
+        for at, piece in enumerate(pieces)
+    ]
 
 
 def main():
--- a/sprucegate/operator/commands.py
+++ b/sprucegate/operator/commands.py
@@ -29,8 +29,14 @@
 
 
 @main.command()
-@click.option("--file", "path", type=click.Path(dir_okay=False), default="deploy/sprucegate.kdl", show_default=True,
-              help="The operator's file.")
+@click.option(
+    "--file",
+    "path",
+    type=click.Path(dir_okay=False),
+    default="deploy/sprucegate.kdl",
+    show_default=True,
+    help="The operator's file.",
+)
 def front(path):
     """Serve as a front, by BALANCER_CONFIG and the operator's file."""
     # Here and not above: `check` and `version` start without the front's libraries.
@@ -55,8 +61,13 @@
     # As the platform's front: what the start built stays.
     gc.freeze()
     gc.set_threshold(20_000, 20, 100)
-    wanted = wanted._replace(servers=servers, membership=said.membership, fleet=said.fleet,
-                             agreement=said.agreement and (said.agreement, said.rollout), shares=said.shares)
+    wanted = wanted._replace(
+        servers=servers,
+        membership=said.membership,
+        fleet=said.fleet,
+        agreement=said.agreement and (said.agreement, said.rollout),
+        shares=said.shares,
+    )
     sys.exit(uvloop.run(serve(wanted, structured(wanted.name))))
 
 
@@ -71,8 +82,18 @@
         _fault(fault, as_json)
     rules = said.servers.speak
     if as_json:
-        click.echo(orjson.dumps({"ok": True, "file": path, "speak": [
-            {k: getattr(one, k) for k in one.__struct_fields__ if getattr(one, k) is not None} for one in rules]}))
+        click.echo(
+            orjson.dumps(
+                {
+                    "ok": True,
+                    "file": path,
+                    "speak": [
+                        {k: getattr(one, k) for k in one.__struct_fields__ if getattr(one, k) is not None}
+                        for one in rules
+                    ],
+                }
+            )
+        )
     else:
         click.echo(f"{path}: good, {len(rules)} rule{'s' * (len(rules) != 1)} on what servers speak")
 
@@ -90,7 +111,10 @@
     try:
         own = metadata.version("sprucegate")
     except metadata.PackageNotFoundError:
-        own = "0.1.0+source"                 # started from a clone that is not installed
+        own = "0.1.0+source"  # started from a clone that is not installed
     python = sys.version.split()[0]
-    click.echo(orjson.dumps({"sprucegate": own, "python": python}).decode() if as_json
-               else f"sprucegate {own}, Python {python}")
+    click.echo(
+        orjson.dumps({"sprucegate": own, "python": python}).decode()
+        if as_json
+        else f"sprucegate {own}, Python {python}"
+    )
--- a/sprucegate/operator/file.py
+++ b/sprucegate/operator/file.py
@@ -1,13 +1,13 @@
 """The operator's file: KDL read by ckdl, checked as a whole by schemas. Taken whole or not at all.
 
-    servers {
-        speak http2 kind=parent
-        speak lines name=s-1f
-        http2 {
-            connections 4
-            wait (ms)300
-        }
+servers {
+    speak http2 kind=parent
+    speak lines name=s-1f
+    http2 {
+        connections 4
+        wait (ms)300
     }
+}
 """
 
 import os
@@ -22,11 +22,22 @@
 from sprucegate.documents.places import Faulty
 from sprucegate.servers.http2.limits import MS, Limits, S, Share, number, size, time
 
-SIZE_MOST = 1 << 20     # bytes of the file
+SIZE_MOST = 1 << 20  # bytes of the file
 TIMES = {"us": 1000, "ms": 1_000_000, "s": 1_000_000_000, "min": 60_000_000_000, "h": 3_600_000_000_000}
-HEADER = re.compile(r"[A-Za-z0-9!#$%&'*+.^_`|~-]+")         # a token of RFC 9110
-OWN_HEADERS = ("x-call-id", "x-patience-ms", "x-set", "x-heap-kb", "if-none-match", "host", "content-length",
-               "transfer-encoding", "connection", "upgrade", "expect")
+HEADER = re.compile(r"[A-Za-z0-9!#$%&'*+.^_`|~-]+")  # a token of RFC 9110
+OWN_HEADERS = (
+    "x-call-id",
+    "x-patience-ms",
+    "x-set",
+    "x-heap-kb",
+    "if-none-match",
+    "host",
+    "content-length",
+    "transfer-encoding",
+    "connection",
+    "upgrade",
+    "expect",
+)
 SIZES = {"B": 1, "KB": 1000, "KiB": 1024, "MB": 1_000_000, "MiB": 1 << 20}
 
 
@@ -55,13 +66,13 @@
     """Sources of the list of servers besides the bus. Times in ns."""
 
     file: Annotated[str, Meta(min_length=1)]
-    order: tuple[Literal["file", "bus"], Literal["file", "bus"]] = ("file", "bus")      # whose word goes first
+    order: tuple[Literal["file", "bus"], Literal["file", "bus"]] = ("file", "bus")  # whose word goes first
     poll: time(20 * MS, 60 * S) = 200 * MS
-    least: time(MS, 60 * S) = 50 * MS                           # between two readings
-    most_removed: Share = 0.5                                   # of a location in one list, or it is held
+    least: time(MS, 60 * S) = 50 * MS  # between two readings
+    most_removed: Share = 0.5  # of a location in one list, or it is held
     hold: time(S, 30 * 86_400 * S) = 600 * S
-    ramp: time(0, 3600 * S) = 20 * S                            # to the whole weight of one that comes back
-    state: str = ""                                             # folder for snapshots; empty: none
+    ramp: time(0, 3600 * S) = 20 * S  # to the whole weight of one that comes back
+    state: str = ""  # folder for snapshots; empty: none
     state_oldest: time(S, 365 * 86_400 * S) = 86_400 * S
     keep: number(1, 100) = 3
 
@@ -75,20 +86,23 @@
     """The fronts that this one acts with. Times in ns, sizes in bytes."""
 
     name: Annotated[str, Meta(min_length=1, max_length=60)]
-    listen: Annotated[str, Meta(min_length=1)]                  # HOST:PORT
-    advertise: str = ""                                         # where the others reach it, if that is not `listen`
-    join: Annotated[list[str], Meta(max_length=100)] = []       # addresses of some others; the rest is told
-    state: Annotated[str, Meta(min_length=1)] = "fleet"         # folder, of this front alone
-    alone_after: time(100 * MS, 600 * S) = 5 * S                # without another front it goes on alone
-    catch_up: size(64 << 10, 1 << 30) = 8 << 20                 # bytes a second, for all that catch up from here
-    evidence: size(0, 10 << 20) = 32 << 10                      # bytes a second to each neighbour; 0: guard facts alone
-    purge_life: time(S, 86_400 * S) = 60 * S                    # after which a purge has been done everywhere
-    word_life: time(S, 365 * 86_400 * S) = 86_400 * S           # after which a server that went is forgotten
-    log_most: size(64 << 10, 256 << 20) = 16 << 20              # after which a new snapshot is written
+    listen: Annotated[str, Meta(min_length=1)]  # HOST:PORT
+    advertise: str = ""  # where the others reach it, if that is not `listen`
+    join: Annotated[list[str], Meta(max_length=100)] = []  # addresses of some others; the rest is told
+    state: Annotated[str, Meta(min_length=1)] = "fleet"  # folder, of this front alone
+    alone_after: time(100 * MS, 600 * S) = 5 * S  # without another front it goes on alone
+    catch_up: size(64 << 10, 1 << 30) = 8 << 20  # bytes a second, for all that catch up from here
+    evidence: size(0, 10 << 20) = 32 << 10  # bytes a second to each neighbour; 0: guard facts alone
+    purge_life: time(S, 86_400 * S) = 60 * S  # after which a purge has been done everywhere
+    word_life: time(S, 365 * 86_400 * S) = 86_400 * S  # after which a server that went is forgotten
+    log_most: size(64 << 10, 256 << 20) = 16 << 20  # after which a new snapshot is written
 
     def contradiction(self):
-        for key, values in (("listen", [self.listen]), ("advertise", [self.advertise or self.listen]),
-                            ("join", self.join)):
+        for key, values in (
+            ("listen", [self.listen]),
+            ("advertise", [self.advertise or self.listen]),
+            ("join", self.join),
+        ):
             for value in values:
                 host, _, port = value.rpartition(":")
                 if not host or not port.isdigit() or not 0 < int(port) < 65_536:
@@ -105,13 +119,13 @@
     """Who keeps the agreed log, NAME=HOST:PORT each; a front whose name is among them votes. Stands on `fleet`."""
 
     keepers: Annotated[list[str], Meta(min_length=1, max_length=7)]
-    state: Annotated[str, Meta(min_length=1)] = "keeper"        # folder, of this keeper alone
+    state: Annotated[str, Meta(min_length=1)] = "keeper"  # folder, of this keeper alone
 
     def contradiction(self):
         for value in self.keepers:
             name, _, address = value.partition("=")
             host, _, port = address.rpartition(":")
-            named = name and not set("^~") & set(name)       # what comes after them makes a name another one
+            named = name and not set("^~") & set(name)  # what comes after them makes a name another one
             if not named or not host or not port.isdigit() or not 0 < int(port) < 65_536:
                 return "keepers", f"must be NAME=HOST:PORT, not {value[:60]!r}"
         if len(self.addresses) != len(self.keepers):
@@ -129,7 +143,7 @@
     """How many may be out at once. A budget is "SCOPE[=OF] ROLE COUNT SHARE": `fleet cache 3 0.5`."""
 
     budgets: Annotated[list[str], Meta(min_length=1, max_length=100)]
-    spare: Share = 0.5                                          # of its part that one which stays may get besides
+    spare: Share = 0.5  # of its part that one which stays may get besides
 
     def contradiction(self):
         for value in self.budgets:
@@ -153,9 +167,9 @@
     places: Annotated[list[str], Meta(min_length=1, max_length=200)]
     fronts: Annotated[list[str], Meta(min_length=1, max_length=1000)]
     tenants: Annotated[list[str], Meta(max_length=200)] = []
-    common: number(1, 1000) = 1                                 # weight of all that are not listed, together
-    waiting: number(1, 10_000) = 200                            # GETs of one tenant that wait in one front
-    longest: time(0, 600 * S) = 0                               # of a fill; 0: the longest viewer timeout
+    common: number(1, 1000) = 1  # weight of all that are not listed, together
+    waiting: number(1, 10_000) = 200  # GETs of one tenant that wait in one front
+    longest: time(0, 600 * S) = 0  # of a fill; 0: the longest viewer timeout
 
     def contradiction(self):
         if not HEADER.fullmatch(self.header) or self.header.lower() in OWN_HEADERS:
@@ -163,8 +177,11 @@
         for key, values, least, most in (("tenants", self.tenants, 2, 3), ("places", self.places, 2, 2)):
             for value in values:
                 words = value.split()
-                if not least <= len(words) <= most or not all(w.isdigit() and len(w) < 6 for w in words[1:]) or (
-                        int(words[1]) == 0):
+                if (
+                    not least <= len(words) <= most
+                    or not all(w.isdigit() and len(w) < 6 for w in words[1:])
+                    or (int(words[1]) == 0)
+                ):
                     wants = "NAME WEIGHT [FLOOR]" if key == "tenants" else "KIND-OR-NAME COUNT"
                     return key, f"wants {wants} with whole numbers above 0, not {value[:60]!r}"
             names = [value.split()[0] for value in values]
@@ -244,12 +261,28 @@
         return isinstance(other, Servers) and self.node == other.node
 
 
-LEAVES = {"servers.http2": Limits, "membership": MembershipNode, "fleet": FleetNode, "agreement": AgreementNode,
-          "rollout": RolloutNode, "shares": SharesNode}         # blocks of `key value` lines
-UNITS = {f"{block}.{one.encode_name}": (getattr(one.type, "__metadata__", (Meta(),))[0].extra or {}).get("unit")
-         for block, struct in LEAVES.items() for one in msgspec.structs.fields(struct)}
-SEVERAL = ("membership.order", "fleet.join", "agreement.keepers", "rollout.budgets", "shares.places",
-           "shares.tenants", "shares.fronts")
+LEAVES = {
+    "servers.http2": Limits,
+    "membership": MembershipNode,
+    "fleet": FleetNode,
+    "agreement": AgreementNode,
+    "rollout": RolloutNode,
+    "shares": SharesNode,
+}  # blocks of `key value` lines
+UNITS = {
+    f"{block}.{one.encode_name}": (getattr(one.type, "__metadata__", (Meta(),))[0].extra or {}).get("unit")
+    for block, struct in LEAVES.items()
+    for one in msgspec.structs.fields(struct)
+}
+SEVERAL = (
+    "membership.order",
+    "fleet.join",
+    "agreement.keepers",
+    "rollout.budgets",
+    "shares.places",
+    "shares.tenants",
+    "shares.fronts",
+)
 
 
 BLOCKS = ("servers", *LEAVES)
@@ -311,10 +344,19 @@
         wanted = UNITS.get(key)
         known = {"time": TIMES, "size": SIZES}.get(wanted, {})
         if unit not in known and (unit or wanted):
-            hint = f"a {wanted} with its unit, one of {', '.join(f'({u})' for u in known)}" if wanted else "no unit"
+            hint = (
+                f"a {wanted} with its unit, one of {', '.join(f'({u})' for u in known)}"
+                if wanted
+                else "no unit"
+            )
             self.fault(start.line, key, f"wants {hint}, not {f'({unit})' if unit else 'a bare value'}")
         if wanted:
-            if isinstance(value, bool) or not isinstance(value, int | float) or value != value or abs(value) > 1e12:
+            if (
+                isinstance(value, bool)
+                or not isinstance(value, int | float)
+                or value != value
+                or abs(value) > 1e12
+            ):
                 self.fault(start.line, key, f"wants a number, not {str(value)[:60]!r}")
             value = int(value * known[unit])
         return value
@@ -343,7 +385,7 @@
 def parse(text, path):
     try:
         nodes = ckdl.parse(text).nodes
-    except Exception:                        # ckdl raises several kinds
+    except Exception:  # ckdl raises several kinds
         raise Faulty(path, places.fault_line(text), "", "is not KDL from here on") from None
     builder = _Builder(path)
     data = builder.children(nodes, places.starts(text), "", False)
@@ -371,18 +413,35 @@
 def _contradictions(made, builder):
     seen = {}
     for at, one in enumerate(made.servers.speak):
-        which = next((field, value) for field in ("kind", "name", "address") if (value := getattr(one, field)))
+        which = next(
+            (field, value) for field in ("kind", "name", "address") if (value := getattr(one, field))
+        )
         key = f"servers.speak[{at}]"
         if which in seen:
-            builder.fault(builder.lines[key], "servers.speak",
-                          f"{which[0]} {which[1]!r} is named on line {seen[which]} already")
+            builder.fault(
+                builder.lines[key],
+                "servers.speak",
+                f"{which[0]} {which[1]!r} is named on line {seen[which]} already",
+            )
         seen[which] = builder.lines[key]
-    for block, node in (("servers.http2", made.servers.http2), ("membership", made.membership), ("fleet", made.fleet),
-                        ("agreement", made.agreement), ("rollout", made.rollout), ("shares", made.shares)):
+    for block, node in (
+        ("servers.http2", made.servers.http2),
+        ("membership", made.membership),
+        ("fleet", made.fleet),
+        ("agreement", made.agreement),
+        ("rollout", made.rollout),
+        ("shares", made.shares),
+    ):
         if node is not None and (found := node.contradiction()):
             key = f"{block}.{found[0]}"
             builder.fault(builder.lines.get(key, builder.lines.get(block, 1)), key, found[1])
-    for block, needs in (("agreement", "fleet"), ("rollout", "agreement"), ("agreement", "rollout"),
-                         ("shares", "fleet")):
+    for block, needs in (
+        ("agreement", "fleet"),
+        ("rollout", "agreement"),
+        ("agreement", "rollout"),
+        ("shares", "fleet"),
+    ):
         if getattr(made, block) is not None and getattr(made, needs) is None:
-            builder.fault(builder.lines.get(block, 1), block, f"stands on a `{needs}` block, which is not there")
+            builder.fault(
+                builder.lines.get(block, 1), block, f"stands on a `{needs}` block, which is not there"
+            )
--- a/sprucegate/operator/fleet.py
+++ b/sprucegate/operator/fleet.py
@@ -12,10 +12,16 @@
 from sprucegate.state import records
 
 JSON = click.option("--json", "as_json", is_flag=True, help="One JSON object on standard output.")
-OPERATOR = click.option("--file", "path", type=click.Path(dir_okay=False), default="deploy/sprucegate.kdl",
-                        show_default=True, help="The operator's file of a front.")
+OPERATOR = click.option(
+    "--file",
+    "path",
+    type=click.Path(dir_okay=False),
+    default="deploy/sprucegate.kdl",
+    show_default=True,
+    help="The operator's file of a front.",
+)
 AT = click.option("--at", "address", help="Ask the front that listens for others here, HOST:PORT.")
-PATIENCE = 3.0          # seconds
+PATIENCE = 3.0  # seconds
 
 
 def _fail(text, as_json, status):
@@ -39,6 +45,7 @@
 def _ask(node, address, what, given, as_json, whole=False, quiet=False):
     """The front's answer; a front that can't be asked is exit 1, or None with `quiet`; `whole`: a refusal as well."""
     from sprucegate.fleet.links import codec
+
     host, _, port = (address or node.listen).rpartition(":")
     if not host or not port.isdigit():
         _fail(f"--at: must be HOST:PORT, not {address!r}", as_json, 2)
@@ -51,7 +58,7 @@
             while piece := sock.recv(1 << 16):
                 data += piece
         length, _ = records.HEAD.unpack_from(data)
-        answer = orjson.loads(data[records.HEAD.size + length:])
+        answer = orjson.loads(data[records.HEAD.size + length :])
     except (OSError, ValueError, records.struct.error) as fault:
         if quiet:
             return None
@@ -81,9 +88,16 @@
     """Members, how each stands and by whose word, and what each is known to lack of this front's facts."""
     said = _ask(_node(path, as_json), address, "status", (), as_json)
     facts = ", ".join(f"{count} {kind}" for kind, count in sorted(said["facts"].items())) or "no facts"
-    table = Table("front", "address", "standing", "by", "life", "lacks",
-                  title=f"{said['front']} of {said['fleet']}: {said['phase']}, {facts}"
-                        + ("" if said["kept"] else "; ITS DISK FAILS"))
+    table = Table(
+        "front",
+        "address",
+        "standing",
+        "by",
+        "life",
+        "lacks",
+        title=f"{said['front']} of {said['fleet']}: {said['phase']}, {facts}"
+        + ("" if said["kept"] else "; ITS DISK FAILS"),
+    )
     for one in said["members"]:
         lag = "" if one["lag"] is None else str(one["lag"])
         table.add_row(one["name"], one["address"], one["standing"], one["by"], one["life"], lag)
@@ -93,8 +107,14 @@
 def _rows(facts):
     table = Table("kind", "key", "holds", "by", "life", "counter")
     for one in facts:
-        table.add_row(one["kind"], " ".join(map(str, one["key"])), str(one.get("state", one.get("value"))), one["by"],
-                      one["life"], str(one["counter"]))
+        table.add_row(
+            one["kind"],
+            " ".join(map(str, one["key"])),
+            str(one.get("state", one.get("value"))),
+            one["by"],
+            one["life"],
+            str(one["counter"]),
+        )
     return table
 
 
@@ -147,10 +167,17 @@
     """What the fronts at ONE and OTHER (HOST:PORT) hold otherwise; exit 1 where they differ."""
     node = _node(path, as_json)
     a, b = (_ask(node, at, "facts", (), as_json) for at in (one, other))
-    ours, theirs = ({(f["kind"], *f["key"]): f.get("state", f.get("value")) for f in said["facts"]} for said in (a, b))
-    rows = [(" ".join(map(str, key)), str(ours.get(key)), str(theirs.get(key)))
-            for key in sorted(ours.keys() | theirs.keys(), key=str) if ours.get(key) != theirs.get(key)]
-    table = Table("key", a["front"], b["front"], title="the same" if a["root"] == b["root"] else "they differ")
+    ours, theirs = (
+        {(f["kind"], *f["key"]): f.get("state", f.get("value")) for f in said["facts"]} for said in (a, b)
+    )
+    rows = [
+        (" ".join(map(str, key)), str(ours.get(key)), str(theirs.get(key)))
+        for key in sorted(ours.keys() | theirs.keys(), key=str)
+        if ours.get(key) != theirs.get(key)
+    ]
+    table = Table(
+        "key", a["front"], b["front"], title="the same" if a["root"] == b["root"] else "they differ"
+    )
     for row in rows:
         table.add_row(*row)
     _shown({"ok": True, "same": a["root"] == b["root"], "rows": rows}, as_json, table)
--- a/sprucegate/operator/logs.py
+++ b/sprucegate/operator/logs.py
@@ -30,9 +30,15 @@
             said["lines_dropped"] = writer.dropped
         return orjson.dumps(said, default=str) + b"\n"
 
-    return Structured(structlog.wrap_logger(
-        _Lines(writer), processors=[structlog.contextvars.merge_contextvars, stamped],
-        wrapper_class=structlog.BoundLogger, context_class=dict, cache_logger_on_first_use=True).bind())
+    return Structured(
+        structlog.wrap_logger(
+            _Lines(writer),
+            processors=[structlog.contextvars.merge_contextvars, stamped],
+            wrapper_class=structlog.BoundLogger,
+            context_class=dict,
+            cache_logger_on_first_use=True,
+        ).bind()
+    )
 
 
 class Structured:
--- a/sprucegate/operator/rollout.py
+++ b/sprucegate/operator/rollout.py
@@ -16,7 +16,17 @@
 from sprucegate.operator import file
 from sprucegate.operator.fleet import AT, JSON, OPERATOR, _ask, _fail, _node, _shown
 
-REFUSALS = ("no such", "not drained", "not out", "can't", "is not", "another", "a box", "asked for already", "too many")
+REFUSALS = (
+    "no such",
+    "not drained",
+    "not out",
+    "can't",
+    "is not",
+    "another",
+    "a box",
+    "asked for already",
+    "too many",
+)
 ID = click.option("--id", "request", help="Of a request that is given again: it has no second effect.")
 
 
@@ -28,8 +38,14 @@
 
 def _say(path, address, as_json, request, command):
     """Proposes an operator's command; exit 1 where it is refused or no majority of the keepers is there."""
-    said = _ask(_node(path, as_json), address, "propose", [orjson.dumps(["once", request, command]).decode()], as_json,
-                whole=True)
+    said = _ask(
+        _node(path, as_json),
+        address,
+        "propose",
+        [orjson.dumps(["once", request, command]).decode()],
+        as_json,
+        whole=True,
+    )
     if not said.get("ok"):
         text = f"{said.get('error', 'refused')} (request {request})"
         _fail(text, as_json, 1 if "quorum" in said else 2)
@@ -47,8 +63,12 @@
 
 def _age(said):
     heard = said["heard_ms"]
-    return "" if heard is None else f", by {said['leader'] or 'no leader'}, heard {heard} ms ago" + (
-        "; THE KEEPERS ARE LOST, this is old" if said["fenced"] else "")
+    return (
+        ""
+        if heard is None
+        else f", by {said['leader'] or 'no leader'}, heard {heard} ms ago"
+        + ("; THE KEEPERS ARE LOST, this is old" if said["fenced"] else "")
+    )
 
 
 def _tables(said):
@@ -57,13 +77,27 @@
         title += "; releases wait: " + ", ".join(f"{k} {v}" for k, v in said["troubles"].items())
     permits = Table("permit", "box", "step", "by", "release", "waits for, or holds it", title=title)
     for one in said["permits"]:
-        waits = one["waits"] and f"{one['waits'][0]} {one['waits'][1]} ({one['waits'][2]} of {one['waits'][3]})"
-        permits.add_row(one["id"], one["box"], one["step"] + (" OVERDUE" if one["overdue"] else ""), one["by"],
-                        one["release"], waits or one["holder"])
+        waits = (
+            one["waits"] and f"{one['waits'][0]} {one['waits'][1]} ({one['waits'][2]} of {one['waits'][3]})"
+        )
+        permits.add_row(
+            one["id"],
+            one["box"],
+            one["step"] + (" OVERDUE" if one["overdue"] else ""),
+            one["by"],
+            one["release"],
+            waits or one["holder"],
+        )
     releases = Table("release", "phase", "wave", "released", "of", "why")
     for one in said["releases"]:
-        releases.add_row(one["name"], one["phase"], f"{one['wave'] + 1} of {len(one['waves'])}", str(len(one["done"])),
-                         str(sum(map(len, one["waves"]))), one["why"])
+        releases.add_row(
+            one["name"],
+            one["phase"],
+            f"{one['wave'] + 1} of {len(one['waves'])}",
+            str(len(one["done"])),
+            str(sum(map(len, one["waves"]))),
+            one["why"],
+        )
     out = Table("out", "why")
     for box, why in sorted(said["out"].items()):
         out.add_row(box, why)
@@ -73,14 +107,19 @@
 @click.command()
 @click.argument("name")
 @OPERATOR
-@click.option("--trust-folder", is_flag=True, help="This folder is whole, though too few keepers are there to say so.")
-@click.option("--only-one-left", is_flag=True, help="The other keepers are gone for good: go on without them.")
+@click.option(
+    "--trust-folder", is_flag=True, help="This folder is whole, though too few keepers are there to say so."
+)
+@click.option(
+    "--only-one-left", is_flag=True, help="The other keepers are gone for good: go on without them."
+)
 def keeper(name, path, trust_folder, only_one_left):
     """Keep the agreed log as NAME of the file's keepers, and do nothing else."""
     import uvloop
 
     from sprucegate.assembly.keep import keep
     from sprucegate.operator.logs import structured
+
     try:
         said = file.read(path)
     except file.Faulty as fault:
@@ -89,8 +128,19 @@
         _fail(f"{path}: agreement: is not there, so there is nothing to keep", False, 2)
     if name not in said.agreement.addresses:
         _fail(f"{path}: agreement.keepers: names no {name}", False, 2)
-    sys.exit(uvloop.run(keep(name, said.fleet, said.agreement, said.rollout, structured(name), trusted=trust_folder,
-                        alone=only_one_left)))
+    sys.exit(
+        uvloop.run(
+            keep(
+                name,
+                said.fleet,
+                said.agreement,
+                said.rollout,
+                structured(name),
+                trusted=trust_folder,
+                alone=only_one_left,
+            )
+        )
+    )
 
 
 @click.command()
@@ -107,9 +157,19 @@
         rows.append((name, at, (said or {}).get("voting") or {"role": "no answer"}))
     table = Table("keeper", "address", "name", "role", "term", "committed", "voters", "learners")
     for name, at, one in rows:
-        table.add_row(name, at, one.get("name", ""), one["role"], str(one.get("term", "")),
-                      str(one.get("committed", "")), " ".join(one.get("voters", ())), " ".join(one.get("learners", ())))
-    _shown({"ok": True, "keepers": [{"keeper": n, "address": a, **one} for n, a, one in rows]}, as_json, table)
+        table.add_row(
+            name,
+            at,
+            one.get("name", ""),
+            one["role"],
+            str(one.get("term", "")),
+            str(one.get("committed", "")),
+            " ".join(one.get("voters", ())),
+            " ".join(one.get("learners", ())),
+        )
+    _shown(
+        {"ok": True, "keepers": [{"keeper": n, "address": a, **one} for n, a, one in rows]}, as_json, table
+    )
     sys.exit(0 if any(one["role"] == "leader" for *_, one in rows) else 1)
 
 
@@ -229,6 +289,7 @@
     def order(of, why, request, path, address, as_json):
         command = [name, of, _user()] + ([why] if name == "halt" else [])
         _say(path, address, as_json, _given(request, name, of), command)
+
     return order
 
 
@@ -260,7 +321,9 @@
     """What became of releases: entry of the log, release, what, by whom or why."""
     said = _state(path, address, as_json)
     rows = [row for row in said["history"] if of in (None, row[1])]
-    table = Table("entry", "release", "what", "by or why", title=f"{said['front']}: entry {said['index']}{_age(said)}")
+    table = Table(
+        "entry", "release", "what", "by or why", title=f"{said['front']}: entry {said['index']}{_age(said)}"
+    )
     for row in rows:
         table.add_row(*map(str, row))
     _shown({"ok": True, "history": rows}, as_json, table)
@@ -276,13 +339,14 @@
 def read_plan(path):
     """[name, kind, version, former, waves, bake ns] of a file with one `release` node; raises Faulty."""
     from sprucegate.documents import places
+
     try:
         with open(path, "rb") as opened:
             text = opened.read(1 << 20).decode()
         nodes, begun = ckdl.parse(text).nodes, places.starts(text)
     except OSError as fault:
         raise file.Faulty(path, 1, "", f"can't be read: {os.strerror(fault.errno or 0)}") from None
-    except Exception:                        # ckdl raises several kinds
+    except Exception:  # ckdl raises several kinds
         raise file.Faulty(path, 1, "", "is not KDL") from None
     if len(nodes) != 1 or nodes[0].name != "release" or len(nodes[0].args) != 1:
         raise file.Faulty(path, 1, "release", f"wants one node as {PLAN}")
@@ -298,7 +362,11 @@
             raise file.Faulty(path, at.line, key, "is not known, stands twice or wants one value")
         elif node.name == "bake":
             unit = node.args[0].type_annotation if isinstance(node.args[0], ckdl.Value) else None
-            if unit not in file.TIMES or isinstance(values[0], bool) or not isinstance(values[0], int | float):
+            if (
+                unit not in file.TIMES
+                or isinstance(values[0], bool)
+                or not isinstance(values[0], int | float)
+            ):
                 raise file.Faulty(path, at.line, key, "wants a time with its unit, as (min)10")
             found["bake"] = int(values[0] * file.TIMES[unit])
         elif not isinstance(values[0], str):
--- a/sprucegate/operator/servers.py
+++ b/sprucegate/operator/servers.py
@@ -16,10 +16,20 @@
 from sprucegate.state.snapshots import Snapshots
 
 JSON = click.option("--json", "as_json", is_flag=True, help="One JSON object on standard output.")
-CONFIG = click.option("--config", envvar="BALANCER_CONFIG", type=click.Path(dir_okay=False),
-                      help="The front's configuration, for its locations and kinds; without it any name will do.")
-OPERATOR = click.option("--file", "path", type=click.Path(dir_okay=False), default="deploy/sprucegate.kdl",
-                        show_default=True, help="The operator's file.")
+CONFIG = click.option(
+    "--config",
+    envvar="BALANCER_CONFIG",
+    type=click.Path(dir_okay=False),
+    help="The front's configuration, for its locations and kinds; without it any name will do.",
+)
+OPERATOR = click.option(
+    "--file",
+    "path",
+    type=click.Path(dir_okay=False),
+    default="deploy/sprucegate.kdl",
+    show_default=True,
+    help="The operator's file.",
+)
 
 
 class _AnyName(dict):
@@ -45,6 +55,7 @@
     if not config:
         return _AnyName(), _AnyName()
     from sprucegate.front.lifecycle import configuration
+
     try:
         wanted = configuration.read({"BALANCER_CONFIG": config})
     except configuration.Faulty as fault:
@@ -103,21 +114,30 @@
     changes += [(name, "added", _state(s)) for name, s in now.items() if name not in was]
     for name in was.keys() & now.keys():
         a, b = was[name], now[name]
-        changes += [(name, what, f"{x} to {y}") for what, x, y in (
-            ("state", _state(a), _state(b)), ("weight", a.entry.weight, b.entry.weight),
-            ("address", a.address, b.address), ("start", a.entry.started, b.entry.started)) if x != y]
+        changes += [
+            (name, what, f"{x} to {y}")
+            for what, x, y in (
+                ("state", _state(a), _state(b)),
+                ("weight", a.entry.weight, b.entry.weight),
+                ("address", a.address, b.address),
+                ("start", a.entry.started, b.entry.started),
+            )
+            if x != y
+        ]
     changes.sort()
     moved = moves.moves(old, new)
     gained, objects = {}, 0
     for one in moved.values():
-        objects += one.objects if one.moved else 0       # of the locations and kinds that are touched at all
+        objects += one.objects if one.moved else 0  # of the locations and kinds that are touched at all
         for at, count in one.gained.items():
             gained[at] = gained.get(at, 0) + count
     named = {s.entry.id: s.name for s in new}
     shares = {named[at]: round(count / objects, 4) for at, count in sorted(gained.items())} if objects else {}
     total = round(sum(gained.values()) / objects, 4) if objects else 0.0
     if as_json:
-        click.echo(orjson.dumps({"ok": True, "changes": changes, "moved_share": total, "moved_to": shares}).decode())
+        click.echo(
+            orjson.dumps({"ok": True, "changes": changes, "moved_share": total, "moved_to": shares}).decode()
+        )
         return
     table = Table("server", "change", "from and to", title=f"{before} to {after}")
     for row in changes[:200]:
@@ -149,15 +169,30 @@
     now = clock.unix()
     taken, refused = Snapshots(Disk(), node.state, "servers").newest(now, 1 << 62)
     if taken is None:
-        _fail(f"{node.state}: holds no readable snapshot" + "".join(f"; {r.name} {r.why}" for r in refused), as_json, 1)
+        _fail(
+            f"{node.state}: holds no readable snapshot" + "".join(f"; {r.name} {r.why}" for r in refused),
+            as_json,
+            1,
+        )
     kept = orjson.loads(taken.payload)
     age = (now - taken.at) // 1_000_000_000
-    lines = [(name, address, standing, why, f"{(now - since) // 1_000_000_000} s", f"{weight:g}")
-             for piece in kept["rows"] for name, address, standing, why, since, weight in piece]
+    lines = [
+        (name, address, standing, why, f"{(now - since) // 1_000_000_000} s", f"{weight:g}")
+        for piece in kept["rows"]
+        for name, address, standing, why, since, weight in piece
+    ]
     columns = ("server", "address", "state", "why", "for", "weight")
     if as_json:
-        click.echo(orjson.dumps({"ok": True, "generation": taken.generation, "age_s": age, "servers": [
-            dict(zip(columns, line, strict=True)) for line in lines]}).decode())
+        click.echo(
+            orjson.dumps(
+                {
+                    "ok": True,
+                    "generation": taken.generation,
+                    "age_s": age,
+                    "servers": [dict(zip(columns, line, strict=True)) for line in lines],
+                }
+            ).decode()
+        )
         return
     table = Table(*columns, title=f"generation {taken.generation}, {age} s old")
     for line in lines:
--- a/sprucegate/rendezvous.py
+++ b/sprucegate/rendezvous.py
@@ -17,10 +17,10 @@
 from typing import NamedTuple
 from zlib import crc32
 
-LABEL = 8               # bytes of a node's id
-LANE = 8                # bytes of a lane: a hash of 32 bits, and room above it for a product
-SPAN = 2**32            # of a hash
-FEW = 32                # nodes that are scored and sorted one by one, which is quicker then
+LABEL = 8  # bytes of a node's id
+LANE = 8  # bytes of a lane: a hash of 32 bits, and room above it for a product
+SPAN = 2**32  # of a hash
+FEW = 32  # nodes that are scored and sorted one by one, which is quicker then
 WORD = 0xFFFFFFFF
 ZEROS = bytes(LABEL)
 
@@ -45,8 +45,8 @@
     """Whole numbers with one value in each of so many lanes."""
 
     ones: int
-    words: int              # the low 32 bits of each lane set
-    places: int             # the lane's own number
+    words: int  # the low 32 bits of each lane set
+    places: int  # the lane's own number
 
 
 @lru_cache(8)
@@ -65,17 +65,17 @@
 
     def __init__(self):
         self.nodes, self.weights, self.lanes = [], [], bytearray()
-        self.counted = Counter()             # weight -> nodes of it
+        self.counted = Counter()  # weight -> nodes of it
 
     def insert(self, at, node, weight):
         self.nodes.insert(at, node)
         self.weights.insert(at, weight)
-        self.lanes[LANE * at:LANE * at] = node.lane
+        self.lanes[LANE * at : LANE * at] = node.lane
         self.counted[weight] += 1
 
     def remove(self, at):
         weight = self.weights.pop(at)
-        del self.nodes[at], self.lanes[LANE * at:LANE * (at + 1)]
+        del self.nodes[at], self.lanes[LANE * at : LANE * (at + 1)]
         self.counted[weight] -= 1
         if not self.counted[weight]:
             del self.counted[weight]
@@ -88,8 +88,10 @@
         """The first `most` nodes for a key (bytes), or all where there are fewer."""
         start = mixed(key)
         if len(self.nodes) <= FEW or 2 * most >= len(self.nodes):
-            scored = [(score(weight, mixed(node.label, start)), node.id, node)
-                      for node, weight in zip(self.nodes, self.weights, strict=True)]
+            scored = [
+                (score(weight, mixed(node.label, start)), node.id, node)
+                for node, weight in zip(self.nodes, self.weights, strict=True)
+            ]
         else:
             scored = self._scored(start, most)
         return [node for _, _, node in sorted(scored)[:most]]
