--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -16,45 +16,45 @@
 
 MS, S, NEVER = 1_000_000, 1_000_000_000, -1 << 62
 
-SPAN = 2 * S            # GETs of an object are counted over spans of this length
-KEEP_COUNT = 0.5        # GETs a span below which a cache is taken to lose an object
-CAP = 8 * S             # longest life of a belief after the last hit or fill
-MARGIN = 1 * S          # a belief this near its end is rechecked by the next GET
-TRIP = 2 * MS           # round trip inside a location, at most
-TABLE = 4096            # objects remembered
-HOT_SHARE = 0.25        # of one cache's part of the work: an object above it is spread
-CROWDED = 1.3           # slowness from which a sample tells of the link, not of its own noise
-TOLD_CROWD = 0.6        # slowness for each GET told to be at a cache for each transfer that its link fits
-AHEAD = 0.75            # of the time left that an answer may be expected to take: others will come to share
-FITS_RANK = 0.25        # which sample tells what a link fits: the lower ones keep its queue short
-SHARE_ROOM = 0.3        # of an even part of a told link: other fronts' parts are uneven, and waits add
-THROTTLE, THROTTLE_SPAN = 1.3, 3 * S    # share of fills let through, over the share that came in time
-WELL = 0.7              # share in time from which a source is not passed by
-FLOOR = 0.15            # of the fills go on whatever comes of them: late ones still leave copies for others
-LEAN = 4                # samples that the share of all sources weighs against a source's own
-PROBING = 0.08          # of what looks hopeless is tried all the same, or nothing would show that it passed
-COLD_MOST = 1.4         # times its part of what warm ones return: more would come late
-COLD_SAFETY = 0.7       # of a cold node's budget: the rest is for what this front can't see
-COLD_SUM = 0.9          # of it in any one window, with what was saved up: the rest is noise over all fronts
-SAMPLES, SAMPLE_AGE = 16, 10 * S        # outcomes that a judgement rests on
-REFRESH = 20 * MS       # figures over hundreds of samples are worked out again after this, not for each GET
-LATEST = 6              # ends that tell of failing: a hanging place answers late, and a front asks it little
-SLOW, UNLIKE = 3.0, 1.5     # times slower than its peers: set aside; what it is slow at is its own fault
-DOWN = 1 * S            # a place out of reach is left alone so long, then tried by one GET
-REST = 2 * S            # first rest of a node set aside; doubles while trials fail, up to eight times that
-RETRY_SHARE = 0.2       # of the last forwards may be further ones
-OWN_BYTES = 64 << 20    # of copies that the front itself keeps
-OWN_AGE = 30 * S        # their longest life, and how much longer than old copies purges are remembered
-OWN_WAIT = 5 * MS * 100 * MS    # queue on the own link times sending: past it a cache answers sooner
-CONNECTIONS = 4         # to one cache: each more is read on its own, and costs the CPU where GETs are many
-STALLED = 150 * MS      # an answer begun and then silent so long won't be finished
-WIDEST = 3              # caches over which a hot object is spread, at most
-FIRST = 8               # of a ranking, worked out at first; most GETs need no more
-PASSED_BY = 128         # crowded caches that a GET passes by at most, looking for one that is in time
-PARENTS = 32            # parents that a fill is weighed among
-RECENT = 256            # nodes whose last ends are held against each other
-HEARD = 0.5             # of what is left of another front's belief or rest: it saw another part of the GETs
-ANSWER_MARGIN = 20 * MS # kept before the end of a viewer's time
+SPAN = 2 * S  # GETs of an object are counted over spans of this length
+KEEP_COUNT = 0.5  # GETs a span below which a cache is taken to lose an object
+CAP = 8 * S  # longest life of a belief after the last hit or fill
+MARGIN = 1 * S  # a belief this near its end is rechecked by the next GET
+TRIP = 2 * MS  # round trip inside a location, at most
+TABLE = 4096  # objects remembered
+HOT_SHARE = 0.25  # of one cache's part of the work: an object above it is spread
+CROWDED = 1.3  # slowness from which a sample tells of the link, not of its own noise
+TOLD_CROWD = 0.6  # slowness for each GET told to be at a cache for each transfer that its link fits
+AHEAD = 0.75  # of the time left that an answer may be expected to take: others will come to share
+FITS_RANK = 0.25  # which sample tells what a link fits: the lower ones keep its queue short
+SHARE_ROOM = 0.3  # of an even part of a told link: other fronts' parts are uneven, and waits add
+THROTTLE, THROTTLE_SPAN = 1.3, 3 * S  # share of fills let through, over the share that came in time
+WELL = 0.7  # share in time from which a source is not passed by
+FLOOR = 0.15  # of the fills go on whatever comes of them: late ones still leave copies for others
+LEAN = 4  # samples that the share of all sources weighs against a source's own
+PROBING = 0.08  # of what looks hopeless is tried all the same, or nothing would show that it passed
+COLD_MOST = 1.4  # times its part of what warm ones return: more would come late
+COLD_SAFETY = 0.7  # of a cold node's budget: the rest is for what this front can't see
+COLD_SUM = 0.9  # of it in any one window, with what was saved up: the rest is noise over all fronts
+SAMPLES, SAMPLE_AGE = 16, 10 * S  # outcomes that a judgement rests on
+REFRESH = 20 * MS  # figures over hundreds of samples are worked out again after this, not for each GET
+LATEST = 6  # ends that tell of failing: a hanging place answers late, and a front asks it little
+SLOW, UNLIKE = 3.0, 1.5  # times slower than its peers: set aside; what it is slow at is its own fault
+DOWN = 1 * S  # a place out of reach is left alone so long, then tried by one GET
+REST = 2 * S  # first rest of a node set aside; doubles while trials fail, up to eight times that
+RETRY_SHARE = 0.2  # of the last forwards may be further ones
+OWN_BYTES = 64 << 20  # of copies that the front itself keeps
+OWN_AGE = 30 * S  # their longest life, and how much longer than old copies purges are remembered
+OWN_WAIT = 5 * MS * 100 * MS  # queue on the own link times sending: past it a cache answers sooner
+CONNECTIONS = 4  # to one cache: each more is read on its own, and costs the CPU where GETs are many
+STALLED = 150 * MS  # an answer begun and then silent so long won't be finished
+WIDEST = 3  # caches over which a hot object is spread, at most
+FIRST = 8  # of a ranking, worked out at first; most GETs need no more
+PASSED_BY = 128  # crowded caches that a GET passes by at most, looking for one that is in time
+PARENTS = 32  # parents that a fill is weighed among
+RECENT = 256  # nodes whose last ends are held against each other
+HEARD = 0.5  # of what is left of another front's belief or rest: it saw another part of the GETs
+ANSWER_MARGIN = 20 * MS  # kept before the end of a viewer's time
 
 SOURCE_FAULTS = (Found.SOURCE_REFUSED, Found.SOURCE_BROKEN, Found.ORIGIN_FAILED)
 HITS, FILLS = (Found.HIT, Found.STALE_HIT), (Found.FILLED, Found.FILLED_BY_ORIGIN)
@@ -69,7 +69,7 @@
 
     def note(self, now, good, slowness, sharing=0):
         if good and self.until <= now:
-            self.trial, self.rest = False, self.rest * 3 // 4    # one good end clears no half-failing place
+            self.trial, self.rest = False, self.rest * 3 // 4  # one good end clears no half-failing place
         # A connection that ends takes many forwards with it: one bad end, or each would set a cache aside.
         if good or not self.ends or self.ends[-1][1] or now - self.ends[-1][0] >= TRIP:
             self.ends.append((now, good))
@@ -82,8 +82,13 @@
     def crowding(self, sharing, now):
         """Slowness to expect. A crowded link is divided evenly: sharing over slowness is what it fits."""
         if now - self.fitted[0] >= REFRESH:
-            fits = sorted([n / s for at, s, n in self.speeds
-                           if s > (CROWDED if n > 2 else SLOW) and now - at < SAMPLE_AGE])
+            fits = sorted(
+                [
+                    n / s
+                    for at, s, n in self.speeds
+                    if s > (CROWDED if n > 2 else SLOW) and now - at < SAMPLE_AGE
+                ]
+            )
             self.fitted = now, fits[int(FITS_RANK * (len(fits) - 1))] if len(fits) >= 3 else -NEVER
         return max(1.0, sharing / self.fitted[1])
 
@@ -93,8 +98,9 @@
 
     def due(self, now):
         """Whether its last end may change a verdict: a good one at a good pace brings none nearer."""
-        return not (self.until > now or self.ends and self.ends[-1][1]
-                    and self.speeds and self.speeds[-1][1] <= SLOW)
+        return not (
+            self.until > now or self.ends and self.ends[-1][1] and self.speeds and self.speeds[-1][1] <= SLOW
+        )
 
     def judge(self, others, alone, now, quiet=0):
         """Outlier ejection: far slower than peers, or half failed; all, where it may be another's fault.
@@ -119,14 +125,14 @@
         self.index, self.id, self.entry, self.role = index, entry.id, entry, role
         self.label, self.down = label_of(entry.id), 0
         self.lane = lane_of(self.label)
-        self.out = self.filling = 0          # forwards out there, and those of them that await a fill
+        self.out = self.filling = 0  # forwards out there, and those of them that await a fill
         self.renewed(entry.started)
 
     def renewed(self, started, began=None):
         self.as_cache, self.as_source = Standing(), Standing()
         self.load, self.load_at, self.started, self.began = {}, NEVER, started, began
         # `began`: since when it is another one than listed, on the router's clock.
-        self.credit, self.credit_at = None, NEVER       # work that a cold start still allows this front
+        self.credit, self.credit_at = None, NEVER  # work that a cold start still allows this front
 
     def heard(self, reached, now, platform_now):
         # Against restarts that the list tells late: back in reach is cold and empty, or only out of sockets.
@@ -147,8 +153,8 @@
 class Memory:
     def __init__(self, span):
         self.span, self.counts, self.failed_at, self.returned = span, [0, 0, 0], NEVER, False
-        self.holders, self.ranks = {}, {}    # node index -> (expiry, since, the holder's start); by role
-        self.spents = None                   # its object's last sending times: the least tells a part's size
+        self.holders, self.ranks = {}, {}  # node index -> (expiry, since, the holder's start); by role
+        self.spents = None  # its object's last sending times: the least tells a part's size
 
     def roll(self, span):
         if (steps := span - self.span) > 0:
@@ -164,7 +170,7 @@
 class Sent:
     def __init__(self, cache, source, crowd, believed=False):
         self.cache, self.source, self.crowd, self.filling = cache, source, crowd, 0
-        self.believed = believed             # to hold the object, when it was sent
+        self.believed = believed  # to hold the object, when it was sent
         self.open, self.outcome, self.fill = True, None, None
 
 
@@ -173,13 +179,13 @@
         self.router, self.asked, self.limit = router, asked, now + router.objective(asked)
         self.due, self.forwards = now + asked.ttl - ANSWER_MARGIN, []
         self.done = self.streaming = self.missed = self.hopeless = False
-        self.lost = set()                    # indices of nodes that did not serve or fill it
-        self.place = None                    # the source at which it has a place, where places are shared out
+        self.lost = set()  # indices of nodes that did not serve or fill it
+        self.place = None  # the source at which it has a place, where places are shared out
 
     def open(self):
         return [n for n, f in enumerate(self.forwards) if f.open]
 
-    settled = lambda self: self.done and not self.open()    # noqa: E731
+    settled = lambda self: self.done and not self.open()  # noqa: E731
 
     def route(self, now):
         if self.done or self.streaming:
@@ -208,7 +214,7 @@
         return [] if self.open() else self.route(now)
 
     def answering(self, number, now):
-        self.streaming = True                # from here on nothing is owed or may be sent
+        self.streaming = True  # from here on nothing is owed or may be sent
         return []
 
     def left(self, now):
@@ -220,25 +226,25 @@
     def __init__(self, settings, seed, now):
         self.get, self.seed, self.draws, self.now = settings.get, seed, 0, now
         self.nodes, self.index_of, self.indices = {}, {}, count()
-        self.hashing = defaultdict(Rendezvous)   # role -> its group in the order of indices
-        self.widest = Counter()              # most weight that a role's group has had
-        self.versions = Counter()            # role -> changes of its group so far
-        self.troubled = {}                   # index -> cache out of reach, set aside or on trial, or once so
-        self.recent = defaultdict(OrderedDict)   # role -> index -> node, the one noted last standing last
-        self.paces = OrderedDict()           # object -> its last sending times
-        self.table, self.slot_of, self.purges = [], OrderedDict(), {}    # purges by ("object" or "group", id)
-        self.purge_order = []                # (time, key), the oldest first
-        self.told_at = NEVER                 # other fronts of this one's beliefs
-        self.platform_offset = 0             # how far the clock of listed starts is ahead, at the least
-        self.waiting, self.order = [], count()   # (due, order, Get or None for a list to ask for)
-        self.carried, self.further = deque(maxlen=256), deque(maxlen=100)   # (time, work) returned; if so
-        self.spents = defaultdict(lambda: deque(maxlen=64))    # by delivery service, the last sending times
+        self.hashing = defaultdict(Rendezvous)  # role -> its group in the order of indices
+        self.widest = Counter()  # most weight that a role's group has had
+        self.versions = Counter()  # role -> changes of its group so far
+        self.troubled = {}  # index -> cache out of reach, set aside or on trial, or once so
+        self.recent = defaultdict(OrderedDict)  # role -> index -> node, the one noted last standing last
+        self.paces = OrderedDict()  # object -> its last sending times
+        self.table, self.slot_of, self.purges = [], OrderedDict(), {}  # purges by ("object" or "group", id)
+        self.purge_order = []  # (time, key), the oldest first
+        self.told_at = NEVER  # other fronts of this one's beliefs
+        self.platform_offset = 0  # how far the clock of listed starts is ahead, at the least
+        self.waiting, self.order = [], count()  # (due, order, Get or None for a list to ask for)
+        self.carried, self.further = deque(maxlen=256), deque(maxlen=100)  # (time, work) returned; if so
+        self.spents = defaultdict(lambda: deque(maxlen=64))  # by delivery service, the last sending times
         self.link, self.filling, self.link_use = Standing(), 0, (0, NEVER)
-        self.misses = deque(maxlen=64)       # of the last answers to unbelieved GETs, which were no hits
-        self.fills = deque(maxlen=256)       # [source, time, when late, came in time] of the last fills
+        self.misses = deque(maxlen=64)  # of the last answers to unbelieved GETs, which were no hits
+        self.fills = deque(maxlen=256)  # [source, time, when late, came in time] of the last fills
         self.tally, self.rated, self.found = (NEVER, Counter(), Counter()), (NEVER, 0), deque(maxlen=64)
         self.top = max([r for r in self.get("revenue", ()) if r], default=1)
-        self.shared = ()                     # sources whose places another module shares out
+        self.shared = ()  # sources whose places another module shares out
         self.asks = [Subscribe()] if self.get("discovery") == "ask" else []
 
     def of_ds(self, name, ds, default):
@@ -267,8 +273,11 @@
     def in_time(self, sources, now):
         """Share of each source's last fills that came in time; few of them lean on those of all sources."""
         if now - self.tally[0] >= REFRESH:
-            ended = [(by.index, bool(good)) for by, at, late, good in self.fills
-                     if now - at < THROTTLE_SPAN and (good is not None or late <= now)]
+            ended = [
+                (by.index, bool(good))
+                for by, at, late, good in self.fills
+                if now - at < THROTTLE_SPAN and (good is not None or late <= now)
+            ]
             self.tally = now, Counter(at for at, _ in ended), Counter(at for at, good in ended if good)
         _, all_of, good_of = self.tally
         shared = (good_of.total() + 1) / (all_of.total() + 1)
@@ -298,23 +307,23 @@
             if not gone and node.entry.state is State.SERVING and near:
                 group.insert(at, node, node.entry.weight)
             if gone:
-                del self.nodes[node.index], self.index_of[node.id]    # its index is never given again
+                del self.nodes[node.index], self.index_of[node.id]  # its index is never given again
                 self.troubled.pop(node.index, None)
                 self.recent[node.role].pop(node.index, None)
         for role in dict.fromkeys([node.role for node in nodes]):
-            self.versions[role] += 1         # rankings of before are void
+            self.versions[role] += 1  # rankings of before are void
             self.widest[role] = max(self.widest[role], self.hashing[role].weight())
 
     def list_failed(self, now):
         if self.get("discovery") == "ask":
-            self.remind(now + S, None)       # later, so that a busy discovery can recover
+            self.remind(now + S, None)  # later, so that a busy discovery can recover
 
     def remind(self, when, get):
         heapq.heappush(self.waiting, (when, next(self.order), get))
 
     def purged(self, obj, group, age, now):
         # Beliefs and own copies from before a purge are void too, and may outlive the old copies at caches.
-        for _ in range(4):                   # 100,000 told at once are old at once: all in one call took 1 s
+        for _ in range(4):  # 100,000 told at once are old at once: all in one call took 1 s
             if not self.purge_order or now - self.purge_order[0][0] <= self.get("purge_done", 0) + OWN_AGE:
                 break
             at, key = heapq.heappop(self.purge_order)
@@ -343,14 +352,14 @@
 
     def keeps(self, asked, made, now):
         often = sum(self.memory(asked, now).counts) > 1 and not self.of_ds("runs_at_origin", asked.ds, False)
-        return often and self.owns(asked, made, now, 0, now)    # one-off objects would push out the rest
+        return often and self.owns(asked, made, now, 0, now)  # one-off objects would push out the rest
 
     def memory(self, asked, now):
         key = (asked.object, asked.part)
         slot = self.slot_of.pop(key, None)
         if slot is None:
             slot = self.slot_of.popitem(last=False)[1] if len(self.table) >= TABLE else len(self.table)
-            self.table[slot:slot + 1] = [Memory(now // SPAN)]
+            self.table[slot : slot + 1] = [Memory(now // SPAN)]
             # Parts of one object are alike in size, and each alone is asked for too seldom to tell it.
             # An empty one is shared as well: the next part is asked for before the first has come back.
             spents = self.paces.pop(asked.object, None)
@@ -418,8 +427,15 @@
     def holders(self, asked, memory, now):
         """Beliefs in force: {node: expiry}, the longest first. A restart or a purge voids what was before."""
         purge = self.purge_time(asked)
-        kept = [(-end, at) for at, (end, of, start) in memory.holders.items() if end > now and of > purge
-                and (n := self.nodes.get(at)) and start == n.started and n.entry.state is State.SERVING]
+        kept = [
+            (-end, at)
+            for at, (end, of, start) in memory.holders.items()
+            if end > now
+            and of > purge
+            and (n := self.nodes.get(at))
+            and start == n.started
+            and n.entry.state is State.SERVING
+        ]
         memory.holders = {at: memory.holders[at] for _, at in kept}
         return {self.nodes[at]: -expiry for expiry, at in sorted(kept)}
 
@@ -433,14 +449,28 @@
     def tells(self, most, now):
         """What other fronts can use: who is set aside, then beliefs renewed since then, most asked first."""
         # With the age of what it rests on: told on as new, a pace would go round among fronts for good.
-        said = [interface.Resting(n.id, n.started, by is n.as_source, max(0, by.until - now),
-                                  int(1000 * slow), now - by.speeds[-1][0] if slow else 0)
-                for _, n in sorted(self.seen_of_late()) for by in (n.as_cache, n.as_source)
-                for slow in [by.slowness(now)] if by.until > now or slow > UNLIKE]
+        said = [
+            interface.Resting(
+                n.id,
+                n.started,
+                by is n.as_source,
+                max(0, by.until - now),
+                int(1000 * slow),
+                now - by.speeds[-1][0] if slow else 0,
+            )
+            for _, n in sorted(self.seen_of_late())
+            for by in (n.as_cache, n.as_source)
+            for slow in [by.slowness(now)]
+            if by.until > now or slow > UNLIKE
+        ]
         since, self.told_at = self.told_at, now
-        fresh = [(-sum(m.counts[:2]), key, at, held) for key, slot in self.slot_of.items()
-                 for m in [self.table[slot]] for at, held in m.holders.items()
-                 if held[1] > since and held[0] - now > 2 * MARGIN and at in self.nodes]
+        fresh = [
+            (-sum(m.counts[:2]), key, at, held)
+            for key, slot in self.slot_of.items()
+            for m in [self.table[slot]]
+            for at, held in m.holders.items()
+            if held[1] > since and held[0] - now > 2 * MARGIN and at in self.nodes
+        ]
         for _, (obj, part), at, (end, of, start) in heapq.nsmallest(max(0, most - len(said)), fresh):
             said.append(interface.Believed(obj, part, self.nodes[at].id, start, end - now, now - of))
         return said[:most]
@@ -486,7 +516,7 @@
                 said.append((get, get.give_up(now) if get else [Subscribe()]))
         return said
 
-    told = probed = lambda self, *_news: None    # fronts tell each other nothing and probe nothing yet
+    told = probed = lambda self, *_news: None  # fronts tell each other nothing and probe nothing yet
 
     def rate(self, now):
         if now - self.rated[0] >= REFRESH and self.carried:
@@ -512,7 +542,7 @@
         whole = self.get(f"{kind}fall_multiple", 2) * share * rate * window
         budget = min(COLD_MOST * share * rate * window, COLD_SAFETY * whole)
         need, spare = max(1, self.mean_work(ds)), max(0, COLD_SUM * whole - budget)
-        if not self.carried:         # against a start among cold nodes alone: it would earn nothing, ever
+        if not self.carried:  # against a start among cold nodes alone: it would earn nothing, ever
             budget = spare = need * window / warm
         if node.credit is None:
             # Against many fronts that each see few GETs: all their firsts together would push it over.
@@ -566,9 +596,12 @@
         if not first:
             return None, False
         usable = len(self.group("cache")) - len(avoided)
-        wide = first[:self.width(asked, memory, usable, now)]
-        best = wide[0] if len(wide) == 1 else min(
-            wide, key=lambda n: (n.crowding(now), n.busy(now) / n.entry.weight))
+        wide = first[: self.width(asked, memory, usable, now)]
+        best = (
+            wide[0]
+            if len(wide) == 1
+            else min(wide, key=lambda n: (n.crowding(now), n.busy(now) / n.entry.weight))
+        )
         most = max(1.0, AHEAD * (get.limit - now) / max(1, self.work(asked)))
         if best.crowding(now) <= most:
             return best, True
@@ -585,17 +618,26 @@
         allowed = self.get("siblings", "none")
         for node, expiry in self.holders(get.asked, memory, now).items():
             near = allowed == "location" and node.entry.location == cache.entry.location
-            if (node is not cache and node.index not in get.lost and (near or allowed == "any")
-                    and max(node.as_source.until, node.as_cache.until) <= now
-                    and self.cold_room(node, get.asked.ds, now)):
+            if (
+                node is not cache
+                and node.index not in get.lost
+                and (near or allowed == "any")
+                and max(node.as_source.until, node.as_cache.until) <= now
+                and self.cold_room(node, get.asked.ds, now)
+            ):
                 return node, expiry - now <= MARGIN
         return None, False
 
     def upper(self, get, now):
         """A parent that does well by hash, or the origin; and if it may fetch: the origin's share in time."""
         parents = self.ranked(self.memory(get.asked, now), "parent", get.asked.object.to_bytes(8, "big"))
-        parents = (n for n in parents if max(n.as_source.until, n.down) <= now
-                   and n.index not in get.lost and self.cold_room(n, get.asked.ds, now))
+        parents = (
+            n
+            for n in parents
+            if max(n.as_source.until, n.down) <= now
+            and n.index not in get.lost
+            and self.cold_room(n, get.asked.ds, now)
+        )
         order = [*islice(parents, PARENTS), *self.group("origin")]
         shares = self.in_time(order, now) or [0]
         at = next((at for at, share in enumerate(shares) if share >= WELL), shares.index(max(shares)))
@@ -611,8 +653,11 @@
         if get.hopeless or now >= get.due or sent >= self.get("max_forwards", 1 << 30):
             return False
         # What is not idempotent, by a word unknown here as well, is never sent again once it may have run.
-        if (get.risky() is not None and self.of_ds("effect", asked.ds, "idempotent") != "idempotent"
-                or sent > 1 + int(2 * self.of_ds("revenue", asked.ds, 0) / self.top)):
+        if (
+            get.risky() is not None
+            and self.of_ds("effect", asked.ds, "idempotent") != "idempotent"
+            or sent > 1 + int(2 * self.of_ds("revenue", asked.ds, 0) / self.top)
+        ):
             return False
         # A plain miss, or what never left, asks nothing of anybody; all else sent again may feed a jam.
         return not sent or get.missed or sum(self.further) <= RETRY_SHARE * max(10, len(self.further))
@@ -630,9 +675,9 @@
             cache = self.upper(get, now)[0] if self.get("direct") else None
             source = next(iter(self.group("origin")), None)
             if self.late_fill(get, now):
-                return None                  # past the caches it is as long on the link as a fill
+                return None  # past the caches it is as long on the link as a fill
         elif not in_time and self.chance(asked.id) >= PROBING:
-            return None                      # it would only crowd out what can still be in time
+            return None  # it would only crowd out what can still be in time
         else:
             source, held_only = self.sibling(get, memory, cache, now)
             if source is None:
@@ -645,12 +690,12 @@
             return None
         fills = source is not None and source.role != "cache" and cache.index not in memory.holders
         if fills and source.id in self.shared and not (write or held_only) and get.place != source.id:
-            return Wait(source.id)           # before anything is counted: it may go another way by then
+            return Wait(source.id)  # before anything is counted: it may go another way by then
         return self.send(get, memory, cache, source or cache, held_only, now)
 
     def send(self, get, memory, cache, source, held_only, now):
         asked, number, write = get.asked, len(get.forwards), self.of_ds("runs_at_origin", get.asked.ds, False)
-        for node in [cache, source][:1 + (source is not cache)]:
+        for node in [cache, source][: 1 + (source is not cache)]:
             node.credit = None if node.credit is None else node.credit - self.mean_work(asked.ds)
         cache.out += 1
         sent = Sent(cache, source, cache.out - cache.filling, cache.index in memory.holders)
@@ -663,10 +708,17 @@
         # What follows one that never left is the first to ask anything of anybody.
         self.further.append(number > 0 and get.forwards[number - 1].outcome is not Outcome.NOT_SENT)
         return Forward(
-            number, cache.id, source.id, rank=0 if write else 1 if sum(memory.counts) <= 1 else 2,
-            oldest=self.oldest(asked, number > 0 or get.hopeless, now), timeout=max(MS, get.due - now),
-            join=bool(self.get("joins")), held_only=held_only, pass_parent=False,
-            renew=bool(self.of_ds("fresh_time", asked.ds, 0)) and not get.hopeless)
+            number,
+            cache.id,
+            source.id,
+            rank=0 if write else 1 if sum(memory.counts) <= 1 else 2,
+            oldest=self.oldest(asked, number > 0 or get.hopeless, now),
+            timeout=max(MS, get.due - now),
+            join=bool(self.get("joins")),
+            held_only=held_only,
+            pass_parent=False,
+            renew=bool(self.of_ds("fresh_time", asked.ds, 0)) and not get.hopeless,
+        )
 
     def link_pace(self, now):
         """Slowness that one more fill of this front has to expect of the link in."""
@@ -675,7 +727,7 @@
         if self.get("tells", "all") == "none" and rate and here < len(told) and told[here]:
             # Without the wait told a fill's pace doesn't show; the fronts' parts of a told link do.
             fills = 1 + self.filling * (1 + sum(self.misses)) / (2 + len(self.misses))
-            fronts = sum((self.get("fronts_by_location") or [])[here:here + 1]) or 1
+            fronts = sum((self.get("fronts_by_location") or [])[here : here + 1]) or 1
             return max(1.0, fills * fronts * rate / told[here] / SHARE_ROOM)
         # Own fills are few of the link's: half a told load counts where higher, as told at fill pace.
         load = self.link_use[0] / 2 if now - self.link_use[1] < S else 0
@@ -719,7 +771,7 @@
             sent.fill[3] = good and now <= sent.fill[2]
             gone = outcome is Outcome.CANCELLED and now < sent.fill[2]
             if found in HITS or bare or gone or outcome in (Outcome.RESET, Outcome.NOT_SENT):
-                sent.fill[2:] = -NEVER, None     # tells of no fill: as one, it would hide how the sources do
+                sent.fill[2:] = -NEVER, None  # tells of no fill: as one, it would hide how the sources do
             elif found in (Found.FILLED_BY_ORIGIN, Found.ORIGIN_FAILED) and self.group("origin"):
                 # What was late for the origin's wait speaks against the origin, not against the parent.
                 sent.fill[0] = self.group("origin")[-1]
@@ -733,7 +785,7 @@
                 if source.as_source.slowness(now) <= UNLIKE * median_low(speeds):
                     self.link.note(now, good, slow, sent.filling)
         if good:
-            self.found.extend([found] if found is not Found.UNTOLD else [])     # silence is no answer
+            self.found.extend([found] if found is not Found.UNTOLD else [])  # silence is no answer
             self.carried.append((now, self.work(asked)))
             if not asked.size and not write:
                 memory.spents.append(spent - waited)
@@ -745,7 +797,7 @@
                 if source.role == "cache":
                     self.believe(memory, source, now)
         elif outcome is Outcome.MISS or found in SOURCE_FAULTS:
-            memory.holders.pop(cache.index, None)    # either way the cache itself had no copy
+            memory.holders.pop(cache.index, None)  # either way the cache itself had no copy
             get.lost.add(source.index)
             if outcome is Outcome.MISS:
                 memory.holders.pop(source.index, None)
--- a/sprucegate/servers/hosts.py
+++ b/sprucegate/servers/hosts.py
@@ -10,7 +10,7 @@
 
     whole: bool
     entries: list
-    names: dict         # id -> (name, address)
+    names: dict  # id -> (name, address)
 
 
 def number_of(name):
--- a/sprucegate/servers/http2/evidence.py
+++ b/sprucegate/servers/http2/evidence.py
@@ -10,15 +10,15 @@
 
 from sprucegate.interface import Outcome
 
-REFUSED_STREAM, CANCEL, ENHANCE_YOUR_CALM, HTTP_1_1_REQUIRED = 0x7, 0x8, 0xb, 0xd
+REFUSED_STREAM, CANCEL, ENHANCE_YOUR_CALM, HTTP_1_1_REQUIRED = 0x7, 0x8, 0xB, 0xD
 
 
 class Written(IntEnum):
     """How much of a request the socket took before the connection was closed for good."""
 
     NOTHING = 0
-    PART = 1            # of its header block
-    WHOLE = 2           # the header block; a body may still be under way
+    PART = 1  # of its header block
+    WHOLE = 2  # the header block; a body may still be under way
 
 
 class Row(NamedTuple):
@@ -26,7 +26,7 @@
 
     name: str
     outcome: Outcome
-    source: str         # where it is written
+    source: str  # where it is written
 
 
 NOT_WRITTEN = Row("not written", Outcome.NOT_SENT, "RFC 9113 4.3")
@@ -44,8 +44,22 @@
 BUSY_NEVER_RAN = Row("429 or 503 with Spruce-Ran: ?0", Outcome.FULL, "docs/http2.md")
 NOT_HELD = Row("504 to only-if-cached", Outcome.MISS, "RFC 9111 5.2.1.7")
 
-ROWS = (NOT_WRITTEN, IN_PART, ABOVE_LAST, REFUSED, OTHER_RESET, NEEDS_HTTP_1_1, CALM, ENDED_AFTER_GOAWAY, ENDED,
-        TIMED_OUT, MISDIRECTED, BUSY, BUSY_NEVER_RAN, NOT_HELD)
+ROWS = (
+    NOT_WRITTEN,
+    IN_PART,
+    ABOVE_LAST,
+    REFUSED,
+    OTHER_RESET,
+    NEEDS_HTTP_1_1,
+    CALM,
+    ENDED_AFTER_GOAWAY,
+    ENDED,
+    TIMED_OUT,
+    MISDIRECTED,
+    BUSY,
+    BUSY_NEVER_RAN,
+    NOT_HELD,
+)
 CODES = {REFUSED_STREAM: REFUSED, HTTP_1_1_REQUIRED: NEEDS_HTTP_1_1, ENHANCE_YOUR_CALM: CALM}
 
 
--- a/sprucegate/servers/http2/guard.py
+++ b/sprucegate/servers/http2/guard.py
@@ -9,14 +9,14 @@
 
 DATA, HEADERS, RST_STREAM, SETTINGS, GOAWAY, CONTINUATION = 0, 1, 3, 4, 7, 9
 END_STREAM, ACK, END_HEADERS = 0x1, 0x1, 0x4
-FRAME_MOST = 16_384         # SETTINGS_MAX_FRAME_SIZE that this side states
-BLOCK_MOST = 16_384         # bytes of one header block, as compressed
-PARTS_MOST = 8              # CONTINUATION frames of one
-ALLOWED = 1000              # frames that carry nothing, in one go
-ALLOWED_SECOND = 200        # and each second beyond
-EARNED = 4                  # by each request sent, and by each KB of a body: both cause such frames
-SMALL = 64                  # bytes of DATA below which a frame carries next to nothing
-PROTOCOL_ERROR, FRAME_SIZE_ERROR, ENHANCE_YOUR_CALM = 0x1, 0x6, 0xb
+FRAME_MOST = 16_384  # SETTINGS_MAX_FRAME_SIZE that this side states
+BLOCK_MOST = 16_384  # bytes of one header block, as compressed
+PARTS_MOST = 8  # CONTINUATION frames of one
+ALLOWED = 1000  # frames that carry nothing, in one go
+ALLOWED_SECOND = 200  # and each second beyond
+EARNED = 4  # by each request sent, and by each KB of a body: both cause such frames
+SMALL = 64  # bytes of DATA below which a frame carries next to nothing
+PROTOCOL_ERROR, FRAME_SIZE_ERROR, ENHANCE_YOUR_CALM = 0x1, 0x6, 0xB
 S = 1_000_000_000
 
 
@@ -31,7 +31,7 @@
     type: int
     flags: int
     stream: int
-    data: bytes         # header and payload
+    data: bytes  # header and payload
 
 
 class Guard:
@@ -55,8 +55,12 @@
             elif len(held) - at < 9 + length:
                 break
             else:
-                frame = Frame(held[at + 3], held[at + 4], int.from_bytes(held[at + 5:at + 9], "big") & 0x7FFFFFFF,
-                              bytes(held[at:at + 9 + length]))
+                frame = Frame(
+                    held[at + 3],
+                    held[at + 4],
+                    int.from_bytes(held[at + 5 : at + 9], "big") & 0x7FFFFFFF,
+                    bytes(held[at : at + 9 + length]),
+                )
                 self._weigh(frame, length)
                 if self.fault is None:
                     found.append(frame)
--- a/sprucegate/servers/http2/limits.py
+++ b/sprucegate/servers/http2/limits.py
@@ -23,19 +23,21 @@
 
 
 class Limits(Struct, frozen=True, forbid_unknown_fields=True, rename="kebab"):
-    connections: number(1, 64) = 4          # to one server that take streams; while one retires, one more
-    streams: number(1, 10_000) = 100        # open on one connection; the peer's limit holds besides
-    open_above: Share = 0.5                 # how full the least full is when another is opened
-    waiting: number(0, 10_000) = 200        # GETs that wait for a place at one server
-    wait: time(MS, 10 * S) = 300 * MS       # how long one does
-    connect: time(MS, 30 * S) = 400 * MS    # until the peer's SETTINGS are there, and again until ours are acknowledged
+    connections: number(1, 64) = 4  # to one server that take streams; while one retires, one more
+    streams: number(1, 10_000) = 100  # open on one connection; the peer's limit holds besides
+    open_above: Share = 0.5  # how full the least full is when another is opened
+    waiting: number(0, 10_000) = 200  # GETs that wait for a place at one server
+    wait: time(MS, 10 * S) = 300 * MS  # how long one does
+    connect: time(MS, 30 * S) = (
+        400 * MS
+    )  # until the peer's SETTINGS are there, and again until ours are acknowledged
     idle: time(100 * MS, 3600 * S) = 14 * S
-    age: time(S, 30 * 86_400 * S) = 600 * S     # after which a connection is replaced
-    age_spread: Share = 0.2                 # the share of it by which some retire earlier
-    ids: number(10, 1 << 29) = 1 << 29      # streams begun on one connection before it is replaced
-    ping_after: time(10 * MS, 60 * S) = 500 * MS    # nothing read while forwards wait
-    ping_wait: time(10 * MS, 60 * S) = 500 * MS     # for its answer
-    stalled: time(10 * MS, 60 * S) = 300 * MS       # an answer begun without a byte
+    age: time(S, 30 * 86_400 * S) = 600 * S  # after which a connection is replaced
+    age_spread: Share = 0.2  # the share of it by which some retire earlier
+    ids: number(10, 1 << 29) = 1 << 29  # streams begun on one connection before it is replaced
+    ping_after: time(10 * MS, 60 * S) = 500 * MS  # nothing read while forwards wait
+    ping_wait: time(10 * MS, 60 * S) = 500 * MS  # for its answer
+    stalled: time(10 * MS, 60 * S) = 300 * MS  # an answer begun without a byte
     reconnect_first: time(MS, 60 * S) = 50 * MS
     reconnect_most: time(MS, 600 * S) = 5 * S
     held: size(262_144, 1 << 30) = 4 << 20  # of answers not yet whole on one connection
--- a/sprucegate/servers/http2/mapping.py
+++ b/sprucegate/servers/http2/mapping.py
@@ -17,19 +17,32 @@
 from sprucegate.servers.place import Returned
 
 MS, S = 1_000_000, 1_000_000_000
-BODY_MOST = 240_000     # bytes of an object
-FIELD_MOST = 1000       # bytes of a structured field that is read at all
-KEPT = 512              # structured fields whose reading is remembered: a server sends few different ones
-DETAILS = {"source-refused": Found.SOURCE_REFUSED, "source-broken": Found.SOURCE_BROKEN,
-           "source-lacks": Found.SOURCE_LACKS, "no-fill-place": Found.NO_FILL_PLACE,
-           "origin-failed": Found.ORIGIN_FAILED}
-LOADS = ("inflight", "queued", "busy", "latency_ms", "per_second", "errors_per_second", "hit_share", "link_use")
+BODY_MOST = 240_000  # bytes of an object
+FIELD_MOST = 1000  # bytes of a structured field that is read at all
+KEPT = 512  # structured fields whose reading is remembered: a server sends few different ones
+DETAILS = {
+    "source-refused": Found.SOURCE_REFUSED,
+    "source-broken": Found.SOURCE_BROKEN,
+    "source-lacks": Found.SOURCE_LACKS,
+    "no-fill-place": Found.NO_FILL_PLACE,
+    "origin-failed": Found.ORIGIN_FAILED,
+}
+LOADS = (
+    "inflight",
+    "queued",
+    "busy",
+    "latency_ms",
+    "per_second",
+    "errors_per_second",
+    "hit_share",
+    "link_use",
+)
 
 
 class Meaning(NamedTuple):
     outcome: Outcome
     found: Found
-    waited: int             # for the source, nanoseconds
+    waited: int  # for the source, nanoseconds
     load: dict
     returned: Returned | None
     row: evidence.Row | None
@@ -43,9 +56,14 @@
     path = b"/svc/%b/%b/slice-%d" % (get.ds.encode(), get.thing.encode(), get.part)
     # What differs from GET to GET is kept out of the peer's table (RFC 7541 section 6.2.3), or it would push out
     # what repeats; that also spares 8% of the cost of sending.
-    fields = [(b":method", b"PUT" if get.asked.write else b"GET"), (b":scheme", b"http"),
-              (b":authority", authority), Once(b":path", path), Once(b"x-call-id", get.id),
-              Once(b"spruce-wait", b"%d" % max(1, min(left, said.timeout) // MS))]
+    fields = [
+        (b":method", b"PUT" if get.asked.write else b"GET"),
+        (b":scheme", b"http"),
+        (b":authority", authority),
+        Once(b":path", path),
+        Once(b"x-call-id", get.id),
+        Once(b"spruce-wait", b"%d" % max(1, min(left, said.timeout) // MS)),
+    ]
     control = []
     if said.oldest:
         # Both: as old as that may be, and stale is as good as fresh up to it (RFC 9111 section 5.2.1).
@@ -65,8 +83,16 @@
         fill.append(f"rank={said.rank}")
     if said.number:
         fill.append(f"try={said.number}")
-    fill += [word for word, on in (("join", said.join), ("held", said.held_only), ("pass", said.pass_parent),
-                                   ("renew", said.renew)) if on]
+    fill += [
+        word
+        for word, on in (
+            ("join", said.join),
+            ("held", said.held_only),
+            ("pass", said.pass_parent),
+            ("renew", said.renew),
+        )
+        if on
+    ]
     if fill:
         fields.append((b"spruce-fill", ", ".join(fill).encode()))
     if get.body or get.asked.write:
@@ -113,9 +139,13 @@
 def _loads(text):
     members = Dictionary()
     members.parse(text)
-    return {name: float(members[name].value) for name in LOADS
-            if name in members and isinstance(value := members[name].value, int | float | Decimal)
-            and not isinstance(value, bool)}
+    return {
+        name: float(members[name].value)
+        for name in LOADS
+        if name in members
+        and isinstance(value := members[name].value, int | float | Decimal)
+        and not isinstance(value, bool)
+    }
 
 
 def _read(reader, text, default):
--- a/sprucegate/servers/http2/pool.py
+++ b/sprucegate/servers/http2/pool.py
@@ -11,14 +11,14 @@
 
 from sprucegate.interface import Outcome
 
-LACKING = 10_000_000    # nanoseconds until a connection is tried again that this side could not begin
+LACKING = 10_000_000  # nanoseconds until a connection is tried again that this side could not begin
 
 
 class Phase(IntEnum):
-    OPENING = 0         # dialled, or up without the peer's SETTINGS
+    OPENING = 0  # dialled, or up without the peer's SETTINGS
     UP = 1
-    RETIRING = 2        # old: takes streams until its successor is up, against a hole at each change
-    DRAINING = 3        # takes none; goes once what is open on it has ended
+    RETIRING = 2  # old: takes streams until its successor is up, against a hole at each change
+    DRAINING = 3  # takes none; goes once what is open on it has ended
 
 
 @dataclass(slots=True)
@@ -55,13 +55,25 @@
 
 
 class Connection:
-    __slots__ = ("number", "phase", "limit", "open", "given", "served", "used", "quiet", "pinged", "retires",
-                 "settled", "blocked")
+    __slots__ = (
+        "number",
+        "phase",
+        "limit",
+        "open",
+        "given",
+        "served",
+        "used",
+        "quiet",
+        "pinged",
+        "retires",
+        "settled",
+        "blocked",
+    )
 
     def __init__(self, number, now):
         self.number, self.phase, self.limit = number, Phase.OPENING, 0
         self.open = self.given = self.served = 0
-        self.used = self.quiet = now            # a stream's begin or end; the last byte, or begin after rest
+        self.used = self.quiet = now  # a stream's begin or end; the last byte, or begin after rest
         self.pinged, self.retires, self.settled, self.blocked = None, None, None, False
 
 
@@ -70,7 +82,7 @@
         self.limits, self.label = limits, f"{instance}/{server}"
         self.connections, self.waiting, self.number, self.draws = {}, OrderedDict(), 0, 0
         self.failures, self.again, self.left_for_good, self.in_reach = 0, 0, False, True
-        self.lacking = False                 # whether `again` is for want of something on this side
+        self.lacking = False  # whether `again` is for want of something on this side
 
     # What happens.
 
@@ -141,9 +153,9 @@
         """GOAWAY, the first or a further one: no new streams there. `calm` is False where the peer complains."""
         at = self.connections[number]
         if at.phase is Phase.DRAINING:
-            return []                        # its successor is there, or on its way, already
+            return []  # its successor is there, or on its way, already
         if not calm or not at.served and not at.open:
-            self._failed(now)                # or one that lets nobody in would be dialled without end
+            self._failed(now)  # or one that lets nobody in would be dialled without end
         was_used = at.open or self.waiting
         said = self._drain(at, now)
         # The successor comes up while this one still answers: the next GET must not wait for a handshake.
@@ -182,11 +194,11 @@
             said.append(Refuse(self.waiting.popitem(last=False)[0], Outcome.FULL))
         for at in list(self.connections.values()):
             if at.phase is Phase.OPENING:
-                continue                     # the transport bounds its time
+                continue  # the transport bounds its time
             if at.phase is Phase.UP and at.retires <= now:
                 at.phase = Phase.RETIRING
             if at.settled is not None and at.settled <= now:
-                said += self._broken(at, "settings not acknowledged", now)      # RFC 9113 section 6.5.3
+                said += self._broken(at, "settings not acknowledged", now)  # RFC 9113 section 6.5.3
             elif at.pinged is not None and at.pinged + limits.ping_wait <= now:
                 said += self._broken(at, "silent", now)
             elif at.pinged is None and at.open and at.quiet + limits.ping_after <= now:
@@ -205,8 +217,13 @@
         for at in self.connections.values():
             if at.phase is Phase.OPENING:
                 continue
-            times.append(at.used + limits.idle if not at.open else
-                         at.quiet + limits.ping_after if at.pinged is None else at.pinged + limits.ping_wait)
+            times.append(
+                at.used + limits.idle
+                if not at.open
+                else at.quiet + limits.ping_after
+                if at.pinged is None
+                else at.pinged + limits.ping_wait
+            )
             if at.settled is not None:
                 times.append(at.settled)
             if at.phase is Phase.UP:
@@ -227,7 +244,9 @@
 
     def _best(self):
         """The least full one that takes another stream: what ends one connection should end few GETs."""
-        found = [(at.open / most, at.number, at) for at in self.connections.values() if (most := self._room(at))]
+        found = [
+            (at.open / most, at.number, at) for at in self.connections.values() if (most := self._room(at))
+        ]
         return min(found)[2] if found else None
 
     def _opening(self):
@@ -238,7 +257,7 @@
             at.quiet = now
         at.open, at.given, at.used = at.open + 1, at.given + 1, now
         if at.given >= self.limits.ids and at.phase is Phase.UP:
-            at.phase = Phase.RETIRING        # numbers of streams run out (RFC 9113 section 5.1.1)
+            at.phase = Phase.RETIRING  # numbers of streams run out (RFC 9113 section 5.1.1)
         return Send(forward, at.number)
 
     def _fill(self, now):
@@ -253,7 +272,7 @@
         if self.left_for_good or self._opening() or now < self.again:
             return []
         if len(self.connections) >= 2 * self.limits.connections:
-            return []                        # a peer that sends each one away must not be dialled without end
+            return []  # a peer that sends each one away must not be dialled without end
         retiring = any(at.phase is Phase.RETIRING for at in serving)
         if len(serving) >= self.limits.connections + retiring:
             return []
--- a/sprucegate/servers/http2/session.py
+++ b/sprucegate/servers/http2/session.py
@@ -30,18 +30,19 @@
 from sprucegate.servers.http2.guard import Fault, Guard
 from sprucegate.servers.http2.mapping import BODY_MOST
 
-STREAM_WINDOW = 262_144     # above BODY_MOST: a whole answer fits without a window update of its own
+STREAM_WINDOW = 262_144  # above BODY_MOST: a whole answer fits without a window update of its own
 CONNECTION_WINDOW = 1 << 20
-LIST_MOST = 16_384          # bytes of a header list, uncompressed
-INTERIM_MOST = 8            # 1xx answers of one stream (RFC 9110 section 15.2)
-UNSENT_MOST = 262_144       # bytes that wait for a peer that does not read; bodies wait before them
-LATE_FIELDS = (b"spruce-load", b"server-timing")    # that may stand in trailers
+LIST_MOST = 16_384  # bytes of a header list, uncompressed
+INTERIM_MOST = 8  # 1xx answers of one stream (RFC 9110 section 15.2)
+UNSENT_MOST = 262_144  # bytes that wait for a peer that does not read; bodies wait before them
+LATE_FIELDS = (b"spruce-load", b"server-timing")  # that may stand in trailers
 NO_ERROR = 0x0
-WALK = 128                  # requests between two walks over h2's streams
+WALK = 128  # requests between two walks over h2's streams
 
 
 class Ready(NamedTuple):
     """The peer's first SETTINGS."""
+
     limit: int
 
 
@@ -59,6 +60,7 @@
 
 class GoneAway(NamedTuple):
     """GOAWAY: the streams `above` its last one never ran, the others may still be answered."""
+
     last: int
     code: int
     above: list
@@ -73,23 +75,40 @@
 
 class Reset(NamedTuple):
     """A stream reset by the peer with `code`."""
+
     stream: object
     code: int
 
 
 class Spoilt(NamedTuple):
     """A stream that this side reset: what came on it is past a bound. It may have run."""
+
     stream: object
     why: str
 
 
 class Stream:
-    __slots__ = ("id", "out", "cached_only", "first", "head_end", "rest", "status", "fields", "body", "heard",
-                 "interim")
+    __slots__ = (
+        "id",
+        "out",
+        "cached_only",
+        "first",
+        "head_end",
+        "rest",
+        "status",
+        "fields",
+        "body",
+        "heard",
+        "interim",
+    )
 
     def __init__(self, number, out, cached_only, first, head_end, rest):
         self.id, self.out, self.cached_only = number, out, cached_only
-        self.first, self.head_end, self.rest = first, head_end, rest    # where its header block lies in the bytes
+        self.first, self.head_end, self.rest = (
+            first,
+            head_end,
+            rest,
+        )  # where its header block lies in the bytes
         self.status, self.fields, self.body, self.heard, self.interim = 0, {}, None, 0, 0
 
 
@@ -116,13 +135,25 @@
 
 class Session:
     def __init__(self, held_most, now):
-        self.h2 = Counted(H2Configuration(
-            client_side=True, header_encoding=False, validate_outbound_headers=False,
-            normalize_outbound_headers=False, normalize_inbound_headers=False))
+        self.h2 = Counted(
+            H2Configuration(
+                client_side=True,
+                header_encoding=False,
+                validate_outbound_headers=False,
+                normalize_outbound_headers=False,
+                normalize_inbound_headers=False,
+            )
+        )
         self.h2.encoder = Plain()
-        self.h2.local_settings = Settings(client=True, initial_values={
-            SettingCodes.ENABLE_PUSH: 0, SettingCodes.INITIAL_WINDOW_SIZE: STREAM_WINDOW,
-            SettingCodes.MAX_FRAME_SIZE: guard.FRAME_MOST, SettingCodes.MAX_HEADER_LIST_SIZE: LIST_MOST})
+        self.h2.local_settings = Settings(
+            client=True,
+            initial_values={
+                SettingCodes.ENABLE_PUSH: 0,
+                SettingCodes.INITIAL_WINDOW_SIZE: STREAM_WINDOW,
+                SettingCodes.MAX_FRAME_SIZE: guard.FRAME_MOST,
+                SettingCodes.MAX_HEADER_LIST_SIZE: LIST_MOST,
+            },
+        )
         self.h2.decoder.max_header_list_size = LIST_MOST
         self.guard, self.fault, self.streams, self.uploads, self.answers = Guard(now), None, {}, {}, {}
         self.outgoing, self.made, self.gone = bytearray(), 0, 0
@@ -159,7 +190,7 @@
         try:
             self.h2.reset_stream(number, code)
         except H2Error:
-            return                           # it had ended on both sides
+            return  # it had ended on both sides
         self._collect()
 
     def ping(self):
@@ -205,7 +236,9 @@
                 try:
                     events = self.h2.receive_data(frame.data)
                 except H2Error as fault:
-                    self.fault = Fault(getattr(fault, "error_code", 1), f"{type(fault).__name__}: {fault}"[:200])
+                    self.fault = Fault(
+                        getattr(fault, "error_code", 1), f"{type(fault).__name__}: {fault}"[:200]
+                    )
                     self._collect()
                     break
                 for event in events:
@@ -243,7 +276,7 @@
             case StreamEnded():
                 if (stream := self.streams.get(event.stream_id)) is not None:
                     self._forget(stream)
-                    if stream.rest:          # answered before all of the body was wanted (RFC 9113 section 8.1)
+                    if stream.rest:  # answered before all of the body was wanted (RFC 9113 section 8.1)
                         self._reset(stream.id, NO_ERROR)
                     body = b"" if stream.body is None else bytes(stream.body)
                     said.append(Answered(stream, stream.status, stream.fields, body))
@@ -315,8 +348,11 @@
         """Bodies as far as both windows let them (RFC 9113 section 6.9)."""
         for number, stream in list(self.uploads.items()):
             while stream.rest and len(self.outgoing) <= UNSENT_MOST:
-                size = min(self.h2.local_flow_control_window(number), self.h2.max_outbound_frame_size,
-                           len(stream.rest))
+                size = min(
+                    self.h2.local_flow_control_window(number),
+                    self.h2.max_outbound_frame_size,
+                    len(stream.rest),
+                )
                 if size <= 0:
                     break
                 chunk, stream.rest = stream.rest[:size], stream.rest[size:]
--- a/sprucegate/servers/http2/transport.py
+++ b/sprucegate/servers/http2/transport.py
@@ -35,14 +35,30 @@
 
 
 class H2Connection:
-    __slots__ = ("place", "number", "sock", "session", "task", "up", "closed", "writing", "flushes", "watched",
-                 "in_reach", "blocked", "made", "lacking")
+    __slots__ = (
+        "place",
+        "number",
+        "sock",
+        "session",
+        "task",
+        "up",
+        "closed",
+        "writing",
+        "flushes",
+        "watched",
+        "in_reach",
+        "blocked",
+        "made",
+        "lacking",
+    )
 
     def __init__(self, place, number, session):
         self.place, self.number, self.session, self.sock, self.task = place, number, session, None, None
-        self.up = self.closed = self.writing = self.flushes = self.watched = self.in_reach = self.blocked = False
-        self.lacking = False                 # it could not be begun for want of something on this side
-        self.made = 0                        # when it came up
+        self.up = self.closed = self.writing = self.flushes = self.watched = self.in_reach = self.blocked = (
+            False
+        )
+        self.lacking = False  # it could not be begun for want of something on this side
+        self.made = 0  # when it came up
 
 
 class Waiting:
@@ -59,7 +75,7 @@
         self.servers, self.driver, self.buffers, self.limits = servers, driver, pool, limits
         self.loop, self.instance = asyncio.get_running_loop(), getattr(driver.wanted, "name", "")
         self.timer, self.armed = None, None
-        self.active = {}                     # id -> place with connections, or whose pool has something due
+        self.active = {}  # id -> place with connections, or whose pool has something due
         self.log = driver.log
 
     # The calls of a transport.
@@ -103,14 +119,16 @@
         """RST_STREAM CANCEL, which frees the stream. NOT_SENT where it still waited, else nothing is proved."""
         waiting = out.connection
         connection, stream = waiting.connection, waiting.stream
-        if connection is None:               # it waits, or its refusal is on the way to the driver
+        if connection is None:  # it waits, or its refusal is on the way to the driver
             self.withdraw(out)
             return Outcome.NOT_SENT
         if not connection.closed and stream.id in connection.session.streams:
             connection.session.cancel(stream)
             self._want_flush(connection)
-            self._do(connection.place, connection.place.held.pool.freed(
-                connection.number, False, self.driver.clock()))
+            self._do(
+                connection.place,
+                connection.place.held.pool.freed(connection.number, False, self.driver.clock()),
+            )
         return None
 
     def sweep(self, now):
@@ -124,9 +142,12 @@
 
     def idle(self):
         """The connection unused longest, as (since, its close), or None."""
-        found = [(at.used, place, number) for place in self._places()
-                 for number, at in place.held.pool.connections.items()
-                 if not at.open and number in place.held.connections and place.held.connections[number].up]
+        found = [
+            (at.used, place, number)
+            for place in self._places()
+            for number, at in place.held.pool.connections.items()
+            if not at.open and number in place.held.connections and place.held.connections[number].up
+        ]
         if not found:
             return None
         used, place, number = min(found, key=lambda one: one[0])
@@ -168,14 +189,16 @@
     def _send(self, place, one):
         waiting, connection = one.forward, place.held.connections[one.connection]
         out = waiting.out
-        if out.ended:                        # given up in the same turn
+        if out.ended:  # given up in the same turn
             return self._do(place, place.held.pool.freed(one.connection, False, self.driver.clock()))
         left = self.driver.sending.left(out, self.driver.clock())
         if left is None:
             self.loop.call_soon(self.driver.ended, out, Outcome.NOT_SENT, Found.UNTOLD, 0, {})
             return self._do(place, place.held.pool.freed(one.connection, False, self.driver.clock()))
         fields = mapping.request(place.held.authority, out.get, waiting.said, waiting.source, left)
-        stream = connection.session.request(waiting, fields, out.get.body, mapping.only_if_cached(waiting.said))
+        stream = connection.session.request(
+            waiting, fields, out.get.body, mapping.only_if_cached(waiting.said)
+        )
         if stream is None:
             self.loop.call_soon(self.driver.ended, out, Outcome.NOT_SENT, Found.UNTOLD, 0, {})
             return self._do(place, place.held.pool.freed(one.connection, False, self.driver.clock()))
@@ -187,7 +210,7 @@
         session = Session(self.limits.held, self.driver.clock())
         connection = place.held.connections[number] = H2Connection(place, number, session)
         if not self.servers.room():
-            connection.lacking = True        # nothing is known of the server
+            connection.lacking = True  # nothing is known of the server
             self.loop.call_soon(self._ended, connection, "no room for another connection")
             self.servers.connections += 1
             return
@@ -204,7 +227,7 @@
             set_no_delay(sock)
             async with asyncio.timeout(self.limits.connect / 1e9):
                 await self.loop.sock_connect(sock, connection.place.address)
-        except (OSError, UnicodeError) as fault:     # a TimeoutError is one; or the name can't be one
+        except (OSError, UnicodeError) as fault:  # a TimeoutError is one; or the name can't be one
             connection.in_reach, connection.lacking = isinstance(fault, ConnectionResetError), is_local(fault)
             why = f"{type(fault).__name__}: {fault}"
         if connection.closed:
@@ -232,7 +255,7 @@
                 self._ended(connection, "ended by the server")
         except OSError as fault:
             self._ended(connection, f"{type(fault).__name__}")
-        except Exception as fault:           # this connection's own, whatever it is
+        except Exception as fault:  # this connection's own, whatever it is
             self.driver.fault(fault)
             self._ended(connection, "a fault of the program")
         finally:
@@ -267,7 +290,7 @@
                 if known:
                     pool.acknowledged(number)
             case Ponged():
-                pass                         # that anything was read is what counts
+                pass  # that anything was read is what counts
             case Reset():
                 self._free(connection, False, now)
                 row = evidence.of_reset(event.code)
@@ -277,8 +300,14 @@
                 self._free(connection, False, now)
                 self._tell(event.stream.out.out, evidence.OTHER_RESET, now)
             case GoneAway():
-                self.log("cache_goaway", cache=connection.place.name, code=event.code, last=event.last,
-                         never_ran=len(event.above), open=len(connection.session.streams))
+                self.log(
+                    "cache_goaway",
+                    cache=connection.place.name,
+                    code=event.code,
+                    last=event.last,
+                    never_ran=len(event.above),
+                    open=len(connection.session.streams),
+                )
                 # First, or what these free would be filled again on a connection that takes nothing more.
                 self._do(connection.place, pool.goaway(number, event.code == 0, now) if known else [])
                 for _ in event.above:
@@ -329,10 +358,17 @@
                 self.loop.add_writer(connection.sock, self._flush, connection)
             else:
                 self.loop.remove_writer(connection.sock)
-        if session.stuck() is not connection.blocked and connection.number in connection.place.held.pool.connections:
+        if (
+            session.stuck() is not connection.blocked
+            and connection.number in connection.place.held.pool.connections
+        ):
             connection.blocked = not connection.blocked
-            self._do(connection.place, connection.place.held.pool.blocked(
-                connection.number, connection.blocked, self.driver.clock()))
+            self._do(
+                connection.place,
+                connection.place.held.pool.blocked(
+                    connection.number, connection.blocked, self.driver.clock()
+                ),
+            )
 
     def close(self, connection, why):
         if not connection.closed:
@@ -351,11 +387,14 @@
                 self.loop.remove_writer(sock)
             if session.outgoing and not session.streams:
                 try:
-                    sock.send(session.outgoing)      # our GOAWAY, where the socket takes it at once
+                    sock.send(session.outgoing)  # our GOAWAY, where the socket takes it at once
                 except OSError:
                     pass
-        if connection.task is not None and not connection.task.done() and (
-                connection.task is not asyncio.current_task()):
+        if (
+            connection.task is not None
+            and not connection.task.done()
+            and (connection.task is not asyncio.current_task())
+        ):
             connection.task.add_done_callback(lambda _: sock.close())
             connection.task.cancel()
         elif sock is not None:
@@ -364,12 +403,20 @@
         self.servers.connections -= 1
         streams = list(session.streams.values())
         if streams or not session.ready and why != "stopping":
-            self.log("cache_connection_lost" if session.ready else "cache_unreachable", cache=place.name,
-                     forwards=len(streams), why=why)
+            self.log(
+                "cache_connection_lost" if session.ready else "cache_unreachable",
+                cache=place.name,
+                forwards=len(streams),
+                why=why,
+            )
         if connection.number in place.held.pool.connections:
             pool, reached = place.held.pool, connection.up or connection.in_reach
-            self._do(place, pool.lacked(connection.number, now) if connection.lacking
-                     else pool.lost(connection.number, reached, now))
+            self._do(
+                place,
+                pool.lacked(connection.number, now)
+                if connection.lacking
+                else pool.lost(connection.number, reached, now),
+            )
         self.servers.forget(place)
         for stream in streams:
             self._tell(stream.out.out, evidence.of_end(session.written(stream), stream.id, session.last), now)
--- a/sprucegate/servers/lines/codec.py
+++ b/sprucegate/servers/lines/codec.py
@@ -6,19 +6,39 @@
 from sprucegate.interface import Found, Outcome
 from sprucegate.servers.place import Returned
 
-LINE_MOST = 4096        # bytes of an answer's line
-BODY_MOST = 240_000     # bytes of an object
+LINE_MOST = 4096  # bytes of an answer's line
+BODY_MOST = 240_000  # bytes of an object
 MS = 1_000_000
-OUTCOMES = {b"served": Outcome.RETURNED, b"still_good": Outcome.RETURNED, b"not_here": Outcome.MISS,
-            b"overload": Outcome.FULL, b"crashed": Outcome.ERROR, b"nobody": Outcome.NOT_SENT}
+OUTCOMES = {
+    b"served": Outcome.RETURNED,
+    b"still_good": Outcome.RETURNED,
+    b"not_here": Outcome.MISS,
+    b"overload": Outcome.FULL,
+    b"crashed": Outcome.ERROR,
+    b"nobody": Outcome.NOT_SENT,
+}
 REMARKS = {
-    "cached": Found.HIT, "fetched": Found.FILLED, "fetched_root": Found.FILLED_BY_ORIGIN,
-    "merged": Found.JOINED, "past_fresh": Found.STALE_HIT, "up_refused": Found.SOURCE_REFUSED,
-    "up_lost": Found.SOURCE_BROKEN, "up_empty": Found.SOURCE_LACKS, "fills_full": Found.NO_FILL_PLACE,
+    "cached": Found.HIT,
+    "fetched": Found.FILLED,
+    "fetched_root": Found.FILLED_BY_ORIGIN,
+    "merged": Found.JOINED,
+    "past_fresh": Found.STALE_HIT,
+    "up_refused": Found.SOURCE_REFUSED,
+    "up_lost": Found.SOURCE_BROKEN,
+    "up_empty": Found.SOURCE_LACKS,
+    "fills_full": Found.NO_FILL_PLACE,
     "root_failed": Found.ORIGIN_FAILED,
 }
-LOADS = {"inflight": "inflight", "queue": "queued", "util": "busy", "latency_ms": "latency_ms",
-         "qps": "per_second", "eps": "errors_per_second", "x0": "hit_share", "x1": "link_use"}
+LOADS = {
+    "inflight": "inflight",
+    "queue": "queued",
+    "util": "busy",
+    "latency_ms": "latency_ms",
+    "qps": "per_second",
+    "eps": "errors_per_second",
+    "x0": "hit_share",
+    "x1": "link_use",
+}
 
 
 class Unreadable(ValueError):
@@ -45,8 +65,16 @@
         fields += f",keep={forward.rank}"
     if forward.oldest:
         fields += f",maxage={max(1, forward.oldest // MS)}"
-    flags = [flag for flag, on in (("j", forward.join), ("h", forward.held_only), ("n", forward.pass_parent),
-                                   ("r", forward.renew)) if on]
+    flags = [
+        flag
+        for flag, on in (
+            ("j", forward.join),
+            ("h", forward.held_only),
+            ("n", forward.pass_parent),
+            ("r", forward.renew),
+        )
+        if on
+    ]
     if flags:
         fields += f",flags={'+'.join(flags)}"
     if have:
@@ -92,9 +120,9 @@
             length = self.head[3]
             if len(held) - at < length + 2:
                 break
-            if held[at + length:at + length + 2] != b"\r\n":
+            if held[at + length : at + length + 2] != b"\r\n":
                 raise Unreadable("a body without its end")
-            whole.append(Answer(*self.head[:3], bytes(held[at:at + length])))
+            whole.append(Answer(*self.head[:3], bytes(held[at : at + length])))
             self.head, at = None, at + length + 2
         del held[:at]
 
@@ -131,7 +159,7 @@
     try:
         for pair in filter(None, fields.get("report", "").split(";")):
             name, _, value = pair.partition(":")
-            if name in LOADS:                # what is not known is skipped
+            if name in LOADS:  # what is not known is skipped
                 report[LOADS[name]] = _figure(value)
         waited = int(_figure(fields.get("ttfb", 0)) * MS)
     except ValueError:
@@ -150,5 +178,9 @@
 def returned(answer):
     """What goes on to the client of an answer whose outcome is RETURNED."""
     made = answer.fields.get("made", "")
-    return Returned(answer.word == b"still_good", answer.fields.get("etag", ""),
-                    int(made) * MS if made.isdecimal() else 0, answer.body)
+    return Returned(
+        answer.word == b"still_good",
+        answer.fields.get("etag", ""),
+        int(made) * MS if made.isdecimal() else 0,
+        answer.body,
+    )
--- a/sprucegate/servers/lines/transport.py
+++ b/sprucegate/servers/lines/transport.py
@@ -11,7 +11,7 @@
 from sprucegate.servers.progress import Progress
 from sprucegate.servers.sockets import RETRY, is_local, receive_into, send, set_no_delay, stands
 
-LOOKS = 8               # reads of what stands on resting connections before one is taken
+LOOKS = 8  # reads of what stands on resting connections before one is taken
 
 
 class Lines:
@@ -23,11 +23,11 @@
         keepalive = settings.get("keepalive", 15_000_000_000)
         self.idle_most = max(keepalive // 2, keepalive - self.connect_timeout)
         self.loop = asyncio.get_running_loop()
-        self.stalls = deque()                # (due, connection): answers begun that may not go on
-        self.resting = OrderedDict()         # connections that are up with nothing open, the longest so first
+        self.stalls = deque()  # (due, connection): answers begun that may not go on
+        self.resting = OrderedDict()  # connections that are up with nothing open, the longest so first
 
     def kept(self, place):
-        return []                            # its connections
+        return []  # its connections
 
     def open_connections(self, place):
         return len(place.held)
@@ -51,7 +51,7 @@
     def forward(self, place, out, said, source):
         get = out.get
         connection = self._connection(place, get, out.at)
-        if connection is None:               # no room here: nothing is known of the cache
+        if connection is None:  # no room here: nothing is known of the cache
             self.loop.call_soon(self.driver.ended, out, Outcome.NOT_SENT, Found.UNTOLD, 0, {})
             return
         # Never again on this one: a late answer, or a second copy of one, would bear the same id.
@@ -64,11 +64,14 @@
     def withdraw(self, out):
         """Takes a forward back of which no byte has left; whether it could."""
         connection = out.connection
-        if (out.progress is not Progress.NOT_SENT or connection is None
-                or connection.open.get(out.get.id) is not out):
+        if (
+            out.progress is not Progress.NOT_SENT
+            or connection is None
+            or connection.open.get(out.get.id) is not out
+        ):
             return False
         del connection.open[out.get.id]
-        out.get.left_on.remove(connection)   # no answer can come here for what never went
+        out.get.left_on.remove(connection)  # no answer can come here for what never went
         for at, (_, queued) in enumerate(connection.queue):
             if queued is out:
                 del connection.queue[at]
@@ -79,7 +82,7 @@
     def cancel(self, out, timed_out=False):
         """The front's side ends at once: NOT_SENT where no byte had left, else nothing is proved."""
         self.withdraw(out)
-        if out.progress is Progress.NOT_SENT:    # also where news took it back, and its end is on the way
+        if out.progress is Progress.NOT_SENT:  # also where news took it back, and its end is on the way
             return Outcome.NOT_SENT
         connection = out.connection
         if connection is None or connection.open.get(out.get.id) is not out:
@@ -190,7 +193,9 @@
     @staticmethod
     def _line(out, left):
         get, (said, source) = out.get, out.said
-        return codec.serve(get.id, get.ds, get.thing, get.part, said, source, get.have, get.body, get.token, left)
+        return codec.serve(
+            get.id, get.ds, get.thing, get.part, said, source, get.have, get.body, get.token, left
+        )
 
     def _refused(self, connection, out):
         """A forward that must not be sent any more, of which nothing has left."""
@@ -222,11 +227,14 @@
             set_no_delay(sock)
             async with asyncio.timeout(self.connect_timeout / 1e9):
                 await self.loop.sock_connect(sock, connection.place.address)
-        except (OSError, UnicodeError) as fault:     # a TimeoutError is one; or the name can't be one
+        except (OSError, UnicodeError) as fault:  # a TimeoutError is one; or the name can't be one
             # Reset when new, or refused beside others that are up: the cache is in reach, and not cold.
             # For want of a descriptor, a port or memory here nothing is known of it.
-            connection.in_reach = isinstance(fault, ConnectionResetError) or is_local(fault) or any(
-                other.up for other in connection.place.held)
+            connection.in_reach = (
+                isinstance(fault, ConnectionResetError)
+                or is_local(fault)
+                or any(other.up for other in connection.place.held)
+            )
             self.close(connection)
         if connection.closed:
             return
@@ -255,7 +263,7 @@
                 self._watch(connection)
         except OSError:
             self.close(connection)
-        except Exception as fault:           # this connection's own, whatever it is
+        except Exception as fault:  # this connection's own, whatever it is
             self.driver.fault(fault)
             self.close(connection)
         finally:
@@ -282,13 +290,16 @@
         elif sock is not None:
             sock.close()
         if connection.open or not was_up:
-            self.driver.log("cache_connection_lost" if was_up else "cache_unreachable",
-                            cache=connection.place.name, forwards=len(connection.open))
+            self.driver.log(
+                "cache_connection_lost" if was_up else "cache_unreachable",
+                cache=connection.place.name,
+                forwards=len(connection.open),
+            )
         forwards, connection.open = list(connection.open.values()), {}
         connection.queue.clear()
         connection.rest = b""
         self.servers.forget(connection.place)
-        now = self.driver.clock()            # one end for all of them, however long telling it takes
+        now = self.driver.clock()  # one end for all of them, however long telling it takes
         for out in forwards:
             # What was up and broke shows a cache in reach, unlike one that can't be connected to.
             never_ran = Outcome.NOT_SENT if was_up or connection.in_reach else Outcome.UNREACHABLE
@@ -299,7 +310,7 @@
         connection.used = connection.answered = connection.heard
         out = connection.open.get(answer.id)
         if out is None:
-            return                       # late: its forward has ended already
+            return  # late: its forward has ended already
         try:
             outcome, found, waited, load = codec.meaning(answer, out.get.have)
         except codec.Unreadable as fault:
--- a/sprucegate/servers/place.py
+++ b/sprucegate/servers/place.py
@@ -19,8 +19,10 @@
 class Returned(NamedTuple):
     """What a server returned, whatever it speaks."""
 
-    still_good: bool    # the client's copy is the one: no bytes
+    still_good: bool  # the client's copy is the one: no bytes
     tag: str
-    made: int           # Unix time at which the origin gave it out, nanoseconds; 0 where it is not told
+    made: int  # Unix time at which the origin gave it out, nanoseconds; 0 where it is not told
     body: bytes
-    age: int | None = None  # when it was asked for, at the most (ns), where a protocol tells ages and no stamps
+    age: int | None = (
+        None  # when it was asked for, at the most (ns), where a protocol tells ages and no stamps
+    )
--- a/sprucegate/servers/sending.py
+++ b/sprucegate/servers/sending.py
@@ -4,8 +4,7 @@
 nothing of where a forward goes; what it refuses has not left this front and is told as such.
 """
 
-
-LOOKED = 1_000_000      # nanoseconds after a decision in which its client is not looked at again
+LOOKED = 1_000_000  # nanoseconds after a decision in which its client is not looked at again
 
 
 class Sending:
--- a/sprucegate/servers/servers.py
+++ b/sprucegate/servers/servers.py
@@ -10,7 +10,7 @@
 from sprucegate.servers.lines.transport import Lines
 from sprucegate.servers.place import Place
 
-WARMED = 0.75           # of the connections that there may be: made before the first GET
+WARMED = 0.75  # of the connections that there may be: made before the first GET
 
 
 class Servers:
@@ -21,6 +21,7 @@
         if wanted is not None and wanted.speaks("http2"):
             # Here and not above: a front without it loads none of its libraries.
             from sprucegate.servers.http2.transport import Http2
+
             self.transports["http2"] = Http2(self, driver, pool, settings, wanted.http2)
 
     def listed(self, hosts):
@@ -36,7 +37,7 @@
             elif gone:
                 self.remove(place)
             else:
-                place.gone = False           # listed again after it had gone
+                place.gone = False  # listed again after it had gone
                 if address and (host, int(port)) != place.address:
                     place.address = host, int(port)
                     place.transport.moved(place)
@@ -69,7 +70,7 @@
     def forward(self, out, said):
         """Sends it or has its end told soon; never told from within this call."""
         place = self.places.get(said.cache)
-        if place is None:                    # nothing is known of the cache
+        if place is None:  # nothing is known of the cache
             self.driver.loop.call_soon(self.driver.ended, out, Outcome.NOT_SENT, Found.UNTOLD, 0, {})
             return
         source = self.places.get(said.source) if said.source != said.cache else None
--- a/sprucegate/servers/sockets.py
+++ b/sprucegate/servers/sockets.py
@@ -13,12 +13,20 @@
 # Nothing was sent or received, and the connection stands.
 TRANSIENT = frozenset({errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR, errno.ENOBUFS, errno.ENOMEM})
 # A connection could not be begun for a reason on this side: nothing is known of the server.
-LOCAL = TRANSIENT | {errno.EMFILE, errno.ENFILE, errno.EADDRNOTAVAIL, errno.EADDRINUSE, errno.ENETUNREACH,
-                     errno.ENETDOWN, errno.EPERM, errno.EACCES}
+LOCAL = TRANSIENT | {
+    errno.EMFILE,
+    errno.ENFILE,
+    errno.EADDRNOTAVAIL,
+    errno.EADDRINUSE,
+    errno.ENETUNREACH,
+    errno.ENETDOWN,
+    errno.EPERM,
+    errno.EACCES,
+}
 # tcp_info of linux/tcp.h up to and with tcpi_last_data_recv, the milliseconds since bytes last came.
 LAST_DATA_RECEIVED = Struct("=52xI")
-WAITED_MOST = 60_000    # milliseconds: a socket that says more says nothing
-RETRY = 0.01            # seconds until a call that failed for a moment is made again
+WAITED_MOST = 60_000  # milliseconds: a socket that says more says nothing
+RETRY = 0.01  # seconds until a call that failed for a moment is made again
 
 
 def is_local(fault):
--- a/sprucegate/state/records.py
+++ b/sprucegate/state/records.py
@@ -10,8 +10,8 @@
 
 class Scanned(NamedTuple):
     records: list
-    good: int           # bytes up to the end of the last whole record
-    fault: str          # why the reading ended before the end, or ""
+    good: int  # bytes up to the end of the last whole record
+    fault: str  # why the reading ended before the end, or ""
 
 
 def record(payload):
@@ -28,7 +28,7 @@
         length, checksum = HEAD.unpack_from(data, at)
         if length > RECORD_MOST:
             return Scanned(found, at, "a length past its bound")
-        payload = bytes(data[at + HEAD.size:at + HEAD.size + length])
+        payload = bytes(data[at + HEAD.size : at + HEAD.size + length])
         if len(payload) < length:
             return Scanned(found, at, "a torn record")
         if crc32(payload, crc32(length.to_bytes(4, "big"))) != checksum:
--- a/sprucegate/state/snapshots.py
+++ b/sprucegate/state/snapshots.py
@@ -10,13 +10,13 @@
 from sprucegate.state.disk import replace
 
 VERSION = 1
-SIZE_MOST = 32 << 20    # bytes of one snapshot
+SIZE_MOST = 32 << 20  # bytes of one snapshot
 S = 1_000_000_000
 
 
 class Taken(NamedTuple):
     generation: int
-    at: int             # Unix time of writing, ns
+    at: int  # Unix time of writing, ns
     payload: bytes
 
 
@@ -35,8 +35,12 @@
         head = orjson.dumps({"kind": self.kind, "version": VERSION, "generation": generation, "at": at})
         try:
             self.disk.make_folder(self.folder)
-            replace(self.disk, self.folder, f"{self.kind}-{generation:016d}.snap",
-                    records.record(head) + records.record(payload))
+            replace(
+                self.disk,
+                self.folder,
+                f"{self.kind}-{generation:016d}.snap",
+                records.record(head) + records.record(payload),
+            )
         except OSError as fault:
             return f"{type(fault).__name__}: {fault}"
         self._tidy()
@@ -47,7 +51,7 @@
         names = self.disk.names(self.folder)
         whole = [name for name in names if self.named.fullmatch(name)]
         left = [name for name in names if name.startswith(self.kind + "-") and name.endswith(".new")]
-        for name in whole[:-self.keep] + left:
+        for name in whole[: -self.keep] + left:
             try:
                 self.disk.remove(os.path.join(self.folder, name))
             except OSError:
--- a/sprucegate/wire/codec.py
+++ b/sprucegate/wire/codec.py
@@ -19,8 +19,17 @@
     "Miss": Outcome.MISS,
 }
 NOTES = (
-    Found.UNTOLD, Found.HIT, Found.FILLED, Found.FILLED_BY_ORIGIN, Found.JOINED, Found.STALE_HIT,
-    Found.SOURCE_REFUSED, Found.SOURCE_BROKEN, Found.SOURCE_LACKS, Found.NO_FILL_PLACE, Found.ORIGIN_FAILED,
+    Found.UNTOLD,
+    Found.HIT,
+    Found.FILLED,
+    Found.FILLED_BY_ORIGIN,
+    Found.JOINED,
+    Found.STALE_HIT,
+    Found.SOURCE_REFUSED,
+    Found.SOURCE_BROKEN,
+    Found.SOURCE_LACKS,
+    Found.NO_FILL_PLACE,
+    Found.ORIGIN_FAILED,
 )
 STATES = {"SERVING": State.SERVING, "DRAINING": State.DRAINING, "DELETED": State.GONE}
 LOADS = {
@@ -52,7 +61,7 @@
             if not mark:
                 raise Malformed(f"line {number}: '{head}' has a part without '=': {part[:60]!r}")
             if name in TEXT:
-                fields[name] = "\t".join([value, *parts[at + 1:]])
+                fields[name] = "\t".join([value, *parts[at + 1 :]])
                 break
             fields[name] = value
         self.fields = fields
--- a/sprucegate/wire/host.py
+++ b/sprucegate/wire/host.py
@@ -59,9 +59,16 @@
     def __init__(self):
         self.fronts = {}
         self.calls = {
-            "targets": self._targets, "incoming": self._incoming, "response": self._response,
-            "headers": self._headers, "left": self._left, "purged": self._purged, "wake": self._wake,
-            "health": self._health, "note_from": self._note_from, "power_off": self._power_off,
+            "targets": self._targets,
+            "incoming": self._incoming,
+            "response": self._response,
+            "headers": self._headers,
+            "left": self._left,
+            "purged": self._purged,
+            "wake": self._wake,
+            "health": self._health,
+            "note_from": self._note_from,
+            "power_off": self._power_off,
         }
 
     def reply(self, now, lines):
@@ -114,17 +121,20 @@
 
     def _incoming(self, line, front, now, _lines):
         key = line.need("txn")
-        handle = front.router.take(interface.Asked(
-            id=key,
-            object=line.hexadecimal("resource", 0),
-            part=line.integer("segment", 0),
-            group=line.integer("batchId", -1),
-            ds=line.integer("grade", 0),
-            size=int(line.number_of("volumeKb", 0.0)),
-            write=line.flag("mutates"),
-            repeat=line.flag("repeat"),
-            ttl=line.time("ttl"),
-        ), now)
+        handle = front.router.take(
+            interface.Asked(
+                id=key,
+                object=line.hexadecimal("resource", 0),
+                part=line.integer("segment", 0),
+                group=line.integer("batchId", -1),
+                ds=line.integer("grade", 0),
+                size=int(line.number_of("volumeKb", 0.0)),
+                write=line.flag("mutates"),
+                repeat=line.flag("repeat"),
+                ttl=line.time("ttl"),
+            ),
+            now,
+        )
         front.gets[key] = handle
         front.say(handle, handle.route(now))
 
@@ -152,7 +162,8 @@
 
     def _purged(self, line, front, now, _lines):
         front.router.purged(
-            line.hexadecimal("resource", -1), line.integer("batchId", -1), line.time("copyAge", 0), now)
+            line.hexadecimal("resource", -1), line.integer("batchId", -1), line.time("copyAge", 0), now
+        )
 
     def _wake(self, line, front, now, _lines):
         if line.need("token") == str(front.armed):
@@ -161,8 +172,12 @@
 
     def _health(self, line, front, now, _lines):
         front.router.probed(
-            line.integer("cache"), line.choice("result", codec.OUTCOMES), line.time("spent", 0), line.load(),
-            now)
+            line.integer("cache"),
+            line.choice("result", codec.OUTCOMES),
+            line.time("spent", 0),
+            line.load(),
+            now,
+        )
 
     def _note_from(self, line, front, now, _lines):
         front.router.told(line.integer("neighbour"), line.payload("blob"), now)
--- a/standins/bus.py
+++ b/standins/bus.py
@@ -26,7 +26,7 @@
         try:
             head = await reader.readuntil(b"\r\n\r\n")
         except asyncio.IncompleteReadError:
-            return writer.close()            # it ended before it asked
+            return writer.close()  # it ended before it asked
         last = int(head.lower().split(b"last-event-id:")[1].split(b"\r\n")[0])
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n:\n\n")
         try:
@@ -43,15 +43,17 @@
                     writer.write(b":\n\n")
                 await writer.drain()
         except (OSError, RuntimeError, asyncio.CancelledError):
-            pass                             # its front was killed; uvloop says so by a RuntimeError
+            pass  # its front was killed; uvloop says so by a RuntimeError
         finally:
             writer.close()
 
 
 async def main(count, first):
     ports = [Port() for _ in range(count)]
-    servers = [await asyncio.start_server(port.serve, "127.0.0.1", first + at if first else 0)
-               for at, port in enumerate(ports)]
+    servers = [
+        await asyncio.start_server(port.serve, "127.0.0.1", first + at if first else 0)
+        for at, port in enumerate(ports)
+    ]
     for server in servers:
         print(f"127.0.0.1:{server.sockets[0].getsockname()[1]}", flush=True)
     loop, lines = asyncio.get_running_loop(), asyncio.StreamReader()
--- a/standins/disk.py
+++ b/standins/disk.py
@@ -14,7 +14,10 @@
 
     def __init__(self, seed=0, crash_at=None, faults=None):
         self.chance, self.crash_at, self.faults, self.calls = random.Random(seed), crash_at, faults or {}, 0
-        self.durable, self.volatile = {}, {}         # path -> bytes as synced; names and bytes as the program sees them
+        self.durable, self.volatile = (
+            {},
+            {},
+        )  # path -> bytes as synced; names and bytes as the program sees them
         self.handles, self.number = {}, 0
 
     def _call(self):
@@ -30,10 +33,10 @@
         """What a restart finds: synced names, and of each file its synced bytes and perhaps some more."""
         fresh = FaultyDisk()
         for path, (synced, file) in self.durable.items():
-            more = bytes(file["data"][len(synced):]) if file["data"][:len(synced)] == synced else b""
-            kept = synced + more[:self.chance.randrange(len(more) + 1)]
+            more = bytes(file["data"][len(synced) :]) if file["data"][: len(synced)] == synced else b""
+            kept = synced + more[: self.chance.randrange(len(more) + 1)]
             if len(kept) > len(synced) and self.chance.random() < 0.3:
-                kept = kept[:-1] + bytes([kept[-1] ^ 0x55])      # a sector written in part
+                kept = kept[:-1] + bytes([kept[-1] ^ 0x55])  # a sector written in part
             file = {"data": bytearray(kept), "synced": bytes(kept)}
             fresh.volatile[path] = file
             fresh.durable[path] = (bytes(kept), file)
@@ -45,7 +48,7 @@
     def read(self, path, most):
         if path not in self.volatile:
             raise FileNotFoundError(2, "no such file")
-        return bytes(self.volatile[path]["data"][:most + 1])
+        return bytes(self.volatile[path]["data"][: most + 1])
 
     def make_folder(self, folder):
         pass
@@ -67,7 +70,7 @@
 
     def write(self, handle, data):
         fault = self._call()
-        taken = bytes(data[:max(1, len(data) // 2)] if fault == "short" else data)
+        taken = bytes(data[: max(1, len(data) // 2)] if fault == "short" else data)
         self.handles[handle]["data"] += taken
         return len(taken)
 
@@ -89,7 +92,7 @@
     def rename(self, old, new):
         self._call()
         self.volatile[new] = self.volatile.pop(old)
-        if self.chance.random() < 0.5:               # a rename may last before the folder is synced, or not
+        if self.chance.random() < 0.5:  # a rename may last before the folder is synced, or not
             self.durable[new] = self.volatile[new]["synced"], self.volatile[new]
 
     def remove(self, path):
--- a/standins/driver.py
+++ b/standins/driver.py
@@ -21,7 +21,9 @@
         self.loop, self.wanted, self.book = asyncio.get_running_loop(), SimpleNamespace(name="n0"), Book()
         self.sending = Sending(self.book.count)
         self.ends, self.answers, self.logged, self.waiting = {}, {}, [], {}
-        wanted = SimpleNamespace(http2=limits, speaks=lambda name: name == speaks, transport=lambda *_: speaks)
+        wanted = SimpleNamespace(
+            http2=limits, speaks=lambda name: name == speaks, transport=lambda *_: speaks
+        )
         self.servers = Servers(self, Pool(256), settings, most, wanted if speaks != "lines" else None)
         self.list(addresses)
 
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -13,11 +13,24 @@
 import sys
 import time
 
-CALLS = ("socket", "connect", "accept", "recv_into", "recv", "send", "setsockopt", "getsockopt", "shutdown",
-         "fsync", "write", "open", "replace")
-SHORT = -1              # in place of an errno: the call takes or gives one byte
-OFFSET = struct.Struct("<q")    # nanoseconds that the wall clock is ahead
-RULE = struct.Struct("<iii")    # calls to let pass first; errno, or SHORT; how many calls then fail
+CALLS = (
+    "socket",
+    "connect",
+    "accept",
+    "recv_into",
+    "recv",
+    "send",
+    "setsockopt",
+    "getsockopt",
+    "shutdown",
+    "fsync",
+    "write",
+    "open",
+    "replace",
+)
+SHORT = -1  # in place of an errno: the call takes or gives one byte
+OFFSET = struct.Struct("<q")  # nanoseconds that the wall clock is ahead
+RULE = struct.Struct("<iii")  # calls to let pass first; errno, or SHORT; how many calls then fail
 SIZE = OFFSET.size + RULE.size * len(CALLS)
 
 
@@ -87,7 +100,7 @@
         def connect(self, address):
             try:
                 injected.due("connect")
-            except InterruptedError:         # it goes on behind the caller's back, as connect(2) says
+            except InterruptedError:  # it goes on behind the caller's back, as connect(2) says
                 try:
                     super().connect(address)
                 except BlockingIOError:
@@ -96,7 +109,7 @@
             return super().connect(address)
 
         def accept(self):
-            injected.due("accept")           # whoever stands in the queue stays there
+            injected.due("accept")  # whoever stands in the queue stays there
             return super().accept()
 
         def recv_into(self, buffer, *given):
@@ -128,7 +141,7 @@
     real_write, real_open = os.write, os.open
 
     def write(handle, data):
-        if handle < 3:                       # the log is no part of what lasts
+        if handle < 3:  # the log is no part of what lasts
             return real_write(handle, data)
         return real_write(handle, memoryview(data)[:1] if injected.due("write") else data)
 
--- a/standins/fleet/agent.py
+++ b/standins/fleet/agent.py
@@ -11,7 +11,7 @@
 
 from standins.processes import Process
 
-RENEW = 2.0             # seconds
+RENEW = 2.0  # seconds
 
 
 class Agent(threading.Thread):
@@ -21,7 +21,14 @@
         self.rig, self.name, self.manner, self.versions, self.down = rig, name, manner, versions or {}, down
         self.boxes = {at if isinstance(at, str) else f"s-{at + 16:02x}": at for at in boxes}
         self.vain, self.stopping = 0, {}
-        self.stopped, self.renewed, self.started, self.counted, self.late, self.replaced = False, {}, {}, {}, 0, []
+        self.stopped, self.renewed, self.started, self.counted, self.late, self.replaced = (
+            False,
+            {},
+            {},
+            {},
+            0,
+            [],
+        )
         self.fault = None
 
     def run(self):
@@ -32,7 +39,7 @@
                         self._looks(name, [p for p in said["permits"] if p["box"] in self.boxes])
                         break
                 time.sleep(0.02)
-        except Exception as fault:           # told by whoever waits for what it was to do
+        except Exception as fault:  # told by whoever waits for what it was to do
             self.fault = fault
 
     def _looks(self, front, permits):
@@ -101,7 +108,8 @@
         old = self.rig.boxes[box]
         old.process.stdout.close()
         flags = {"service": 0.001, "made": 1, **self.versions.get(version, {})}
-        self.rig.boxes[box] = Process("lines", port=int(old.address.rpartition(":")[2]),
-                                      ran=self.rig.folder / f"ran-{box}", **flags)
+        self.rig.boxes[box] = Process(
+            "lines", port=int(old.address.rpartition(":")[2]), ran=self.rig.folder / f"ran-{box}", **flags
+        )
         self.started[id] = str(time.time_ns())
         self.replaced.append((box, version))
--- a/standins/fleet/checkers.py
+++ b/standins/fleet/checkers.py
@@ -21,15 +21,18 @@
         elif what == "let-go":
             gone.add(more[0])
         elif what == "folder-put-back":
-            disks.pop(front, None)           # what it alone had is lost with its disk
+            disks.pop(front, None)  # what it alone had is lost with its disk
     kept = {}
     for held in disks.values():
         for key, value in held.items():
             kept[key] = max(kept.get(key, value), value)
     for _, front, what, *more in trace:
         if what == "dump":
-            found += [f"{front} lacks {key} {value}, has {more[0].get(key)}" for key, value in sorted(kept.items())
-                      if key not in gone and (key not in more[0] or more[0][key] < value)]
+            found += [
+                f"{front} lacks {key} {value}, has {more[0].get(key)}"
+                for key, value in sorted(kept.items())
+                if key not in gone and (key not in more[0] or more[0][key] < value)
+            ]
     return found
 
 
@@ -49,7 +52,7 @@
                 if was is not None and value < was:
                     found.append(f"{at} {front} holds {value} of {key}, had {was}")
         elif what == "let-go":
-            held.pop((front, more[0]), None)     # of no use any longer: what is older may be heard of after that
+            held.pop((front, more[0]), None)  # of no use any longer: what is older may be heard of after that
         elif what == "crash":
             held = {(name, key): value for (name, key), value in held.items() if name != front}
     return found
@@ -63,7 +66,9 @@
     for front, held in dumps[1:]:
         for key in sorted((set(held) | set(dumps[0][1])) - gone):
             if held.get(key) != dumps[0][1].get(key):
-                found.append(f"{front} has {held.get(key)} of {key}, {dumps[0][0]} has {dumps[0][1].get(key)}")
+                found.append(
+                    f"{front} has {held.get(key)} of {key}, {dumps[0][0]} has {dumps[0][1].get(key)}"
+                )
     return found
 
 
@@ -79,7 +84,7 @@
             seen[more[0]] = last[front] = front if more[0] not in seen else seen[more[0]]
             last[front] = more[0]
         elif what == "folder-put-back":
-            last.pop(front, None)            # its starts are counted from there again; the beings tell lives apart
+            last.pop(front, None)  # its starts are counted from there again; the beings tell lives apart
     return found
 
 
@@ -96,7 +101,9 @@
             there = {(owner, life): set(_counters(ends)) for owner, life, ends in more[0]}
             for life, counters in sorted(said.get(front, {}).items()):
                 if missing := counters - there.get(life, set()):
-                    found.append(f"{at} {front} said it had seen {life} {sorted(missing)[:5]}, and comes up without")
+                    found.append(
+                        f"{at} {front} said it had seen {life} {sorted(missing)[:5]}, and comes up without"
+                    )
     return found
 
 
@@ -107,11 +114,15 @@
         if what == "let-go" and more[0][0] == "word":
             lifted[front, more[0]] = anywhere[more[0]] = max(more[1], anywhere.get(more[0], more[1]))
         elif what == "acts" and more[1] < lifted.get((front, more[0]), ()) and more[1][2] != LIFTED:
-            found.append(f"{at} {front} acts on {more[1]} of {more[0]}, whose {lifted[front, more[0]]} it let go")
+            found.append(
+                f"{at} {front} acts on {more[1]} of {more[0]}, whose {lifted[front, more[0]]} it let go"
+            )
         elif what == "dump":
-            found += [f"{at} {front} holds {value} of {key}, of which {anywhere[key]} was let go"
-                      for key, value in more[0].items()
-                      if key in anywhere and value < anywhere[key] and value[2] != LIFTED]
+            found += [
+                f"{at} {front} holds {value} of {key}, of which {anywhere[key]} was let go"
+                for key, value in more[0].items()
+                if key in anywhere and value < anywhere[key] and value[2] != LIFTED
+            ]
         elif what == "folder-put-back":
             lifted = {(name, key): value for (name, key), value in lifted.items() if name != front}
     return found
@@ -128,7 +139,9 @@
             for name, lives in sorted(more[2].items()):
                 for owner, life, ends in lives:
                     if missing := set(_counters(ends)) - seen.get((owner, life), set()):
-                        found.append(f"{at} {front} is live without {owner} {life:x} {sorted(missing)[:5]} of {name}")
+                        found.append(
+                            f"{at} {front} is live without {owner} {life:x} {sorted(missing)[:5]} of {name}"
+                        )
     return found
 
 
--- a/standins/fleet/explore.py
+++ b/standins/fleet/explore.py
@@ -20,8 +20,11 @@
 from sprucegate.fleet.replica.replica import Have, Replica, Send, Write
 
 KEY, WORD = ("purge", "object", 1), ("word", 16, 0, "bus", "a")
-TELLS = {"a": [(KEY, (1,)), (KEY, (3,)), (WORD, (int(State.DRAINING),)), (WORD, (int(State.LIFTED),))],
-         "b": [(KEY, (2,))], "c": []}
+TELLS = {
+    "a": [(KEY, (1,)), (KEY, (3,)), (WORD, (int(State.DRAINING),)), (WORD, (int(State.LIFTED),))],
+    "b": [(KEY, (2,))],
+    "c": [],
+}
 S = 1_000_000_000
 
 
@@ -58,7 +61,7 @@
     def done(self, name, actions):
         for action in actions:
             if isinstance(action, Send) and isinstance(action.message, Have) and self.asked(name, action.to):
-                continue                     # the same once more leads nowhere new
+                continue  # the same once more leads nowhere new
             if isinstance(action, Send):
                 self.flying.append((name, action.to, action.message))
             elif isinstance(action, Write):
@@ -73,8 +76,12 @@
         found += [("come", at) for at in range(len(self.flying))]
         found += [("lose", at) for at in range(len(self.flying))] if self.losses else []
         found += [("kill", name) for name in self.names] if self.crashes else []
-        return found + [("ask", name, other) for name in self.names for other in self.names
-                        if name != other and not self.asked(name, other)]
+        return found + [
+            ("ask", name, other)
+            for name in self.names
+            for other in self.names
+            if name != other and not self.asked(name, other)
+        ]
 
     def step(self, what, given, *more):
         self.steps += ((what, given, *more),)
@@ -147,12 +154,24 @@
 
     def state(self):
         """What tells two states apart: the order in which they were reached does not."""
-        return (tuple((name, tuple(sorted(f.facts.held.items(), key=repr)),
-                       tuple((o, life, tuple(ends)) for o, life, ends in f.facts.seen.told()),
-                       tuple((o, life, tuple(ends)) for o, life, ends in f.on_disk.told()), len(self.writes[name]),
-                       len(self.tells[name]), len(f.waiting), len(f.unsaved[0]))
-                      for name, f in self.fronts.items()),
-                tuple(sorted(map(repr, self.flying))), self.losses, self.crashes)
+        return (
+            tuple(
+                (
+                    name,
+                    tuple(sorted(f.facts.held.items(), key=repr)),
+                    tuple((o, life, tuple(ends)) for o, life, ends in f.facts.seen.told()),
+                    tuple((o, life, tuple(ends)) for o, life, ends in f.on_disk.told()),
+                    len(self.writes[name]),
+                    len(self.tells[name]),
+                    len(f.waiting),
+                    len(f.unsaved[0]),
+                )
+                for name, f in self.fronts.items()
+            ),
+            tuple(sorted(map(repr, self.flying))),
+            self.losses,
+            self.crashes,
+        )
 
 
 def explored(depth, names=("a", "b"), losses=1, crashes=1, seconds=None):
@@ -169,7 +188,7 @@
                 if (state := repr(one.state())) in seen:
                     continue
                 seen.add(state)
-                one.check()                  # a digest would do for less memory; the whole text can't collide
+                one.check()  # a digest would do for less memory; the whole text can't collide
                 fresh.append(pickle.dumps(one))
         edge = fresh
     for packed in edge:
@@ -179,16 +198,26 @@
 
 
 def main(given):
-    flags = argparse.ArgumentParser(prog="python -m standins.fleet.explore", description=__doc__.split("\n")[0])
+    flags = argparse.ArgumentParser(
+        prog="python -m standins.fleet.explore", description=__doc__.split("\n")[0]
+    )
     flags.add_argument("--depth", type=int, default=6)
     flags.add_argument("--fronts", type=int, default=2)
     flags.add_argument("--losses", type=int, default=1)
     flags.add_argument("--crashes", type=int, default=1)
     wanted = flags.parse_args(given)
     begun = time.monotonic()
-    states, settled = explored(wanted.depth, ("a", "b", "c")[:wanted.fronts], wanted.losses, wanted.crashes)
-    print(json.dumps({"states": states, "settled": settled, "depth": wanted.depth,
-                      "seconds": round(time.monotonic() - begun, 1)}))
+    states, settled = explored(wanted.depth, ("a", "b", "c")[: wanted.fronts], wanted.losses, wanted.crashes)
+    print(
+        json.dumps(
+            {
+                "states": states,
+                "settled": settled,
+                "depth": wanted.depth,
+                "seconds": round(time.monotonic() - begun, 1),
+            }
+        )
+    )
 
 
 if __name__ == "__main__":
--- a/standins/fleet/explore_fitness.py
+++ b/standins/fleet/explore_fitness.py
@@ -37,8 +37,9 @@
         disk = self.disks[name]
         disk[1] += 1
         self.beings += 1
-        self.up[name] = Fitness(disk[0], disk[1], self.beings, [n for n in NAMES if n != name], disk[2], 0,
-                                green=disk[3])
+        self.up[name] = Fitness(
+            disk[0], disk[1], self.beings, [n for n in NAMES if n != name], disk[2], 0, green=disk[3]
+        )
 
     def reaches(self, one, other):
         return one in self.up and other in self.up and frozenset((one, other)) not in self.cut
@@ -72,7 +73,9 @@
             if other != name and self.reaches(name, other):
                 known = self.up[other].known.get(own.name, (0, 0))
                 if known[0] >= own.start and known != (own.start, own.being):
-                    raise Broken(f"{own.name} is fit in its start {own.start}; {other} knows {known}", self.steps)
+                    raise Broken(
+                        f"{own.name} is fit in its start {own.start}; {other} knows {known}", self.steps
+                    )
 
     def possible(self):
         found = [("asks", n) for n in self.up]
@@ -96,9 +99,27 @@
             self.backs, self.disks["a"] = 0, pickle.loads(self.first)
 
     def state(self):
-        return repr((sorted(map(sorted, self.cut)), self.backs, self.kills, sorted(self.disks.items()),
-                     [(n, k.start, k.being, k.fit, sorted(k.by), k.asked, sorted(k.known.items()), sorted(k.lack))
-                      for n, k in sorted(self.up.items())]))
+        return repr(
+            (
+                sorted(map(sorted, self.cut)),
+                self.backs,
+                self.kills,
+                sorted(self.disks.items()),
+                [
+                    (
+                        n,
+                        k.start,
+                        k.being,
+                        k.fit,
+                        sorted(k.by),
+                        k.asked,
+                        sorted(k.known.items()),
+                        sorted(k.lack),
+                    )
+                    for n, k in sorted(self.up.items())
+                ],
+            )
+        )
 
 
 def explored(depth):
--- a/standins/fleet/explore_keepers.py
+++ b/standins/fleet/explore_keepers.py
@@ -25,7 +25,13 @@
 
 class Instance:
     def __init__(self, timeouts=3, losses=1, crashes=1, entries=2):
-        self.timeouts, self.losses, self.crashes, self.entries, self.steps = timeouts, losses, crashes, entries, ()
+        self.timeouts, self.losses, self.crashes, self.entries, self.steps = (
+            timeouts,
+            losses,
+            crashes,
+            entries,
+            (),
+        )
         self.disks, self.writes = {n: [] for n in NAMES}, {n: [] for n in NAMES}
         self.keepers = {n: Keeper(n, Config(NAMES, ()), half, 0) for n in NAMES}
         self.flying, self.leads, self.votes, self.applied, self.now = [], {}, {}, {}, S
@@ -51,11 +57,13 @@
 
     def step(self, what, given):
         self.steps += ((what, given),)
-        self.now += S                        # long after any leader was heard: nobody is content for that reason alone
+        self.now += S  # long after any leader was heard: nobody is content for that reason alone
         if what in ("come", "lose"):
             sender, to, message = self.flying.pop(given)
             self.losses -= what == "lose"
-            return self.done(to, self.keepers[to].heard(sender, message, self.now)) if what == "come" else None
+            return (
+                self.done(to, self.keepers[to].heard(sender, message, self.now)) if what == "come" else None
+            )
         keeper = self.keepers[given]
         if what == "sync":
             write = self.writes[given].pop(0)
@@ -63,7 +71,9 @@
             return self.done(given, keeper.synced(write.number, self.now))
         if what == "time":
             self.timeouts -= 1
-            keeper.heard_at = dict.fromkeys(keeper.heard_at, self.now)       # a leader stays one: to step down is safe
+            keeper.heard_at = dict.fromkeys(
+                keeper.heard_at, self.now
+            )  # a leader stays one: to step down is safe
             return self.done(given, keeper.due(max(self.now, keeper.due_at)))
         if what == "give":
             self.entries -= 1
@@ -99,11 +109,35 @@
             raise Broken(what, key, value, table[key], self.steps)
 
     def state(self):
-        return repr((sorted(map(repr, self.flying)), self.timeouts, self.losses, self.crashes, self.entries,
-                     [(k.term, k.vote, k.role.name, k.log, k.committed, k.applied, sorted(k.votes.items()),
-                       sorted(k.match.items()), sorted(k.next.items()), len(self.writes[n]), k.number, k.done_number,
-                       list(k.held), k.leader) for n, k in self.keepers.items()],
-                     [[(r.term, r.vote, r.cut, r.entries) for r in disk] for disk in self.disks.values()]))
+        return repr(
+            (
+                sorted(map(repr, self.flying)),
+                self.timeouts,
+                self.losses,
+                self.crashes,
+                self.entries,
+                [
+                    (
+                        k.term,
+                        k.vote,
+                        k.role.name,
+                        k.log,
+                        k.committed,
+                        k.applied,
+                        sorted(k.votes.items()),
+                        sorted(k.match.items()),
+                        sorted(k.next.items()),
+                        len(self.writes[n]),
+                        k.number,
+                        k.done_number,
+                        list(k.held),
+                        k.leader,
+                    )
+                    for n, k in self.keepers.items()
+                ],
+                [[(r.term, r.vote, r.cut, r.entries) for r in disk] for disk in self.disks.values()],
+            )
+        )
 
 
 def explored(depth, contested=False):
@@ -112,7 +146,13 @@
 
 
 if __name__ == "__main__":
-    sys.exit(exploring.main(
-        sys.argv[1:], "explore_keepers", __doc__,
-        lambda wanted: Instance().contested() if wanted.contested else Instance(), 7,
-        contested="from where two stand for one term"))
+    sys.exit(
+        exploring.main(
+            sys.argv[1:],
+            "explore_keepers",
+            __doc__,
+            lambda wanted: Instance().contested() if wanted.contested else Instance(),
+            7,
+            contested="from where two stand for one term",
+        )
+    )
--- a/standins/fleet/explore_shares.py
+++ b/standins/fleet/explore_shares.py
@@ -15,7 +15,7 @@
 
 NAMES, SOURCE, PLACES = ("a", "b", "c"), 21, 2
 MS = 1_000_000
-LONGEST = 2400 * MS      # longer than a lease: what was started by one that is over goes on
+LONGEST = 2400 * MS  # longer than a lease: what was started by one that is over goes on
 TERMS = Terms(((1, 0), (1, 0)), NAMES, {SOURCE: PLACES}, LONGEST)
 TURN = LEASE // 4
 WHILES = (LEASE // 2, 2 * LEASE, TERMS.waive)
@@ -35,7 +35,7 @@
         self.fronts = {name: Shares(name, 1, TERMS, 0) for name in NAMES}
         for name in NAMES:
             self.sees(name)
-        self.goes_on(2 * TERMS.waive)        # what former lives may have lent is over by then
+        self.goes_on(2 * TERMS.waive)  # what former lives may have lent is over by then
 
     def goes_on(self, span, still="", silent=False):
         """Time passes; `still`: stands still for it, and wakes to what lies there; `silent`: nothing comes."""
@@ -60,8 +60,12 @@
                     self.done(to, self.fronts[to].heard(sender, message, self.now))
         for what, given in lying:
             front = self.fronts[still]
-            self.done(still, front.ended(given, LONGEST, True, self.now) if what == "ended"
-                      else front.heard(what, given, self.now))
+            self.done(
+                still,
+                front.ended(given, LONGEST, True, self.now)
+                if what == "ended"
+                else front.heard(what, given, self.now),
+            )
 
     def sees(self, name):
         there = [n for n in NAMES if n not in self.dead and (n == name or frozenset((n, name)) != self.cut)]
@@ -95,12 +99,16 @@
             # Two at once, so that places are taken.
             for _ in range(2):
                 self.numbers += 1
-                self.done(given[0], self.fronts[given[0]].arrives(self.numbers, SOURCE, given[1],
-                                                                  self.now + 60 * LEASE, self.now))
+                self.done(
+                    given[0],
+                    self.fronts[given[0]].arrives(
+                        self.numbers, SOURCE, given[1], self.now + 60 * LEASE, self.now
+                    ),
+                )
             self.gets -= 1
         elif what == "kill":
             self.kills -= 1
-            self.dead |= {given}             # its fills go on
+            self.dead |= {given}  # its fills go on
         elif what == "cut":
             self.cuts, self.cut = 0, frozenset(given)
         else:
@@ -108,13 +116,47 @@
 
     def state(self):
         fronts = [
-            (vars(one.borrower).copy() | {"terms": 0}, one.lenders, one.avoided, one.steward.had,
-             [(n, f.turn, f.number, f.waived, f.old_until, f.held_until, f.old, f.using, f.want, f.grants)
-              for n, f in sorted(one.steward.fronts.items())],
-             [(t, len(q)) for source in one.queue.sources.values() for t, q in sorted(source.waiting.items())])
-            for one in self.fronts.values()]
-        return repr((self.now, self.flying, self.fills, sorted(self.dead), sorted(self.cut), self.kills, self.cuts,
-                     self.gets, fronts))
+            (
+                vars(one.borrower).copy() | {"terms": 0},
+                one.lenders,
+                one.avoided,
+                one.steward.had,
+                [
+                    (
+                        n,
+                        f.turn,
+                        f.number,
+                        f.waived,
+                        f.old_until,
+                        f.held_until,
+                        f.old,
+                        f.using,
+                        f.want,
+                        f.grants,
+                    )
+                    for n, f in sorted(one.steward.fronts.items())
+                ],
+                [
+                    (t, len(q))
+                    for source in one.queue.sources.values()
+                    for t, q in sorted(source.waiting.items())
+                ],
+            )
+            for one in self.fronts.values()
+        ]
+        return repr(
+            (
+                self.now,
+                self.flying,
+                self.fills,
+                sorted(self.dead),
+                sorted(self.cut),
+                self.kills,
+                self.cuts,
+                self.gets,
+                fronts,
+            )
+        )
 
 
 def explored(depth):
--- a/standins/fleet/exploring.py
+++ b/standins/fleet/exploring.py
@@ -35,5 +35,12 @@
     for flag, told in flags.items():
         parser.add_argument(f"--{flag}", action="store_true", help=told)
     wanted, begun = parser.parse_args(given), time.monotonic()
-    print(json.dumps({"states": explored(made(wanted), wanted.depth), "depth": wanted.depth,
-                      "seconds": round(time.monotonic() - begun, 1)}))
+    print(
+        json.dumps(
+            {
+                "states": explored(made(wanted), wanted.depth),
+                "depth": wanted.depth,
+                "seconds": round(time.monotonic() - begun, 1),
+            }
+        )
+    )
--- a/standins/fleet/filling.py
+++ b/standins/fleet/filling.py
@@ -74,18 +74,22 @@
                 head, remark = b"crashed", "up_refused"
         body = b"x" * 5 if head == b"served" else b""
         try:
-            writer.write(b"%b %b etag=t1,made=%d,remark=%b %d\r\n%b\r\n" % (
-                call, head, int(time.time() * 1000), remark.encode(), len(body), body))
+            writer.write(
+                b"%b %b etag=t1,made=%d,remark=%b %d\r\n%b\r\n"
+                % (call, head, int(time.time() * 1000), remark.encode(), len(body), body)
+            )
         except (OSError, RuntimeError):
-            pass                             # its front ended
+            pass  # its front ended
 
 
 async def main(paces, places, ran, first=0):
     world, ports = World(places, ran), iter(range(first, first + 100) if first else [0] * 100)
     for at, pace in enumerate(paces):
-        server = await asyncio.start_server(Cache(world, pace, at).serve, "127.0.0.1", next(ports), backlog=512)
+        server = await asyncio.start_server(
+            Cache(world, pace, at).serve, "127.0.0.1", next(ports), backlog=512
+        )
         print(f"listening 127.0.0.1:{server.sockets[0].getsockname()[1]}", flush=True)
-    for _ in places:                         # sources are asked by caches alone; fronts know their addresses
+    for _ in places:  # sources are asked by caches alone; fronts know their addresses
         server = await asyncio.start_server(Cache(world, 1, 0).serve, "127.0.0.1", next(ports))
         print(f"listening 127.0.0.1:{server.sockets[0].getsockname()[1]}", flush=True)
     await asyncio.Event().wait()
@@ -106,9 +110,21 @@
 
 def boxes(paces, places, ran):
     """Boxes of that many caches, then of the sources in their order."""
-    process = subprocess.Popen([sys.executable, "-m", "standins.fleet.filling", "--ran", str(ran),
-                                "--paces", *map(str, paces), "--places", *[f"{n}={c}" for n, c in places.items()]],
-                               stdout=subprocess.PIPE, text=True)
+    process = subprocess.Popen(
+        [
+            sys.executable,
+            "-m",
+            "standins.fleet.filling",
+            "--ran",
+            str(ran),
+            "--paces",
+            *map(str, paces),
+            "--places",
+            *[f"{n}={c}" for n, c in places.items()],
+        ],
+        stdout=subprocess.PIPE,
+        text=True,
+    )
     return [Box(process, process.stdout.readline().split()[1]) for _ in range(len(paces) + len(places))]
 
 
@@ -118,7 +134,7 @@
     with open(ran) as file:
         for line in file:
             if not line.endswith("\n"):
-                break                        # being written: the next reading has it
+                break  # being written: the next reading has it
             at, source, thing, took = line.split()
             if took == "over":
                 over += 1
@@ -128,11 +144,19 @@
 
 
 if __name__ == "__main__":
-    flags = argparse.ArgumentParser(prog="python -m standins.fleet.filling", description=__doc__.split("\n")[0])
+    flags = argparse.ArgumentParser(
+        prog="python -m standins.fleet.filling", description=__doc__.split("\n")[0]
+    )
     flags.add_argument("--paces", nargs="+", type=float, required=True)
     flags.add_argument("--places", nargs="+", required=True)
     flags.add_argument("--ran", required=True)
     flags.add_argument("--first", type=int, default=0, help="the first port; else any")
     given = flags.parse_args()
-    uvloop.run(main(given.paces, {n: int(c) for n, c in (one.split("=") for one in given.places)}, given.ran,
-                given.first))
+    uvloop.run(
+        main(
+            given.paces,
+            {n: int(c) for n, c in (one.split("=") for one in given.places)},
+            given.ran,
+            given.first,
+        )
+    )
--- a/standins/fleet/keepers.py
+++ b/standins/fleet/keepers.py
@@ -1,6 +1,6 @@
 """Keepers of the agreed log under a time, a network and disks by seed, and checkers that read their trace alone.
 
-    python -m standins.fleet.keepers --seeds 200 --size 3
+python -m standins.fleet.keepers --seeds 200 --size 3
 """
 
 import heapq
@@ -24,7 +24,7 @@
 from standins.fleet.schedules import reported
 
 MS, S = 1_000_000, 1_000_000_000
-COMPACT = 30            # entries after which a keeper makes a snapshot: small, so that schedules have some
+COMPACT = 30  # entries after which a keeper makes a snapshot: small, so that schedules have some
 
 
 class Box:
@@ -48,7 +48,13 @@
         self.known_as, self.starts, self.known, self.disk = copy[0], copy[1], dict(copy[2]), list(copy[3])
 
     def start(self):
-        self.generation, self.up, self.paused, self.pending, self.lying = self.generation + 1, True, False, [], []
+        self.generation, self.up, self.paused, self.pending, self.lying = (
+            self.generation + 1,
+            True,
+            False,
+            [],
+            [],
+        )
         self.starts += 1
         others, being = [n for n in self.world.names if n != self.name], self.world.chance.getrandbits(32)
         term, vote, snapshot, entries = 0, "", None, []
@@ -59,8 +65,9 @@
             elif record.cut:
                 entries = [e for e in entries if e.index < record.cut]
             entries += record.entries
-        self.fitness = Fitness(self.known_as, self.starts, being, others, self.known, self.clock(),
-                               green=term == 0)
+        self.fitness = Fitness(
+            self.known_as, self.starts, being, others, self.known, self.clock(), green=term == 0
+        )
         chance = Chance(self.name, self.world.seed + self.generation)
         config = self.config if self.known_as == self.name else Config((), ())
         self.keeper = Keeper(self.known_as, config, chance, self.clock())
@@ -71,7 +78,7 @@
 
     def crash(self, chance):
         """What was being written may be there up to some record; nothing of it was promised."""
-        self.disk += self.pending[:chance.randrange(len(self.pending) + 1)]
+        self.disk += self.pending[: chance.randrange(len(self.pending) + 1)]
         self.up, self.pending, self.keeper = False, [], None
         self.generation += 1
         self.world.note(self.name, "crash")
@@ -98,7 +105,11 @@
                 case Keep():
                     world.later(MS, self, self._known, self.generation, action)
                 case Send():
-                    if isinstance(action.message, VoteAnswer) and action.message.granted and not action.message.pre:
+                    if (
+                        isinstance(action.message, VoteAnswer)
+                        and action.message.granted
+                        and not action.message.pre
+                    ):
                         world.note(self.keeper.name, "votes", action.message.term, action.to)
                     world.send(self.keeper.name, action.to, action.message)
                 case Write():
@@ -106,8 +117,13 @@
                     if self.full:
                         world.later(MS, self, self._not_kept, self.generation)
                     else:
-                        world.later(int((0.2 + 3 * world.chance.random()) * MS), self, self._synced, self.generation,
-                                    action.number)
+                        world.later(
+                            int((0.2 + 3 * world.chance.random()) * MS),
+                            self,
+                            self._synced,
+                            self.generation,
+                            action.number,
+                        )
                 case Apply():
                     for entry in action.entries:
                         world.note(self.name, "applies", entry.index, entry.term, entry.data)
@@ -148,7 +164,7 @@
                 self.newcomers[sender] = self.clock()
             return self.fitness.heard(sender, message, self.clock())
         if not self.fitness.fit or to != self.keeper.name:
-            return []                        # what its former self was told is not its own
+            return []  # what its former self was told is not its own
         return self.keeper.heard(sender, message, self.clock())
 
     def _synced(self, generation, number):
@@ -199,16 +215,19 @@
         self.events, self.order, self.cut, self.armed = [], count(), set(), {}
         names = self.names = [f"k{at}" for at in range(size + spare)]
         first = Config(tuple(names[:size]), ())
-        self.boxes = {name: self.made(self, name, first if at < size else Config((), ()))
-                      for at, name in enumerate(names)}
+        self.boxes = {
+            name: self.made(self, name, first if at < size else Config((), ()))
+            for at, name in enumerate(names)
+        }
         self.numbers = count(1)
 
     def clock(self, name):
         """What that process's clock shows: where they are `apart`, each has a rate and a beginning of its own."""
         if not self.apart:
             return self.now
-        rate, offset = self.clocks.setdefault(name, (
-            1 + self.apart * (2 * self.drift.random() - 1), self.drift.randrange(1000 * S)))
+        rate, offset = self.clocks.setdefault(
+            name, (1 + self.apart * (2 * self.drift.random() - 1), self.drift.randrange(1000 * S))
+        )
         return int(self.now * rate) + offset
 
     def when(self, name, due):
@@ -230,8 +249,10 @@
         for _ in range(2 if self.chance.random() < self.loss / 3 else 1):
             if self.chance.random() >= self.loss:
                 wait = 1 + 4 * self.chance.random() + (200 if self.chance.random() < self.loss / 3 else 0)
-                heapq.heappush(self.events, (self.now + int(wait * MS), next(self.order), self._comes,
-                                             (sender, to, message)))
+                heapq.heappush(
+                    self.events,
+                    (self.now + int(wait * MS), next(self.order), self._comes, (sender, to, message)),
+                )
 
     def _comes(self, sender, to, message):
         box = self.boxes[base(to)]
@@ -261,7 +282,11 @@
     # What a schedule does.
 
     def leaders(self):
-        return [box for box in self.boxes.values() if box.up and not box.paused and box.keeper.role.name == "LEADER"]
+        return [
+            box
+            for box in self.boxes.values()
+            if box.up and not box.paused and box.keeper.role.name == "LEADER"
+        ]
 
     def propose(self):
         for box in self.leaders():
@@ -344,19 +369,27 @@
         world.at(down, lambda: world.boxes[other].crash(chance) if world.boxes[other].up else None)
         world.at(down + int(chance.random() * 2 * S), world.restart, other)
     for _ in range(chance.randrange(2, 9)):
-        when, lasts, name = S + int(chance.random() * span), int(chance.random() * 3 * S), chance.choice(names)
-        what = chance.choice(("kill", "kill-leader", "pause", "split", "one-way", "move", "change", "full", "put-back"))
+        when, lasts, name = (
+            S + int(chance.random() * span),
+            int(chance.random() * 3 * S),
+            chance.choice(names),
+        )
+        what = chance.choice(
+            ("kill", "kill-leader", "pause", "split", "one-way", "move", "change", "full", "put-back")
+        )
         if what == "put-back" and putting:
-            putting = False                  # two folders at one time are not promised
+            putting = False  # two folders at one time are not promised
             _put_back(world, name, when, lasts)
         if what == "kill":
             world.at(when, lambda n=name: world.boxes[n].crash(chance) if world.boxes[n].up else None)
             world.at(when + lasts, world.restart, name)
         elif what == "kill-leader":
+
             def kill(lasts=lasts):
                 for box in world.leaders()[:1]:
                     box.crash(chance)
                     world.at(world.now + lasts, world.restart, box.name)
+
             world.at(when, kill)
         elif what == "pause":
             world.at(when, world.pause, name, True)
@@ -407,6 +440,7 @@
             box.crash(world.chance)
         box.put_back(copies[0] if world.chance.random() < 0.7 else (box.name, 0, {}, []))
         world.note(name, "folder-put-back")
+
     # A start lies between: the others know of one that the copy does not.
     world.at(when + lasts // 2, lambda: box.crash(world.chance) if box.up else None)
     world.at(when + lasts // 2 + 1, world.restart, name)
@@ -416,6 +450,7 @@
 
 # Checkers: of a trace alone.
 
+
 def two_leaders(trace):
     """At most one leader a term."""
     leads, found = {}, []
@@ -449,8 +484,11 @@
     wanted = [applied[index] for index in sorted(applied)]
     if not any(what == "dump" for _, _, what, *_ in trace):
         return ["no leader at the end"]
-    return [f"{name} ends with {len(more[1])} of {len(wanted)} entries" for _, name, what, *more in trace
-            if what == "dump" and more[1] != wanted]
+    return [
+        f"{name} ends with {len(more[1])} of {len(wanted)} entries"
+        for _, name, what, *more in trace
+        if what == "dump" and more[1] != wanted
+    ]
 
 
 def stale_reads(trace):
@@ -488,8 +526,13 @@
         ways = {(one, other), (other, one)}
         if self.cut & ways or one not in self.since or other not in self.since:
             return None
-        return max(self.since[one], self.since[other], *(self.healed.get(way, 0) for way in ways),
-                   self.full.get(one, 0), self.full.get(other, 0))
+        return max(
+            self.since[one],
+            self.since[other],
+            *(self.healed.get(way, 0) for way in ways),
+            self.full.get(one, 0),
+            self.full.get(other, 0),
+        )
 
 
 def fit_though_known(trace):
@@ -506,8 +549,11 @@
             begun, (own, start, being, _) = began[name]
             for other in began:
                 since = reach.both(name, other) if other != name else None
-                late = [one for when, one in known.get((other, own), ()) if when <= begun and one[0] >= start
-                        and one != (start, being)]
+                late = [
+                    one
+                    for when, one in known.get((other, own), ())
+                    if when <= begun and one[0] >= start and one != (start, being)
+                ]
                 if late and since is not None and since <= begun:
                     found.append(f"{at} {own} is fit in its start {start}, of which {other} knows {late[-1]}")
     return found
@@ -557,6 +603,18 @@
 
 
 if __name__ == "__main__":
-    sys.exit(reported(sys.argv[1:], __doc__, lambda seed, wanted: broken(
-        played(seed, wanted.size, wanted.loss, spare=wanted.spare, back=wanted.back, apart=wanted.apart).trace),
-        size=3, spare=0, back=0, apart=0.0))
+    sys.exit(
+        reported(
+            sys.argv[1:],
+            __doc__,
+            lambda seed, wanted: broken(
+                played(
+                    seed, wanted.size, wanted.loss, spare=wanted.spare, back=wanted.back, apart=wanted.apart
+                ).trace
+            ),
+            size=3,
+            spare=0,
+            back=0,
+            apart=0.0,
+        )
+    )
--- a/standins/fleet/relay.py
+++ b/standins/fleet/relay.py
@@ -52,7 +52,7 @@
     while True:
         frame = await _frame(reader)
         try:
-            said = msgspec.msgpack.decode(frame[HEAD.size:])
+            said = msgspec.msgpack.decode(frame[HEAD.size :])
             kind = said[0] if isinstance(said, list) and len(said) == 2 else None
         except msgspec.MsgspecError:
             kind = None
@@ -62,7 +62,7 @@
             await asyncio.sleep(delay)
         if pair in troubles.tears:
             troubles.tears.discard(pair)
-            writer.write(frame[:len(frame) // 2])
+            writer.write(frame[: len(frame) // 2])
             return
         if held is None and troubles.chance.random() < troubles.share(pair, "swap"):
             held = frame
@@ -80,19 +80,21 @@
     tasks, there = [], None
     try:
         greeting = await _frame(reader)
-        dialler = msgspec.msgpack.decode(greeting[HEAD.size:])[3]
+        dialler = msgspec.msgpack.decode(greeting[HEAD.size :])[3]
         if (dialler, target, None) in troubles.cuts or (target, dialler, None) in troubles.cuts:
-            await asyncio.sleep(3)           # as a network that lets nothing through: nothing is refused either
+            await asyncio.sleep(3)  # as a network that lets nothing through: nothing is refused either
             return
         host, _, port = address.rpartition(":")
         back, there = await asyncio.open_connection(host, int(port))
         there.write(greeting)
         writer.write(await _frame(back))
-        tasks = [asyncio.ensure_future(_pump(troubles, (dialler, target), reader, there)),
-                 asyncio.ensure_future(_pump(troubles, (target, dialler), back, writer))]
+        tasks = [
+            asyncio.ensure_future(_pump(troubles, (dialler, target), reader, there)),
+            asyncio.ensure_future(_pump(troubles, (target, dialler), back, writer)),
+        ]
         await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
     except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError, msgspec.MsgspecError, IndexError):
-        pass                                 # the end of either side, or of this process, ends the pair
+        pass  # the end of either side, or of this process, ends the pair
     finally:
         for task in tasks:
             task.cancel()
@@ -106,8 +108,11 @@
     troubles = Troubles(seed)
     for name, address in targets:
         server = await asyncio.start_server(
-            lambda r, w, name=name, address=address: _between(troubles, name, address, r, w), "127.0.0.1", 0,
-            limit=16 << 20)
+            lambda r, w, name=name, address=address: _between(troubles, name, address, r, w),
+            "127.0.0.1",
+            0,
+            limit=16 << 20,
+        )
         print(f"127.0.0.1:{server.sockets[0].getsockname()[1]}", flush=True)
     loop, lines = asyncio.get_running_loop(), asyncio.StreamReader()
     await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(lines), sys.stdin)
--- a/standins/fleet/rig.py
+++ b/standins/fleet/rig.py
@@ -1,9 +1,9 @@
 """Real fronts as processes with relays between them, stand-in caches, an origin and a bus; troubles by calls.
 
-    with Rig(folder, 3) as rig:
-        rig.start_all()
-        rig.purge(["n0"], 0x7f3a, at)
-        rig.until("n2", "holds", lambda: ...)
+with Rig(folder, 3) as rig:
+    rig.start_all()
+    rig.purge(["n0"], 0x7f3a, at)
+    rig.until("n2", "holds", lambda: ...)
 """
 
 import json
@@ -23,9 +23,17 @@
 SETTINGS = {
     "allowed": {"cancel": True, "connectTimeout": 200_000, "keepalive": 15_000_000, "attemptsCap": 6},
     "categories": [{"name": "media", "aim": 400_000, "effect": "pure", "worth": 2.0, "deadline": 3_000_000}],
-    "failureDomains": ["here"], "shapes": ["std", "parent", "origin"], "myZone": 0,
-    "specifics": {"clientKbPerS": 1000.0, "shieldKind": 1, "storeKind": 2, "classFresh": [0], "usableAfter": [0],
-                  "neighbours": "location"},
+    "failureDomains": ["here"],
+    "shapes": ["std", "parent", "origin"],
+    "myZone": 0,
+    "specifics": {
+        "clientKbPerS": 1000.0,
+        "shieldKind": 1,
+        "storeKind": 2,
+        "classFresh": [0],
+        "usableAfter": [0],
+        "neighbours": "location",
+    },
 }
 
 
@@ -33,8 +41,9 @@
     """A process that takes commands as lines and prints its addresses first."""
 
     def __init__(self, module, *flags, count):
-        self.process = subprocess.Popen([sys.executable, "-m", module, *flags], stdin=subprocess.PIPE,
-                                        stdout=subprocess.PIPE, text=True)
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", module, *flags], stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True
+        )
         self.addresses = [self.process.stdout.readline().strip() for _ in range(count)]
 
     def say(self, **said):
@@ -61,21 +70,42 @@
 
     def configure(self, bus, advertise, join):
         known = [{"offset": 1, "topology": {"seq": 1, "whole": True, "hosts": self.rig.hosts}}]
-        (self.folder / "config.json").write_text(json.dumps({
-            "flow_bytes_per_s": 1e7, "link_bytes_per_s": 1e8, "seed": f"{self.number + 7:x}", "name": self.name,
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": SETTINGS,
-            "listen": f"127.0.0.1:{self.port}", "bus": bus, "known": {"offset": 1, "batch": known}}))
+        (self.folder / "config.json").write_text(
+            json.dumps(
+                {
+                    "flow_bytes_per_s": 1e7,
+                    "link_bytes_per_s": 1e8,
+                    "seed": f"{self.number + 7:x}",
+                    "name": self.name,
+                    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+                    "settings": SETTINGS,
+                    "listen": f"127.0.0.1:{self.port}",
+                    "bus": bus,
+                    "known": {"offset": 1, "batch": known},
+                }
+            )
+        )
         seeds = " ".join(f'"{address}"' for address in join)
         (self.folder / "front.kdl").write_text(
             f'fleet {{\n    name "rig"\n    listen "127.0.0.1:{self.fleet_port}"\n    advertise "{advertise}"\n'
             f'    join {seeds}\n    state "{self.folder / "state"}"\n    alone-after (s)2\n{self.rig.kdl}}}\n'
-            + self.rig.more.format(name=self.name))
+            + self.rig.more.format(name=self.name)
+        )
 
     def start(self):
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "standins.faults", self.faults.path, "front", "--file",
-             str(self.folder / "front.kdl")],
-            stdout=subprocess.PIPE, env={**os.environ, "BALANCER_CONFIG": str(self.folder / "config.json")})
+            [
+                sys.executable,
+                "-m",
+                "standins.faults",
+                self.faults.path,
+                "front",
+                "--file",
+                str(self.folder / "front.kdl"),
+            ],
+            stdout=subprocess.PIPE,
+            env={**os.environ, "BALANCER_CONFIG": str(self.folder / "config.json")},
+        )
         threading.Thread(target=self._read, args=(self.process,), daemon=True).start()
 
     def _read(self, process):
@@ -85,11 +115,14 @@
                     self.lines.append(json.loads(line))
                     self.fresh.notify_all()
         except ValueError:
-            pass                             # closed under it, as the process was killed
+            pass  # closed under it, as the process was killed
 
     def seen(self, event, since=0, **wanted):
-        return [line for line in self.lines[since:] if line["event"] == event
-                and all(line.get(k) == v for k, v in wanted.items())]
+        return [
+            line
+            for line in self.lines[since:]
+            if line["event"] == event and all(line.get(k) == v for k, v in wanted.items())
+        ]
 
     def until(self, event, since=0, patience=20, **wanted):
         """The first such line of its log from `since` (a count of lines) on."""
@@ -113,15 +146,18 @@
         """What the command line gets of it; None where it does not answer."""
         from sprucegate.fleet.links import codec
         from sprucegate.state import records
+
         data = b""
         try:
             with socket.create_connection(("127.0.0.1", self.fleet_port), 3) as sock:
-                sock.sendall(codec.greeting(codec.Greeting(codec.VERSION, "rig", "operator", "", "", 0))
-                             + codec.question(codec.Question(what, list(given))))
+                sock.sendall(
+                    codec.greeting(codec.Greeting(codec.VERSION, "rig", "operator", "", "", 0))
+                    + codec.question(codec.Question(what, list(given)))
+                )
                 while piece := sock.recv(1 << 16):
                     data += piece
             length, _ = records.HEAD.unpack_from(data)
-            return json.loads(data[records.HEAD.size + length:])
+            return json.loads(data[records.HEAD.size + length :])
         except (OSError, ValueError, records.struct.error):
             return None
 
@@ -149,48 +185,90 @@
     def configure(self):
         (self.folder / "front.kdl").write_text(
             f'fleet {{\n    name "rig"\n    listen "127.0.0.1:{self.fleet_port}"\n}}\n'
-            + self.rig.more.format(name=self.name))
+            + self.rig.more.format(name=self.name)
+        )
 
     def start(self, *flags):
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "standins.faults", self.faults.path, "fleet", "keeper", self.name, "--file",
-             str(self.folder / "front.kdl"), *flags], stdout=subprocess.PIPE)
+            [
+                sys.executable,
+                "-m",
+                "standins.faults",
+                self.faults.path,
+                "fleet",
+                "keeper",
+                self.name,
+                "--file",
+                str(self.folder / "front.kdl"),
+                *flags,
+            ],
+            stdout=subprocess.PIPE,
+        )
         threading.Thread(target=self._read, args=(self.process,), daemon=True).start()
 
 
 class Rig:
-    def __init__(self, folder, size, caches=2, seed=0, kdl="", more="", keepers=0, budgets='"fleet cache 1 1.0"',
-                 boxes=None, kinds=()):
+    def __init__(
+        self,
+        folder,
+        size,
+        caches=2,
+        seed=0,
+        kdl="",
+        more="",
+        keepers=0,
+        budgets='"fleet cache 1 1.0"',
+        boxes=None,
+        kinds=(),
+    ):
         """`boxes`, `kinds`: caches and sources that run already, and the kind of each; else `caches` quick ones.
 
         `kdl` goes into each `fleet` block, `more` beside it, with {name} for the front's; `keepers`: processes k0,
         k1, ... that keep the agreed log, with those budgets."""
         self.folder, self.kdl, self.more, self.offset, self.relay = folder, kdl, more, 1, None
         self.twins, self.twin_bus, self.twin_relay, self.requests = [], None, None, 0
-        self.boxes = boxes or [Process("lines", service=0.001, made=1, ran=folder / f"ran-{at}")
-                               for at in range(caches + 1)]
-        self.hosts = [self.host(at, kinds[at] if kinds else "std" if at < caches else "origin")
-                      for at in range(len(self.boxes))]
+        self.boxes = boxes or [
+            Process("lines", service=0.001, made=1, ran=folder / f"ran-{at}") for at in range(caches + 1)
+        ]
+        self.hosts = [
+            self.host(at, kinds[at] if kinds else "std" if at < caches else "origin")
+            for at in range(len(self.boxes))
+        ]
         self.names = [f"n{at}" for at in range(size)]
         self.fronts = {name: RealFront(self, name, at) for at, name in enumerate(self.names)}
         self.bus = Lines("standins.bus", "--count", str(size), count=size)
         self.keepers = {f"k{at}": RealKeeper(self, f"k{at}") for at in range(keepers)}
-        self.relay = Lines("standins.fleet.relay", "--seed", str(seed), *[
-            f"{f.name}=127.0.0.1:{f.fleet_port}" for f in [*self.fronts.values(), *self.keepers.values()]],
-            count=size + keepers)
+        self.relay = Lines(
+            "standins.fleet.relay",
+            "--seed",
+            str(seed),
+            *[f"{f.name}=127.0.0.1:{f.fleet_port}" for f in [*self.fronts.values(), *self.keepers.values()]],
+            count=size + keepers,
+        )
         if keepers:
             at = dict(zip(self.keepers, self.relay.addresses[size:], strict=True))
-            self.more += ("agreement {{{{\n    keepers {}\n    state \"{}/{{name}}/keeper\"\n}}}}\n"
-                          "rollout {{{{\n    budgets {}\n    spare 1.0\n}}}}\n").format(
-                " ".join(f'"{name}={address}"' for name, address in at.items()), folder, budgets)
-        for front, bus, advertise in zip(self.fronts.values(), self.bus.addresses, self.relay.addresses, strict=False):
-            front.configure(bus, advertise, self.relay.addresses[:min(3, size)])
+            self.more += (
+                'agreement {{{{\n    keepers {}\n    state "{}/{{name}}/keeper"\n}}}}\n'
+                "rollout {{{{\n    budgets {}\n    spare 1.0\n}}}}\n"
+            ).format(" ".join(f'"{name}={address}"' for name, address in at.items()), folder, budgets)
+        for front, bus, advertise in zip(
+            self.fronts.values(), self.bus.addresses, self.relay.addresses, strict=False
+        ):
+            front.configure(bus, advertise, self.relay.addresses[: min(3, size)])
         for keeper in self.keepers.values():
             keeper.configure()
 
     def host(self, at, kind, health="up"):
-        return {"host": f"s-{at + 16:02x}", "dial": self.boxes[at].address, "site": "here", "class": kind, "block": 0,
-                "health": health, "share": 1.0, "born_ms": 0}
+        return {
+            "host": f"s-{at + 16:02x}",
+            "dial": self.boxes[at].address,
+            "site": "here",
+            "class": kind,
+            "block": 0,
+            "health": health,
+            "share": 1.0,
+            "born_ms": 0,
+        }
 
     def __enter__(self):
         return self
@@ -216,8 +294,13 @@
         self.together(patience)
         if self.keepers:
             count = len(self.boxes) - 1 + len(self.names)
-            self.wait(lambda: all((said := self.agreed(name)).get("fronts") == sorted(self.names)
-                                  and said["boxes"] == count for name in self.names), patience)
+            self.wait(
+                lambda: all(
+                    (said := self.agreed(name)).get("fronts") == sorted(self.names) and said["boxes"] == count
+                    for name in self.names
+                ),
+                patience,
+            )
 
     # The agreed log.
 
@@ -233,8 +316,11 @@
 
     def leader(self):
         """The name of the keeper that leads and is followed by most; "" where there is none."""
-        said = {name: (k.ask("agreed") or {}).get("voting") or {} for name, k in self.keepers.items()
-                if k.process is not None and k.process.poll() is None}
+        said = {
+            name: (k.ask("agreed") or {}).get("voting") or {}
+            for name, k in self.keepers.items()
+            if k.process is not None and k.process.poll() is None
+        }
         leads = [(one["term"], name) for name, one in said.items() if one.get("role") == "leader"]
         return max(leads)[1] if leads else ""
 
@@ -254,9 +340,13 @@
 
     def phase(self, release, phase, patience=60):
         """Waits until the release is in that phase at all fronts."""
+
         def so():
-            return all({r["name"]: r["phase"] for r in self.agreed(name).get("releases", ())}.get(release) == phase
-                       for name in self.names)
+            return all(
+                {r["name"]: r["phase"] for r in self.agreed(name).get("releases", ())}.get(release) == phase
+                for name in self.names
+            )
+
         self.wait(so, patience)
 
     def together(self, patience=30, names=None):
@@ -266,9 +356,12 @@
         def all_there():
             for name in names:
                 said = self.fronts[name].ask("status")
-                if said is None or not {m["name"] for m in said["members"] if m["standing"] == "alive"} >= set(names):
+                if said is None or not {
+                    m["name"] for m in said["members"] if m["standing"] == "alive"
+                } >= set(names):
                     return False
             return True
+
         self.wait(all_there, patience)
 
     def wait(self, what, patience=20):
@@ -288,7 +381,9 @@
     def purge_at(self, front, obj, at):
         """To one front, which may be a twin."""
         (self.bus if front in self.fronts.values() else self.twin_bus).say(
-            to=[front.number if front in self.fronts.values() else 0], event={"ban": {"url": f"{obj:x}", "ts": at}})
+            to=[front.number if front in self.fronts.values() else 0],
+            event={"ban": {"url": f"{obj:x}", "ts": at}},
+        )
 
     def twin(self, name):
         """Another process of that name, with a folder, ports, a bus and a relay of its own; not yet started."""
@@ -312,7 +407,9 @@
     def health(self, names, box, health):
         kind = "std" if box < len(self.boxes) - 1 else "origin"
         self.offset += 1
-        self.tell(names, topology={"seq": self.offset, "whole": False, "hosts": [self.host(box, kind, health)]})
+        self.tell(
+            names, topology={"seq": self.offset, "whole": False, "hosts": [self.host(box, kind, health)]}
+        )
 
     def trouble(self, do, **said):
         self.relay.say(do=do, **said)
@@ -324,23 +421,33 @@
 
     def all_hold(self, key, value, names=None, patience=20):
         """Waits until those hold at least that; the names of none are left out."""
+
         def so():
             return all(_at_least(self.fronts[name].holds().get(key), value) for name in names or self.names)
+
         self.wait(so, patience)
 
     def get(self, name, obj, call_id, sock=None, extra=""):
         """Status and body of one GET through a front; `extra`: more header lines, each with its end."""
         own = sock or socket.create_connection(("127.0.0.1", self.fronts[name].port), timeout=5)
-        own.sendall(f"GET /svc/media/{obj:016x}/slice-1 HTTP/1.1\r\nHost: a\r\nX-Call-Id: {call_id:016x}\r\n"
-                    f"X-Patience-Ms: 1500\r\nX-Set: 17\r\nX-Heap-Kb: 4.5\r\n{extra}Content-Length: 0\r\n\r\n".encode())
+        own.sendall(
+            f"GET /svc/media/{obj:016x}/slice-1 HTTP/1.1\r\nHost: a\r\nX-Call-Id: {call_id:016x}\r\n"
+            f"X-Patience-Ms: 1500\r\nX-Set: 17\r\nX-Heap-Kb: 4.5\r\n{extra}Content-Length: 0\r\n\r\n".encode()
+        )
         head = b""
         while b"\r\n\r\n" not in head:
             if not (piece := own.recv(65_536)):
                 return 0, b""
             head += piece
         head, _, body = head.partition(b"\r\n\r\n")
-        size = next((int(v) for k, _, v in (line.partition(b":") for line in head.split(b"\r\n")[1:])
-                     if k.lower() == b"content-length"), 0)
+        size = next(
+            (
+                int(v)
+                for k, _, v in (line.partition(b":") for line in head.split(b"\r\n")[1:])
+                if k.lower() == b"content-length"
+            ),
+            0,
+        )
         while len(body) < size:
             body += own.recv(65_536)
         if sock is None:
--- a/standins/fleet/rollouts.py
+++ b/standins/fleet/rollouts.py
@@ -24,9 +24,12 @@
 from standins.fleet.keepers import MS, S, World
 from standins.fleet.schedules import reported
 
-WARM = 2 * S            # from the start of a cache to its being truly warm
+WARM = 2 * S  # from the start of a cache to its being truly warm
 PATIENCE = 4 * S
-RATES = {"bad-errors": (0.022, 0.001, 0.02, 0.2), "bad-slow": (0.002, 0.001, 0.3, 0.2)}    # errors, sheds, late, misses
+RATES = {
+    "bad-errors": (0.022, 0.001, 0.02, 0.2),
+    "bad-slow": (0.002, 0.001, 0.3, 0.2),
+}  # errors, sheds, late, misses
 LIMITS = [[["fleet", "", "cache", 3, 500], ["location", "", "cache", 2, 500]], [100, 1000]]
 
 
@@ -72,8 +75,12 @@
             if not self.fitness.fit:
                 return []
             done = self.serving.heard(sender, message, self.clock())
-            return [a._replace(message=a.message._replace(state=msgspec.msgpack.encode(a.message.state)))
-                    if isinstance(a, Send) and isinstance(a.message, State) else a for a in done]
+            return [
+                a._replace(message=a.message._replace(state=msgspec.msgpack.encode(a.message.state)))
+                if isinstance(a, Send) and isinstance(a.message, State)
+                else a
+                for a in done
+            ]
         return super().comes(sender, to, message)
 
 
@@ -81,14 +88,26 @@
     """A front or an agent: follows the log, proposes, may be killed, paused and cut off."""
 
     def __init__(self, world, name):
-        self.world, self.name, self.up, self.paused, self.lying, self.generation = world, name, False, False, [], 0
+        self.world, self.name, self.up, self.paused, self.lying, self.generation = (
+            world,
+            name,
+            False,
+            False,
+            [],
+            0,
+        )
 
     def start(self):
         self.generation, self.up, self.paused, self.lying = self.generation + 1, True, False, []
         life = self.generation if isinstance(self, Front) else 0
         self.machine = Rollout()
-        self.follower = Follower(self.world.keepers, life, Chance(self.name, self.world.seed + self.generation),
-                                 self.clock(), front_lease())
+        self.follower = Follower(
+            self.world.keepers,
+            life,
+            Chance(self.name, self.world.seed + self.generation),
+            self.clock(),
+            front_lease(),
+        )
         self.words = Words(self.name, life)
         self.begins()
         self.world.later(1, self, self._due, self.generation)
@@ -145,12 +164,15 @@
         if not self.follower.fenced(now):
             self.world.note(self.name, "lease", self.world.when(self.name, self.follower.until))
         if now >= self.told_at:
-            self.told_at = now + 500 * MS    # as a front in service
+            self.told_at = now + 500 * MS  # as a front in service
             down = [name for name, cache in self.world.caches.items() if cache.state == "down"]
-            rows = [[name, *cache.served(self.name), cache.starts] for name, cache in self.world.caches.items()]
+            rows = [
+                [name, *cache.served(self.name), cache.starts] for name, cache in self.world.caches.items()
+            ]
             self.follower.report = [rows, down, {}]
-        return (self.words.view(self.machine, self.world.listed, LIMITS, now)
-                + self.words.due(self.machine, self.drained, self._warm, now))
+        return self.words.view(self.machine, self.world.listed, LIMITS, now) + self.words.due(
+            self.machine, self.drained, self._warm, now
+        )
 
     def _warm(self, box, start):
         cache = self.world.caches.get(box)
@@ -171,7 +193,11 @@
         found, world = [], self.world
         for permit in [p for p in self.machine.permits.of_box.values() if p.box in self.boxes]:
             cache, id = world.caches[permit.box], permit.id
-            if now - self.renewed.get(id, -10 * S) > 5 * S and permit.step in (Step.GRANTED, Step.OUT, Step.COLD):
+            if now - self.renewed.get(id, -10 * S) > 5 * S and permit.step in (
+                Step.GRANTED,
+                Step.OUT,
+                Step.COLD,
+            ):
                 self.renewed[id] = now
                 found.append(["renew", id, self.name])
             if now < self.busy.get(id, 0):
@@ -280,11 +306,14 @@
         self.gate, self.noise = gate, noise
         self.keepers = list(self.boxes)
         self.caches = {f"c{at}": Cache(self, f"c{at}") for at in range(caches)}
-        self.listed = {name: Listed(name, "cache", "abc"[at % 3], "std", "g", 1) for at, name in enumerate(self.caches)}
+        self.listed = {
+            name: Listed(name, "cache", "abc"[at % 3], "std", "g", 1) for at, name in enumerate(self.caches)
+        }
         self.fronts = {f"n{at}": Front(self, f"n{at}") for at in range(fronts)}
         names = list(self.caches)
-        self.agents = {f"a{at}": Agent(self, f"a{at}", set(names[at::3]), (*manners, "", "", "")[at])
-                       for at in range(3)}
+        self.agents = {
+            f"a{at}": Agent(self, f"a{at}", set(names[at::3]), (*manners, "", "", "")[at]) for at in range(3)
+        }
         self.boxes.update(self.fronts)
         self.boxes.update(self.agents)
         for box in self.boxes.values():
@@ -295,7 +324,11 @@
             super().wake(box)
 
     def leaders(self):
-        return [b for n in self.keepers if (b := self.boxes[n]).up and not b.paused and b.keeper.role.name == "LEADER"]
+        return [
+            b
+            for n in self.keepers
+            if (b := self.boxes[n]).up and not b.paused and b.keeper.role.name == "LEADER"
+        ]
 
     def operator(self, front, *command):
         """An operator's request at a front, under an id of its own."""
@@ -305,7 +338,9 @@
 
     def machine(self):
         """The furthest state there is."""
-        return max((self.boxes[n].serving.machine for n in self.keepers if self.boxes[n].up), key=lambda m: m.index)
+        return max(
+            (self.boxes[n].serving.machine for n in self.keepers if self.boxes[n].up), key=lambda m: m.index
+        )
 
 
 def plan(caches, version="2", name="v2"):
@@ -326,7 +361,9 @@
     if chance.random() < 0.5:
         when = int((3 + chance.random() * 15) * S)
         world.at(when, world.operator, chance.choice(names), "halt", "v2", "op", "to look")
-        world.at(when + 3 * S, world.operator, chance.choice(names), chance.choice(["resume", "back"]), "v2", "op")
+        world.at(
+            when + 3 * S, world.operator, chance.choice(names), chance.choice(["resume", "back"]), "v2", "op"
+        )
     for _ in range(chance.randrange(2, 9)):
         _trouble(world, chance, span)
     world.run(span)
@@ -339,24 +376,30 @@
     when, lasts = S + int(chance.random() * span * 0.8), int(chance.random() * 6 * S)
     everyone = list(world.boxes)
     name = chance.choice(everyone)
-    what = chance.choice(("kill", "kill-leader", "pause", "pause-leader", "split", "one-way", "fails", "full"))
+    what = chance.choice(
+        ("kill", "kill-leader", "pause", "pause-leader", "split", "one-way", "fails", "full")
+    )
     if what == "kill":
         world.at(when, lambda: world.boxes[name].crash(chance) if world.boxes[name].up else None)
         world.at(when + lasts, world.restart, name)
     elif what == "kill-leader":
+
         def kill():
             for box in world.leaders()[:1]:
                 box.crash(chance)
                 world.at(world.now + lasts, world.restart, box.name)
+
         world.at(when, kill)
     elif what == "pause":
         world.at(when, world.pause, name, True)
         world.at(when + lasts, world.pause, name, False)
     elif what == "pause-leader":
+
         def pause():
             for box in world.leaders()[:1]:
                 world.pause(box.name, True)
                 world.at(world.now + lasts, world.pause, box.name, False)
+
         world.at(when, pause)
     elif what in ("split", "one-way"):
         side = set(chance.sample(everyone, chance.randrange(1, len(everyone))))
@@ -404,12 +447,17 @@
         world.note("", "release", name, release.phase.name)
     for name in world.keepers:
         if world.boxes[name].up:
-            world.note(name, "dump-machine", world.boxes[name].serving.machine.index,
-                       repr(world.boxes[name].serving.machine.told()[2:]))
+            world.note(
+                name,
+                "dump-machine",
+                world.boxes[name].serving.machine.index,
+                repr(world.boxes[name].serving.machine.told()[2:]),
+            )
 
 
 # Checkers: of a trace alone.
 
+
 def out_at(trace, place_of):
     """Yields (when, box, boxes that are truly out by a permit) at each stop of a box."""
     out = {}
@@ -423,8 +471,10 @@
 
 def over_budget(trace, count=3, each=2, places="abc"):
     """By the true state: never more than `count` out by permit in the fleet, nor `each` in a location."""
+
     def place(box):
         return places[int(box[1:]) % len(places)]
+
     found = []
     for at, name, out in out_at(trace, place):
         there = [box for box in out if place(box) == place(name)]
@@ -437,7 +487,9 @@
     """A location keeps one of its kind that no permit took."""
     found = []
     for at, name, out in out_at(trace, None):
-        there = [f"c{n}" for n in range(caches) if places[n % len(places)] == places[int(name[1:]) % len(places)]]
+        there = [
+            f"c{n}" for n in range(caches) if places[n % len(places)] == places[int(name[1:]) % len(places)]
+        ]
         if all(box in out for box in there):
             found.append(f"{at} {name} is the last of its location to go")
     return found
@@ -455,8 +507,11 @@
         elif what == "sends":
             drains.setdefault(name, set()).discard(more[0])
         elif what == "down":
-            found += [f"{at} {name} goes down while {front} sends to it" for front in drains
-                      if until.get(front, 0) > at and name not in drains[front] and front not in gone]
+            found += [
+                f"{at} {name} goes down while {front} sends to it"
+                for front in drains
+                if until.get(front, 0) > at and name not in drains[front] and front not in gone
+            ]
     return found
 
 
@@ -469,7 +524,7 @@
             seen.add(index)
             if command[0] == "once":
                 if command[1] in given:
-                    continue                 # given again, perhaps after a later word: it has no second effect
+                    continue  # given again, perhaps after a later word: it has no second effect
                 given.add(command[1])
                 command = command[2]
             if command[0] == "release" and command[1][0] not in begun:
@@ -487,8 +542,11 @@
 
 def without_end(trace):
     """At the end of it all no permit is open and no release under way."""
-    return [f"{more}" for _, _, what, *more in trace
-            if what == "open" or what == "release" and more[1] not in ("DONE", "RETURNED")]
+    return [
+        f"{more}"
+        for _, _, what, *more in trace
+        if what == "open" or what == "release" and more[1] not in ("DONE", "RETURNED")
+    ]
 
 
 def machines_apart(trace):
@@ -500,16 +558,37 @@
     return found
 
 
-ALL = (keepers.two_leaders, keepers.votes_twice, over_budget, sent_to_drained, granted_halted, without_end,
-       machines_apart)
+ALL = (
+    keepers.two_leaders,
+    keepers.votes_twice,
+    over_budget,
+    sent_to_drained,
+    granted_halted,
+    without_end,
+    machines_apart,
+)
 
 
 def broken(trace, caches=12):
-    return ([(check.__name__, text) for check in ALL for text in check(trace)]
-            + [("last_gone", text) for text in last_gone(trace, caches)])
+    return [(check.__name__, text) for check in ALL for text in check(trace)] + [
+        ("last_gone", text) for text in last_gone(trace, caches)
+    ]
 
 
 if __name__ == "__main__":
-    sys.exit(reported(sys.argv[1:], __doc__, lambda seed, wanted: broken(
-        played(seed, wanted.size, wanted.fronts, wanted.caches, wanted.loss, apart=wanted.apart).trace, wanted.caches),
-        size=3, fronts=6, caches=12, apart=0.0))
+    sys.exit(
+        reported(
+            sys.argv[1:],
+            __doc__,
+            lambda seed, wanted: broken(
+                played(
+                    seed, wanted.size, wanted.fronts, wanted.caches, wanted.loss, apart=wanted.apart
+                ).trace,
+                wanted.caches,
+            ),
+            size=3,
+            fronts=6,
+            caches=12,
+            apart=0.0,
+        )
+    )
--- a/standins/fleet/schedules.py
+++ b/standins/fleet/schedules.py
@@ -1,6 +1,6 @@
 """Fault schedules by seed for the deterministic driver: troubles for a while, then all is well and time to settle.
 
-    python -m standins.fleet.schedules --seeds 100 --size 5 --loss 0.1
+python -m standins.fleet.schedules --seeds 100 --size 5 --loss 0.1
 """
 
 import argparse
@@ -20,8 +20,10 @@
 def played(seed, size, loss=0.0, span=12 * S, settle=25 * S, facts=30, quiet=False, make=Fleet):
     """A fleet after one schedule, dumped. `quiet`: no trouble but loss."""
     chance = random.Random(seed * 7919 + size)
-    life = 3 * S if seed % 4 == 0 else 600 * S       # in some, facts are let go while there is trouble
-    fleet = make(size, seed, loss, twice=loss / 3, slow=loss / 3, alone_after=2 * S, purge_life=life, word_life=life)
+    life = 3 * S if seed % 4 == 0 else 600 * S  # in some, facts are let go while there is trouble
+    fleet = make(
+        size, seed, loss, twice=loss / 3, slow=loss / 3, alone_after=2 * S, purge_life=life, word_life=life
+    )
     fleet.start()
     names = list(fleet.fronts)
     fleet.run(2 * S)
@@ -33,9 +35,13 @@
             fleet.at(when, fleet.purged, name, chance.randrange(facts // 2), n)
         else:
             server, source = chance.choice(servers), chance.choice(("bus", "file"))
-            fleet.at(when, fleet.drained, name, server, State.DRAINING if what < 0.9 else State.GONE, 0, source)
+            fleet.at(
+                when, fleet.drained, name, server, State.DRAINING if what < 0.9 else State.GONE, 0, source
+            )
             if chance.random() < 0.7:
-                fleet.at(when + int(chance.random() * 4 * S), fleet.drained, name, server, State.LIFTED, 0, source)
+                fleet.at(
+                    when + int(chance.random() * 4 * S), fleet.drained, name, server, State.LIFTED, 0, source
+                )
     for _ in range(0 if quiet else chance.randrange(1, 6)):
         _trouble(fleet, chance, names, 2 * S + int(chance.random() * span), span)
     fleet.run(2 * S + span + 6 * S)
@@ -76,16 +82,21 @@
             fleet.at(when, fleet.network.cut.add, (name, other, kind))
         fleet.at(when + lasts, fleet.heal)
     elif what == "disk-full":
+
         def full():
             calls = front.disk.calls
             front.disk.faults = {n: OSError(28, "no space left") for n in range(calls, calls + 40)}
+
         fleet.at(when, full)
     elif what == "crash-at":
+
         def crash():
             front.disk.crash_at = front.disk.calls + chance.randrange(1, 12)
+
         fleet.at(when, crash)
         fleet.at(when + lasts, restart)
     elif what == "put-back":
+
         def back():
             if front.up:
                 kept = front.disk.after_crash()
@@ -97,6 +108,7 @@
             fleet.note(name, "folder-put-back")
             front.disk = kept
             restart()
+
         fleet.at(when, back)
     elif what == "lift-gone":
         # One that drained goes for long; another hears the same source lift it.
@@ -119,10 +131,17 @@
         bad += bool(found)
         if found:
             print(json.dumps({"seed": seed, "broken": len(found), "first": found[0]}))
-    print(json.dumps({"schedules": wanted.seeds, "broken": bad, "seconds": round(time.monotonic() - begun, 1)}))
+    print(
+        json.dumps({"schedules": wanted.seeds, "broken": bad, "seconds": round(time.monotonic() - begun, 1)})
+    )
     return bool(bad)
 
 
 if __name__ == "__main__":
-    sys.exit(reported(sys.argv[1:], __doc__, lambda seed, wanted: checkers.broken(
-        played(seed, wanted.size, wanted.loss).trace)))
+    sys.exit(
+        reported(
+            sys.argv[1:],
+            __doc__,
+            lambda seed, wanted: checkers.broken(played(seed, wanted.size, wanted.loss).trace),
+        )
+    )
--- a/standins/fleet/sharing.py
+++ b/standins/fleet/sharing.py
@@ -18,7 +18,7 @@
 
 MS, S = 1_000_000, 1_000_000_000
 LONGEST = 800 * MS
-SETTLED = 7 * S         # after the start: views are there, and nothing of former lives can be lent any more
+SETTLED = 7 * S  # after the start: views are there, and nothing of former lives can be lent any more
 
 
 class Front:
@@ -27,14 +27,20 @@
     def __init__(self, world, name):
         self.world, self.name, self.generation = world, name, 0
         self.up, self.paused, self.lying, self.shares, self.armed = False, False, [], None, None
-        self.lives = {}                      # by generation
+        self.lives = {}  # by generation
         self.rate, self.offset = 1 + world.chance.uniform(-4e-4, 4e-4), world.chance.randrange(1000 * S)
 
     def clock(self):
         return int(self.world.now * self.rate) + self.offset
 
     def start(self):
-        self.generation, self.up, self.paused, self.lying, self.armed = self.generation + 1, True, False, [], None
+        self.generation, self.up, self.paused, self.lying, self.armed = (
+            self.generation + 1,
+            True,
+            False,
+            [],
+            None,
+        )
         self.life = self.lives[self.generation] = self.generation << 32 | self.world.chance.getrandbits(32)
         self.shares = Shares(self.name, self.life, self.world.terms, self.clock())
         self.world.note(self.name, "start")
@@ -70,17 +76,28 @@
                     world.later(takes, None, world.note, "", "filled", source, tenant, token, self.name)
                     # Some clients leave, and some ends are never told: what is known here is less than what is so.
                     if world.chance.random() < world.leaving:
-                        world.at(world.now + int(takes * world.chance.random()), self.event, self._lingers,
-                                 (token, tenant, takes))
+                        world.at(
+                            world.now + int(takes * world.chance.random()),
+                            self.event,
+                            self._lingers,
+                            (token, tenant, takes),
+                        )
                     else:
-                        world.at(world.now + takes + int(world.chance.random() * 2 * MS), self.event, self._ended,
-                                 (token, tenant, takes), self.generation)
+                        world.at(
+                            world.now + takes + int(world.chance.random() * 2 * MS),
+                            self.event,
+                            self._ended,
+                            (token, tenant, takes),
+                            self.generation,
+                        )
                 case GiveUp(token, _):
                     world.note(self.name, "gives-up", token[0], token[1])
         due = self.shares.next_due()
         if self.armed != due:
             self.armed = due
-            world.at(world.now + max(1000, int((due - self.clock()) / self.rate)), self._due, due, self.generation)
+            world.at(
+                world.now + max(1000, int((due - self.clock()) / self.rate)), self._due, due, self.generation
+            )
 
     def _due(self, due, generation):
         if self.armed == due and generation == self.generation:
@@ -140,7 +157,7 @@
         there = [(front.name, front.life)]
         for name, other in self.fronts.items():
             if other is not front and (known := self.since.get((front.name, name), (0, 0))[1]):
-                there.append((name, other.lives[known]))     # perhaps a life that is over by now
+                there.append((name, other.lives[known]))  # perhaps a life that is over by now
         return there, len(there) == 1
 
     def tells(self):
@@ -167,8 +184,11 @@
         front, number = self.fronts[name], next(self.numbers)
         if front.up:
             self.note(name, "asks", source, tenant, number, self.now + patience)
-            front.event(lambda: front.shares.arrives((number, tenant, takes), source, tenant,
-                                                     front.clock() + patience, front.clock()))
+            front.event(
+                lambda: front.shares.arrives(
+                    (number, tenant, takes), source, tenant, front.clock() + patience, front.clock()
+                )
+            )
 
     def kill(self, name):
         if self.fronts[name].up:
@@ -228,21 +248,31 @@
     load(world, span + 6 * S, 30, [0, 1, 2])
     load(world, span + 6 * S, 3, [1], source=31)
     for _ in range(0 if quiet else chance.randrange(2, 9)):
-        when, lasts, name = 3 * S + int(chance.random() * span), int(chance.random() * 4 * S), chance.choice(names)
-        what = chance.choice(("kill", "kill-steward", "pause", "pause-steward", "split", "one-way", "restart-all"))
+        when, lasts, name = (
+            3 * S + int(chance.random() * span),
+            int(chance.random() * 4 * S),
+            chance.choice(names),
+        )
+        what = chance.choice(
+            ("kill", "kill-steward", "pause", "pause-steward", "split", "one-way", "restart-all")
+        )
         if what in ("kill", "kill-steward"):
+
             def kill(name=name, what=what, lasts=lasts):
                 name = world.steward() if what == "kill-steward" else name
                 if name:
                     world.kill(name)
                     world.at(world.now + lasts, world.restart, name)
+
             world.at(when, kill)
         elif what in ("pause", "pause-steward"):
+
             def pause(name=name, what=what, lasts=lasts):
                 name = world.steward() if what == "pause-steward" else name
                 if name:
                     world.pause(name, True)
                     world.at(world.now + lasts, world.pause, name, False)
+
             world.at(when, pause)
         elif what in ("split", "one-way"):
             side = chance.sample(names, chance.randrange(1, len(names)))
@@ -266,6 +296,7 @@
 
 # Checkers: of a trace alone.
 
+
 def places_over(trace):
     """At no instant does a source fill more than it has places, counted at the source."""
     places, open_now, found = {}, defaultdict(int), []
@@ -289,7 +320,7 @@
         if what == "asks":
             due[more[2]] = more[3], name
         elif what == "pauses":
-            still.add(name)                  # it may wake after the time of what waits there
+            still.add(name)  # it may wake after the time of what waits there
         elif what == "gives-up" and name not in still and at > due[more[0]][0] - USUAL // 8:
             found.append(f"{at} {name} answers {more[0]} as its time {due[more[0]][0]} ends")
     return found
@@ -316,8 +347,10 @@
     end = trace[-1][0]
     for source in places:
         for begin in range(SETTLED, end - 12 * S, span):
-            got = {t: sum(max(0, min(b or end, begin + span) - max(a, begin)) for a, b, _ in fills[source, t])
-                   for t in weights}
+            got = {
+                t: sum(max(0, min(b or end, begin + span) - max(a, begin)) for a, b, _ in fills[source, t])
+                for t in weights
+            }
             hungry = [t for t in weights if _covered(waits[source, t], begin, begin + span)]
             fair = places[source] * span
             for tenant in hungry:
@@ -398,5 +431,13 @@
 
 
 if __name__ == "__main__":
-    sys.exit(reported(sys.argv[1:], __doc__, lambda seed, wanted: broken(
-        played(seed, wanted.size, wanted.loss, quiet=bool(wanted.quiet)).trace), quiet=0))
+    sys.exit(
+        reported(
+            sys.argv[1:],
+            __doc__,
+            lambda seed, wanted: broken(
+                played(seed, wanted.size, wanted.loss, quiet=bool(wanted.quiet)).trace
+            ),
+            quiet=0,
+        )
+    )
--- a/standins/fleet/simulated.py
+++ b/standins/fleet/simulated.py
@@ -16,9 +16,9 @@
 from standins.disk import Crashed, FaultyDisk
 
 MS, S = 1_000_000, 1_000_000_000
-LOG_MOST = 20_000       # bytes after which a snapshot is made: small, so that schedules have some
-TURNS_MOST = 5000       # of one front in a second
-LINKS = 12              # other fronts that a link ties a front to, at most
+LOG_MOST = 20_000  # bytes after which a snapshot is made: small, so that schedules have some
+TURNS_MOST = 5000  # of one front in a second
+LINKS = 12  # other fronts that a link ties a front to, at most
 
 
 class Spins(Exception):
@@ -30,7 +30,11 @@
 
     def __init__(self, chance, loss=0.0, twice=0.0, slow=0.0):
         self.chance, self.loss, self.twice, self.slow = chance, loss, twice, slow
-        self.cut, self.bytes, self.frames = set(), 0, 0       # directed pairs that are cut; (a, b, kind) one kind alone
+        self.cut, self.bytes, self.frames = (
+            set(),
+            0,
+            0,
+        )  # directed pairs that are cut; (a, b, kind) one kind alone
 
     def fates(self, sender, to, message):
         """When each copy of a message comes, ns from now; none where it is lost."""
@@ -39,8 +43,10 @@
         if (sender, to) in self.cut or (sender, to, kind) in self.cut or self.chance.random() < self.loss:
             return []
         copies = 2 if self.chance.random() < self.twice else 1
-        return [int((1 + 4 * self.chance.random() + (300 if self.chance.random() < self.slow else 0)) * MS)
-                for _ in range(copies)]
+        return [
+            int((1 + 4 * self.chance.random() + (300 if self.chance.random() < self.slow else 0)) * MS)
+            for _ in range(copies)
+        ]
 
 
 class Front:
@@ -61,7 +67,7 @@
         except Crashed:
             return self.crash()
         except OSError:
-            self.up = False                  # without a start on disk it may not tell anything: it tries again
+            self.up = False  # without a start on disk it may not tell anything: it tries again
             return fleet.at(now + S, self._again)
         fleet.note(self.name, "life", life)
         self.peer = Peer(self.name, self.address, life, self.seeds, fleet.seed, now, **fleet.wanted)
@@ -113,7 +119,9 @@
             if isinstance(message, Mark) or isinstance(message, Have) and not message.number:
                 fleet.note(self.name, "says-seen", message.lives)
             if isinstance(message, Tell | Done):
-                fleet.bytes += sum(20 + len(str(f)) for f in (message.facts if isinstance(message, Tell) else []))
+                fleet.bytes += sum(
+                    20 + len(str(f)) for f in (message.facts if isinstance(message, Tell) else [])
+                )
             if to is not None:
                 fleet.send(self, to, message)
         match action:
@@ -122,7 +130,9 @@
                 fault = self.keeping.write(action.record)
                 if fault is None:
                     fleet.note(self.name, "kept", [(f.key, f.value) for f in action.record[0]])
-                    fleet.later(int((0.5 + 3 * fleet.chance.random()) * MS), self, self._synced, number, generation)
+                    fleet.later(
+                        int((0.5 + 3 * fleet.chance.random()) * MS), self, self._synced, number, generation
+                    )
                 else:
                     fleet.note(self.name, "not-kept", fault)
                     fleet.later(MS, self, self._not_kept, number, fault, generation)
@@ -131,15 +141,27 @@
             case LetGo():
                 fleet.note(self.name, "let-go", action.fact.key, action.fact.value)
             case Live():
-                fleet.note(self.name, "live", action.how, self.peer.replica.facts.seen.told(),
-                           {n: self.peer.replica.marks[n].told() for n in action.asked}, self.holds())
+                fleet.note(
+                    self.name,
+                    "live",
+                    action.how,
+                    self.peer.replica.facts.seen.told(),
+                    {n: self.peer.replica.marks[n].told() for n in action.asked},
+                    self.holds(),
+                )
             case Note():
                 fleet.note(self.name, "note", action.event)
             case Look(name, _, life):
                 fleet.later(2 * MS, self, self._looked, name, life)
             case Viewed(view):
-                fleet.note(self.name, "view", view.number, view.state.value, view.share,
-                           {name: row.standing.name for name, row in view.rows.items()})
+                fleet.note(
+                    self.name,
+                    "view",
+                    view.number,
+                    view.state.value,
+                    view.share,
+                    {name: row.standing.name for name, row in view.rows.items()},
+                )
             case Stands():
                 fleet.note(self.name, "stands", action.member.name, int(action.member.standing))
             case Doubled() | Doubted():
@@ -188,7 +210,7 @@
             fault = self.keeping.begin_snapshot()
             held, lives = self.peer.replica.captured()
             if fault is None:
-                pieces = [packed(held[at:at + PIECE]) for at in range(0, len(held), PIECE)]
+                pieces = [packed(held[at : at + PIECE]) for at in range(0, len(held), PIECE)]
                 fault = self.keeping.finish_snapshot(lives, pieces, self.fleet.now)
             if fault is None and not self.peer.replica.kept:
                 self.fleet.note(self.name, "kept", [(f.key, f.value) for f in held])
@@ -220,8 +242,11 @@
 
     def resets(self, ended):
         """Whoever had a link to that process finds it reset."""
-        others = [f for f in self.fronts.values() if f is not ended and f.up
-                  and not {(f.name, ended.name), (ended.name, f.name)} & self.network.cut]
+        others = [
+            f
+            for f in self.fronts.values()
+            if f is not ended and f.up and not {(f.name, ended.name), (ended.name, f.name)} & self.network.cut
+        ]
         for other in self.chance.sample(others, min(LINKS, len(others))):
             self.later(MS, other, other.event, other.peer.reset, ended.name, self.now + MS)
 
@@ -232,7 +257,7 @@
         if not on and front.up:
             lying, front.lying = front.lying, []
             for action, given in lying:
-                if front.up:                 # one of them may be the end of it
+                if front.up:  # one of them may be the end of it
                     action(*given)
             if front.up:
                 self.wake(front)
@@ -288,13 +313,24 @@
         self.trace.append((self.now, front, what, *more))
 
     def later(self, wait, front, action, *given):
-        heapq.heappush(self.events, (self.now + wait, next(self.order), front, front.generation, action, given))
+        heapq.heappush(
+            self.events, (self.now + wait, next(self.order), front, front.generation, action, given)
+        )
 
     def send(self, front, to, message):
         for wait in self.network.fates(front.name, to, message):
             other = self.fronts[to]
-            heapq.heappush(self.events, (self.now + wait, next(self.order), other, None, self._comes,
-                                         (front.name, front.peer.members.own.name, other, message)))
+            heapq.heappush(
+                self.events,
+                (
+                    self.now + wait,
+                    next(self.order),
+                    other,
+                    None,
+                    self._comes,
+                    (front.name, front.peer.members.own.name, other, message),
+                ),
+            )
 
     def _comes(self, sender, name, other, message):
         if other.up and other.peer is not None:
@@ -304,8 +340,10 @@
         due = front.peer.next_due()
         if self.armed.get(front.name, (None, None)) != (front.generation, due):
             self.armed[front.name] = front.generation, due
-            heapq.heappush(self.events, (max(due, self.now + 1), next(self.order), front, front.generation,
-                                         self._due, (front, due)))
+            heapq.heappush(
+                self.events,
+                (max(due, self.now + 1), next(self.order), front, front.generation, self._due, (front, due)),
+            )
 
     def _due(self, front, due):
         if self.armed.get(front.name) == (front.generation, due):
--- a/standins/fleet/viewing.py
+++ b/standins/fleet/viewing.py
@@ -1,6 +1,6 @@
 """Whether views are true: checkers that read the trace of a simulated fleet alone, and the times that views took.
 
-    python -m standins.fleet.viewing --seeds 200 --size 5 --loss 0.1
+python -m standins.fleet.viewing --seeds 200 --size 5 --loss 0.1
 """
 
 import sys
@@ -9,9 +9,9 @@
 from standins.fleet.schedules import played, reported
 
 MS, S = 1_000_000, 1_000_000_000
-KILLED = 2 * S          # after which an ended process is live in no view of one that could look, as could a third
-SILENT = 8 * S          # and one that stands still
-BACK = 12 * S           # after which one that is there and reached by most is gone in no view
+KILLED = 2 * S  # after which an ended process is live in no view of one that could look, as could a third
+SILENT = 8 * S  # and one that stands still
+BACK = 12 * S  # after which one that is there and reached by most is gone in no view
 LEFT_OUT = ("GONE",)
 
 
@@ -75,8 +75,9 @@
 
     def troubled(self, one, other):
         """Spans in which one of the two was not there, stood still, or did not hear the other."""
-        return [span[:2] for name in (one, other) for span in (*self.down(name), *self.whole(self.still[name]))] + [
-            span[:2] for pair in ((one, other), (other, one)) for span in self.whole(self.cut[pair])]
+        return [
+            span[:2] for name in (one, other) for span in (*self.down(name), *self.whole(self.still[name]))
+        ] + [span[:2] for pair in ((one, other), (other, one)) for span in self.whole(self.cut[pair])]
 
     def calm(self, one, other):
         """Spans in which both were there and heard each other."""
@@ -87,14 +88,14 @@
             at = max(at, end)
         return found
 
-
     def confirmed(self, one, other, at):
         """Whether a third front could tell `one` in time that the process of `other`, ended then, is over."""
         until = at + KILLED
         for third in [name for name in self.names if name not in (one, other)]:
             cuts = [span for pair in ((third, other), (other, third)) for span in self.whole(self.cut[pair])]
             if any(a <= at and b >= until for a, b in self.calm(one, third)) and not any(
-                    a < until and b > at for a, b in cuts):
+                a < until and b > at for a, b in cuts
+            ):
                 return True
         return False
 
@@ -114,7 +115,9 @@
             if other == one or other in story.doubled or one in story.doubled:
                 continue
             live = [span for span in story.whole(story.said[one, other]) if span[2] == "LIVE"]
-            cuts = [span[:2] for pair in ((one, other), (other, one)) for span in story.whole(story.cut[pair])]
+            cuts = [
+                span[:2] for pair in ((one, other), (other, one)) for span in story.whole(story.cut[pair])
+            ]
             for away, most in ((story.down(other), KILLED), (story.whole(story.still[other]), SILENT)):
                 for begin, end in within(live, away, most):
                     ended = max(a for a, *_ in away if a <= begin)
@@ -122,7 +125,9 @@
                         continue
                     # Only where the viewer itself was there all the time, and not cut off from the other.
                     if not any(a < end and b > begin for a, b, *_ in mine + cuts):
-                        found.append(f"{one} has {other} as live from {begin} to {end}, when it was not there")
+                        found.append(
+                            f"{one} has {other} as live from {begin} to {end}, when it was not there"
+                        )
     return found
 
 
@@ -135,10 +140,15 @@
                 continue
             gone = [span for span in story.whole(story.said[one, other]) if span[2] in LEFT_OUT]
             for begin, end in within(gone, story.calm(one, other), BACK):
-                heard = [name for name in story.names if name != other and any(
-                    a <= begin and b >= end for a, b in story.calm(name, other))]
+                heard = [
+                    name
+                    for name in story.names
+                    if name != other and any(a <= begin and b >= end for a, b in story.calm(name, other))
+                ]
                 if 2 * (len(heard) + 1) > len(story.names):
-                    found.append(f"{one} has {other} as gone from {begin} to {end}, with {heard} in reach of it")
+                    found.append(
+                        f"{one} has {other} as gone from {begin} to {end}, with {heard} in reach of it"
+                    )
     return found
 
 
@@ -147,8 +157,11 @@
     story, found = Story(trace), []
     for name in story.names:
         last = story.whole(story.states[name])[-1:]
-        well = all(story.calm(name, other)[-1:] and story.calm(name, other)[-1][0] < story.end - 15 * S
-                   for other in story.names if other != name)
+        well = all(
+            story.calm(name, other)[-1:] and story.calm(name, other)[-1][0] < story.end - 15 * S
+            for other in story.names
+            if other != name
+        )
         if well and not story.doubled and last and last[0][2] != "whole":
             found.append(f"{name} ends as {last[0][2]}")
     return found
@@ -172,13 +185,27 @@
             for kind, away in (("killed", story.down(other)), ("silent", story.whole(story.still[other]))):
                 for begin, end, *_ in away:
                     seen = [span for span in live if span[0] <= begin < span[1]]
-                    calm = not any(a < seen[0][1] and b > begin for a, b in story.troubled(one, one)) if seen else False
-                    cuts = [span for pair in ((one, other), (other, one)) for span in story.whole(story.cut[pair])]
-                    if seen and calm and seen[0][1] <= end and not any(a < seen[0][1] and b > begin for a, b in cuts):
+                    calm = (
+                        not any(a < seen[0][1] and b > begin for a, b in story.troubled(one, one))
+                        if seen
+                        else False
+                    )
+                    cuts = [
+                        span for pair in ((one, other), (other, one)) for span in story.whole(story.cut[pair])
+                    ]
+                    if (
+                        seen
+                        and calm
+                        and seen[0][1] <= end
+                        and not any(a < seen[0][1] and b > begin for a, b in cuts)
+                    ):
                         found[kind].append(seen[0][1] - begin)
     return found
 
 
 if __name__ == "__main__":
-    sys.exit(reported(sys.argv[1:], __doc__, lambda seed, wanted: broken(
-        played(seed, wanted.size, wanted.loss).trace)))
+    sys.exit(
+        reported(
+            sys.argv[1:], __doc__, lambda seed, wanted: broken(played(seed, wanted.size, wanted.loss).trace)
+        )
+    )
