--- a/standins/http2.py
+++ b/standins/http2.py
@@ -21,7 +21,14 @@
 import uvloop
 from h2.config import H2Configuration
 from h2.connection import H2Connection
-from h2.events import DataReceived, RemoteSettingsChanged, RequestReceived, StreamEnded, StreamReset, WindowUpdated
+from h2.events import (
+    DataReceived,
+    RemoteSettingsChanged,
+    RequestReceived,
+    StreamEnded,
+    StreamReset,
+    WindowUpdated,
+)
 from h2.exceptions import H2Error
 from h2.settings import SettingCodes, Settings
 
@@ -63,10 +70,20 @@
 
     def __init__(self, server, sock):
         self.server, self.sock, self.loop = server, sock, asyncio.get_running_loop()
-        self.h2 = Counted(H2Configuration(client_side=False, header_encoding=False,
-                                               validate_inbound_headers=False, validate_outbound_headers=False))
-        first = {SettingCodes.MAX_CONCURRENT_STREAMS: server.limit, SettingCodes.INITIAL_WINDOW_SIZE: server.window,
-                 SettingCodes.MAX_FRAME_SIZE: 16_384, SettingCodes.ENABLE_PUSH: 0}
+        self.h2 = Counted(
+            H2Configuration(
+                client_side=False,
+                header_encoding=False,
+                validate_inbound_headers=False,
+                validate_outbound_headers=False,
+            )
+        )
+        first = {
+            SettingCodes.MAX_CONCURRENT_STREAMS: server.limit,
+            SettingCodes.INITIAL_WINDOW_SIZE: server.window,
+            SettingCodes.MAX_FRAME_SIZE: 16_384,
+            SettingCodes.ENABLE_PUSH: 0,
+        }
         self.h2.local_settings = Settings(client=False, initial_values=first)
         self.open, self.outgoing, self.rest, self.closed, self.last = {}, deque(), {}, False, None
         self.until_close, self.flushing, self.writes = server.draw_close(), False, False
@@ -182,7 +199,7 @@
         try:
             self.h2.acknowledge_received_data(size, stream)
         except H2Error:
-            pass                             # the stream has ended
+            pass  # the stream has ended
 
     def _pump(self):
         for stream, (body, trailers, end) in list(self.rest.items()):
@@ -191,12 +208,14 @@
                     size = min(self.h2.local_flow_control_window(stream), 16_384, len(body))
                     if size <= 0:
                         break
-                    self.h2.send_data(stream, body[:size], end_stream=end and size == len(body) and not trailers)
+                    self.h2.send_data(
+                        stream, body[:size], end_stream=end and size == len(body) and not trailers
+                    )
                     body = body[size:]
                 if not body and trailers:
                     self.h2.send_headers(stream, trailers, end_stream=True)
             except H2Error:
-                body = b""                   # reset by the front meanwhile
+                body = b""  # reset by the front meanwhile
             if body:
                 self.rest[stream] = body, trailers, end
             else:
@@ -241,10 +260,30 @@
 class Server:
     """Takes connections on a free loopback port; `heads` and `came` may be replaced by a test's own."""
 
-    def __init__(self, seed=0, port=0, limit=100, window=65_535, opens=True, queue=0.0, service=0.0, size=5,
-                 close_every=0, closes=CLOSES, ran=None, name="s", steady=False):
+    def __init__(
+        self,
+        seed=0,
+        port=0,
+        limit=100,
+        window=65_535,
+        opens=True,
+        queue=0.0,
+        service=0.0,
+        size=5,
+        close_every=0,
+        closes=CLOSES,
+        ran=None,
+        name="s",
+        steady=False,
+    ):
         self.chance, self.limit, self.window, self.opens = random.Random(seed), limit, window, opens
-        self.queue, self.service, self.size, self.close_every, self.closes = queue, service, size, close_every, closes
+        self.queue, self.service, self.size, self.close_every, self.closes = (
+            queue,
+            service,
+            size,
+            close_every,
+            closes,
+        )
         self.ran, self.cancelled, self.peers, self.made, self.name = [], [], set(), 0, name
         self.file = os.open(ran, os.O_WRONLY | os.O_CREAT | os.O_APPEND) if ran else None
         self.port, self.listener, self.counts = port, None, {}
@@ -274,8 +313,10 @@
         self.ran.append((request.id, request.attempt))
         if self.file is not None:
             # At once: what is killed the next moment has run all the same.
-            os.write(self.file, b"%s %d %s\n" % (request.id.encode(), request.attempt,
-                                                b"order" if request.write else b"get"))
+            os.write(
+                self.file,
+                b"%s %d %s\n" % (request.id.encode(), request.attempt, b"order" if request.write else b"get"),
+            )
 
     def draw_close(self):
         return self.chance.randrange(1, 2 * self.close_every) if self.close_every else 0
@@ -283,7 +324,7 @@
     def came(self, peer, request):
         """A whole request: it waits, runs, is answered; and now and then the connection is closed instead."""
         if peer.last is not None and request.stream > peer.last:
-            return                           # above the last stream of our GOAWAY: never runs
+            return  # above the last stream of our GOAWAY: never runs
         spread = 1.0 if self.steady else 0.5 + self.chance.random()
         peer.loop.call_later(self.queue * spread, self._run, peer, request, spread)
         if peer.until_close:
@@ -291,7 +332,9 @@
             if not peer.until_close:
                 kind = self.chance.choice(self.closes)
                 self.counts[kind] = self.counts.get(kind, 0) + 1
-                peer.loop.call_later(self.chance.random() * (self.queue + self.service), self.shut, peer, kind)
+                peer.loop.call_later(
+                    self.chance.random() * (self.queue + self.service), self.shut, peer, kind
+                )
 
     def _run(self, peer, request, spread):
         if peer.run(request):
@@ -299,8 +342,12 @@
 
     def _answer(self, peer, request):
         if not peer.closed and request.stream in peer.open:
-            peer.answer(request.stream, 200, ((b"etag", b'"t1"'), (b"cache-status", self.name.encode() + b"; hit")),
-                        b"x" * self.size)
+            peer.answer(
+                request.stream,
+                200,
+                ((b"etag", b'"t1"'), (b"cache-status", self.name.encode() + b"; hit")),
+                b"x" * self.size,
+            )
 
     def shut(self, peer, kind):
         """One close of the given kind; what has run by then is never called back."""
@@ -391,9 +438,19 @@
 
 def main(given):
     flags = argparse.ArgumentParser(prog="python -m standins.http2", description=__doc__.split("\n")[0])
-    for name, kind, default in (("port", int, 0), ("seed", int, 0), ("limit", int, 100), ("window", int, 65_535),
-                                ("queue", float, 0.0), ("service", float, 0.0), ("size", int, 5),
-                                ("close-every", int, 0), ("ran", str, None), ("name", str, "s"), ("steady", int, 0)):
+    for name, kind, default in (
+        ("port", int, 0),
+        ("seed", int, 0),
+        ("limit", int, 100),
+        ("window", int, 65_535),
+        ("queue", float, 0.0),
+        ("service", float, 0.0),
+        ("size", int, 5),
+        ("close-every", int, 0),
+        ("ran", str, None),
+        ("name", str, "s"),
+        ("steady", int, 0),
+    ):
         flags.add_argument("--" + name, type=kind, default=default)
     uvloop.run(serve(Server(**{k: v for k, v in vars(flags.parse_args(given)).items()})))
 
--- a/standins/lines.py
+++ b/standins/lines.py
@@ -22,7 +22,13 @@
 
 class Peer:
     def __init__(self, server, sock):
-        self.server, self.sock, self.loop, self.held, self.open = server, sock, asyncio.get_running_loop(), b"", {}
+        self.server, self.sock, self.loop, self.held, self.open = (
+            server,
+            sock,
+            asyncio.get_running_loop(),
+            b"",
+            {},
+        )
         self.outgoing, self.flushing, self.writes = bytearray(), False, False
         self.loop.add_reader(sock, self._readable)
 
@@ -42,12 +48,12 @@
                 size = int(words[3])
                 if len(self.held) < at + 4 + size:
                     break
-                self.held = self.held[at + 4 + size:]
+                self.held = self.held[at + 4 + size :]
                 self.open[words[1]] = True
                 self.server.came(words[1], words[2])
                 self.loop.call_later(self.server.wait(), self._answer, words[1])
             else:
-                self.held = self.held[at + 2:]
+                self.held = self.held[at + 2 :]
                 self.open.pop(words[1], None)
 
     def _answer(self, call_id):
@@ -55,7 +61,11 @@
             self.server.note(call_id)
             made = b"made=%d," % int(time.time() * 1000) if self.server.made else b""
             self.outgoing += b"%b served etag=t1,%bremark=cached %d\r\n%b\r\n" % (
-                call_id, made, self.server.size, b"x" * self.server.size)
+                call_id,
+                made,
+                self.server.size,
+                b"x" * self.server.size,
+            )
             if not self.flushing:
                 self.flushing = True
                 self.loop.call_soon(self._flush)
@@ -66,7 +76,7 @@
             return
         try:
             while self.outgoing:
-                del self.outgoing[:self.sock.send(self.outgoing)]
+                del self.outgoing[: self.sock.send(self.outgoing)]
         except BlockingIOError:
             pass
         except OSError:
@@ -91,9 +101,9 @@
         self.port, self.service, self.size, self.chance = port, service, size, random.Random(seed)
         self.file = os.open(ran, os.O_WRONLY | os.O_CREAT | os.O_APPEND) if ran else None
         self.connections = self.count = 0
-        self.made = made                     # whether it tells when its copies were made: just now
+        self.made = made  # whether it tells when its copies were made: just now
         self.steady = steady
-        self.addresses = addresses           # on how many of the loopback, each as a cache of its own; 0: 127.0.0.1
+        self.addresses = addresses  # on how many of the loopback, each as a cache of its own; 0: 127.0.0.1
 
     def wait(self):
         return self.service * (1.0 if self.steady else 0.5 + self.chance.random())
@@ -107,9 +117,13 @@
             os.write(self.file, b"%s 0 get\n" % call_id)
 
     async def serve(self):
-        listener = socket.create_server((address_of(0) if self.addresses else "127.0.0.1", self.port), backlog=512)
+        listener = socket.create_server(
+            (address_of(0) if self.addresses else "127.0.0.1", self.port), backlog=512
+        )
         port = listener.getsockname()[1]
-        listeners = [listener] + [socket.create_server((address_of(at), port)) for at in range(1, self.addresses)]
+        listeners = [listener] + [
+            socket.create_server((address_of(at), port)) for at in range(1, self.addresses)
+        ]
         stop, loop = asyncio.Event(), asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, stop.set)
@@ -133,8 +147,16 @@
 
 def main(given):
     flags = argparse.ArgumentParser(prog="python -m standins.lines", description=__doc__.split("\n")[0])
-    for name, kind, default in (("port", int, 0), ("seed", int, 0), ("service", float, 0.0), ("size", int, 5),
-                                ("ran", str, None), ("steady", int, 0), ("made", int, 0), ("addresses", int, 0)):
+    for name, kind, default in (
+        ("port", int, 0),
+        ("seed", int, 0),
+        ("service", float, 0.0),
+        ("size", int, 5),
+        ("ran", str, None),
+        ("steady", int, 0),
+        ("made", int, 0),
+        ("addresses", int, 0),
+    ):
         flags.add_argument("--" + name, type=kind, default=default)
     uvloop.run(Server(**vars(flags.parse_args(given))).serve())
 
--- a/standins/ports.py
+++ b/standins/ports.py
@@ -6,11 +6,14 @@
 import socket
 import tempfile
 
-FIRST, PAST = 10_000, 32_000    # below those that the system gives out by itself: it might give one before it is bound
+FIRST, PAST = (
+    10_000,
+    32_000,
+)  # below those that the system gives out by itself: it might give one before it is bound
 
 _order = itertools.cycle(range(FIRST, PAST))
 for _ in range(os.getpid() * 97 % (PAST - FIRST)):
-    next(_order)                # processes side by side begin apart
+    next(_order)  # processes side by side begin apart
 _locks = None
 
 
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -8,9 +8,12 @@
     """One stand-in; `address` once it listens."""
 
     def __init__(self, module, **flags):
-        given = [part for name, value in flags.items() for part in ("--" + name.replace("_", "-"), str(value))]
-        self.process = subprocess.Popen([sys.executable, "-m", f"standins.{module}", *given],
-                                        stdout=subprocess.PIPE, text=True)
+        given = [
+            part for name, value in flags.items() for part in ("--" + name.replace("_", "-"), str(value))
+        ]
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", f"standins.{module}", *given], stdout=subprocess.PIPE, text=True
+        )
         self.address = self.process.stdout.readline().split()[1]
 
     def cpu(self):
--- a/standins/soak/clients.py
+++ b/standins/soak/clients.py
@@ -9,8 +9,8 @@
 import time
 from dataclasses import dataclass, field
 
-RESENT = 0.05           # a request that crosses the end of a resting connection within this is sent once more
-LATE = 0.5              # how long over its patience a client waits, to see whether an answer comes at all
+RESENT = 0.05  # a request that crosses the end of a resting connection within this is sent once more
+LATE = 0.5  # how long over its patience a client waits, to see whether an answer comes at all
 
 
 @dataclass
@@ -27,7 +27,7 @@
     status: int = 0
     body: bytes = b""
     left: float | None = None
-    fresh: bool = True      # the first on its connection
+    fresh: bool = True  # the first on its connection
 
 
 @dataclass
@@ -36,18 +36,19 @@
 
     number: int
     address: tuple
-    open_until: float = 0.0     # new connections until then; far off while it is in service
-    used_until: float = 0.0     # requests on open ones until then
+    open_until: float = 0.0  # new connections until then; far off while it is in service
+    used_until: float = 0.0  # requests on open ones until then
     rows: list = field(default_factory=list)
 
 
 def text_of(row, close=False):
     path = f"/svc/{'order' if row.order else 'media'}/{row.thing}/slice-1"
     body = b"o" * 300 if row.order else b""
-    return (f"{'PUT' if row.order else 'GET'} {path} HTTP/1.1\r\nHost: a\r\nX-Call-Id: {row.id}\r\n"
-            f"X-Patience-Ms: {int(row.patience * 1000)}\r\nX-Set: {row.group}\r\nX-Heap-Kb: 4.5\r\n"
-            f"{'Connection: close' + chr(13) + chr(10) if close else ''}Content-Length: {len(body)}\r\n\r\n"
-            ).encode() + body
+    return (
+        f"{'PUT' if row.order else 'GET'} {path} HTTP/1.1\r\nHost: a\r\nX-Call-Id: {row.id}\r\n"
+        f"X-Patience-Ms: {int(row.patience * 1000)}\r\nX-Set: {row.group}\r\nX-Heap-Kb: 4.5\r\n"
+        f"{'Connection: close' + chr(13) + chr(10) if close else ''}Content-Length: {len(body)}\r\n\r\n"
+    ).encode() + body
 
 
 class Client:
@@ -63,8 +64,14 @@
         chance = self.chance
         thing = int(chance.paretovariate(0.6)) % 4000 + 1
         # An object is of one group: a purge of another one says nothing of its copies.
-        return Row(self.target.number, f"{self.number:06x}{self.count:010x}", chance.random() < 0.1, f"{thing:x}",
-                   thing % 8, chance.choice((0.05, 0.3, 1.5, 1.5, 3.0)))
+        return Row(
+            self.target.number,
+            f"{self.number:06x}{self.count:010x}",
+            chance.random() < 0.1,
+            f"{thing:x}",
+            thing % 8,
+            chance.choice((0.05, 0.3, 1.5, 1.5, 3.0)),
+        )
 
     async def run(self, until):
         while time.monotonic() < until:
@@ -116,7 +123,7 @@
             text = text_of(row)
             if self.manner == "dribble":
                 for at in range(0, len(text), 60):
-                    self.writer.write(text[at:at + 60])
+                    self.writer.write(text[at : at + 60])
                     await asyncio.sleep(0.02)
             else:
                 self.writer.write(text)
@@ -132,8 +139,9 @@
             row.left = time.monotonic()
         except (OSError, asyncio.IncompleteReadError, ValueError) as fault:
             row.sent = row.sent or time.monotonic()
-            crossed = (not row.fresh and time.monotonic() - row.sent < RESENT
-                       and not getattr(fault, "partial", b""))
+            crossed = (
+                not row.fresh and time.monotonic() - row.sent < RESENT and not getattr(fault, "partial", b"")
+            )
             row.how = "crossed" if crossed else "closed"
         row.ended = time.monotonic()
 
--- a/standins/soak/judge.py
+++ b/standins/soak/judge.py
@@ -7,12 +7,12 @@
 from collections import defaultdict
 from typing import NamedTuple
 
-SLACK = 0.15            # for this machine, which runs all of it on a few cores
-GONE = 0.1              # an attempt that begins so long after its client went
-WAIT = 0.15             # by which `max` may be over what the client has left
-LATE = 0.5              # an answer so long after its time counts as none
-STILL_SENT = 0.6        # seconds after SIGTERM in which what comes on open connections is owed an answer
-TOLD = 0.5              # seconds from an event's going out to a front until it has to act by it
+SLACK = 0.15  # for this machine, which runs all of it on a few cores
+GONE = 0.1  # an attempt that begins so long after its client went
+WAIT = 0.15  # by which `max` may be over what the client has left
+LATE = 0.5  # an answer so long after its time counts as none
+STILL_SENT = 0.6  # seconds after SIGTERM in which what comes on open connections is owed an answer
+TOLD = 0.5  # seconds from an event's going out to a front until it has to act by it
 ATTEMPTS = 6
 NEVER_RAN = ("overload", "missing")
 
@@ -49,8 +49,14 @@
 
     What is told while a front's connection to its bus is being ended may not have come: told again, it counts then.
     """
-    begun = max((one.begin for one in windows if one.front == row.front and one.what in ("kill", "term")
-                 and one.end <= row.sent), default=0.0)
+    begun = max(
+        (
+            one.begin
+            for one in windows
+            if one.front == row.front and one.what in ("kill", "term") and one.end <= row.sent
+        ),
+        default=0.0,
+    )
     found = {}
     for at, offset in told:
         if at >= begun:
@@ -73,8 +79,13 @@
     if row.how in ("left", "crossed", "refused", "") or _excused(row, windows):
         return []
     if row.how != "answered":
-        return [("lost", f"{row.id} at front {row.front}: {row.how} after {row.ended - row.sent:.3f} s of "
-                         f"{row.patience} s")]
+        return [
+            (
+                "lost",
+                f"{row.id} at front {row.front}: {row.how} after {row.ended - row.sent:.3f} s of "
+                f"{row.patience} s",
+            )
+        ]
     if row.ended - row.sent > row.patience + LATE + SLACK:
         return [("late", f"{row.id} at front {row.front}: {row.ended - row.sent:.3f} s of {row.patience} s")]
     if row.status not in (200, 502, 503):
@@ -99,8 +110,13 @@
             found.append(("after_answer", f"{where}: {one['at'] - row.ended:.3f} s"))
         for name in (one["server"], one["fields"].get("src")):
             if name and _drains(name, one["at"], told, events):
-                found.append(("to_draining", f"{where} from front {row.front}: {name}, sent {row.sent:.3f}, came "
-                                             f"{one['at']:.3f}"))
+                found.append(
+                    (
+                        "to_draining",
+                        f"{where} from front {row.front}: {name}, sent {row.sent:.3f}, came "
+                        f"{one['at']:.3f}",
+                    )
+                )
     if row.order:
         maybe = [one for one in came[:-1] if one["mode"] not in NEVER_RAN]
         if maybe:
@@ -118,7 +134,7 @@
                     return state == "draining" and at > since + TOLD
                 state, since = host["health"], told[offset]
             elif host["host"] == name:
-                return False                 # told of one that it has not heard of: nothing is known here
+                return False  # told of one that it has not heard of: nothing is known here
     return state == "draining" and at > since + TOLD
 
 
@@ -135,7 +151,14 @@
         return [("body", f"{row.id}: asked {row.thing}, got {row.body[:60]!r}")]
     for offset, event in events.items():
         ban = event.get("ban")
-        if ban and ban["tag"] == row.group and offset in told and told[offset] + TOLD < row.sent and (
-                int(made) < ban["ts"] - 50):
-            return [("purged", f"{row.id} at front {row.front}: made {ban['ts'] - int(made)} ms before the purge")]
+        if (
+            ban
+            and ban["tag"] == row.group
+            and offset in told
+            and told[offset] + TOLD < row.sent
+            and (int(made) < ban["ts"] - 50)
+        ):
+            return [
+                ("purged", f"{row.id} at front {row.front}: made {ban['ts'] - int(made)} ms before the purge")
+            ]
     return []
--- a/standins/soak/schedule.py
+++ b/standins/soak/schedule.py
@@ -7,18 +7,50 @@
 import random
 from typing import NamedTuple
 
-QUIET = 4.0             # seconds before the first trouble, and after the last one
-BETWEEN = (2.0, 5.0)    # seconds between two moments
-
-SERVER_MODES = ("hang", "slow", "error", "overload", "missing", "half", "trickle", "reset", "garbage", "twice",
-                "refuse", "deaf", "idle_close")
+QUIET = 4.0  # seconds before the first trouble, and after the last one
+BETWEEN = (2.0, 5.0)  # seconds between two moments
+
+SERVER_MODES = (
+    "hang",
+    "slow",
+    "error",
+    "overload",
+    "missing",
+    "half",
+    "trickle",
+    "reset",
+    "garbage",
+    "twice",
+    "refuse",
+    "deaf",
+    "idle_close",
+)
 BUS_MODES = ("down", "silent", "pieces", "late")
-CALLS = (("accept", "EMFILE"), ("accept", "ENFILE"), ("accept", "ECONNABORTED"), ("accept", "EINTR"),
-         ("recv_into", "EINTR"), ("recv_into", "ENOBUFS"), ("recv_into", "SHORT"), ("send", "ENOBUFS"),
-         ("send", "EAGAIN"), ("send", "SHORT"), ("send", "EINTR"), ("connect", "EADDRNOTAVAIL"),
-         ("connect", "ENETUNREACH"), ("connect", "ETIMEDOUT"), ("connect", "EHOSTUNREACH"), ("socket", "EMFILE"),
-         ("socket", "ENOBUFS"), ("setsockopt", "ENOBUFS"), ("fsync", "EIO"), ("write", "ENOSPC"), ("write", "SHORT"),
-         ("replace", "EIO"), ("open", "ENOSPC"))
+CALLS = (
+    ("accept", "EMFILE"),
+    ("accept", "ENFILE"),
+    ("accept", "ECONNABORTED"),
+    ("accept", "EINTR"),
+    ("recv_into", "EINTR"),
+    ("recv_into", "ENOBUFS"),
+    ("recv_into", "SHORT"),
+    ("send", "ENOBUFS"),
+    ("send", "EAGAIN"),
+    ("send", "SHORT"),
+    ("send", "EINTR"),
+    ("connect", "EADDRNOTAVAIL"),
+    ("connect", "ENETUNREACH"),
+    ("connect", "ETIMEDOUT"),
+    ("connect", "EHOSTUNREACH"),
+    ("socket", "EMFILE"),
+    ("socket", "ENOBUFS"),
+    ("setsockopt", "ENOBUFS"),
+    ("fsync", "EIO"),
+    ("write", "ENOSPC"),
+    ("write", "SHORT"),
+    ("replace", "EIO"),
+    ("open", "ENOSPC"),
+)
 CLIENT_MODES = ("leave", "flood", "pipeline", "dribble", "rest", "burst")
 
 
@@ -27,16 +59,18 @@
 
     at: float
     what: str
-    where: int              # number of a front, or of a server
+    where: int  # number of a front, or of a server
     how: str
     seconds: float
 
 
 def _front(chance, at, fronts):
     what = chance.choice(("term", "kill", "stop", "hup", "wall", "call"))
-    how = {"wall": lambda: str(chance.choice((-3600, -3, 3, 3600))),
-           "call": lambda: ":".join(chance.choice(CALLS)),
-           "hup": lambda: str(chance.randrange(1, 6))}.get(what, lambda: "")()
+    how = {
+        "wall": lambda: str(chance.choice((-3600, -3, 3, 3600))),
+        "call": lambda: ":".join(chance.choice(CALLS)),
+        "hup": lambda: str(chance.randrange(1, 6)),
+    }.get(what, lambda: "")()
     return Trouble(at, what, chance.randrange(fronts), how, round(chance.uniform(0.2, 1.5), 3))
 
 
@@ -51,8 +85,13 @@
 
 
 def _clients(chance, at, fronts):
-    return Trouble(at, "clients", chance.randrange(fronts), chance.choice(CLIENT_MODES),
-                   round(chance.uniform(0.3, 2.0), 3))
+    return Trouble(
+        at,
+        "clients",
+        chance.randrange(fronts),
+        chance.choice(CLIENT_MODES),
+        round(chance.uniform(0.3, 2.0), 3),
+    )
 
 
 def drawn(seed, seconds, fronts, servers):
@@ -60,10 +99,18 @@
     while at < seconds - QUIET:
         for _ in range(chance.choice((2, 2, 3))):
             when = round(at + chance.random(), 3)
-            found.append(chance.choice((
-                lambda when=when: _front(chance, when, fronts), lambda when=when: _front(chance, when, fronts),
-                lambda when=when: _server(chance, when, servers), lambda when=when: _server(chance, when, servers),
-                lambda when=when: _bus(chance, when), lambda when=when: _clients(chance, when, fronts)))())
+            found.append(
+                chance.choice(
+                    (
+                        lambda when=when: _front(chance, when, fronts),
+                        lambda when=when: _front(chance, when, fronts),
+                        lambda when=when: _server(chance, when, servers),
+                        lambda when=when: _server(chance, when, servers),
+                        lambda when=when: _bus(chance, when),
+                        lambda when=when: _clients(chance, when, fronts),
+                    )
+                )()
+            )
         at += chance.uniform(*BETWEEN)
     return sorted(found)
 
@@ -74,7 +121,7 @@
     while size:
         at = 0
         while at < len(troubles):
-            fewer = troubles[:at] + troubles[at + size:]
+            fewer = troubles[:at] + troubles[at + size :]
             if fewer and fails(fewer):
                 troubles = fewer
             else:
--- a/standins/soak/servers.py
+++ b/standins/soak/servers.py
@@ -28,7 +28,7 @@
 
 class Records:
     def __init__(self, path):
-        self.file = open(path, "w")     # noqa: SIM115: open as long as the process
+        self.file = open(path, "w")  # noqa: SIM115: open as long as the process
 
     def __call__(self, what, **fields):
         self.file.write(json.dumps({"at": time.monotonic(), "what": what, **fields}) + "\n")
@@ -41,7 +41,7 @@
         self.world, self.number, self.name, self.kind = world, number, name, kind
         self.mode, self.until, self.listener, self.peers, self.address = "", 0.0, None, set(), None
         self.away = asyncio.Lock()
-        self.deaf_until = 0.0                # what comes until then may have stood in the kernel
+        self.deaf_until = 0.0  # what comes until then may have stood in the kernel
 
     async def listens(self):
         # Of ports that the system gives to nobody else: it listens there again after an end.
@@ -56,7 +56,7 @@
     async def meets(self, mode, seconds):
         self.mode, self.until = mode, time.monotonic() + seconds
         if mode in ("refuse", "dies"):
-            async with self.away:            # two such troubles of one server come one after the other
+            async with self.away:  # two such troubles of one server come one after the other
                 self.listener.close()
                 for peer in list(self.peers):
                     peer.transport.abort()
@@ -93,17 +93,23 @@
             words = self.held[:at].split(b" ")
             if words[0] != b"serve":
                 self.open.discard(words[1])
-                self.held = self.held[at + 2:]
+                self.held = self.held[at + 2 :]
                 continue
             size = int(words[3])
             if len(self.held) < at + 4 + size:
                 return
-            self.held = self.held[at + 4 + size:]
+            self.held = self.held[at + 4 + size :]
             fields = dict(pair.split("=", 1) for pair in words[2].decode().split(","))
             self.open.add(words[1])
             mode = self.server.now()
-            self.server.world.records("came", server=self.server.name, id=words[1].decode(), fields=fields,
-                                      mode=mode, deaf=time.monotonic() < self.server.deaf_until)
+            self.server.world.records(
+                "came",
+                server=self.server.name,
+                id=words[1].decode(),
+                fields=fields,
+                mode=mode,
+                deaf=time.monotonic() < self.server.deaf_until,
+            )
             asyncio.ensure_future(self._answers(words[1], fields, mode))
 
     async def _answers(self, call, fields, mode):
@@ -127,12 +133,18 @@
         made = int(time.time() * 1000 - age)
         body = b"" if fields["profile"] == "order" else body_of(fields["thing"], fields["nth"], made)
         answer = b"%b served etag=t%d,made=%d,remark=%b %d\r\n%b\r\n" % (
-            call, made, made, b"fetched" if "src" in fields else b"cached", len(body), body)
+            call,
+            made,
+            made,
+            b"fetched" if "src" in fields else b"cached",
+            len(body),
+            body,
+        )
         await self._sends(answer, mode, chance)
 
     async def _sends(self, answer, mode, chance):
         if mode == "half":
-            return self.transport.write(answer[:len(answer) // 2])
+            return self.transport.write(answer[: len(answer) // 2])
         if mode == "trickle":
             while answer and not self.transport.is_closing():
                 size = chance.randrange(1, 120)
@@ -170,7 +182,7 @@
                 last = await self._tells(writer, last)
                 await asyncio.sleep(0.1)
         except (OSError, RuntimeError, asyncio.IncompleteReadError, asyncio.CancelledError, IndexError):
-            pass                             # the end of either side, or of this process
+            pass  # the end of either side, or of this process
         finally:
             self.writers.discard(writer)
             writer.close()
@@ -188,7 +200,7 @@
             said = f"id: {offset}\ndata: {json.dumps(event)}\n\n".encode()
             if mode == "pieces":
                 for at in range(0, len(said), 40):
-                    writer.write(said[at:at + 40])
+                    writer.write(said[at : at + 40])
                     await asyncio.sleep(0.005)
             else:
                 writer.write(said)
@@ -213,8 +225,16 @@
 
     def host(self, server, health="up"):
         host, port = server.address
-        return {"host": server.name, "dial": f"{host}:{port}", "site": "here", "class": server.kind, "block": 0,
-                "health": health, "share": 1.0, "born_ms": self.born.get(server.name, 0)}
+        return {
+            "host": server.name,
+            "dial": f"{host}:{port}",
+            "site": "here",
+            "class": server.kind,
+            "block": 0,
+            "health": health,
+            "share": 1.0,
+            "born_ms": self.born.get(server.name, 0),
+        }
 
     def tell(self, **event):
         self.offset += 1
@@ -259,7 +279,9 @@
 
 
 if __name__ == "__main__":
-    flags = argparse.ArgumentParser(prog="python -m standins.soak.servers", description=__doc__.split("\n")[0])
+    flags = argparse.ArgumentParser(
+        prog="python -m standins.soak.servers", description=__doc__.split("\n")[0]
+    )
     for name, default in (("caches", 6), ("parents", 2), ("fronts", 3), ("seed", 0)):
         flags.add_argument("--" + name, type=int, default=default)
     flags.add_argument("--records", required=True)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-MOST = 3        # lines of the list; more are not known faults but a state of affairs
+MOST = 3  # lines of the list; more are not known faults but a state of affairs
 
 
 class Wrong(Exception):
@@ -28,7 +28,9 @@
     list_of_them = pathlib.Path(config.rootpath) / "KNOWN-RED.txt"
     try:
         red = known_red(list_of_them.read_text() if list_of_them.exists() else "")
-        if list(config.args) == list(config.getini("testpaths")) and (gone := red.keys() - {i.nodeid for i in items}):
+        if list(config.args) == list(config.getini("testpaths")) and (
+            gone := red.keys() - {i.nodeid for i in items}
+        ):
             raise Wrong(f"KNOWN-RED.txt: no such test: {', '.join(sorted(gone))}")
     except Wrong as fault:
         raise pytest.UsageError(str(fault)) from None
--- a/tests/crossing.py
+++ b/tests/crossing.py
@@ -31,15 +31,30 @@
 def two(path, reply=served, origin=served, **more):
     """A front with one cache and an origin."""
     box, root = cache(reply), cache(origin)
-    return Front(path, host("s-0b", box.address, "std"), host("s-1f", root.address, "origin"), **more), box, root
+    return (
+        Front(path, host("s-0b", box.address, "std"), host("s-1f", root.address, "origin"), **more),
+        box,
+        root,
+    )
 
 
 def not_started(path):
     """The configuration of a front that a test starts itself: one cache that refuses, discovery down."""
     front = Front.__new__(Front)
-    front.config = {**REAL, "listen": f"127.0.0.1:{free_port()}", "bus": f"127.0.0.1:{free_port()}",
-                    "known": {"offset": 1, "batch": [{"offset": 1, "topology": {
-                        "seq": 1, "whole": True, "hosts": [host("s-0b", "127.0.0.1:9", "std")]}}]}}
+    front.config = {
+        **REAL,
+        "listen": f"127.0.0.1:{free_port()}",
+        "bus": f"127.0.0.1:{free_port()}",
+        "known": {
+            "offset": 1,
+            "batch": [
+                {
+                    "offset": 1,
+                    "topology": {"seq": 1, "whole": True, "hosts": [host("s-0b", "127.0.0.1:9", "std")]},
+                }
+            ],
+        },
+    }
     front.file = path / "config.json"
     front.configure()
     return front
@@ -72,7 +87,7 @@
         self.sock.listen(0)
         self.address = f"127.0.0.1:{self.sock.getsockname()[1]}"
         self.fillers = []
-        for _ in range(3):                   # one more than a queue of 0 holds
+        for _ in range(3):  # one more than a queue of 0 holds
             filler = socket.socket()
             filler.setblocking(False)
             filler.connect_ex(self.sock.getsockname())
@@ -90,9 +105,13 @@
             sock.close()
 
 
-SLOW_TO_CONNECT = {**REAL["settings"], "allowed": {**REAL["settings"]["allowed"], "connectTimeout": 9_000_000},
-                   "categories": [{**one, "aim": 6_000_000, "deadline": 8_000_000}
-                                  for one in REAL["settings"]["categories"]]}
+SLOW_TO_CONNECT = {
+    **REAL["settings"],
+    "allowed": {**REAL["settings"]["allowed"], "connectTimeout": 9_000_000},
+    "categories": [
+        {**one, "aim": 6_000_000, "deadline": 8_000_000} for one in REAL["settings"]["categories"]
+    ],
+}
 NEVER_CANCELS = {**SLOW_TO_CONNECT, "allowed": {**SLOW_TO_CONNECT["allowed"], "cancel": False}}
 
 
@@ -100,11 +119,17 @@
     second(front, lambda said: said["open"] == count)
 
 
-KINDS = {"lines": None, "http2": 'servers {\n    speak http2 kind=std\n    speak http2 kind=origin\n}\n'}
+KINDS = {"lines": None, "http2": "servers {\n    speak http2 kind=std\n    speak http2 kind=origin\n}\n"}
 
 
 def uphill(path, settings, kdl=None, origin=None, **more):
     hill, root = Uphill(), cache(served) if origin is None else origin
-    front = Front(path, host("s-0b", hill.address, "std"), host("s-1f", root.address, "origin"), settings=settings,
-                  kdl=kdl, **more)
+    front = Front(
+        path,
+        host("s-0b", hill.address, "std"),
+        host("s-1f", root.address, "origin"),
+        settings=settings,
+        kdl=kdl,
+        **more,
+    )
     return front, hill, root
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -17,13 +17,31 @@
 
 NOW = 1000 * S
 SETTINGS = {
-    "my_location": 1, "parent_kind": 2, "origin_kind": 3, "siblings": "location", "hub_of_location": [0, 0],
-    "latency_objective": [400 * MS] * 3, "objective_stretch": [2.0] * 3, "revenue": [2.0, 1.0, 3.0],
-    "effect": ["idempotent", "idempotent", "non-idempotent"], "runs_at_origin": [False, False, True],
-    "fresh_time": [0, 8 * S, 0], "max_forwards": 6, "purge_done": 6 * S, "tick": 2 * MS, "tells": "all",
-    "cold_share": 0.2, "warm_time": 15 * S, "fall_time": S, "fall_multiple": 4.0, "cancel": True,
-    "parent_cold_share": 0.06, "parent_warm_time": 19 * S, "parent_fall_multiple": 2.0,
-    "retry_after": True, "max_retry_after": S,
+    "my_location": 1,
+    "parent_kind": 2,
+    "origin_kind": 3,
+    "siblings": "location",
+    "hub_of_location": [0, 0],
+    "latency_objective": [400 * MS] * 3,
+    "objective_stretch": [2.0] * 3,
+    "revenue": [2.0, 1.0, 3.0],
+    "effect": ["idempotent", "idempotent", "non-idempotent"],
+    "runs_at_origin": [False, False, True],
+    "fresh_time": [0, 8 * S, 0],
+    "max_forwards": 6,
+    "purge_done": 6 * S,
+    "tick": 2 * MS,
+    "tells": "all",
+    "cold_share": 0.2,
+    "warm_time": 15 * S,
+    "fall_time": S,
+    "fall_multiple": 4.0,
+    "cancel": True,
+    "parent_cold_share": 0.06,
+    "parent_warm_time": 19 * S,
+    "parent_fall_multiple": 2.0,
+    "retry_after": True,
+    "max_retry_after": S,
 }
 CACHES, PARENTS, ORIGIN = (11, 12, 13, 14), (21, 22), 31
 
@@ -59,17 +77,30 @@
 # Stand-ins for what a front talks to, each in threads of its own on a free loopback port.
 
 REAL = {
-    "flow_bytes_per_s": 1e6, "link_bytes_per_s": 1e7, "seed": "7f", "name": "n0",
+    "flow_bytes_per_s": 1e6,
+    "link_bytes_per_s": 1e7,
+    "seed": "7f",
+    "name": "n0",
     "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
     "settings": {
         "allowed": {"cancel": True, "connectTimeout": 200_000, "keepalive": 15_000_000, "attemptsCap": 6},
         "categories": [
             {"name": "media", "aim": 400_000, "effect": "pure", "worth": 2.0, "deadline": 3_000_000},
-            {"name": "order", "aim": 400_000, "effect": "side_effect", "worth": 3.0}],
-        "failureDomains": ["here"], "shapes": ["std", "parent", "origin"], "myZone": 0,
-        "specifics": {"clientKbPerS": 1000.0, "shieldKind": 1, "storeKind": 2, "goesThrough": [False, True],
-                      "straight": True,
-                      "classFresh": [0, 0], "usableAfter": [0, 0], "neighbours": "location"},
+            {"name": "order", "aim": 400_000, "effect": "side_effect", "worth": 3.0},
+        ],
+        "failureDomains": ["here"],
+        "shapes": ["std", "parent", "origin"],
+        "myZone": 0,
+        "specifics": {
+            "clientKbPerS": 1000.0,
+            "shieldKind": 1,
+            "storeKind": 2,
+            "goesThrough": [False, True],
+            "straight": True,
+            "classFresh": [0, 0],
+            "usableAfter": [0, 0],
+            "neighbours": "location",
+        },
     },
 }
 
@@ -88,7 +119,7 @@
         threading.Thread(target=self._accept, daemon=True).start()
 
     def stop(self):
-        self.sock.shutdown(socket.SHUT_RDWR)     # closed alone, it would go on in a blocked accept
+        self.sock.shutdown(socket.SHUT_RDWR)  # closed alone, it would go on in a blocked accept
         self.sock.close()
 
     def _accept(self):
@@ -146,8 +177,16 @@
 
 
 def host(name, address, kind, health="up"):
-    return {"host": name, "dial": address, "site": "here", "class": kind, "block": 0, "health": health,
-            "share": 1.0, "born_ms": 0}
+    return {
+        "host": name,
+        "dial": address,
+        "site": "here",
+        "class": kind,
+        "block": 0,
+        "health": health,
+        "share": 1.0,
+        "born_ms": 0,
+    }
 
 
 class Front:
@@ -158,19 +197,27 @@
         self.bus = bus(self.tells)
         self.address = ("127.0.0.1", free_port())
         known = [{"offset": 1, "topology": {"seq": 1, "whole": True, "hosts": hosts}}]
-        self.file, self.config = path / "config.json", {
-            **REAL, "listen": f"127.0.0.1:{self.address[1]}", "bus": self.bus.address,
-            "known": {"offset": 1, "batch": known}, **more}
+        self.file, self.config = (
+            path / "config.json",
+            {
+                **REAL,
+                "listen": f"127.0.0.1:{self.address[1]}",
+                "bus": self.bus.address,
+                "known": {"offset": 1, "batch": known},
+                **more,
+            },
+        )
         self.configure()
         self.command = [sys.executable, "-m", "standins.faults", self.faults.path]
-        if kdl is not None:                  # an operator's file: other transports than lines
+        if kdl is not None:  # an operator's file: other transports than lines
             (path / "sprucegate.kdl").write_text(kdl)
             self.command += ["front", "--file", str(path / "sprucegate.kdl")]
         self.restart()
 
     def restart(self):
-        self.process = subprocess.Popen(self.command, stdout=subprocess.PIPE,
-                                        env={**os.environ, "BALANCER_CONFIG": str(self.file)})
+        self.process = subprocess.Popen(
+            self.command, stdout=subprocess.PIPE, env={**os.environ, "BALANCER_CONFIG": str(self.file)}
+        )
         for line in self.process.stdout:
             if json.loads(line)["event"] == "ready":
                 break
@@ -212,6 +259,8 @@
 
 
 def get_text(call_id="9b1f03aa5c7e2d41", ds="media", extra="", method="GET", body=b"", patience=1500):
-    return (f"{method} /svc/{ds}/7f3a9c21e0b4d655/slice-3 HTTP/1.1\r\nHost: a\r\nX-Call-Id: {call_id}\r\n"
-            f"X-Patience-Ms: {patience}\r\nX-Set: 17\r\nX-Heap-Kb: 4.5\r\n"
-            f"Content-Length: {len(body)}\r\n{extra}\r\n").encode() + body
+    return (
+        f"{method} /svc/{ds}/7f3a9c21e0b4d655/slice-3 HTTP/1.1\r\nHost: a\r\nX-Call-Id: {call_id}\r\n"
+        f"X-Patience-Ms: {patience}\r\nX-Set: 17\r\nX-Heap-Kb: 4.5\r\n"
+        f"Content-Length: {len(body)}\r\n{extra}\r\n"
+    ).encode() + body
--- a/tests/test_breaks.py
+++ b/tests/test_breaks.py
@@ -76,7 +76,7 @@
         answer = await asyncio.to_thread(far.recv, 4096)
         return answer, len(calls), [event for event, _ in logged if event == "fault"]
 
-    with socket.socket() as hangs:           # nobody takes the connection's request
+    with socket.socket() as hangs:  # nobody takes the connection's request
         hangs.bind(("127.0.0.1", 0))
         hangs.listen(9)
         answer, calls, faults = in_a_loop(act, f"127.0.0.1:{hangs.getsockname()[1]}")
@@ -92,8 +92,9 @@
             raise ValueError("broken")
 
         monkeypatch.setattr(take_in, "sweep", sweep)
-        task = asyncio.ensure_future(assembly.housekeeping(made, take_in, made.servers.transports["lines"].pool,
-                                                           made.log))
+        task = asyncio.ensure_future(
+            assembly.housekeeping(made, take_in, made.servers.transports["lines"].pool, made.log)
+        )
         await asyncio.sleep(1.7)
         task.cancel()
         return len(swept), [event for event, _ in logged]
@@ -107,14 +108,16 @@
     front, _, _ = two(tmp_path, served)
     with front:
         pass
-    code = ("import sprucegate.front.protocol.http as http\n"
-            "feed = http.RequestReader.feed\n"
-            "def breaks(self, data):\n"
-            "    if b'9b1f03aa5c7e2d41' in bytes(data): raise KeyError('broken')\n"
-            "    return feed(self, data)\n"
-            "http.RequestReader.feed = breaks\n"
-            "import sys, sprucegate.__main__ as program\n"
-            "sys.exit(program.main())\n")
+    code = (
+        "import sprucegate.front.protocol.http as http\n"
+        "feed = http.RequestReader.feed\n"
+        "def breaks(self, data):\n"
+        "    if b'9b1f03aa5c7e2d41' in bytes(data): raise KeyError('broken')\n"
+        "    return feed(self, data)\n"
+        "http.RequestReader.feed = breaks\n"
+        "import sys, sprucegate.__main__ as program\n"
+        "sys.exit(program.main())\n"
+    )
     front.command = [sys.executable, "-c", code]
     errors = tmp_path / "errors"
     with errors.open("w") as file:
@@ -148,6 +151,7 @@
 
 def test_an_answer_whose_reading_breaks_ends_its_connection_and_the_get_goes_on(tmp_path, monkeypatch):
     """What can't be foreseen is the end of one connection: its forwards are told at once, not after their time."""
+
     async def act(made, logged):
         ended = []
         made.ended = lambda out, outcome, found, waited, load, at=None: ended.append(outcome)
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -5,7 +5,7 @@
 from sprucegate.clock import PlatformTime
 
 S, HOUR = 1_000_000_000, 3600 * 1_000_000_000
-AT, UNIX = 500 * S, 1_700_000_000 * S       # the own clock, and the platform's at that time
+AT, UNIX = 500 * S, 1_700_000_000 * S  # the own clock, and the platform's at that time
 
 
 @pytest.mark.parametrize("wrong", [-HOUR, -3 * S, 0, 3 * S, HOUR])
@@ -15,7 +15,7 @@
     for server in (1, 2):
         time.copy_stamped(UNIX, server, AT)
     purge = UNIX + 2 * S
-    time.stamped(purge, AT + 3 * S)          # told a second after it was made
+    time.stamped(purge, AT + 3 * S)  # told a second after it was made
     assert 0 <= time.age(purge, AT + 10 * S) <= 8 * S
     assert time.copy_age(UNIX + S, AT + 10 * S) >= 9 * S
 
@@ -32,7 +32,7 @@
     for _ in range(3):
         time.copy_stamped(UNIX + HOUR, 1, AT)
     assert time.copy_age(UNIX + HOUR, AT) is None and time.copy_age(UNIX - S, AT) == S
-    time.copy_stamped(UNIX + S, 2, AT)       # a second one: it is as far behind as both say
+    time.copy_stamped(UNIX + S, 2, AT)  # a second one: it is as far behind as both say
     assert time.copy_age(UNIX + S, AT) == 0 and time.age(UNIX, AT) <= S
 
 
@@ -53,5 +53,5 @@
     for stamp in (UNIX - 60 * S, UNIX):
         time.stamped(stamp, AT)
     assert time.age(UNIX - 60 * S, AT) == 60 * S and time.age(UNIX, AT + S) == S
-    time.stamped(0, AT)                      # none
+    time.stamped(0, AT)  # none
     assert time.age(UNIX, AT + S) == S
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -22,14 +22,23 @@
     """`rate` GETs a second over all fronts, the parts as `parts` has them; a GET is returned after SERVICE."""
 
     def __init__(self, count, rate, uneven, seed, **settings):
-        self.settings = {**SETTINGS, "cold_share": 0.25, "warm_time": 12 * S, "fall_time": S, "siblings": "none",
-                         "latency_objective": [600 * MS] * 3, **settings}
-        self.fronts = [Router({**self.settings, "my_number": at}, crc32(b"%d %d" % (seed, at)), NOW)
-                       for at in range(count)]
+        self.settings = {
+            **SETTINGS,
+            "cold_share": 0.25,
+            "warm_time": 12 * S,
+            "fall_time": S,
+            "siblings": "none",
+            "latency_objective": [600 * MS] * 3,
+            **settings,
+        }
+        self.fronts = [
+            Router({**self.settings, "my_number": at}, crc32(b"%d %d" % (seed, at)), NOW)
+            for at in range(count)
+        ]
         for front in self.fronts:
             front.listed([entry(at) for at in (*CACHES, ORIGIN)], True, NOW)
         parts = [1 / (1 + at) if uneven else 1 for at in range(count)]
-        self.parts = [sum(parts[:at + 1]) / sum(parts) for at in range(count)]
+        self.parts = [sum(parts[: at + 1]) / sum(parts) for at in range(count)]
         self.rate, self.seed, self.at, self.count, self.sent, self.returns = rate, seed, NOW, 0, [], []
 
     def told(self, at, started):
@@ -50,7 +59,9 @@
 
     def one(self):
         front = self.fronts[bisect_left(self.parts, drawn(self.seed, "front", self.count))]
-        handle = front.take(asked(f"g{self.count}", obj=int(drawn(self.seed, "of", self.count)**2 * 3000)), self.at)
+        handle = front.take(
+            asked(f"g{self.count}", obj=int(drawn(self.seed, "of", self.count) ** 2 * 3000)), self.at
+        )
         for said in handle.route(self.at):
             if isinstance(said, Forward):
                 if COLD in (said.cache, said.source):
@@ -60,7 +71,9 @@
     def budget(self, at, started):
         """What the settings allow in the window that ends at `at`: of what a warm cache of its weight returns."""
         share = min(1.0, 0.25 + 0.75 * max(0, at - started) / self.settings["warm_time"])
-        return self.settings["fall_multiple"] * share * self.rate / len(CACHES) * self.settings["fall_time"] / S
+        return (
+            self.settings["fall_multiple"] * share * self.rate / len(CACHES) * self.settings["fall_time"] / S
+        )
 
     def over(self, started):
         """(the largest sum of a window, by how much the most over its bound, the budget at the start)."""
@@ -75,6 +88,7 @@
 
 def _log(draw):
     from math import log
+
     return log(1 - draw)
 
 
@@ -109,4 +123,6 @@
 def test_the_sum_of_all_fronts_stays_within_what_a_cold_cache_bears(count, rate, multiple, uneven, loud):
     for seed in (1, 2):
         most, over, budget = played(count, rate, uneven, 0, loud, multiple, seed)
-        assert over <= 0, f"seed {seed}: {most} in one window, {over:.1f} over; the budget begins at {budget:.1f}"
+        assert (
+            over <= 0
+        ), f"seed {seed}: {most} in one window, {over:.1f} over; the budget begins at {budget:.1f}"
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -44,6 +44,7 @@
 
 # Shutdown.
 
+
 def test_twenty_fronts_restarted_at_once_with_discovery_down_are_ready_in_time(tmp_path):
     """From exec to `ready`, on the cores that all other tests use as well; nine in ten within ten seconds."""
     started = []
@@ -52,9 +53,17 @@
         folder.mkdir()
         front = not_started(folder)
         begun = time.monotonic()
-        started.append((begun, subprocess.Popen(
-            [sys.executable, "-m", "sprucegate"], stdout=subprocess.PIPE, text=True,
-            env={**os.environ, "BALANCER_CONFIG": str(front.file)})))
+        started.append(
+            (
+                begun,
+                subprocess.Popen(
+                    [sys.executable, "-m", "sprucegate"],
+                    stdout=subprocess.PIPE,
+                    text=True,
+                    env={**os.environ, "BALANCER_CONFIG": str(front.file)},
+                ),
+            )
+        )
     took = []
     for begun, process in started:
         assert any('"ready"' in line for line in process.stdout)
@@ -69,8 +78,11 @@
 def test_a_signal_before_the_loop_stands_ends_the_front_as_asked(tmp_path, number):
     """It waits for its configuration, a pipe that nobody has opened, when the signal comes."""
     os.mkfifo(tmp_path / "config.json")
-    process = subprocess.Popen([sys.executable, "-m", "sprucegate"], stdout=subprocess.DEVNULL,
-                               env={**os.environ, "BALANCER_CONFIG": str(tmp_path / "config.json")})
+    process = subprocess.Popen(
+        [sys.executable, "-m", "sprucegate"],
+        stdout=subprocess.DEVNULL,
+        env={**os.environ, "BALANCER_CONFIG": str(tmp_path / "config.json")},
+    )
     # Opened by both: its reading end stands, so the front is past its imports.
     with open(tmp_path / "config.json", "wb"):
         process.send_signal(number)
@@ -97,7 +109,7 @@
         for at, sock in enumerate(late):
             sock.sendall(get_text(key(at)))
         while time.monotonic() < begun + 0.8:
-            pass                             # its time to take new ones is over while it stands still
+            pass  # its time to take new ones is over while it stands still
         goes_on(front)
         assert [answer_of(sock)[:12] for sock in late] == [b"HTTP/1.1 200"] * 40
         assert front.process.wait(10) == 0
@@ -130,7 +142,7 @@
         box.heard.get(timeout=5)
         front.process.send_signal(signal.SIGTERM)
         rests.settimeout(2)
-        assert rests.recv(9) == b""          # an end and no reset, while the GET is open
+        assert rests.recv(9) == b""  # an end and no reset, while the GET is open
         # What it sends after that is read and let go: nobody could be told what became of it.
         rests.sendall(get_text(key(2)))
         go.set()
@@ -148,7 +160,7 @@
         front.until("stopping")
         status, headers, _ = front.ask(get_text(key(1)), sock)
         assert (status, headers["Connection"], sock.recv(9)) == (200, "close", b"")
-        assert front.ask(LIVE)[0] == 503     # and nobody is sent here any more
+        assert front.ask(LIVE)[0] == 503  # and nobody is sent here any more
         assert front.process.wait(10) == 0
 
 
@@ -156,11 +168,15 @@
 def test_half_a_request_at_the_end_is_served_once_it_is_whole(tmp_path, cut):
     front, _, root = two(tmp_path)
     with front:
-        sock, rests, text = front.connect(), front.connect(), get_text(ds="order", method="PUT", body=b"b" * 9)
+        sock, rests, text = (
+            front.connect(),
+            front.connect(),
+            get_text(ds="order", method="PUT", body=b"b" * 9),
+        )
         sock.sendall(text[:cut])
         assert front.ask(LIVE, rests)[0] == 200
         front.process.send_signal(signal.SIGTERM)
-        assert rests.recv(9) == b""          # those that rest are ended, the half one is not
+        assert rests.recv(9) == b""  # those that rest are ended, the half one is not
         sock.sendall(text[cut:])
         assert answer_of(sock).startswith(b"HTTP/1.1 200")
         assert root.heard.get(timeout=5)[3] == b"b" * 9 and front.process.wait(10) == 0
@@ -178,8 +194,12 @@
 
 def test_the_end_keeps_before_the_kill_that_short_viewer_timeouts_allow(tmp_path):
     front, box, _ = two(tmp_path, lambda *_: None, lambda *_: None)
-    front.configure(settings={**REAL["settings"], "categories": [
-        {**one, "deadline": 1_000_000} for one in REAL["settings"]["categories"]]})
+    front.configure(
+        settings={
+            **REAL["settings"],
+            "categories": [{**one, "deadline": 1_000_000} for one in REAL["settings"]["categories"]],
+        }
+    )
     front.process.kill()
     front.process.wait()
     front.restart()
@@ -188,15 +208,16 @@
         front.process.send_signal(signal.SIGTERM)
         front.until("stopping")
         while time.monotonic() < begun + 0.5:
-            pass                             # the last moment at which clients send
+            pass  # the last moment at which clients send
         sock = front.connect()
         sock.sendall(get_text(patience=1000))
         assert answer_of(sock).startswith(b"HTTP/1.1 503")
-        assert front.process.wait(10) == 0 and time.monotonic() - begun < 1.7    # SIGKILL may come then
+        assert front.process.wait(10) == 0 and time.monotonic() - begun < 1.7  # SIGKILL may come then
 
 
 # A client's connection.
 
+
 class Connection(RuleBasedStateMachine):
     """Whatever order they come in: one answer a request, nothing read after the last, one end and no way back."""
 
@@ -262,12 +283,16 @@
     @rule()
     def closed(self):
         if self.legal(self.client.closed, *[p for p in Phase if p is not Phase.CLOSED]):
-            self.owed = 0                    # whoever has gone is owed nothing
+            self.owed = 0  # whoever has gone is owed nothing
 
     @invariant()
     def holds(self):
         assert self.owed == (self.client.phase is Phase.TAKEN)
-        assert not self.client.reads() or not self.client.last and self.client.phase not in (Phase.SHUT, Phase.CLOSED)
+        assert (
+            not self.client.reads()
+            or not self.client.last
+            and self.client.phase not in (Phase.SHUT, Phase.CLOSED)
+        )
         assert not self.client.rests() or self.owed == 0
         self.far.setblocking(False)
         try:
@@ -304,9 +329,11 @@
         for at in range(32):
             first.append(front.connect())
             assert front.ask(get_text(key(at)), first[-1])[0] == 200
-        assert [front.ask(get_text(key(50 + at)), sock)[0] for at, sock in enumerate(first)] == [200] * 32   # all stay
+        assert [front.ask(get_text(key(50 + at)), sock)[0] for at, sock in enumerate(first)] == [
+            200
+        ] * 32  # all stay
         stopped(front)
-        new = front.connect()                # first in the queue of events: room is made before any request is read
+        new = front.connect()  # first in the queue of events: room is made before any request is read
         for at, sock in enumerate(first):
             sock.sendall(get_text(key(100 + at)))
         new.sendall(get_text(key(99)))
@@ -334,7 +361,7 @@
     front, box, root = two(tmp_path, limits={"cores": 1.0, "memory_mb": 64, "sockets": 1024})
     front.process.kill()
     front.process.wait()
-    front.bus.stop()                         # discovery is down from before the start
+    front.bus.stop()  # discovery is down from before the start
     front.command = ["/bin/sh", "-c", f"ulimit -n 80; exec {sys.executable} -m sprucegate"]
     front.restart()
     with front:
@@ -346,14 +373,22 @@
         before = cpu(front)
         for _ in range(2):
             assert "accept_failed" not in front.until("second")
-        assert cpu(front) - before < 0.5     # of about a second
+        assert cpu(front) - before < 0.5  # of about a second
         tells = queue.Queue()
         back = bus(tells)
         front.configure(bus=back.address)
         front.process.send_signal(signal.SIGHUP)
         assert b"Last-Event-ID: 1\r\n" in back.heard.get(timeout=5)
-        tells.put({"offset": 2, "topology": {"seq": 2, "whole": False, "hosts": [
-            host("s-0b", box.address, "std", "draining")]}})
+        tells.put(
+            {
+                "offset": 2,
+                "topology": {
+                    "seq": 2,
+                    "whole": False,
+                    "hosts": [host("s-0b", box.address, "std", "draining")],
+                },
+            }
+        )
         assert front.until("told")["offset"] == 2
         box.heard.queue.clear()
         assert front.ask(get_text(key(7)))[0] == 200 and box.heard.empty()
@@ -368,6 +403,7 @@
 
 # Connections to caches, lists and purges that cross a forward.
 
+
 @pytest.mark.parametrize("settings", [SLOW_TO_CONNECT, NEVER_CANCELS])
 @pytest.mark.parametrize("leaves", ["closes", "resets"])
 def test_a_client_that_left_while_its_get_waited_for_a_connection_is_not_served(tmp_path, settings, leaves):
@@ -381,7 +417,7 @@
         sock.close()
         second(front, lambda said: said.get("gets_left"))
         sent = hill.lets()
-        for _ in range(2):                   # in which a connection that is up is written to
+        for _ in range(2):  # in which a connection that is up is written to
             front.until("second")
         front.process.kill()
         assert sent.read() == b""
@@ -391,8 +427,12 @@
 def test_of_many_clients_that_left_before_their_turn_none_is_sent_on(tmp_path, speaks):
     """All have come and gone while the front stood still: it reads the requests first, the ends after them."""
     boxes = [Process("lines" if speaks == "lines" else "http2", ran=tmp_path / f"ran{at}") for at in range(2)]
-    front = Front(tmp_path, host("s-0b", boxes[0].address, "std"), host("s-1f", boxes[1].address, "origin"),
-                  kdl=KINDS[speaks])
+    front = Front(
+        tmp_path,
+        host("s-0b", boxes[0].address, "std"),
+        host("s-1f", boxes[1].address, "origin"),
+        kdl=KINDS[speaks],
+    )
     try:
         with front:
             assert front.ask(get_text(key(999)))[0] == 200
@@ -428,7 +468,7 @@
     first = made.send(1, "a" * 16)
     sock, _ = await loop.sock_accept(listener)
     assert await answered(made, sock, first) is Outcome.RETURNED
-    held, = made.servers.places[1].held
+    (held,) = made.servers.places[1].held
     return loop, listener, made, sock, held
 
 
@@ -446,8 +486,10 @@
     assert asyncio.run(asyncio.wait_for(run(), 10)) is Outcome.RETURNED
 
 
-@pytest.mark.parametrize("late", [
-    b"half a li", served(b"f" * 16, {}), served(b"f" * 16, {}, b"x" * 9000)[:8000], b"\xff no line\r\n"])
+@pytest.mark.parametrize(
+    "late",
+    [b"half a li", served(b"f" * 16, {}), served(b"f" * 16, {}, b"x" * 9000)[:8000], b"\xff no line\r\n"],
+)
 @pytest.mark.parametrize("ends", [True, False])
 def test_a_resting_connection_on_which_something_unasked_stands_harms_no_forward(late, ends):
     """Late bytes, half of them, or with an end behind: the next forward goes where it is answered."""
@@ -455,13 +497,13 @@
     async def run():
         loop, listener, made, old, held = await one_at_rest()
         old.settimeout(5)
-        old.sendall(late)                    # the loop has no turn meanwhile: it all stands in the kernel
+        old.sendall(late)  # the loop has no turn meanwhile: it all stands in the kernel
         if ends:
             old.close()
         assert select.select([held.sock], [], [], 5)[0]
         second = made.send(1, "b" * 16)
         whole = late.endswith(b"\r\n") and late.startswith(b"f")
-        if whole and not ends:               # read and let go, the connection is as good as any
+        if whole and not ends:  # read and let go, the connection is as good as any
             sock = old
             sock.setblocking(False)
         else:
@@ -475,16 +517,18 @@
     async def run():
         loop, hill, listener = asyncio.get_running_loop(), Uphill(), socket.create_server(("127.0.0.1", 0))
         listener.setblocking(False)
-        made = Recorder({1: f"127.0.0.1:{listener.getsockname()[1]}"}, speaks="lines", connect_timeout=9_000_000_000)
+        made = Recorder(
+            {1: f"127.0.0.1:{listener.getsockname()[1]}"}, speaks="lines", connect_timeout=9_000_000_000
+        )
         first = made.send(1, "a" * 16)
         sock, _ = await loop.sock_accept(listener)
         assert b"a" * 16 in await loop.sock_recv(sock, 4096)
-        held, = made.servers.places[1].held
-        await loop.sock_sendall(sock, served(b"f" * 16, {}))     # it lives: a time-out there does not end it
+        (held,) = made.servers.places[1].held
+        await loop.sock_sendall(sock, served(b"f" * 16, {}))  # it lives: a time-out there does not end it
         while held.answered < first.at:
             await asyncio.sleep(0)
-        made.list({1: hill.address})         # the cache has moved, and its new address hangs
-        assert made.servers.withdraw(made.send(1, "c" * 16))     # whose connection goes on coming up, for nobody
+        made.list({1: hill.address})  # the cache has moved, and its new address hangs
+        assert made.servers.withdraw(made.send(1, "c" * 16))  # whose connection goes on coming up, for nobody
         made.servers.cancel(first)
         second = made.send(1, "b" * 16)
         return await answered(made, sock, second)
@@ -509,26 +553,47 @@
         sock = front.connect()
         sock.sendall(get_text(patience=8000))
         until_open(front, 1)
-        front.tells.put({"offset": 2, "topology": {"seq": 2, "whole": False, "hosts": [
-            host("s-0b", hill.address, "std", "draining")]}})
-        assert front.ask(b"", sock)[0] == 200        # by the origin, at once
+        front.tells.put(
+            {
+                "offset": 2,
+                "topology": {
+                    "seq": 2,
+                    "whole": False,
+                    "hosts": [host("s-0b", hill.address, "std", "draining")],
+                },
+            }
+        )
+        assert front.ask(b"", sock)[0] == 200  # by the origin, at once
         assert root.heard.get(timeout=5)[1] == b"9b1f03aa5c7e2d41"
         sent = hill.lets()
         front.process.kill()
-        assert sent.read() == b""            # and nothing was sent to who drains once it came up
+        assert sent.read() == b""  # and nothing was sent to who drains once it came up
 
 
 def test_a_source_that_drains_while_its_forward_waits_is_not_named(tmp_path):
     """The drain is of the parent that was to fill the miss."""
     hill, parent, root = Uphill(), cache(served), cache(served)
-    front = Front(tmp_path, host("s-0b", hill.address, "std"), host("s-2a", parent.address, "parent"),
-                  host("s-1f", root.address, "origin"), settings=SLOW_TO_CONNECT)
+    front = Front(
+        tmp_path,
+        host("s-0b", hill.address, "std"),
+        host("s-2a", parent.address, "parent"),
+        host("s-1f", root.address, "origin"),
+        settings=SLOW_TO_CONNECT,
+    )
     with front:
         sock = front.connect()
         sock.sendall(get_text(patience=8000))
         until_open(front, 1)
-        front.tells.put({"offset": 2, "topology": {"seq": 2, "whole": False, "hosts": [
-            host("s-2a", parent.address, "parent", "draining")]}})
+        front.tells.put(
+            {
+                "offset": 2,
+                "topology": {
+                    "seq": 2,
+                    "whole": False,
+                    "hosts": [host("s-2a", parent.address, "parent", "draining")],
+                },
+            }
+        )
         front.until("told")
         words = hill.lets().readline()
         assert b"serve" in words and b"src=s-1f" in words
@@ -548,30 +613,47 @@
 
 def test_a_time_out_of_what_never_left_proves_that_it_never_ran(tmp_path):
     hill, box = Uphill(), cache(served)
-    front = Front(tmp_path, host("s-0b", box.address, "std"), host("s-1f", hill.address, "origin"),
-                  settings=SLOW_TO_CONNECT)
+    front = Front(
+        tmp_path,
+        host("s-0b", box.address, "std"),
+        host("s-1f", hill.address, "origin"),
+        settings=SLOW_TO_CONNECT,
+    )
     with front:
         sock = front.connect()
         sock.sendall(get_text(ds="order", method="PUT", patience=600))
-        assert front.ask(b"", sock)[0] == 503        # a non-idempotent one: 502 would be "may have run"
-
-
-@pytest.mark.parametrize("spoilt", [
-    {"dial": "nonsense"}, {"dial": "127.0.0.1:0"}, {"share": 0}, {"share": -1.0}, {"share": "NaN"}, {"health": "odd"},
-])
+        assert front.ask(b"", sock)[0] == 503  # a non-idempotent one: 502 would be "may have run"
+
+
+@pytest.mark.parametrize(
+    "spoilt",
+    [
+        {"dial": "nonsense"},
+        {"dial": "127.0.0.1:0"},
+        {"share": 0},
+        {"share": -1.0},
+        {"share": "NaN"},
+        {"health": "odd"},
+    ],
+)
 def test_a_list_with_one_bad_entry_is_asked_for_again_and_not_believed_by_half(tmp_path, spoilt):
     front, box, root = two(tmp_path)
     with front:
         front.bus.heard.get(timeout=5)
-        drain, bad = host("s-0b", box.address, "std", "draining"), {**host("s-0c", box.address, "std"), **spoilt}
+        drain, bad = (
+            host("s-0b", box.address, "std", "draining"),
+            {**host("s-0c", box.address, "std"), **spoilt},
+        )
         front.tells.put({"offset": 2, "topology": {"seq": 2, "whole": False, "hosts": [drain, bad]}})
         front.until("bus_lost")
-        front.tells.put(None)                # the stream that was left ends
+        front.tells.put(None)  # the stream that was left ends
         assert b"Last-Event-ID: 1\r\n" in front.bus.heard.get(timeout=5)
         assert front.ask(get_text())[0] == 200
-        assert box.heard.get(timeout=5)[0] == b"serve" and root.heard.empty()    # the drain beside it did not hold
+        assert (
+            box.heard.get(timeout=5)[0] == b"serve" and root.heard.empty()
+        )  # the drain beside it did not hold
         good = {"offset": 2, "topology": {"seq": 2, "whole": False, "hosts": [drain]}}
-        for _ in range(3):                   # the stream that was left may eat one
+        for _ in range(3):  # the stream that was left may eat one
             front.tells.put(good)
         front.until("told")
         assert front.ask(get_text(key(1)).replace(b"7f3a", b"aaaa"))[0] == 200
@@ -641,9 +723,13 @@
 
 
 def test_events_out_of_order_are_asked_for_again_and_doubled_ones_applied_once(tmp_path):
-    front, feed = watching(tmp_path, lambda drain, up: [
-        [event(3, up), event(2, drain), threading.Event()],
-        [event(2, drain), event(2, drain), event(3, up), event(3, up), event(4, drain)]])
+    front, feed = watching(
+        tmp_path,
+        lambda drain, up: [
+            [event(3, up), event(2, drain), threading.Event()],
+            [event(2, drain), event(2, drain), event(3, up), event(3, up), event(4, drain)],
+        ],
+    )
     with front:
         assert asked_from(feed) == b"1"
         lost(front, "follows")
@@ -662,17 +748,19 @@
         begun = time.monotonic()
         go.set()
         while time.monotonic() < begun + 0.8:
-            pass                             # its time is up, and the answer stands in the kernel
+            pass  # its time is up, and the answer stands in the kernel
         goes_on(front)
         status, _, _ = front.ask(b"", sock)
         assert status in (200, 503)
-        assert front.ask(get_text(key(5)), sock)[0] == 200       # and nothing else came on that connection
+        assert front.ask(get_text(key(5)), sock)[0] == 200  # and nothing else came on that connection
 
 
 def test_a_client_that_reads_nothing_loses_its_connection_alone_and_in_time(tmp_path):
     """It goes on asking: what it is sent must not pile up in the front."""
-    short = {**REAL["settings"], "categories": [
-        {**one, "deadline": 1_000_000} for one in REAL["settings"]["categories"]]}
+    short = {
+        **REAL["settings"],
+        "categories": [{**one, "deadline": 1_000_000} for one in REAL["settings"]["categories"]],
+    }
     front, box, _ = two(tmp_path, lambda call_id, *_: served(call_id, {}, b"x" * 240_000), settings=short)
     with front:
         deaf = socket.socket()
@@ -680,7 +768,7 @@
         deaf.connect(front.address)
         deaf.settimeout(10)
         deaf.settimeout(10)
-        for at in range(60):                 # 14 MB, of which the system itself holds a part
+        for at in range(60):  # 14 MB, of which the system itself holds a part
             deaf.sendall(get_text(key(at)).replace(b"7f3a", b"%04x" % at))
         second(front, lambda said: said.get("clients_not_reading") or not said["clients"])
         assert len([words for words in box.heard.queue if words[0] == b"serve"]) < 30
@@ -692,5 +780,3 @@
     shares, plain = RequestReader(frozenset((b"x-tenant",))), RequestReader()
     assert len(shares.feed(twice)) == 1 and shares.fault is None
     assert plain.feed(twice) == [] and plain.fault.status == 400
-
-
--- a/tests/test_crossings_sockets.py
+++ b/tests/test_crossings_sockets.py
@@ -28,7 +28,7 @@
 from helpers import REAL, Front, StandIn, cache, get_text, host, served
 
 LARGE = 240_000
-PIDFD_GETFD = 438       # pidfd_getfd(2), for which Python has no call of its own
+PIDFD_GETFD = 438  # pidfd_getfd(2), for which Python has no call of its own
 
 
 def large(call_id, *_):
@@ -70,12 +70,13 @@
                 if sock.getpeername() == client.getsockname():
                     return number
             except OSError:
-                pass                         # the listener, or one of another kind
+                pass  # the listener, or one of another kind
     raise AssertionError("it has no such client")
 
 
 # The start and the end.
 
+
 @pytest.mark.parametrize("moment", ["run.Driver.told", "run.Subscription.start", "run.TakeIn.listen"])
 def test_a_signal_between_the_loops_handlers_and_ready_is_kept_for_the_end_of_the_start(tmp_path, moment):
     front = not_started(tmp_path)
@@ -89,8 +90,13 @@
     return before(*given)
 {moment} = signalled
 sys.exit(main())"""
-    done = subprocess.run([sys.executable, "-c", signals_itself], capture_output=True, text=True, timeout=20,
-                          env={**os.environ, "BALANCER_CONFIG": str(front.file)})
+    done = subprocess.run(
+        [sys.executable, "-c", signals_itself],
+        capture_output=True,
+        text=True,
+        timeout=20,
+        env={**os.environ, "BALANCER_CONFIG": str(front.file)},
+    )
     assert (done.returncode, done.stderr) == (0, "")
     assert '"stopped"' in done.stdout.splitlines()[-1]
     # Before the listener stands nobody was let in, and nothing is waited for.
@@ -110,21 +116,21 @@
         for at, sock in enumerate(rest):
             sock.sendall(get_text(key(at)))
         while time.monotonic() < begun + 0.8:
-            pass                             # the end has its turn first when it goes on
+            pass  # the end has its turn first when it goes on
         goes_on(front)
         assert [answer_of(sock)[:12] for sock in rest] == [b"HTTP/1.1 200"] * 60
         assert front.process.wait(10) == 0
 
 
 def test_an_answer_still_being_written_at_the_end_is_written_whole(tmp_path):
-    front, _, _ = two(tmp_path, large, settings=SLOW_TO_CONNECT)    # its viewer timeouts leave 8 s for the end
+    front, _, _ = two(tmp_path, large, settings=SLOW_TO_CONNECT)  # its viewer timeouts leave 8 s for the end
     with front:
         sock = deaf(front)
         sock.sendall(get_text())
         second(front, lambda said: said.get("gets_returned"))
         front.process.send_signal(signal.SIGTERM)
         front.until("stopping")
-        for _ in range(2):                   # past the 0.7 s: only the answer keeps it
+        for _ in range(2):  # past the 0.7 s: only the answer keeps it
             front.until("second")
         assert front.process.poll() is None
         said = answer_of(sock)
@@ -134,6 +140,7 @@
 
 # Clients.
 
+
 def test_a_client_that_resets_under_a_pending_write_leaves_its_number_to_the_next(tmp_path):
     """The write ends before the socket is closed, and its number is free: none of its bytes goes to who comes next."""
     front, _, _ = two(tmp_path, large)
@@ -146,7 +153,7 @@
             mine = number_of(front, sock)
             stopped(front)
             resets(sock)
-            new = front.connect()            # both stand in one round of events
+            new = front.connect()  # both stand in one round of events
             new.sendall(LIVE)
             goes_on(front)
             status, _, body = front.ask(b"", new)
@@ -156,7 +163,7 @@
             with pytest.raises(TimeoutError):
                 new.recv(1)
             new.close()
-        assert any(reused)                   # or nothing was shown
+        assert any(reused)  # or nothing was shown
         assert "faults" not in front.until("second")
 
 
@@ -186,7 +193,7 @@
             try:
                 peers.add(sock.getpeername()[1])
             except OSError:
-                continue                     # not yet connected
+                continue  # not yet connected
             assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY), sock
     return peers
 
@@ -200,7 +207,7 @@
         hosts = front.config["known"]["batch"][0]["topology"]["hosts"]
         box, root = (int(one["dial"].rpartition(":")[2]) for one in hosts)
         wanted = {client.getsockname()[1], box, root, int(front.config["bus"].rpartition(":")[2])}
-        for _ in range(2000):                # the watch, left as silent, may just be on its way again
+        for _ in range(2000):  # the watch, left as silent, may just be on its way again
             wanted -= without_delay(front)
             if not wanted:
                 return
@@ -209,6 +216,7 @@
 
 # Servers.
 
+
 def one_that_resets(go, answers=True):
     """A cache that resets the connection of its first GET, answered or not, once it is let go; all others serve on."""
     first = []
@@ -240,14 +248,14 @@
     with front:
         assert front.ask(get_text(key(1)))[0] == 200
         front.until("second")
-        stopped(front)                       # reset and GET stand in the kernel at once
+        stopped(front)  # reset and GET stand in the kernel at once
         go.set()
         sock = front.connect()
         sock.sendall(get_text(key(2)))
         goes_on(front)
         assert front.ask(b"", sock)[0] == 200
         assert [box.heard.get(timeout=5)[0] for _ in range(2)] == [key(1).encode(), key(2).encode()]
-        assert root.heard.empty()            # that one too came from the cache, on another connection
+        assert root.heard.empty()  # that one too came from the cache, on another connection
 
 
 @pytest.mark.parametrize("ds, status", [("media", 200), ("order", 502)])
@@ -259,13 +267,15 @@
     front = Front(tmp_path, host("s-0b", box.address, "std"), host("s-1f", root.address, "origin"))
     with front:
         sock = front.connect()
-        sock.sendall(get_text(key(0xf), ds=ds, method="PUT" if ds == "order" else "GET", patience=8000))
-        assert resetting.heard.get(timeout=5)[0] == key(0xf).encode()
+        sock.sendall(get_text(key(0xF), ds=ds, method="PUT" if ds == "order" else "GET", patience=8000))
+        assert resetting.heard.get(timeout=5)[0] == key(0xF).encode()
         for _ in range(2):
             front.until("second")
         go.set()
         assert front.ask(b"", sock)[0] == status
-        assert [heard[0] for heard in resetting.heard.queue] == [key(0xf).encode()] * (ds == "media")    # sent again
+        assert [heard[0] for heard in resetting.heard.queue] == [key(0xF).encode()] * (
+            ds == "media"
+        )  # sent again
         assert b"serve" not in [words[0] for words in good.heard.queue]
 
 
@@ -277,19 +287,28 @@
         old, new = front.connect(), front.connect()
         old.sendall(get_text(key(1), patience=8000))
         assert box.heard.get(timeout=5)[1] == key(1).encode()
-        front.tells.put({"offset": 2, "topology": {"seq": 2, "whole": False, "hosts": [
-            host("s-0b", box.address, "std", "removed"), host("s-0c", box.address, "std")]}})
+        front.tells.put(
+            {
+                "offset": 2,
+                "topology": {
+                    "seq": 2,
+                    "whole": False,
+                    "hosts": [host("s-0b", box.address, "std", "removed"), host("s-0c", box.address, "std")],
+                },
+            }
+        )
         front.until("told")
         new.sendall(get_text(key(2), patience=8000).replace(b"7f3a", b"aaaa"))
-        assert box.heard.get(timeout=5)[1] == key(2).encode()    # though nothing is answered on the first one
+        assert box.heard.get(timeout=5)[1] == key(2).encode()  # though nothing is answered on the first one
         go.set()
         assert [front.ask(b"", sock)[0] for sock in (old, new)] == [200, 200]
-        assert box.heard.get(timeout=5)[0] == b"end"             # the old one's connection goes with its last answer
+        assert box.heard.get(timeout=5)[0] == b"end"  # the old one's connection goes with its last answer
         assert front.ask(get_text(key(3)).replace(b"7f3a", b"bbbb"), new)[0] == 200
 
 
 # The final answer.
 
+
 @pytest.mark.parametrize("settings", [SLOW_TO_CONNECT, NEVER_CANCELS])
 def test_what_waits_for_a_connection_when_its_get_is_given_up_is_never_sent(tmp_path, settings):
     front, hill, _ = uphill(tmp_path, settings)
@@ -299,7 +318,7 @@
         until_open(front, 1)
         assert front.ask(b"", sock)[0] == 503
         sent = hill.lets()
-        for _ in range(2):                   # in which a connection that is up is written to
+        for _ in range(2):  # in which a connection that is up is written to
             front.until("second")
         front.process.kill()
         assert sent.read() == b""
@@ -308,15 +327,19 @@
 def test_a_client_that_writes_slowly_is_waited_for_where_viewer_timeouts_are_short(tmp_path):
     """A request's time is counted from its last byte; this one's pieces come further apart than its viewer timeout."""
     front, _, _ = two(tmp_path)
-    front.configure(settings={**REAL["settings"], "categories": [
-        {**one, "deadline": 900_000} for one in REAL["settings"]["categories"]]})
+    front.configure(
+        settings={
+            **REAL["settings"],
+            "categories": [{**one, "deadline": 900_000} for one in REAL["settings"]["categories"]],
+        }
+    )
     front.process.kill()
     front.process.wait()
     front.restart()
     with front:
         sock, text = front.connect(), get_text(patience=900)
         sock.sendall(text[:30])
-        front.until("second")                # the first one may come at once
+        front.until("second")  # the first one may come at once
         front.until("second")
         sock.sendall(text[30:])
         assert front.ask(b"", sock)[0] == 200
--- a/tests/test_deadline_sent.py
+++ b/tests/test_deadline_sent.py
@@ -19,7 +19,7 @@
         begun = time.monotonic()
         client = front.connect()
         client.sendall(get_text(key(1), patience=5000))
-        time.sleep(1.5)                      # the next SYN comes 3 s after the first
+        time.sleep(1.5)  # the next SYN comes 3 s after the first
         line = hill.lets().readline().split()
         left = 5 - (time.monotonic() - begun)
         told = int(dict(p.split("=", 1) for p in line[2].decode().split(","))["max"]) / 1000
@@ -69,7 +69,7 @@
     loop, seen = asyncio.get_running_loop(), b""
     while b"serve " + call_id not in seen or not seen.endswith(b"\r\n"):
         seen = seen[-500:] + await loop.sock_recv(sock, 1 << 20)
-    return seen[seen.index(b"serve " + call_id):].split(b"\r\n")[0]
+    return seen[seen.index(b"serve " + call_id) :].split(b"\r\n")[0]
 
 
 def test_a_forward_behind_one_that_goes_slowly_tells_what_is_left_by_then():
@@ -84,7 +84,7 @@
     async def act(made, sock, first, second):
         await asyncio.sleep(1.6)
         made.send(1, "c" * 16, timeout=8_000_000_000)
-        await line_of(sock, b"c" * 16)       # it would have come before this one
+        await line_of(sock, b"c" * 16)  # it would have come before this one
         return await made.end(second), made.book.counts["sends_refused late"]
 
     assert behind_a_cache_that_does_not_read(act) == (Outcome.NOT_SENT, 1)
--- a/tests/test_fleet_agreed.py
+++ b/tests/test_fleet_agreed.py
@@ -40,6 +40,7 @@
     def so():
         found[:] = [rig.leader()]
         return found[0] and found[0] not in but
+
     rig.wait(so, patience)
     return found[0]
 
@@ -64,7 +65,7 @@
     ends(one)
     assert one.replaced == [(0, "")] and one.late == 0
     assert all(rig.get(name, THING + n, next(sock_calls))[0] == 200 for name in rig.names for n in range(10))
-    assert asks(rig, "n1", "s-10", "h", request="new")["word"] == "back"     # the same permit: no second effect
+    assert asks(rig, "n1", "s-10", "h", request="new")["word"] == "back"  # the same permit: no second effect
     assert not rig.agreed("n1")["permits"]
 
 
@@ -102,9 +103,12 @@
     found = []
 
     def so():
-        said = {n: (k.ask("agreed") or {}).get("voting") or {} for n, k in rig.keepers.items() if n != stopped}
+        said = {
+            n: (k.ask("agreed") or {}).get("voting") or {} for n, k in rig.keepers.items() if n != stopped
+        }
         found[:] = [n for n, one in said.items() if one.get("role") == "leader"]
         return found
+
     rig.wait(so)
     return found[0]
 
@@ -118,7 +122,7 @@
     assert said["quorum"] is False and time.monotonic() - begun < 5
     rig.fronts["n0"].until("keepers_lost")
     assert not rig.agreed("n0")["permits"] and rig.agreed("n0")["fenced"]
-    assert rig.get("n0", THING, 77)[0] == 200                # and clients are served all the same
+    assert rig.get("n0", THING, 77)[0] == 200  # and clients are served all the same
     for name in dead:
         rig.keepers[name].start()
     rig.wait(lambda: asks(rig, "n1", "s-10", "h", request="one").get("ok"))
@@ -164,6 +168,7 @@
     def taken_in():
         voting = (rig.keepers["k1"].ask("agreed") or {}).get("voting") or {}
         return sorted(voting.get("voters", ())) == sorted(["k1", "k2", other])
+
     rig.wait(taken_in)
     rig.wait(lambda: (keeper.ask("agreed") or {}).get("voting", {}).get("committed", 0) > 0)
     assert rig.permit("n1", "i")["waits"][0] == "fleet cache"
@@ -173,8 +178,10 @@
     with Rig(tmp_path, 2, caches=2, keepers=3, budgets='"fleet cache 9 1.0"') as rig:
         rig.start_all()
         said = {}
-        threads = [threading.Thread(target=lambda f=front, b=box, i=id: said.update({i: asks(rig, f, b, i)}))
-                   for front, box, id in (("n0", "s-10", "h"), ("n1", "s-11", "i"))]
+        threads = [
+            threading.Thread(target=lambda f=front, b=box, i=id: said.update({i: asks(rig, f, b, i)}))
+            for front, box, id in (("n0", "s-10", "h"), ("n1", "s-11", "i"))
+        ]
         for one in threads:
             one.start()
         for one in threads:
@@ -193,9 +200,10 @@
 
     def told():
         for name in rig.names:
-            for _ in range(20):              # other objects each time: a copy of the front's own needs no cache
+            for _ in range(20):  # other objects each time: a copy of the front's own needs no cache
                 rig.get(name, THING + next(calls), next(calls))
         return rig.agreed("n0").get("out", {}).get("s-10") == "unreachable"
+
     rig.wait(told, 30)
     asks(rig, "n0", "s-11", "h")
     rig.wait(lambda: (rig.permit("n1", "h").get("waits") or [""])[0] == "fleet cache")
@@ -206,7 +214,9 @@
     asks(rig, "n0", "s-10", "h")
     rig.step("h", "cold")
     asks(rig, "n0", "s-11", "i")
-    rig.wait(lambda: rig.permit("n0", "i") and rig.permit("n1", "i"))     # a keeper's word reaches each in its time
+    rig.wait(
+        lambda: rig.permit("n0", "i") and rig.permit("n1", "i")
+    )  # a keeper's word reaches each in its time
     calls = iter(range(1, 1 << 30))
     for _ in range(5):
         # A shed is an answer: on a busy machine what met the dead box first has no time left for another.
@@ -243,7 +253,7 @@
     lost = rig.fronts["n0"].until("keepers_lost")["at"]
     rig.step("h", "drained", ["n1"])
     drained = int(time.time() * 1000)
-    assert drained >= lost                   # its own lease ended before it was counted out
+    assert drained >= lost  # its own lease ended before it was counted out
     assert rig.agreed("n1")["fronts"] == ["n1"] and rig.agreed("n0")["fenced"]
     rig.trouble("heal")
     rig.wait(lambda: rig.agreed("n1")["fronts"] == ["n0", "n1"])
@@ -252,14 +262,28 @@
 def plan(tmp_path, waves, version="2", bake="(ms)500", name="v2"):
     lines = "".join(f"    wave {' '.join(chr(34) + box + chr(34) for box in wave)}\n" for wave in waves)
     file = tmp_path / f"{name}.kdl"
-    file.write_text(f'release "{name}" {{\n    kind "std"\n    version "{version}"\n    former "1"\n    bake {bake}\n'
-                    f"{lines}}}\n")
+    file.write_text(
+        f'release "{name}" {{\n    kind "std"\n    version "{version}"\n    former "1"\n    bake {bake}\n'
+        f"{lines}}}\n"
+    )
     return file
 
 
 def command(rig, front, *given):
-    done = subprocess.run([sys.executable, "-m", "sprucegate", "fleet", *map(str, given), "--json", "--file",
-                           str(rig.fronts[front].folder / "front.kdl")], capture_output=True, timeout=30)
+    done = subprocess.run(
+        [
+            sys.executable,
+            "-m",
+            "sprucegate",
+            "fleet",
+            *map(str, given),
+            "--json",
+            "--file",
+            str(rig.fronts[front].folder / "front.kdl"),
+        ],
+        capture_output=True,
+        timeout=30,
+    )
     assert done.stdout, done.stderr
     return done.returncode, orjson.loads(done.stdout)
 
@@ -276,7 +300,7 @@
             for name in self.rig.names:
                 self.count += 1
                 status, _ = self.rig.get(name, self.first + self.count, self.first + self.count)
-                if status not in (200, 503):     # a shed is an answer: a slow box, or a busy machine, costs some
+                if status not in (200, 503):  # a shed is an answer: a slow box, or a busy machine, costs some
                     self.bad.append((name, status))
 
 
@@ -300,8 +324,12 @@
     more = [Gets(rig, number) for number in (2, 3, 4)]
     for each in (gets, *more):
         each.start()
-    assert command(rig, "n0", "release", "start", plan(tmp_path, [["s-10"], ["s-11", "s-12", "s-13"]],
-                                                       bake="(s)60"))[0] == 0
+    assert (
+        command(
+            rig, "n0", "release", "start", plan(tmp_path, [["s-10"], ["s-11", "s-12", "s-13"]], bake="(s)60")
+        )[0]
+        == 0
+    )
     rig.phase("v2", "halted")
     assert "late" in rig.agreed("n1")["releases"][0]["why"] and one.replaced == [(0, "2")]
     assert command(rig, "n1", "release", "back", "v2")[1]["word"] == "goes back"
@@ -325,8 +353,10 @@
     assert command(rig, "n1", "out", "mine")[0] == 1
     asks(rig, "n0", "s-11", "own")
     rig.step("own", "drained")
-    said = [command(rig, "n1", *words)[1]["word"] for words in (
-        ("out", "own"), ("renew", "own"), ("started", "own", "s1"))]
+    said = [
+        command(rig, "n1", *words)[1]["word"]
+        for words in (("out", "own"), ("renew", "own"), ("started", "own", "s1"))
+    ]
     assert said == ["out", "done", "cold"]
     rig.step("own", "back")
     # Relays carry frames alone: a question goes to the keepers themselves.
@@ -398,6 +428,7 @@
                 one.due(time.monotonic_ns())
                 await asyncio.sleep(0.005)
             raise AssertionError((event, events))
+
         await until("keeper_leads")
         index, actions = one.keeper.propose(["front", "n0", 1, True], time.monotonic_ns())
         one.do(actions)
@@ -407,7 +438,7 @@
         one.do(one.keeper.propose(["front", "n1", 1, True], time.monotonic_ns())[1])
         await until("keeper_not_kept")
         await until("keeper_leads_no_more")
-        await until("keeper_off")            # no start can be counted, so it says nothing at all
+        await until("keeper_off")  # no start can be counted, so it says nothing at all
         assert one.keeper is None
         disk.full = False
         events.clear()
@@ -415,6 +446,7 @@
         while "n0" not in one.serving.machine.permits.fronts:
             await asyncio.sleep(0.005)
         await one.stop()
+
     asyncio.run(asyncio.wait_for(played(), 30))
 
 
@@ -439,8 +471,11 @@
     face = Face.__new__(Face)
     place, entry = NS(transport=Half(made), name="s-10"), NS(kind=0, id=1, started=1)
     row = NS(server=NS(name="s-10", entry=entry), standing=NS(name="SERVING"))
-    face.driver = NS(clock=lambda: 20, servers=NS(places={1: place}, warm=lambda *_: None),
-                     router=NS(get=lambda key, otherwise: otherwise))
+    face.driver = NS(
+        clock=lambda: 20,
+        servers=NS(places={1: place}, warm=lambda *_: None),
+        router=NS(get=lambda key, otherwise: otherwise),
+    )
     face.merged, face.members = NS(view=NS(generation=1)), dict
     face.seen, face.missed, face.counts, face.name = (1, {"s-10": row}), {}, {}, "n0"
     face.cold = {"s-10": ("s1", 10, 0)}
--- a/tests/test_fleet_agreement.py
+++ b/tests/test_fleet_agreement.py
@@ -47,6 +47,7 @@
         if self.up and self.pending and number % 3 == 0:
             self.pending = [one for one in self.pending if one.number != number]
         return whole(self, generation, number)
+
     monkeypatch.setattr(keepers.Box, "_synced", synced)
 
 
@@ -57,6 +58,7 @@
         if not asked.pre and asked.term == self.term:
             self.vote, self.role = "", keeper.Role.FOLLOWER
         return whole(self, sender, asked, now)
+
     monkeypatch.setattr(Keeper, "_vote", vote)
 
 
@@ -67,24 +69,40 @@
 def _read_at_once(monkeypatch):
     def read(self, token, now):
         return [Current(token, self.committed if self.role is keeper.Role.LEADER else -1)]
+
     monkeypatch.setattr(Keeper, "read", read)
     # Without it a leader that stood still steps down before it can be asked.
-    monkeypatch.setattr(Keeper, "_quorum", lambda self, names: 2 * len({*names, self.name} & set(
-        self.config().voters)) > len(self.config().voters) or self.role is keeper.Role.LEADER)
+    monkeypatch.setattr(
+        Keeper,
+        "_quorum",
+        lambda self, names: 2 * len({*names, self.name} & set(self.config().voters))
+        > len(self.config().voters)
+        or self.role is keeper.Role.LEADER,
+    )
 
 
 def _counts_itself_before_its_disk(monkeypatch):
     whole = Keeper._commits
 
     def commits(self, now):
-        self.committed = max(self.committed, self.last()) if self.role is keeper.Role.LEADER else self.committed
+        self.committed = (
+            max(self.committed, self.last()) if self.role is keeper.Role.LEADER else self.committed
+        )
         return whole(self, now)
+
     monkeypatch.setattr(Keeper, "_commits", commits)
 
 
-@pytest.mark.parametrize(("name", "sow"), [
-    ("votes_twice", _vote_given_again), ("two_leaders", _no_majority_needed), ("applied_apart", _write_dropped),
-    ("lost", _counts_itself_before_its_disk), ("stale_reads", _read_at_once)])
+@pytest.mark.parametrize(
+    ("name", "sow"),
+    [
+        ("votes_twice", _vote_given_again),
+        ("two_leaders", _no_majority_needed),
+        ("applied_apart", _write_dropped),
+        ("lost", _counts_itself_before_its_disk),
+        ("stale_reads", _read_at_once),
+    ],
+)
 def test_a_sown_defect_makes_its_checker_cry_out(monkeypatch, name, sow):
     sow(monkeypatch)
     for seed in range(150):
@@ -92,7 +110,7 @@
             if any(found == name for found, _ in broken(played(seed, 3, 0.1).trace)):
                 return
         except (AssertionError, IndexError, ValueError):
-            continue                         # a defect may end a run before its checker reads it
+            continue  # a defect may end a run before its checker reads it
     raise AssertionError(f"{name} found nothing")
 
 
@@ -140,14 +158,14 @@
 
 def test_members_change_one_at_a_time_and_not_before_an_entry_of_the_leaders_own_term():
     made, now = leader()
-    assert made.change(("a", "b", "c"), ("d",), now)[0] == 0     # nothing of its term is committed yet
+    assert made.change(("a", "b", "c"), ("d",), now)[0] == 0  # nothing of its term is committed yet
     made.heard("b", keeper.AppendAnswer(1, True, 1, 0), now)
-    assert made.change(("a", "b", "c", "d"), (), now)[0] == 0    # no learner yet
+    assert made.change(("a", "b", "c", "d"), (), now)[0] == 0  # no learner yet
     assert made.change(("a", "b", "c"), ("d",), now)[0] == 2
-    assert made.change(("a", "b", "c", "d"), (), now)[0] == 0    # the last change is not committed
+    assert made.change(("a", "b", "c", "d"), (), now)[0] == 0  # the last change is not committed
     made.synced(made.number, now)
     made.heard("b", keeper.AppendAnswer(1, True, 2, 0), now)
-    assert made.change(("a", "d"), (), now)[0] == 0              # two at once
+    assert made.change(("a", "d"), (), now)[0] == 0  # two at once
     assert made.change(("a", "b", "c", "d"), (), now)[0] == 3
 
 
@@ -163,7 +181,10 @@
 def test_a_disk_that_fails_ends_leading_and_all_promises():
     made, now = leader()
     assert Leads(False, 1) in made.not_kept(now)
-    assert made.heard("b", Vote(9, 9, 9, False, False), now + keeper.S) == [] and made.due(now + 9 * keeper.S) == []
+    assert (
+        made.heard("b", Vote(9, 9, 9, False, False), now + keeper.S) == []
+        and made.due(now + 9 * keeper.S) == []
+    )
 
 
 def test_leadership_goes_on_to_one_that_has_the_whole_log():
@@ -194,6 +215,7 @@
 
 # What lasts, and who may vote by it.
 
+
 def written(ledger, number, term, vote, cut, entries, snapshot=None):
     return ledger.write(Write(number, term, vote, cut, entries, snapshot), 0)
 
@@ -208,10 +230,10 @@
     assert one.begin("k0") == ("k0", 1)
     one.open(0)
     written(one, 1, 1, "k1", 0, entries(1, 5))
-    written(one, 2, 2, "", 4, entries(4, 6, term=2))         # a cut, and another term's entries
+    written(one, 2, 2, "", 4, entries(4, 6, term=2))  # a cut, and another term's entries
     one.close()
     two = Ledger(disk.after_crash(), "/k")
-    assert two.begin("k7") == ("k0", 2)      # who it is stands in the folder
+    assert two.begin("k7") == ("k0", 2)  # who it is stands in the folder
     kept = two.open(0)
     assert (kept.term, kept.vote, kept.refused) == (2, "", [])
     assert kept.entries == entries(1, 4) + entries(4, 6, term=2)
@@ -262,7 +284,7 @@
     for n in range(1, 9):
         snapshot = (n - 1, 1, Config(("k0",), ()), n) if n == 5 else None
         if written(one, n, 1, "", n if snapshot else 0, entries(n, n + 1), snapshot) is not None:
-            break                            # the keeper steps down and writes no more
+            break  # the keeper steps down and writes no more
         sure = n
     kept = Ledger(disk.after_crash(), "/k").open(0)
     assert (kept.entries[-1].index if kept.entries else 0) >= sure
@@ -282,8 +304,10 @@
 
 
 def fits(*names, **given):
-    return {name: Fitness(name, 1, at, [n for n in names if n != name], {}, 0, **given)
-            for at, name in enumerate(names)}
+    return {
+        name: Fitness(name, 1, at, [n for n in names if n != name], {}, 0, **given)
+        for at, name in enumerate(names)
+    }
 
 
 def told(keepers, at_most=80, turns=1):
@@ -325,13 +349,19 @@
         assert found.name == "k0^9"
 
 
-@pytest.mark.parametrize("green, other_green, fit", [(False, False, True), (True, False, False), (False, True, False),
-                                                     (True, True, False)])
-def test_with_itself_a_majority_is_enough_for_a_folder_that_voted_and_by_one_that_did(green, other_green, fit):
+@pytest.mark.parametrize(
+    "green, other_green, fit",
+    [(False, False, True), (True, False, False), (False, True, False), (True, True, False)],
+)
+def test_with_itself_a_majority_is_enough_for_a_folder_that_voted_and_by_one_that_did(
+    green, other_green, fit
+):
     # Two of three were killed and one came back: it waited for the third for ever, though two are a majority.
-    keepers = {"k0": Fitness("k0", 2, 9, ["k1", "k2"], {}, 0, green=green),
-               "k1": Fitness("k1", 2, 8, ["k0", "k2"], {}, 0, green=other_green)}
-    assert told(keepers, turns=ASKS) == {}               # whoever knows better has had no time to say so
+    keepers = {
+        "k0": Fitness("k0", 2, 9, ["k1", "k2"], {}, 0, green=green),
+        "k1": Fitness("k1", 2, 8, ["k0", "k2"], {}, 0, green=other_green),
+    }
+    assert told(keepers, turns=ASKS) == {}  # whoever knows better has had no time to say so
     assert bool(told(keepers, turns=1).get("k0")) is fit
     assert Fitness("k0", 1, 1, ["k1", "k2"], {}, 0, trusted=True, green=True).fit
 
@@ -349,7 +379,7 @@
     del keepers["k1"]
     keepers["k0"] = Fitness("k0", 2, 5, ["k1", "k2"], {}, 0)
     assert {type(e) for e in told(keepers)["k0"]} == {PutBack}
-    assert keepers["k2"].lack == ["k0"]                  # it goes on to tell, and only to whom it has not told
+    assert keepers["k2"].lack == ["k0"]  # it goes on to tell, and only to whom it has not told
 
 
 def test_one_that_is_fit_and_hears_of_a_later_start_of_its_own_stops_at_once():
@@ -384,11 +414,15 @@
 
 
 def test_the_checkers_of_starts_cry_out(monkeypatch):
-    monkeypatch.setattr(Fitness, "needed", lambda self: len(self.others))    # as it was: both others of three
-    assert "majority_waits" in {name for seed in (16, 17) for name, _ in broken(played(seed, 3, back=1).trace)}
+    monkeypatch.setattr(Fitness, "needed", lambda self: len(self.others))  # as it was: both others of three
+    assert "majority_waits" in {
+        name for seed in (16, 17) for name, _ in broken(played(seed, 3, back=1).trace)
+    }
     monkeypatch.undo()
     monkeypatch.setattr(keepers, "Fitness", Trusting)
-    assert "fit_though_known" in {name for seed in (0, 1) for name, _ in broken(played(seed, 3, back=1).trace)}
+    assert "fit_though_known" in {
+        name for seed in (0, 1) for name, _ in broken(played(seed, 3, back=1).trace)
+    }
 
 
 def test_a_newcomer_takes_the_place_of_its_former_self_in_three_steps():
@@ -401,7 +435,11 @@
         steps.append(step)
         keeper.base_config = Config(*step)
         keeper.match["k0^9"] = keeper.committed
-    assert steps == [(("k0", "k1", "k2"), ("k0^9",)), (("k0", "k1", "k2", "k0^9"), ()), (("k1", "k2", "k0^9"), ())]
+    assert steps == [
+        (("k0", "k1", "k2"), ("k0^9",)),
+        (("k0", "k1", "k2", "k0^9"), ()),
+        (("k1", "k2", "k0^9"), ()),
+    ]
 
 
 def test_voters_follow_the_names_of_the_file_one_at_a_time():
@@ -410,7 +448,7 @@
     assert takes_in(keeper, {}, ("k1", "k2", "k3"), 0) == (("k1", "k2"), ())
     keeper.base_config = Config(("k1", "k2"), ())
     assert takes_in(keeper, {"k3": 0}, ("k1", "k2", "k3"), 0) == (("k1", "k2"), ("k3",))
-    assert takes_in(keeper, {"k3": 0}, ("k1", "k2", "k3"), 9 * 10**9) is None       # it is not there any more
+    assert takes_in(keeper, {"k3": 0}, ("k1", "k2", "k3"), 9 * 10**9) is None  # it is not there any more
 
 
 def test_one_that_is_left_goes_on_alone_by_an_operators_word():
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -15,15 +15,30 @@
 from standins.disk import Crashed, FaultyDisk
 
 MEMBER = swim.Member("n0", "127.0.0.1:1", 1 << 40, 2, 1, "n1")
-FACTS = [Fact(("purge", "object", 5), (7,), ("n0", 1, 1)), Fact(("word", 16, 0, "bus", "n0"), (1, 2, 0), ("n0", 1, 2))]
+FACTS = [
+    Fact(("purge", "object", 5), (7,), ("n0", 1, 1)),
+    Fact(("word", 16, 0, "bus", "n0"), (1, 2, 0), ("n0", 1, 2)),
+]
 LIVES = [("n0", 1, [1, 3, 5, 9])]
 MESSAGES = [
-    swim.Ping(1, "n1", 2**63, [MEMBER]), swim.Ack(1, 0, []), swim.PingFor(2, "n1", []), swim.Nack(3),
-    swim.All([MEMBER], True), replica.Tell(FACTS, 4, 1), replica.Done(4, 2, LIVES), replica.Held(2**64 - 1),
-    replica.Have(LIVES, 9, (0, 2), 1), replica.Mark(1, LIVES, True), replica.Ranges([0] * 256),
-    replica.Keys([3], [(FACTS[0].key, FACTS[0].dot, 11)], False), replica.Repair(FACTS),
+    swim.Ping(1, "n1", 2**63, [MEMBER]),
+    swim.Ack(1, 0, []),
+    swim.PingFor(2, "n1", []),
+    swim.Nack(3),
+    swim.All([MEMBER], True),
+    replica.Tell(FACTS, 4, 1),
+    replica.Done(4, 2, LIVES),
+    replica.Held(2**64 - 1),
+    replica.Have(LIVES, 9, (0, 2), 1),
+    replica.Mark(1, LIVES, True),
+    replica.Ranges([0] * 256),
+    replica.Keys([3], [(FACTS[0].key, FACTS[0].dot, 11)], False),
+    replica.Repair(FACTS),
     replica.Evidence(5, [Believed(1, 0, 12, 0, 7, 8)], [Resting(12, 0, True, 9, 1500, 5)]),
-    codec.Routed("k0", "k1^a", 1, b"x"), swim.Refused("n1", 7), codec.Word("shares", b"")]
+    codec.Routed("k0", "k1^a", 1, b"x"),
+    swim.Refused("n1", 7),
+    codec.Word("shares", b""),
+]
 
 
 def test_each_message_comes_as_it_went_whole_or_byte_by_byte():
@@ -32,7 +47,7 @@
         reader, found = codec.Reader(), []
         reader.most = codec.FRAME_MOST
         for at in range(0, len(data), size):
-            found += [codec.message(payload) for payload in reader.feed(data[at:at + size])]
+            found += [codec.message(payload) for payload in reader.feed(data[at : at + size])]
         assert found == MESSAGES and {type(m) for m in MESSAGES} == set(codec.KINDS[1:])
 
 
@@ -41,15 +56,22 @@
     for at in range(len(data)):
         reader = codec.Reader()
         with pytest.raises(codec.Unreadable):
-            reader.feed(data[:at] + bytes([data[at] ^ 0x55]) + data[at + 1:])
+            reader.feed(data[:at] + bytes([data[at] ^ 0x55]) + data[at + 1 :])
             raise codec.Unreadable("more is waited for") if at < 4 else AssertionError(at)
 
 
-@pytest.mark.parametrize("fact", [
-    ((), (1,), ("a", 1, 1)), (("purge", "object", "x"), (1,), ("a", 1, 1)),
-    (("purge", "object", 1), (1, 2), ("a", 1, 1)),
-    (("purge", "object", 1), ("1",), ("a", 1, 1)), (("word", 1, 0, "bus", "a"), (1, 1, 9), ("a", 1, 1)),
-    (("purge", "object", 1), (1,), ("a", 1, 0)), (("purge", "object", True), (1,), ("a", 1, 1))])
+@pytest.mark.parametrize(
+    "fact",
+    [
+        ((), (1,), ("a", 1, 1)),
+        (("purge", "object", "x"), (1,), ("a", 1, 1)),
+        (("purge", "object", 1), (1, 2), ("a", 1, 1)),
+        (("purge", "object", 1), ("1",), ("a", 1, 1)),
+        (("word", 1, 0, "bus", "a"), (1, 1, 9), ("a", 1, 1)),
+        (("purge", "object", 1), (1,), ("a", 1, 0)),
+        (("purge", "object", True), (1,), ("a", 1, 1)),
+    ],
+)
 def test_a_fact_that_is_none_is_unreadable(fact):
     payload = msgspec.msgpack.encode((codec.NUMBERS[replica.Tell], ([fact], 0, 0)))
     with pytest.raises(codec.Unreadable):
@@ -59,7 +81,7 @@
 def test_counters_that_are_no_intervals_are_unreadable():
     for ends in ([1], [3, 2], [1, 1]):
         with pytest.raises(codec.Unreadable):
-            codec.message(codec.frame(replica.Done(1, 1, [("a", 1, ends)]))[records.HEAD.size:])
+            codec.message(codec.frame(replica.Done(1, 1, [("a", 1, ends)]))[records.HEAD.size :])
 
 
 def sent(out):
@@ -76,8 +98,12 @@
     out.put(replica.Tell([FACTS[0]], 0, 0), True)
     out.put(replica.Tell([FACTS[0]._replace(value=(9,))], 0, 0), True)
     out.put(swim.Nack(1), False)
-    assert sent(out) == [swim.Nack(1), replica.Tell([FACTS[0]._replace(value=(9,))], 0, 0), replica.Tell(FACTS, 7, 0),
-                         replica.Evidence(2, [], [])]
+    assert sent(out) == [
+        swim.Nack(1),
+        replica.Tell([FACTS[0]._replace(value=(9,))], 0, 0),
+        replica.Tell(FACTS, 7, 0),
+        replica.Evidence(2, [], []),
+    ]
     assert not out
 
 
@@ -131,7 +157,9 @@
                     good.append(fact)
             held = [*kept.facts.values(), *good]
             assert keeping.begin_snapshot() is None
-            keeping.finish_snapshot([(f.dot[0], f.dot[1], [f.dot[2], f.dot[2] + 1]) for f in held], [packed(held)], 1)
+            keeping.finish_snapshot(
+                [(f.dot[0], f.dot[1], [f.dot[2], f.dot[2] + 1]) for f in held], [packed(held)], 1
+            )
             disk = disk.after_crash()
         except Crashed:
             disk = disk.after_crash()
@@ -171,12 +199,19 @@
     ours = [Fact(("purge", "object", n), (5,), ("n2", 1, n + 1)) for n in range(150)]
     made.heard("n0", replica.Tell(ours, 0, 0), 0)
     made.synced(1, 0)
-    done = made.heard("n0", replica.Tell([f._replace(value=(5 + f.key[2] % 2 * 2 - 1,)) for f in ours], 0, 0), 0)
+    done = made.heard(
+        "n0", replica.Tell([f._replace(value=(5 + f.key[2] % 2 * 2 - 1,)) for f in ours], 0, 0), 0
+    )
     assert [a.said["count"] for a in done if isinstance(a, replica.Note)] == [150]
-    assert [(a.to, len(a.message.facts)) for a in done if isinstance(a, replica.Send)
-            and isinstance(a.message, replica.Repair)] == [("n2", 150)]
+    assert [
+        (a.to, len(a.message.facts))
+        for a in done
+        if isinstance(a, replica.Send) and isinstance(a.message, replica.Repair)
+    ] == [("n2", 150)]
     # The later floor of each holds, and all stand under dots that nobody has seen with another content.
-    assert all(fact.value == (6,) if key[2] % 2 else fact.value == (5,) for key, fact in made.facts.held.items())
+    assert all(
+        fact.value == (6,) if key[2] % 2 else fact.value == (5,) for key, fact in made.facts.held.items()
+    )
     assert {fact.dot[:2] for fact in made.facts.held.values()} == {("n1", 1)}
 
 
--- a/tests/test_fleet_rig.py
+++ b/tests/test_fleet_rig.py
@@ -18,8 +18,10 @@
 
 
 def write_list(folder, *boxes):
-    rows = [f'    server "gone-{at + 64:02x}" address="127.0.0.1:{at + 1}" location="here" kind="std"\n'
-            for at in boxes]
+    rows = [
+        f'    server "gone-{at + 64:02x}" address="127.0.0.1:{at + 1}" location="here" kind="std"\n'
+        for at in boxes
+    ]
     (folder / "fresh").write_text("servers {\n" + "".join(rows) + "}\n")
     os.rename(folder / "fresh", folder / "list.kdl")
 
@@ -52,7 +54,7 @@
     if not sent:
         assert not rig.fronts["n1"].holds() and not rig.fronts["n2"].holds()
         rig.trouble("heal")
-        rig.fronts["n0"].start()             # it was on its disk before it could be told
+        rig.fronts["n0"].start()  # it was on its disk before it could be told
     rig.all_hold(("purge", "object", 5), purged(at), None if not sent else ["n1", "n2"])
 
 
@@ -65,6 +67,7 @@
             assert rig.get("n1", THING, own.calls + n, sock)[0] == 200
         own.calls += 5
         return rig.fronts["n1"].until("second", line).get("gets_own", 0)
+
     own.calls = 1
     rig.wait(lambda: own() > 0)
     line, at = len(rig.fronts["n1"].lines), stamp()
@@ -87,8 +90,11 @@
     rig.fronts["n0"].until("fleet_member", member="n2", standing="gone", patience=40)
     assert set(rig.fronts["n2"].holds()) == {("purge", "object", 6)}
     rig.trouble("heal")
-    for key, value in ((("purge", "object", 5), purged(at)), (("purge", "object", 6), purged(at)),
-                       (("word", 16, 0, "bus", "n1"), "draining")):
+    for key, value in (
+        (("purge", "object", 5), purged(at)),
+        (("purge", "object", 6), purged(at)),
+        (("word", 16, 0, "bus", "n1"), "draining"),
+    ):
         rig.all_hold(key, value)
     rig.together()
 
@@ -143,7 +149,7 @@
     front.start()
     front.until("ready", len(front.lines))
     rig.together()
-    rig.health(["n2"], 0, "up")              # offset 3 of its bus: it hears 2 and 3 anew at each start
+    rig.health(["n2"], 0, "up")  # offset 3 of its bus: it hears 2 and 3 anew at each start
     rig.all_hold(("word", 16, 0, "bus", "n2"), "lifted")
     rig.purge(["n2"], 6, at)
     rig.all_hold(("purge", "object", 6), purged(at))
@@ -179,7 +185,7 @@
     rig.purge(["n0"], 5, at)
     rig.all_hold(("purge", "object", 5), purged(at), ["n0", "n2"])
     rig.fronts["n0"].until("fleet_member", member="n1", standing="suspect", patience=20)
-    time.sleep(5)                            # what is looked at is a process that stands still for seconds
+    time.sleep(5)  # what is looked at is a process that stands still for seconds
     still.signal(signal.SIGCONT)
     for number in (4, 5):
         rig.all_hold(("purge", "object", number), purged(at))
@@ -191,17 +197,23 @@
     return codec.greeting(codec.Greeting(version, fleet, "front", "x", "", 1))
 
 
-@pytest.mark.parametrize(("data", "why"), [
-    (b"GET / HTTP/1.1\r\nHost: a\r\n\r\n", "more than"),
-    (b"\xff\xff\xff\xff" + bytes(100), "more than"),
-    (records.record(b"\x00" * 40), "no greeting"),
-    (records.record(b"x" * 40)[:-1] + b"y", "checksum"),
-    (greeting(codec.VERSION + 1, "rig"), "format"),
-    (greeting(codec.VERSION, "other"), "fleet"),
-    (greeting(codec.VERSION, "rig") + records.record(b"\x92\x63\xc0"), "kind"),
-    (greeting(codec.VERSION, "rig") + codec.frame(
-        codec.replica.Tell([codec.Fact(("bogus", 1), (1,), ("x", 1, 1))], 0, 0)), "no known kind"),
-])
+@pytest.mark.parametrize(
+    ("data", "why"),
+    [
+        (b"GET / HTTP/1.1\r\nHost: a\r\n\r\n", "more than"),
+        (b"\xff\xff\xff\xff" + bytes(100), "more than"),
+        (records.record(b"\x00" * 40), "no greeting"),
+        (records.record(b"x" * 40)[:-1] + b"y", "checksum"),
+        (greeting(codec.VERSION + 1, "rig"), "format"),
+        (greeting(codec.VERSION, "other"), "fleet"),
+        (greeting(codec.VERSION, "rig") + records.record(b"\x92\x63\xc0"), "kind"),
+        (
+            greeting(codec.VERSION, "rig")
+            + codec.frame(codec.replica.Tell([codec.Fact(("bogus", 1), (1,), ("x", 1, 1))], 0, 0)),
+            "no known kind",
+        ),
+    ],
+)
 def test_a_peer_that_misbehaves_loses_its_own_connection_alone(one_front, data, why):
     rig, front = one_front, one_front.fronts["n0"]
     since = len(front.lines)
@@ -254,8 +266,10 @@
 
 
 def test_a_removal_held_at_one_front_is_held_at_all_and_let_through_by_one_word(tmp_path):
-    more = (f'membership {{{{\n    file "{tmp_path}/list.kdl"\n    state "{tmp_path}/{{name}}/servers"\n'
-            "    most-removed 0.6\n    hold (min)10\n}}\n")
+    more = (
+        f'membership {{{{\n    file "{tmp_path}/list.kdl"\n    state "{tmp_path}/{{name}}/servers"\n'
+        "    most-removed 0.6\n    hold (min)10\n}}\n"
+    )
     with Rig(tmp_path, 2, caches=3, more=more) as rig:
         write_list(tmp_path, 0, 1, 2)
         rig.start_all()
@@ -265,8 +279,20 @@
         rig.fronts["n1"].until("servers_held")
         kinds = {key for key in rig.fronts["n0"].holds() if key[0] == "held"}
         assert len(kinds) == 1
-        done = subprocess.run([sys.executable, "-m", "sprucegate", "servers", "confirm", str(held["number"]),
-                               "--file", str(rig.fronts["n0"].folder / "front.kdl")], capture_output=True, timeout=30)
+        done = subprocess.run(
+            [
+                sys.executable,
+                "-m",
+                "sprucegate",
+                "servers",
+                "confirm",
+                str(held["number"]),
+                "--file",
+                str(rig.fronts["n0"].folder / "front.kdl"),
+            ],
+            capture_output=True,
+            timeout=30,
+        )
         assert done.returncode == 0
         for front in rig.fronts.values():
             front.until("servers_confirmed")
@@ -274,8 +300,10 @@
 
 
 def test_a_removal_held_at_one_front_is_held_by_one_that_returns(tmp_path):
-    more = (f'membership {{{{\n    file "{tmp_path}/list.kdl"\n    state "{tmp_path}/{{name}}/servers"\n'
-            "    most-removed 0.6\n    hold (min)10\n}}\n")
+    more = (
+        f'membership {{{{\n    file "{tmp_path}/list.kdl"\n    state "{tmp_path}/{{name}}/servers"\n'
+        "    most-removed 0.6\n    hold (min)10\n}}\n"
+    )
     with Rig(tmp_path, 2, caches=3, more=more) as rig:
         write_list(tmp_path, 0, 1, 2)
         rig.start_all()
@@ -295,13 +323,18 @@
 
 def test_beliefs_go_to_the_neighbours(three):
     # Evidence of a front that just came is not taken: what makes bold has to have held for a while.
-    three.wait(lambda: all(one["standing"] == "live" for name in three.names
-                           for one in three.fronts[name].ask("status")["view"]["fronts"]))
+    three.wait(
+        lambda: all(
+            one["standing"] == "live"
+            for name in three.names
+            for one in three.fronts[name].ask("status")["view"]["fronts"]
+        )
+    )
     with socket.create_connection(("127.0.0.1", three.fronts["n0"].port), timeout=5) as sock:
         for n in range(40):
             assert three.get("n0", THING + n % 10, n + 1, sock)[0] == 200
     three.wait(lambda: all(three.fronts[name].ask("status")["evidence_in"] >= 10 for name in ("n1", "n2")))
-    assert not three.fronts["n1"].holds()                # evidence is no fact
+    assert not three.fronts["n1"].holds()  # evidence is no fact
 
 
 def test_seven_of_ten_killed_and_returned_at_once_under_gets(tmp_path):
@@ -348,7 +381,12 @@
 def test_a_front_without_fleet_imports_nothing_of_it(tmp_path):
     (tmp_path / "empty.kdl").write_text("servers {\n}\n")
     for command in ([], ["front", "--file", str(tmp_path / "empty.kdl")]):
-        done = subprocess.run([sys.executable, "-X", "importtime", "-m", "sprucegate", *command], capture_output=True,
-                              text=True, env={**os.environ, "BALANCER_CONFIG": str(tmp_path / "none")}, timeout=30)
+        done = subprocess.run(
+            [sys.executable, "-X", "importtime", "-m", "sprucegate", *command],
+            capture_output=True,
+            text=True,
+            env={**os.environ, "BALANCER_CONFIG": str(tmp_path / "none")},
+            timeout=30,
+        )
         assert done.returncode == 2 and "uvloop" in done.stderr
         assert "sprucegate.fleet" not in done.stderr
--- a/tests/test_fleet_rollout.py
+++ b/tests/test_fleet_rollout.py
@@ -84,14 +84,17 @@
         return self.machine.waits()[id]
 
 
-@pytest.mark.parametrize("budgets, wait", [
-    ([["fleet", "", "cache", 1, 1000]], ("fleet cache", "", 1, 1)),
-    ([["location", "", "cache", 1, 1000]], ("location cache", "a", 1, 1)),
-    ([["location", "b", "cache", 1, 1000]], None),
-    ([["kind", "", "", 1, 1000]], ("kind", "std", 1, 1)),
-    ([["group", "", "cache", 9, 200]], ("group cache", "g", 1, 9)),
-    ([["fleet", "", "front", 1, 1000]], None),
-])
+@pytest.mark.parametrize(
+    "budgets, wait",
+    [
+        ([["fleet", "", "cache", 1, 1000]], ("fleet cache", "", 1, 1)),
+        ([["location", "", "cache", 1, 1000]], ("location cache", "a", 1, 1)),
+        ([["location", "b", "cache", 1, 1000]], None),
+        ([["kind", "", "", 1, 1000]], ("kind", "std", 1, 1)),
+        ([["group", "", "cache", 9, 200]], ("group cache", "g", 1, 9)),
+        ([["fleet", "", "front", 1, 1000]], None),
+    ],
+)
 def test_each_budget_binds_in_its_scope(budgets, wait):
     log = Log(*budgets)
     log.ask("c0")
@@ -108,7 +111,7 @@
     assert log.why("two")[0] == "last"
     log.do("stands", "c3", "unreachable")
     log.ask("c1")
-    assert log.why("r-c1")[0] == "last"      # the other of its location failed by itself
+    assert log.why("r-c1")[0] == "last"  # the other of its location failed by itself
 
 
 def test_a_wave_is_no_wider_than_those_that_stay_can_bear():
@@ -124,8 +127,8 @@
     log.do("stands", "c0", "unreachable")
     log.ask("c2")
     assert log.why("r-c2")[0] == "fleet cache"
-    log.ask("c0")                            # it takes its place already
-    assert log.step("r-c0") is Step.ASKED    # but never past who asked before for the same place
+    log.ask("c0")  # it takes its place already
+    assert log.step("r-c0") is Step.ASKED  # but never past who asked before for the same place
     log.do("withdraw", "r-c2")
     assert log.step("r-c0") is Step.GRANTED
 
@@ -137,16 +140,18 @@
     assert log.why("r-c2")[0] == "location cache" and log.why("r-c4")[0] == "location cache"
     assert log.step("r-c1") is Step.GRANTED  # no budget binds both
     log.back("r-c0")
-    assert log.step("r-c0") is Step.BACK and log.step("r-c2") is Step.GRANTED and log.step("r-c4") is Step.ASKED
+    assert (
+        log.step("r-c0") is Step.BACK and log.step("r-c2") is Step.GRANTED and log.step("r-c4") is Step.ASKED
+    )
 
 
 def test_drained_is_the_word_of_all_live_fronts_or_their_fencing():
     log = Log()
     log.ask("c0")
-    log.do("drained", "r-c0", "x", 7)        # another life of x
+    log.do("drained", "r-c0", "x", 7)  # another life of x
     log.do("drained", "r-c0", "x", 1)
     assert log.step("r-c0") is Step.GRANTED and log.do("out", "r-c0", "agent") == "not drained"
-    log.do("front", "z", 1, True)            # one that came meanwhile has to say so too
+    log.do("front", "z", 1, True)  # one that came meanwhile has to say so too
     log.do("drained", "r-c0", "y", 1)
     assert log.step("r-c0") is Step.GRANTED
     log.do("front", "z", 1, False)
@@ -167,7 +172,7 @@
     assert log.do("started", "r-c0", "s1") == "cold"
     log.do("warm", "r-c0", "s0", "x", 1)
     log.do("warm", "r-c0", "s1", "x", 1)
-    log.do("started", "r-c0", "s2")          # it fell and was started anew: what it earned is gone
+    log.do("started", "r-c0", "s2")  # it fell and was started anew: what it earned is gone
     log.do("warm", "r-c0", "s2", "y", 1)
     assert log.step("r-c0") is Step.COLD
     log.do("warm", "r-c0", "s2", "z", 1)
@@ -196,7 +201,7 @@
     for name in "xy":
         log.do("drained", "r-c0", name, 1)
     log.do("left", "z", 1)
-    log.do("front", "z", 1, True)            # it follows on until its end
+    log.do("front", "z", 1, True)  # it follows on until its end
     assert log.step("r-c0") is Step.DRAINED and log.machine.permits.without == 1
     assert Leading(log.machine, 0).due(heard(S, "xyz"), S) == []
     log.do("front", "z", 2, True)
@@ -217,14 +222,15 @@
     log.do("late", "r-c0", 0)
     assert log.machine.permits.permits["r-c0"].overdue and log.step("r-c2") is Step.ASKED
     log.do("renew", "r-c0", "another agent")
-    log.do("late", "r-c0", 0)                # the leader's look before that renewal
+    log.do("late", "r-c0", 0)  # the leader's look before that renewal
     assert not log.machine.permits.permits["r-c0"].overdue
     log.do("give-up", "c0")
     assert log.step("r-c0") is Step.GIVEN_UP and log.step("r-c2") is Step.GRANTED
 
 
-@pytest.mark.parametrize("step, word", [
-    ("asked", "withdrawn"), ("drained", "withdrawn"), ("out", "can't be withdrawn")])
+@pytest.mark.parametrize(
+    "step, word", [("asked", "withdrawn"), ("drained", "withdrawn"), ("out", "can't be withdrawn")]
+)
 def test_a_request_is_withdrawn_only_before_its_box_is_stopped(step, word):
     log = Log()
     log.ask("c0")
@@ -268,6 +274,7 @@
 
 # Releases.
 
+
 def release(log, name="v2", waves=(("c0",), ("c1", "c2"), ("c3",)), kind="std"):
     return log.do("release", [name, kind, "2", "1", [list(w) for w in waves], 10 * S], "op")
 
@@ -284,7 +291,7 @@
     assert "v2/0/c1" not in log.machine.permits.permits
     log.do("gate", "v2", 0, 0, True, "")
     through(log, "c1", "c2")
-    log.do("gate", "v2", 0, 0, True, "")     # a look at the wave before
+    log.do("gate", "v2", 0, 0, True, "")  # a look at the wave before
     assert log.machine.releases.releases["v2"].wave == 1
     log.do("gate", "v2", 0, 1, True, "")
     through(log, "c3")
@@ -317,7 +324,7 @@
     log.do("gate", "v2", 0, 0, True, "")
     log.out("v2/0/c1")
     assert log.do("back", "v2", "op") == "goes back" and log.do("back", "v2", "op") == "goes back"
-    log.do("started", "v2/0/c1", "s")        # it comes back with the new version, and goes out once more
+    log.do("started", "v2/0/c1", "s")  # it comes back with the new version, and goes out once more
     for name in "xy":
         log.do("warm", "v2/0/c1", "s", name, 1)
     one = log.machine.releases.releases["v2"]
@@ -372,33 +379,50 @@
     assert log.machine.releases.releases["v2"].wave == 1
 
 
-@pytest.mark.parametrize("waves, word", [
-    ((), "a box stands in two waves, or none is named"),
-    ((("c0",), ("c0",)), "a box stands in two waves, or none is named"),
-    ((("c0", "c77"),), "no such box: c77"),
-    ((("c0", "c1", "c2", "c3", "c4", "c5"),),
-     "no such plan: a gate holds the first wave against boxes beside it, and there is none")])
+@pytest.mark.parametrize(
+    "waves, word",
+    [
+        ((), "a box stands in two waves, or none is named"),
+        ((("c0",), ("c0",)), "a box stands in two waves, or none is named"),
+        ((("c0", "c77"),), "no such box: c77"),
+        (
+            (("c0", "c1", "c2", "c3", "c4", "c5"),),
+            "no such plan: a gate holds the first wave against boxes beside it, and there is none",
+        ),
+    ],
+)
 def test_a_plan_that_can_not_be_is_refused(waves, word):
     assert release(Log(), waves=waves) == word
 
 
 # Gates.
 
+
 def seen(gets, errors=0, sheds=0, late=0, misses=0, crashes=0):
     return Seen(gets, (errors, sheds, late, misses, crashes))
 
 
-@pytest.mark.parametrize("released, others, starts, baked, said, by", [
-    (seen(2000, late=20), seen(20_000, late=200), 1, True, Verdict.PASS, ""),
-    (seen(2000, errors=40), seen(20_000), 1, False, Verdict.FAIL, "errors"),
-    (seen(2000, late=600), seen(20_000, late=200), 1, False, Verdict.FAIL, "late"),
-    (seen(100, late=1), seen(20_000, late=200), 1, True, Verdict.FEW, "gets"),
-    (seen(2000, late=20), seen(20_000, late=200), 1, False, Verdict.FEW, "gets"),
-    (seen(300, errors=3), seen(20_000), 1, True, Verdict.FEW, "errors"),      # may be chance: no pass and no halt
-    (seen(0), seen(20_000), 1, True, Verdict.FEW, "gets"),
-    (seen(2000), seen(20_000), 3, True, Verdict.FAIL, "starts"),
-    (seen(2000, crashes=1), seen(20_000), 1, True, Verdict.FAIL, "crashes"),
-])
+@pytest.mark.parametrize(
+    "released, others, starts, baked, said, by",
+    [
+        (seen(2000, late=20), seen(20_000, late=200), 1, True, Verdict.PASS, ""),
+        (seen(2000, errors=40), seen(20_000), 1, False, Verdict.FAIL, "errors"),
+        (seen(2000, late=600), seen(20_000, late=200), 1, False, Verdict.FAIL, "late"),
+        (seen(100, late=1), seen(20_000, late=200), 1, True, Verdict.FEW, "gets"),
+        (seen(2000, late=20), seen(20_000, late=200), 1, False, Verdict.FEW, "gets"),
+        (
+            seen(300, errors=3),
+            seen(20_000),
+            1,
+            True,
+            Verdict.FEW,
+            "errors",
+        ),  # may be chance: no pass and no halt
+        (seen(0), seen(20_000), 1, True, Verdict.FEW, "gets"),
+        (seen(2000), seen(20_000), 3, True, Verdict.FAIL, "starts"),
+        (seen(2000, crashes=1), seen(20_000), 1, True, Verdict.FAIL, "crashes"),
+    ],
+)
 def test_a_gate_by_counts_of_both_sides(released, others, starts, baked, said, by):
     assert gates.verdict(released, others, starts, baked, gates.Limits())[:2] == (said, by)
 
@@ -411,6 +435,7 @@
 
 # The leader.
 
+
 def heard(now, fronts=("x", "y"), rows=(), down=(), troubles=None):
     return {name: Heard(1, now, [list(rows), list(down), troubles or {}], now) for name in fronts}
 
@@ -432,7 +457,9 @@
     leading = Leading(log.machine, 0)
     leading.due(heard(0), 0)
     assert leading.due(heard(PERMIT_LEASE), PERMIT_LEASE) == [
-        ["late", "v2/0/c0", 0], ["halt", "v2", "fleet", "whoever replaces c0 is lost"]]
+        ["late", "v2/0/c0", 0],
+        ["halt", "v2", "fleet", "whoever replaces c0 is lost"],
+    ]
 
 
 def test_a_released_box_that_does_not_come_back_halts_its_release():
@@ -459,23 +486,30 @@
     """A new leader that has heard few fronts, or has their words of before, knows nothing of a box."""
     log, now = Log(fronts="vwxyz"), 10 * S
     leading = Leading(log.machine, now)
-    assert leading.due(heard(now, "v", down=["c3"]), now) == []                        # one of five
-    old = {name: row._replace(at=now + S, reported=now - S) for name, row in heard(now, "vwxyz", down=["c3"]).items()}
-    assert leading.due(old, now + S) == []                  # heard anew, but not of the boxes
+    assert leading.due(heard(now, "v", down=["c3"]), now) == []  # one of five
+    old = {
+        name: row._replace(at=now + S, reported=now - S)
+        for name, row in heard(now, "vwxyz", down=["c3"]).items()
+    }
+    assert leading.due(old, now + S) == []  # heard anew, but not of the boxes
     said = leading.due(heard(now + S, "vwx", down=["c3"]) | heard(now, "yz"), now + S)
     assert said == [["stands", "c3", "unreachable"]]
     log.do(*said[0])
-    assert leading.due(heard(now + 2 * S, "vw"), now + 2 * S) == []                    # nor that it is back
+    assert leading.due(heard(now + 2 * S, "vw"), now + 2 * S) == []  # nor that it is back
     assert leading.due(heard(now + 2 * S, "vwx"), now + 2 * S) == [["stands", "c3", ""]]
 
 
 def test_a_permit_that_was_free_is_charged_once_its_box_is_back():
-    budgets = (["fleet", "", "cache", 1, 1000], ["location", "", "cache", 1, 1000], ["fleet", "", "cache", 9, 200])
+    budgets = (
+        ["fleet", "", "cache", 1, 1000],
+        ["location", "", "cache", 1, 1000],
+        ["fleet", "", "cache", 9, 200],
+    )
     for budget, upto in itertools.product(budgets, ("granted", "drained")):
         log = Log(budget)
         log.ask("c0")
         log.do("stands", "c2", "unreachable")
-        log.ask("c2")                        # it takes its place already, as it failed by itself
+        log.ask("c2")  # it takes its place already, as it failed by itself
         assert log.step("r-c2") is Step.GRANTED
         if upto == "drained":
             log.drained("r-c2")
@@ -483,7 +517,7 @@
         assert log.step("r-c2") is Step.ASKED and log.do("out", "r-c2", "agent") == "not drained"
         assert log.machine.drained().keys() == {"c0"}
         log.back("r-c0")
-        assert log.step("r-c2") is Step.GRANTED      # it was held back, not refused
+        assert log.step("r-c2") is Step.GRANTED  # it was held back, not refused
 
 
 def test_a_free_permit_stays_where_there_is_room_or_its_box_has_gone_out():
@@ -532,17 +566,17 @@
 def test_a_fronts_free_permit_is_charged_once_it_follows_again():
     log = Log(["fleet", "", "front", 1, 1000], fronts=("x", "y", "z"))
     log.do("boxes", [[name, "front", "a", "front", "g", 1] for name in "xyz"])
-    log.do("front", "x", 1, False)           # its lease ended
+    log.do("front", "x", 1, False)  # its lease ended
     log.ask("x")
     assert log.step("r-x") is Step.GRANTED
     log.ask("y")
     assert log.step("r-y") is Step.ASKED
     log.do("front", "x", 2, True)
-    assert log.step("r-x") in (Step.GRANTED, Step.DRAINED)      # the one place there is
+    assert log.step("r-x") in (Step.GRANTED, Step.DRAINED)  # the one place there is
     log.do("front", "z", 1, False)
     log.do("front", "x", 2, False)
     log.do("front", "x", 3, True)
-    assert log.step("r-x") is Step.ASKED     # the lost one takes it
+    assert log.step("r-x") is Step.ASKED  # the lost one takes it
 
 
 def test_seed_133_no_more_boxes_go_out_than_the_budgets_allow():
@@ -566,17 +600,19 @@
 
     def rows(gets, bad):
         return [[f"c{at}", gets, 0, 0, bad if at == 0 else 1 * gets // 100, 0, 1] for at in range(6)]
-    leading.due(heard(0, rows=rows(50_000, 9000)), 0)        # what was before the release is nobody's here
+
+    leading.due(heard(0, rows=rows(50_000, 9000)), 0)  # what was before the release is nobody's here
     through(log, "c0")
     assert leading.due(heard(S, rows=rows(50_000, 9000)), S) == []
     early = leading.due(heard(9 * S, rows=rows(50_100, 9000 + late)), 9 * S)
     done = early or leading.due(heard(12 * S, rows=rows(51_000, 9000 + late * 10)), 12 * S)
-    assert bool(early) is not passed         # a fail needs no bake, a pass does
+    assert bool(early) is not passed  # a fail needs no bake, a pass does
     assert [c[:5] for c in done] == [["gate", "v2", 0, 0, passed]]
 
 
 # Fronts and keepers.
 
+
 def test_a_front_says_that_it_is_drained_once_it_is_and_again_until_it_stands_in_the_log():
     log = Log()
     log.ask("c0")
@@ -587,7 +623,9 @@
     assert words.due(log.machine, {"c0": 1}, None, 2 * S) == [["drained", "r-c0", "x", 1]]
     log.out("r-c0")
     log.do("started", "r-c0", "s")
-    assert words.due(log.machine, {}, lambda box, start: start == "s", 3 * S) == [["warm", "r-c0", "s", "x", 1]]
+    assert words.due(log.machine, {}, lambda box, start: start == "s", 3 * S) == [
+        ["warm", "r-c0", "s", "x", 1]
+    ]
 
 
 def test_a_follower_finds_the_leader_and_its_lease_counts_from_its_question():
@@ -627,20 +665,27 @@
     assert far.index == 1499 and far.state[1] == 1499
     assert one.heard("x", Propose(1, ["ask"]), S)[0].message == Proposed(1, 0, "", "")
     assert set(one.heard_from) == {"x"} and not one.heard("agent", Follow(1499, 0, 1, []), S)[0].message.leads
-    assert set(one.heard_from) == {"x"}      # an agent is no front: nobody waits for its word
+    assert set(one.heard_from) == {"x"}  # an agent is no front: nobody waits for its word
 
 
 # On the way.
 
 CONFIG = Config(("k0", "k1"), ())
 SAID = [
-    Vote(1, 2, 1, True, False), VoteAnswer(2, True, False),
+    Vote(1, 2, 1, True, False),
+    VoteAnswer(2, True, False),
     Append(3, 4, 2, [Entry(5, 3, "data", ["ask", "h"]), Entry(6, 3, "config", CONFIG)], 4, 9),
-    AppendAnswer(3, True, 6, 9), Whole(3, 9, 2, CONFIG, b"state", 1), Stand(4),
+    AppendAnswer(3, True, 6, 9),
+    Whole(3, 9, 2, CONFIG, b"state", 1),
+    Stand(4),
     Follow(7, 1 << 40, 2, ([("c0", 1, 2, 3, 4, 5, 6)], ["c1"], {"origin": "rests"})),
-    Entries(1, 2, [(3, ["ask", "h"]), (4, None)], 5, True, "k1"), State(1, 9, [1, 9], True, "k1"),
-    Propose(1, ["halt", "v2", "op", "why"]), Proposed(1, 0, "", "k1"), Begins(2, 77, {"k1": (3, 5)}),
-    Begun(2, 77, False, True, {})]
+    Entries(1, 2, [(3, ["ask", "h"]), (4, None)], 5, True, "k1"),
+    State(1, 9, [1, 9], True, "k1"),
+    Propose(1, ["halt", "v2", "op", "why"]),
+    Proposed(1, 0, "", "k1"),
+    Begins(2, 77, {"k1": (3, 5)}),
+    Begun(2, 77, False, True, {}),
+]
 
 
 def test_each_word_of_the_log_comes_as_it_went():
@@ -648,11 +693,19 @@
     assert {type(said) for said in SAID} == set(agreed.KINDS[1:])
 
 
-@pytest.mark.parametrize("said", [
-    Propose(1, ["grant", "h"]), Propose(1, ["ask", "h"]), Propose(1, ["ask", "h", "c0", "op", "x" * 201]),
-    Propose(1, ["once", "q", ["once", "r", ["withdraw", "h"]]]), Propose(1, ["once", "", ["withdraw", "h"]]),
-    Propose(1, ["ask", "h", "c0", "op", "why", "v2", "2"]),              # a release's own request is no operator's
-    Append(3, 4, 2, [Entry(6, 3, "data", None)], 4, 9), Whole(1, 2, 3, (1, 2), b"", 4)])
+@pytest.mark.parametrize(
+    "said",
+    [
+        Propose(1, ["grant", "h"]),
+        Propose(1, ["ask", "h"]),
+        Propose(1, ["ask", "h", "c0", "op", "x" * 201]),
+        Propose(1, ["once", "q", ["once", "r", ["withdraw", "h"]]]),
+        Propose(1, ["once", "", ["withdraw", "h"]]),
+        Propose(1, ["ask", "h", "c0", "op", "why", "v2", "2"]),  # a release's own request is no operator's
+        Append(3, 4, 2, [Entry(6, 3, "data", None)], 4, 9),
+        Whole(1, 2, 3, (1, 2), b"", 4),
+    ],
+)
 def test_a_word_that_would_trip_all_is_refused_at_the_door(said):
     with pytest.raises(agreed.Unreadable):
         agreed.unpacked(*agreed.packed(said))
@@ -680,6 +733,7 @@
 
 # Whole fleets under troubles.
 
+
 @pytest.mark.parametrize("seed", [1, 2, 5, 20])
 def test_no_promise_breaks_under_troubles(seed):
     assert rollouts.broken(rollouts.played(seed, (3, 5)[seed % 2], loss=(0, 0.1, 0.3)[seed % 3]).trace) == []
@@ -697,6 +751,7 @@
 
 def small(*commands, until=25, waves=None):
     """Six caches; commands by an operator half a second apart, and time to settle."""
+
     def made(seed):
         world = rollouts.Fleet(3, 3, 6, seed)
         if waves is not None:
@@ -706,21 +761,36 @@
         world.run(until * S)
         rollouts.settle(world, patience=10 * S)
         return world
+
     return made
 
 
-EARLY = ("due", lambda self, machine, drained, warm, now, real=Words.due: real(
-    self, machine, {p.box: 1 for p in machine.permits.of_box.values()}, warm, now))
+EARLY = (
+    "due",
+    lambda self, machine, drained, warm, now, real=Words.due: real(
+        self, machine, {p.box: 1 for p in machine.permits.of_box.values()}, warm, now
+    ),
+)
 ANY = ("wait", lambda self, permit, out=None: None)
 SOWN = [
     ("over_budget", Permits, *ANY, small(waves=[["c0", "c1", "c2", "c3", "c4"]])),
     ("last_gone", Permits, *ANY, small(("ask", "h", "c0", "op", ""), ("ask", "i", "c3", "op", ""))),
     # A front that looks for its drains every three seconds, and says at once that it has them.
     ("sent_to_drained", Words, *EARLY, small(("ask", "h", "c0", "op", ""))),
-    ("granted_halted", Releases, "may", lambda self, permit: True,
-     small(("halt", "v2", "op", ""), waves=[["c0", "c1", "c2", "c3", "c4"]])),
-    ("without_end", Permits, "said_warm", lambda self, id, start, front, life: None, small(
-        ("ask", "h", "c0", "op", ""), until=10)),
+    (
+        "granted_halted",
+        Releases,
+        "may",
+        lambda self, permit: True,
+        small(("halt", "v2", "op", ""), waves=[["c0", "c1", "c2", "c3", "c4"]]),
+    ),
+    (
+        "without_end",
+        Permits,
+        "said_warm",
+        lambda self, id, start, front, life: None,
+        small(("ask", "h", "c0", "op", ""), until=10),
+    ),
 ]
 
 
@@ -756,15 +826,24 @@
 
 
 @pytest.mark.parametrize("fast, slow, cries", [(1.001, 0.999, False), (2.0, 0.3, True)])
-def test_a_lease_holds_under_the_drift_that_is_stated_and_its_checker_under_none_that_is_not(fast, slow, cries):
+def test_a_lease_holds_under_the_drift_that_is_stated_and_its_checker_under_none_that_is_not(
+    fast, slow, cries
+):
     """A front with a slow clock is cut off from keepers with fast ones while a box is drained."""
+
     class Apart(rollouts.Fleet):
         def clock(self, name):
             return int(self.now * (fast if name in self.keepers else slow if name == "n0" else 1))
 
         def when(self, name, due):
-            return self.now + int((due - self.clock(name)) / (fast if name in self.boxes and name[0] == "k" else (
-                slow if name == "n0" else 1))) + 1
+            return (
+                self.now
+                + int(
+                    (due - self.clock(name))
+                    / (fast if name in self.boxes and name[0] == "k" else (slow if name == "n0" else 1))
+                )
+                + 1
+            )
 
     world = Apart(3, 2, 4, 5)
     keepers = [f"k{at}" for at in range(3)]
--- a/tests/test_fleet_shares.py
+++ b/tests/test_fleet_shares.py
@@ -33,6 +33,7 @@
 
 # The seam in the rules.
 
+
 def test_a_slow_get_waits_before_anything_is_counted_and_a_hit_or_a_write_never_does():
     made = router()
     ask = asked()
@@ -47,7 +48,7 @@
     assert sent.source == said.source
     for cache in CACHES:
         believed(made, ask, cache)
-    assert not isinstance(made.take(ask, NOW).route(NOW)[0], Wait)       # a sibling, or the cache itself, has it
+    assert not isinstance(made.take(ask, NOW).route(NOW)[0], Wait)  # a sibling, or the cache itself, has it
     assert not isinstance(made.take(asked(ds=2), NOW).route(NOW)[0], Wait)
     made.shared = ()
     assert not isinstance(made.take(asked(obj=5), NOW).route(NOW)[0], Wait)
@@ -55,6 +56,7 @@
 
 # In one front.
 
+
 def queue(lent=None, count=2, terms=TERMS):
     return Queue(terms, lambda source, now: (lent or {}, count))
 
@@ -66,12 +68,13 @@
 def test_backlogged_tenants_get_place_time_by_weight_and_not_by_count():
     one, now, order, ends = queue(), 0, itertools.count(), []
     used = dict.fromkeys((0, 1, 2), 0)
-    took = {0: 200 * MS, 1: 20 * MS, 2: 60 * MS}     # one's fills are ten times as long as another's
+    took = {0: 200 * MS, 1: 20 * MS, 2: 60 * MS}  # one's fills are ten times as long as another's
 
     def start(actions):
         for token in started(actions):
             ends.append((now + took[token[0]], token))
             used[token[0]] += took[token[0]]
+
     for tenant in (0, 1, 2) * 10:
         start(one.arrives((tenant, next(order)), 21, tenant, 1 << 60, now))
     while now < 40 * S:
@@ -95,13 +98,13 @@
     for n in range(8):
         [running] = started(one.ended(running, 100 * MS, True, S + n * 100 * MS))
         order.append(running[0])
-    assert order.count("b") == 4             # in turn from here on, not six of the one that had nothing
+    assert order.count("b") == 4  # in turn from here on, not six of the one that had nothing
 
 
 def test_who_can_not_be_filled_in_its_time_is_answered_at_once_and_who_waits_before_its_end():
     one = queue(count=1)
     one.arrives("x", 21, 1, 1 << 60, 0)
-    assert one.arrives("late", 21, 1, 150 * MS, 0) == [GiveUp("late", 21)]      # 100 ms each: two before its end
+    assert one.arrives("late", 21, 1, 150 * MS, 0) == [GiveUp("late", 21)]  # 100 ms each: two before its end
     assert one.arrives("waits", 21, 1, 250 * MS, 0) == []
     assert one.arrives("after", 21, 1, 280 * MS, 0) == [GiveUp("after", 21)]
     assert one.next_due() == 150 * MS and one.due(149 * MS) == []
@@ -122,7 +125,7 @@
     one.arrives("y", 21, 1, 1 << 60, 0)
     one.arrives("z", 21, 2, 1 << 60, 0)
     one.left("y")
-    one.lingers("x", 300 * MS)               # its client left; the fill may run for `longest`
+    one.lingers("x", 300 * MS)  # its client left; the fill may run for `longest`
     assert one.due(999 * MS) == [] and one.next_due() == S
     assert one.due(S) == [Start("z", 21)]
     assert one.sources[21].tags[1] > S // 2  # and it is paid for
@@ -138,14 +141,24 @@
     assert started(one.ended("b", 100 * MS, True, 0)) == ["c"]
 
 
-@pytest.mark.parametrize("said, at", [(None, (0, False)), (b"", (0, False)), (b"x" * 10_000, (0, False)),
-                                      (b"\xff\xfe", (0, False)), (b"other", (0, False)), (b" gold ", (1, True))])
+@pytest.mark.parametrize(
+    "said, at",
+    [
+        (None, (0, False)),
+        (b"", (0, False)),
+        (b"x" * 10_000, (0, False)),
+        (b"\xff\xfe", (0, False)),
+        (b"other", (0, False)),
+        (b" gold ", (1, True)),
+    ],
+)
 def test_a_header_names_a_listed_tenant_or_the_common_share(said, at):
     assert tenant_of(said, {b"gold": 1}) == at
 
 
 # Among fronts.
 
+
 def test_floors_of_all_fronts_make_the_places_and_no_more():
     for count, size, source in itertools.product((0, 1, 2, 5, 8, 9), (1, 3, 8), (21, 22, 31)):
         names = tuple(f"n{at}" for at in range(size))
@@ -163,17 +176,17 @@
 
 def test_a_lease_counts_from_the_question_and_is_checked_at_the_decision():
     one = working()
-    assert one.room(21, 10 * S) == ({}, 2)   # its floor
+    assert one.room(21, 10 * S) == ({}, 2)  # its floor
     one.moves(("b", 7), 10 * S)
     [said] = one.due(lambda s: ([[1, 0, 3]], 0), lambda s: (0, 0), 10 * S)
     need = said.message
     assert isinstance(said, Send) and (said.to, need.steward, need.echo) == ("b", 7, 0)
-    assert one.room(21, 10 * S) == ({}, 0)   # its floor is the steward's to lend from here on
+    assert one.room(21, 10 * S) == ({}, 0)  # its floor is the steward's to lend from here on
     assert one.heard("b", Lent(need.turn, need.number, 5, 9, [[21, 1, [[1, 2]]]]), 10 * S + 100 * MS)
     assert one.room(21, 10 * S + LEASE - 1) == ({1: 2}, 3)
-    assert one.room(21, 10 * S + LEASE) == ({}, 0)                      # it stood still: no timer had to tell
-    assert not one.heard("b", Lent(need.turn, need.number, 5, 9, []), 10 * S)      # twice
-    assert not one.heard("c", Lent(need.turn, need.number, 5, 10, []), 10 * S)     # not its steward
+    assert one.room(21, 10 * S + LEASE) == ({}, 0)  # it stood still: no timer had to tell
+    assert not one.heard("b", Lent(need.turn, need.number, 5, 9, []), 10 * S)  # twice
+    assert not one.heard("c", Lent(need.turn, need.number, 5, 10, []), 10 * S)  # not its steward
     back = 10 * S + later(TERMS.waive)
     assert one.room(21, back - 1) == ({}, 0) and one.room(21, back) == ({}, 2)
     one.borrows = one.floors = False
@@ -187,22 +200,25 @@
 
 def test_a_steward_lends_floors_that_are_surely_its_own_and_never_more():
     steward, now = Steward(5, TERMS, 0), 100 * S
-    assert steward.heard("a", need(), now)[0].message.rows == []        # nobody's clock is known yet
+    assert steward.heard("a", need(), now)[0].message.rows == []  # nobody's clock is known yet
     said = steward.heard("a", need(number=2, echo=now, rows=[[21, 0, 0, 0, 0, [[1, 0, 9]]]]), now)[0].message
     assert said.rows == [[21, 0, [[1, 2]]], [31, 1, []]] and steward.capacity(21, now) == 2
-    assert steward.heard("a", need(number=2, echo=now), now) == []      # twice
-    assert steward.heard("b", need(steward=6, echo=now), now) == []     # meant for another life of this name
+    assert steward.heard("a", need(number=2, echo=now), now) == []  # twice
+    assert steward.heard("b", need(steward=6, echo=now), now) == []  # meant for another life of this name
     steward.heard("b", need(echo=now, rows=[[21, 3, 0, 0, 0, [[2, 3, 1]]]]), now)
     assert steward.capacity(21, now) == 4
     # b uses three still: of four there is one, whatever a may have by weight.
-    said = steward.heard("a", need(number=3, echo=now, grant=said.grant, rows=[[21, 0, 0, 0, 0, [[1, 0, 9]]]]), now)
+    said = steward.heard(
+        "a", need(number=3, echo=now, grant=said.grant, rows=[[21, 0, 0, 0, 0, [[1, 0, 9]]]]), now
+    )
     assert said[0].message.rows[0] == [21, 0, [[1, 1]]]
     # Once a front was not heard for SLACK its floor is lent no more: leases by it have to be over when it uses it.
     assert steward.capacity(21, now + S) == 0
 
 
-@pytest.mark.parametrize("old, held, lent, after", [
-    (0, 0, 0, 2), (S, 0, 0, 0), (S, S, 3, 2), (S, 0, 3, 2), (S, 0, 1, 1)])
+@pytest.mark.parametrize(
+    "old, held, lent, after", [(0, 0, 0, 2), (S, 0, 0, 0), (S, S, 3, 2), (S, 0, 3, 2), (S, 0, 1, 1)]
+)
 def test_what_a_former_steward_may_still_lend_is_taken_off(old, held, lent, after):
     steward, now = Steward(5, TERMS, 0), 100 * S
     steward.heard("a", need(echo=now, old=old, held=held, rows=[[21, 0, lent, 0, 0, []]]), now)
@@ -239,7 +255,10 @@
     for n in range(40, 80):
         one.told(10, 0, n * S)
     assert one.part == 1.0
-    assert places.cold(100 * S, 10 * S, 0.2, 105 * S) == pytest.approx(0.6) and places.cold(0, 10 * S, 0.2, 1) == 1.0
+    assert (
+        places.cold(100 * S, 10 * S, 0.2, 105 * S) == pytest.approx(0.6)
+        and places.cold(0, 10 * S, 0.2, 1) == 1.0
+    )
 
 
 def test_words_on_shares_come_as_they_went_and_what_can_not_be_is_refused():
@@ -247,8 +266,12 @@
     assert unpacked(packed(said), TERMS) == Lent(1, 2, 3, 4, [(21, 1, [(2, 5)])])
     asked_for = need(rows=[[21, 1, 2, 3, 0, [[1, 1, 4]]]])
     assert unpacked(packed(asked_for), TERMS).rows == [(21, 1, 2, 3, 0, [(1, 1, 4)])]
-    for bad in (Lent(1, 2, 3, 4, [[21, 2, [[2, 5]]]]), Lent(1, 2, 3, 4, [[21, 0, [[9, 1]]]]),
-                Lent(1, 2, 3, 4, [[21, -1, []]]), need(rows=[[21, -1, 0, 0, 0, []]])):
+    for bad in (
+        Lent(1, 2, 3, 4, [[21, 2, [[2, 5]]]]),
+        Lent(1, 2, 3, 4, [[21, 0, [[9, 1]]]]),
+        Lent(1, 2, 3, 4, [[21, -1, []]]),
+        need(rows=[[21, -1, 0, 0, 0, []]]),
+    ):
         with pytest.raises(Unreadable):
             unpacked(packed(bad), TERMS)
     for data in (b"", b"\xc1", packed(said)[:-1]):
@@ -275,6 +298,7 @@
 def _floor_at_once(monkeypatch):
     def room(self, source, now, room=Borrower.room):
         return room(self, source, now) if now < self.until else ({}, self.terms.floor(self.name, source))
+
     monkeypatch.setattr(Borrower, "room", room)
 
 
@@ -288,26 +312,41 @@
 
 
 def _all_to_one(monkeypatch):
-    monkeypatch.setattr(Steward, "_shared", lambda self, source, capacity, wants, was: {
-        name: ({0: capacity}, 0) for name in wants})
+    monkeypatch.setattr(
+        Steward,
+        "_shared",
+        lambda self, source, capacity, wants, was: {name: ({0: capacity}, 0) for name in wants},
+    )
 
 
 def _half_lent(monkeypatch):
-    monkeypatch.setattr(Steward, "capacity", lambda self, source, now, c=Steward.capacity: c(self, source, now) // 2)
+    monkeypatch.setattr(
+        Steward, "capacity", lambda self, source, now, c=Steward.capacity: c(self, source, now) // 2
+    )
 
 
 def _late(monkeypatch):
     monkeypatch.setattr(Source, "mean", lambda self: 1)
 
 
-@pytest.mark.parametrize("name, sow, quiet", [
-    ("places_over", _floor_at_once, False), ("places_over", _former_forgotten, False),
-    ("unanswered", _never_gives_up, False), ("starved", _all_to_one, True), ("idle", _half_lent, True),
-    ("late_sheds", _late, False)])
+@pytest.mark.parametrize(
+    "name, sow, quiet",
+    [
+        ("places_over", _floor_at_once, False),
+        ("places_over", _former_forgotten, False),
+        ("unanswered", _never_gives_up, False),
+        ("starved", _all_to_one, True),
+        ("idle", _half_lent, True),
+        ("late_sheds", _late, False),
+    ],
+)
 def test_a_sown_defect_makes_its_checker_cry_out(monkeypatch, name, sow, quiet):
     sow(monkeypatch)
-    cries = (cry for seed in range(8) for cry, _ in sharing.broken(
-        sharing.played(seed, 4, quiet=quiet, span=8 * S).trace))
+    cries = (
+        cry
+        for seed in range(8)
+        for cry, _ in sharing.broken(sharing.played(seed, 4, quiet=quiet, span=8 * S).trace)
+    )
     assert any(cry == name for cry in cries)
 
 
@@ -317,18 +356,24 @@
     _, two, _ = explore_shares.WHILES
     with pytest.raises(explore_shares.Broken):
         for one, other in itertools.permutations(explore_shares.NAMES, 2):
-            made = explore_shares.Instance()     # a path of four steps that goes over, found by which two fronts
-            for step in (("get", (one, 0)), ("goes-on", (two, "", False)), ("goes-on", (two, "", True)),
-                         ("get", (other, 1))):
+            made = explore_shares.Instance()  # a path of four steps that goes over, found by which two fronts
+            for step in (
+                ("get", (one, 0)),
+                ("goes-on", (two, "", False)),
+                ("goes-on", (two, "", True)),
+                ("get", (other, 1)),
+            ):
                 assert step in made.possible()
                 made.step(*step)
 
 
 # The operator's file.
 
-GOOD = ('fleet {\n    name "x"\n    listen "127.0.0.1:1"\n}\nshares {\n    header "X-Tenant"\n'
-        '    tenants "gold 4" "iron 1 1"\n'
-        '    places "parent 8" "origin 2"\n    fronts "n0" "n1"\n}\n')
+GOOD = (
+    'fleet {\n    name "x"\n    listen "127.0.0.1:1"\n}\nshares {\n    header "X-Tenant"\n'
+    '    tenants "gold 4" "iron 1 1"\n'
+    '    places "parent 8" "origin 2"\n    fronts "n0" "n1"\n}\n'
+)
 
 
 def test_the_file_says_tenants_places_and_fronts():
@@ -337,13 +382,21 @@
     assert node.listed == {b"gold": 1, b"iron": 2} and node.names == ["common", "gold", "iron"]
 
 
-@pytest.mark.parametrize("old, new, line, key", [
-    ('"iron 1 1"', '"gold 1"', 7, "shares.tenants"), ('"iron 1 1"', '"iron 1 3"', 7, "shares.tenants"),
-    ('"iron 1 1"', '"iron 0"', 7, "shares.tenants"), ('"iron 1 1"', '"common 1"', 7, "shares.tenants"),
-    ('"X-Tenant"', '"X-Call-Id"', 6, "shares.header"), ('"X-Tenant"', '"no header"', 6, "shares.header"),
-    ('"origin 2"', '"origin none"', 8, "shares.places"), ('"n0" "n1"', '"n0" "n0"', 9, "shares.fronts"),
-    ("    fronts", "    front", 9, "shares.front"),
-    ('fleet {\n    name "x"\n    listen "127.0.0.1:1"\n}\n', "\n\n\n\n", 5, "shares")])
+@pytest.mark.parametrize(
+    "old, new, line, key",
+    [
+        ('"iron 1 1"', '"gold 1"', 7, "shares.tenants"),
+        ('"iron 1 1"', '"iron 1 3"', 7, "shares.tenants"),
+        ('"iron 1 1"', '"iron 0"', 7, "shares.tenants"),
+        ('"iron 1 1"', '"common 1"', 7, "shares.tenants"),
+        ('"X-Tenant"', '"X-Call-Id"', 6, "shares.header"),
+        ('"X-Tenant"', '"no header"', 6, "shares.header"),
+        ('"origin 2"', '"origin none"', 8, "shares.places"),
+        ('"n0" "n1"', '"n0" "n0"', 9, "shares.fronts"),
+        ("    fronts", "    front", 9, "shares.front"),
+        ('fleet {\n    name "x"\n    listen "127.0.0.1:1"\n}\n', "\n\n\n\n", 5, "shares"),
+    ],
+)
 def test_a_file_that_can_not_be_is_refused_with_file_line_and_key(old, new, line, key):
     with pytest.raises(Faulty) as fault:
         file.parse(GOOD.replace(old, new), "f.kdl")
@@ -351,16 +404,20 @@
 
 
 def test_without_its_node_nothing_of_it_is_imported():
-    code = ("import sys, sprucegate.assembly.run, sprucegate.fleet.service\n"
-            "print([m for m in sys.modules if 'fleet.shares' in m or 'fleet.agree' in m])")
+    code = (
+        "import sys, sprucegate.assembly.run, sprucegate.fleet.service\n"
+        "print([m for m in sys.modules if 'fleet.shares' in m or 'fleet.agree' in m])"
+    )
     assert subprocess.run([sys.executable, "-c", code], capture_output=True, text=True).stdout.strip() == "[]"
 
 
 # Real fronts, caches of three paces, a parent and an origin that count their fills.
 
-SHARES = ('shares {{\n    header "X-Tenant"\n    tenants "gold 2" "iron 2" "greedy 1"\n'
-          '    places "parent 6" "origin 3"\n'
-          '    fronts {}\n    longest (s)1\n}}\n')
+SHARES = (
+    'shares {{\n    header "X-Tenant"\n    tenants "gold 2" "iron 2" "greedy 1"\n'
+    '    places "parent 6" "origin 3"\n'
+    "    fronts {}\n    longest (s)1\n}}\n"
+)
 OF = {"gold": 1, "iron": 2, "greedy": 3}
 
 
@@ -369,11 +426,21 @@
     size = 4
     fronts = " ".join(f'"n{at}"' for at in range(size))
     boxes = filling.boxes([1, 1, 2], {"s-13": 6, "s-14": 3}, tmp_path / "fills")
-    with Rig(tmp_path, size, boxes=boxes, kinds=("std", "std", "std", "parent", "origin"),
-             more=SHARES.format(fronts).replace("{", "{{").replace("}", "}}")) as rig:
+    with Rig(
+        tmp_path,
+        size,
+        boxes=boxes,
+        kinds=("std", "std", "std", "parent", "origin"),
+        more=SHARES.format(fronts).replace("{", "{{").replace("}", "}}"),
+    ) as rig:
         rig.start_all()
-        rig.wait(lambda: all(one["all_here"] or one["steward"] for name in rig.names
-                             for one in rig.fronts[name].ask("why", "share")["facts"]))
+        rig.wait(
+            lambda: all(
+                one["all_here"] or one["steward"]
+                for name in rig.names
+                for one in rig.fronts[name].ask("why", "share")["facts"]
+            )
+        )
         rig.wait(lambda: sum(share(rig, name)["all_here"] for name in rig.names) == 6)
         yield rig
 
@@ -390,25 +457,35 @@
 
     def __init__(self, rig, name, tenant):
         super().__init__(daemon=True)
-        self.rig, self.name_of, self.tenant, self.stopped, self.said, self.longest = rig, name, tenant, False, {}, 0.0
+        self.rig, self.name_of, self.tenant, self.stopped, self.said, self.longest = (
+            rig,
+            name,
+            tenant,
+            False,
+            {},
+            0.0,
+        )
 
     def run(self):
         while not self.stopped:
             call = next(self.calls)
             begun = time.monotonic()
             try:
-                status, _ = self.rig.get(self.name_of, OF[self.tenant] << 56 | call, call,
-                                         extra=f"X-Tenant: {self.tenant}\r\n")
+                status, _ = self.rig.get(
+                    self.name_of, OF[self.tenant] << 56 | call, call, extra=f"X-Tenant: {self.tenant}\r\n"
+                )
             except OSError:
                 status = 0
             self.said[status] = self.said.get(status, 0) + 1
             self.longest = max(self.longest, time.monotonic() - begun)
             if status == 503:
-                time.sleep(0.02)             # what comes again at once would only heat the machine
+                time.sleep(0.02)  # what comes again at once would only heat the machine
 
 
 def loads(rig, **each):
-    made = [Gets(rig, name, tenant) for tenant, count in each.items() for name in rig.names for _ in range(count)]
+    made = [
+        Gets(rig, name, tenant) for tenant, count in each.items() for name in rig.names for _ in range(count)
+    ]
     for one in made:
         one.start()
     return made
@@ -440,7 +517,12 @@
     got, over = place_time(shared, since)
     total = sum(got.values())
     # Two fifths, two fifths, one fifth; by GETs that wait it would be a fifth, a fifth, three fifths.
-    assert over == 0 and got["gold"] / total > 0.28 and got["iron"] / total > 0.28 and got["greedy"] / total > 0.08
+    assert (
+        over == 0
+        and got["gold"] / total > 0.28
+        and got["iron"] / total > 0.28
+        and got["greedy"] / total > 0.08
+    )
     assert not sum(one.said.get(0, 0) for one in gets)
 
 
@@ -457,7 +539,9 @@
         front.signal(signal.SIGSTOP)
     else:
         shared.split([steward], others)
-    shared.wait(lambda: all(share(shared, name).get("steward") not in (None, "", steward) for name in others), 40)
+    shared.wait(
+        lambda: all(share(shared, name).get("steward") not in (None, "", steward) for name in others), 40
+    )
     moved = time.time_ns()
     shared.wait(lambda: sum(place_time(shared, moved)[0].values()) > 8, 30)
     if how == "killed":
@@ -467,8 +551,13 @@
         front.signal(signal.SIGCONT)
     else:
         shared.trouble("heal")
-    shared.wait(lambda: all(share(shared, name).get("steward") == share(shared, "n0").get("steward") != ""
-                            for name in shared.names), 30)
+    shared.wait(
+        lambda: all(
+            share(shared, name).get("steward") == share(shared, "n0").get("steward") != ""
+            for name in shared.names
+        ),
+        30,
+    )
     again = time.time_ns()
     shared.wait(lambda: sum(place_time(shared, again)[0].values()) > 8, 30)
     ends(gets)
@@ -491,8 +580,16 @@
     assert sum(share(shared, name)["all_here"] for name in shared.names[1:]) <= 6 - floors["n0"]
 
 
-@pytest.mark.parametrize("extra", ["", "X-Tenant: \r\n", "X-Tenant: \xff\xfe\r\n", "X-Tenant: a\r\nX-Tenant: b\r\n",
-                                   f"X-Tenant: {'x' * 6000}\r\n"])
+@pytest.mark.parametrize(
+    "extra",
+    [
+        "",
+        "X-Tenant: \r\n",
+        "X-Tenant: \xff\xfe\r\n",
+        "X-Tenant: a\r\nX-Tenant: b\r\n",
+        f"X-Tenant: {'x' * 6000}\r\n",
+    ],
+)
 def test_a_bad_header_is_served_from_the_common_share(extra, shared):
     call = next(Gets.calls)
     with socket.create_connection(("127.0.0.1", shared.fronts["n0"].port), timeout=5) as sock:
@@ -522,7 +619,7 @@
 def test_one_that_returns_joins_the_steward_that_there_is_and_of_two_the_smaller_gives_way():
     made, now = settled(("a", "b", "c")), 10 * S
     first = made["a"].borrower.steward[0]
-    for _ in range(4):                       # all go by the first by hash
+    for _ in range(4):  # all go by the first by hash
         now += 300 * MS
         carried(made, [(n, x) for n, one in made.items() for x in one.due(now)], now)
     assert made[first].steward.size(now) == 3
@@ -548,18 +645,26 @@
 def test_a_front_whose_fleet_is_off_fills_by_its_floor(tmp_path):
     boxes = filling.boxes([1], {"s-11": 4, "s-12": 2}, tmp_path / "fills")
     more = SHARES.format('"n0" "n1"').replace('"parent 6" "origin 3"', '"parent 4" "origin 2"')
-    with Rig(tmp_path, 1, boxes=boxes, kinds=("std", "parent", "origin"),
-             more=more.replace("{", "{{").replace("}", "}}")) as rig:
+    with Rig(
+        tmp_path,
+        1,
+        boxes=boxes,
+        kinds=("std", "parent", "origin"),
+        more=more.replace("{", "{{").replace("}", "}}"),
+    ) as rig:
         (rig.fronts["n0"].folder / "state").write_text("no folder")
         rig.fronts["n0"].start()
         rig.fronts["n0"].until("fleet_off")
         rig.fronts["n0"].until("ready")
         call = next(Gets.calls)
-        assert rig.get("n0", call, call)[0] == 503       # a former life's floor may still be lent: answered, not kept
+        assert (
+            rig.get("n0", call, call)[0] == 503
+        )  # a former life's floor may still be lent: answered, not kept
 
         def filled():
             call = next(Gets.calls)
             return rig.get("n0", OF["gold"] << 56 | call, call)[0] == 200
+
         rig.wait(filled)
 
 
@@ -570,7 +675,7 @@
         sock.sendall(codec.frame(codec.Word("shares", packed(Lent(1, 1, 1, 1, [[0x13, 7, []]])))))
         sock.settimeout(5)
         while sock.recv(4096):
-            pass                             # its greeting, then the end
+            pass  # its greeting, then the end
     assert "more places of 13 lent" in front.until("fleet_peer_refused")["error"]
     assert front.ask("status")["refused"] == 1
     assert sum(share(shared, name)["all_here"] for name in shared.names) <= 6
@@ -594,8 +699,14 @@
     fronts = " ".join(f'"n{at}"' for at in range(8))
     boxes = filling.boxes([1, 1.5, 2], {"s-13": 10, "s-14": 5}, tmp_path / "fills")
     more = SHARES.format(fronts).replace('"parent 6" "origin 3"', '"parent 10" "origin 5"')
-    with Rig(tmp_path, 8, boxes=boxes, kinds=("std", "std", "std", "parent", "origin"), keepers=3,
-             more=more.replace("{", "{{").replace("}", "}}")) as rig:
+    with Rig(
+        tmp_path,
+        8,
+        boxes=boxes,
+        kinds=("std", "std", "std", "parent", "origin"),
+        keepers=3,
+        more=more.replace("{", "{{").replace("}", "}}"),
+    ) as rig:
         rig.start_all(60)
         rig.wait(lambda: sum(share(rig, name).get("all_here", 0) for name in rig.names) == 10, 40)
         gets = loads(rig, greedy=4, gold=2, iron=2)
@@ -607,7 +718,7 @@
         rig.wait(lambda: all(share(rig, name).get("steward") not in ("", steward) for name in others))
         rig.wait(lambda: sum(place_time(rig, killed + 2 * S)[0].values()) > 20, 60)
         ends(gets)
-        got, over = place_time(rig, killed + 2 * S)      # shares are right again two seconds after
+        got, over = place_time(rig, killed + 2 * S)  # shares are right again two seconds after
         total = sum(got.values())
         assert over == 0 and got["gold"] / total > 0.28 and got["iron"] / total > 0.28
         assert not [one for one in gets if one.said.get(0) and one.name_of != steward]
--- a/tests/test_fleet_simulated.py
+++ b/tests/test_fleet_simulated.py
@@ -34,11 +34,15 @@
     assert all(a < b for _, _, ends in seen.told() for a, b in zip(ends, ends[1:], strict=False))
 
 
-@given(st.lists(st.tuples(st.integers(0, 3), st.integers(0, 9), st.integers(0, 2)), max_size=20), st.randoms())
+@given(
+    st.lists(st.tuples(st.integers(0, 3), st.integers(0, 9), st.integers(0, 2)), max_size=20), st.randoms()
+)
 @profile(max_examples=200, deadline=None, derandomize=True)
 def test_facts_join_to_the_same_in_any_order_and_any_number_of_times(said, order):
-    facts = [Fact(("purge", "object", key), (value,), (f"n{owner}", 1, at))
-             for at, (key, value, owner) in enumerate(said, 1)]
+    facts = [
+        Fact(("purge", "object", key), (value,), (f"n{owner}", 1, at))
+        for at, (key, value, owner) in enumerate(said, 1)
+    ]
     one, other = Facts(), Facts()
     for fact in facts:
         one.join(fact)
@@ -63,6 +67,7 @@
 
 # Each checker is seen to fail: a defect is sown, and within a few schedules it is found under its number.
 
+
 def _not_joined(monkeypatch):
     whole = replica.Replica._joined
 
@@ -71,6 +76,7 @@
             self.facts.seen.add(fact.dot)
             return []
         return whole(self, sender, fact, now, repair)
+
     monkeypatch.setattr(replica.Replica, "_joined", joined)
 
 
@@ -84,6 +90,7 @@
             self._out(mine)
         self.put(fact)
         return Joined.NEW, mine
+
     monkeypatch.setattr(Facts, "join", join)
 
 
@@ -98,6 +105,7 @@
     def write(self, record):
         times.append(0)
         return None if len(times) % 3 == 0 else whole(self, record)
+
     monkeypatch.setattr(Keeping, "write", write)
 
 
@@ -119,12 +127,22 @@
             return []
         self.phase = replica.Phase.TOGETHER
         return [replica.Live("caught-up", list(self.marks))]
+
     monkeypatch.setattr(replica.Replica, "_caught_up", caught_up)
 
 
-@pytest.mark.parametrize(("number", "sow"), [
-    (1, _not_joined), (2, _last_one_wins), (3, _not_joined), (5, _start_not_counted),
-    (6, _sync_dropped), (7, _let_go_early), (8, _live_at_once)])
+@pytest.mark.parametrize(
+    ("number", "sow"),
+    [
+        (1, _not_joined),
+        (2, _last_one_wins),
+        (3, _not_joined),
+        (5, _start_not_counted),
+        (6, _sync_dropped),
+        (7, _let_go_early),
+        (8, _live_at_once),
+    ],
+)
 def test_a_sown_defect_makes_its_checker_cry_out(monkeypatch, number, sow):
     sow(monkeypatch)
     for seed in range(60):
@@ -179,6 +197,7 @@
     def at_once(self, sender, coming):
         coming.pieces |= set(range(coming.done.pieces if coming.done else 0))
         return whole(self, sender, coming)
+
     monkeypatch.setattr(replica.Replica, "_whole", at_once)
 
 
@@ -189,11 +208,13 @@
         done = synced(self, number, now)
         self.on_disk = self.facts.seen.copy()
         return done
+
     monkeypatch.setattr(replica.Replica, "synced", early)
 
 
-@pytest.mark.parametrize(("what", "sow", "depth"), [
-    ("a", _claims_before_the_pieces, 7), ("b", _said_before_it_is_synced, 6)])
+@pytest.mark.parametrize(
+    ("what", "sow", "depth"), [("a", _claims_before_the_pieces, 7), ("b", _said_before_it_is_synced, 6)]
+)
 def test_the_explorer_finds_a_sown_defect(monkeypatch, what, sow, depth):
     sow(monkeypatch)
     with pytest.raises(explore.Broken) as found:
@@ -211,7 +232,9 @@
         fleet.run(fleet.now + S // 100)
     third = fleet.fronts["n2"]
     third.disk.crash_at = crash_at
-    third.disk.faults = {n: OSError(28, "no space left") for n in range(fault_at, fault_at + 6)} if fault_at else {}
+    third.disk.faults = (
+        {n: OSError(28, "no space left") for n in range(fault_at, fault_at + 6)} if fault_at else {}
+    )
     fleet.start("n2")
     fleet.run(fleet.now + 2 * S)
     again = not third.up
@@ -223,7 +246,7 @@
 
 
 def test_a_front_killed_at_each_disk_call_of_its_catch_up_goes_on_where_its_disk_is(monkeypatch):
-    monkeypatch.setattr(replica, "CHUNK", 20)            # so that it takes many writes
+    monkeypatch.setattr(replica, "CHUNK", 20)  # so that it takes many writes
     crashed = 0
     for crash_at in range(1, 40):
         fleet, again = caught_up_after(crash_at=crash_at)
@@ -281,7 +304,7 @@
         away = [f"n{at}" for at in range(3, 10)]
         for name in away:
             fleet.kill(name)
-            fleet.fronts[name].disk = type(fleet.fronts[name].disk)()        # with nothing of what they had
+            fleet.fronts[name].disk = type(fleet.fronts[name].disk)()  # with nothing of what they had
             fleet.note(name, "folder-put-back")
         fleet.run(7 * S)
         since = len(fleet.trace)
--- a/tests/test_fleet_views.py
+++ b/tests/test_fleet_views.py
@@ -33,15 +33,21 @@
     return one
 
 
-@pytest.mark.parametrize("word, heard, indirect, agreed, said", [
-    (Word.ALIVE, 0, 0, None, Standing.LIVE), (Word.ALIVE, 0, 0, True, Standing.LIVE),
-    (Word.ALIVE, 0, 0, False, Standing.CUT_OFF),         # probes reach it, and it follows no keeper
-    (Word.ALIVE, 0, 2, True, Standing.CUT_OFF),          # only others reach it
-    (Word.ALIVE, 0, 1, True, Standing.LIVE),
-    (Word.SUSPECT, 0, 0, True, Standing.SUSPECT), (Word.SUSPECT, 9 * S, 0, True, Standing.ONE_WAY),
-    (Word.GONE, 9 * S, 0, True, Standing.ONE_WAY),       # its frames still come, so it hears nobody's
-    (Word.GONE, 5 * S, 0, True, Standing.GONE),          # what came last was long ago
-    (Word.LEFT, 9 * S, 2, False, Standing.LEAVING)])
+@pytest.mark.parametrize(
+    "word, heard, indirect, agreed, said",
+    [
+        (Word.ALIVE, 0, 0, None, Standing.LIVE),
+        (Word.ALIVE, 0, 0, True, Standing.LIVE),
+        (Word.ALIVE, 0, 0, False, Standing.CUT_OFF),  # probes reach it, and it follows no keeper
+        (Word.ALIVE, 0, 2, True, Standing.CUT_OFF),  # only others reach it
+        (Word.ALIVE, 0, 1, True, Standing.LIVE),
+        (Word.SUSPECT, 0, 0, True, Standing.SUSPECT),
+        (Word.SUSPECT, 9 * S, 0, True, Standing.ONE_WAY),
+        (Word.GONE, 9 * S, 0, True, Standing.ONE_WAY),  # its frames still come, so it hears nobody's
+        (Word.GONE, 5 * S, 0, True, Standing.GONE),  # what came last was long ago
+        (Word.LEFT, 9 * S, 2, False, Standing.LEAVING),
+    ],
+)
 def test_what_members_links_and_the_log_say_makes_one_standing(word, heard, indirect, agreed, said):
     one = known(member(word=word))
     one.heard_at, one.indirect = heard, indirect
@@ -88,7 +94,7 @@
     views.member(member(word=Word.SUSPECT), 2 * S)
     assert seen(views, 2 * S) == {"b": Standing.SUSPECT}
     views.member(member(turn=1), 2 * S + MS)
-    assert seen(views, 2 * S + 500 * MS) == {"b": Standing.SUSPECT}      # doubted again, the time begins anew
+    assert seen(views, 2 * S + 500 * MS) == {"b": Standing.SUSPECT}  # doubted again, the time begins anew
     views.member(member(word=Word.SUSPECT, turn=1), 2 * S + 600 * MS)
     seen(views, 2 * S + 600 * MS)
     views.member(member(turn=2), 2 * S + 700 * MS)
@@ -124,19 +130,19 @@
     seen(views, 5 * S)
     assert (views.view.state, views.view.share, views.view.agreed) == (Own.PART, 0.5, 0)
     views.agreed(7, {"a": 1, "d": 1 << 32, "c": 1 << 32}, False, 6 * S)
-    seen(views, 6 * S)                       # the log has counted b out: it is a part of the fleet no more
+    seen(views, 6 * S)  # the log has counted b out: it is a part of the fleet no more
     assert (views.view.state, views.view.share, views.view.agreed) == (Own.PART, 2 / 3, 7)
     views.agreed(9, {"a": 1, "d": 1 << 32, "c": 1 << 32}, False, 6 * S)
-    assert seen(views, 6 * S) and views.view.agreed == 7                 # entries on other things make no new view
+    assert seen(views, 6 * S) and views.view.agreed == 7  # entries on other things make no new view
     views.agreed(9, {"a": 1, "d": 1 << 32, "c": 1 << 32}, True, 7 * S)
-    seen(views, 7 * S)                       # fenced: by its own word again; the log's is no reason for any standing
+    seen(views, 7 * S)  # fenced: by its own word again; the log's is no reason for any standing
     assert views.view.agreed == 0
     views.member(member("d", Word.GONE), 8 * S)
     seen(views, 8 * S)
     assert views.view.state is Own.ALONE
     views.member(member("d", Word.LEFT), 9 * S)
     seen(views, 9 * S)
-    assert seen(views, 700 * S) == {}        # and who is gone for long is forgotten
+    assert seen(views, 700 * S) == {}  # and who is gone for long is forgotten
 
 
 def test_each_action_is_in_the_table_and_none_is_bolder_for_a_worse_standing():
@@ -144,10 +150,16 @@
     # Bold ones: never on one that may be gone, or works otherwise.
     for action in (Action.BELIEVE, Action.LEND, Action.LENDS):
         assert not careful.IN_STANDING[action] & {
-            Standing.GONE, Standing.ONE_WAY, Standing.LEAVING, Standing.OTHER_BUILD}
-    for action in (Action.HOLDS, Action.COUNTED, Action.AWAITED):        # careful ones: whatever it looks like
+            Standing.GONE,
+            Standing.ONE_WAY,
+            Standing.LEAVING,
+            Standing.OTHER_BUILD,
+        }
+    for action in (Action.HOLDS, Action.COUNTED, Action.AWAITED):  # careful ones: whatever it looks like
         assert careful.IN_STANDING[action] == set(Standing)
-    assert not careful.own_does(OwnAction.BORROW, Own.ALONE) and careful.own_does(OwnAction.TELL, Own.STOOD_STILL)
+    assert not careful.own_does(OwnAction.BORROW, Own.ALONE) and careful.own_does(
+        OwnAction.TELL, Own.STOOD_STILL
+    )
 
 
 def members(*others):
@@ -161,9 +173,13 @@
     one = members("b", "c", "d")
     assert one.reset("b", S) == [Look("b", "at-b", 1 << 32)] and one.reset("b", S + MS) == []
     asked = one.refused("b", 1 << 32, S)
-    assert asked and {a.to for a in asked} <= {"c", "d"} and {a.message for a in asked} == {Refused("b", 1 << 32)}
+    assert (
+        asked
+        and {a.to for a in asked} <= {"c", "d"}
+        and {a.message for a in asked} == {Refused("b", 1 << 32)}
+    )
     assert one.known["b"].standing == Word.ALIVE and one.refused("b", 1 << 32, S) == []
-    assert one.heard("c", Refused("b", 9 << 32), S) == []        # another life's end
+    assert one.heard("c", Refused("b", 9 << 32), S) == []  # another life's end
     told = one.heard("c", Refused("b", 1 << 32), S)
     assert told[0] == Stands(member("b", Word.GONE, by="a"), member("b"))
     assert all(isinstance(a, Send) and isinstance(a.message, All) for a in told[1:]) and len(told) > 1
@@ -193,8 +209,9 @@
 
 
 def _never_careful(monkeypatch):
-    monkeypatch.setattr(Views, "member", lambda self, m, now, told=Views.member: told(
-        self, m._replace(standing=0), now))
+    monkeypatch.setattr(
+        Views, "member", lambda self, m, now, told=Views.member: told(self, m._replace(standing=0), now)
+    )
 
 
 def _never_refutes(monkeypatch):
@@ -205,8 +222,14 @@
     monkeypatch.setattr(Views, "caught_up", lambda self, now: None)
 
 
-@pytest.mark.parametrize("name, sow", [("live_though_away", _never_careful), ("gone_though_there", _never_refutes),
-                                       ("stays_in_part", _never_caught_up)])
+@pytest.mark.parametrize(
+    "name, sow",
+    [
+        ("live_though_away", _never_careful),
+        ("gone_though_there", _never_refutes),
+        ("stays_in_part", _never_caught_up),
+    ],
+)
 def test_a_sown_defect_makes_its_checker_cry_out(monkeypatch, name, sow):
     sow(monkeypatch)
     assert any(name == cry for seed in range(12) for cry, _ in viewing.broken(played(seed, 5, 0.1).trace))
@@ -225,7 +248,10 @@
 
 
 def all_see(rig, other, wanted, names=None, patience=20):
-    rig.wait(lambda: all(stands(rig, name, other) == wanted for name in names or rig.names if name != other), patience)
+    rig.wait(
+        lambda: all(stands(rig, name, other) == wanted for name in names or rig.names if name != other),
+        patience,
+    )
 
 
 def state(rig, name):
@@ -261,7 +287,7 @@
     for name in five.names:
         all_see(five, name, "live")
     five.trouble("cut", **{"from": [n for n in five.names if n != "n1"], "to": ["n1"]})
-    five.wait(lambda: stands(five, "n0", "n1") == "one-way", 30)         # it speaks, and hears nobody
+    five.wait(lambda: stands(five, "n0", "n1") == "one-way", 30)  # it speaks, and hears nobody
     five.trouble("heal")
     all_see(five, "n1", "live", patience=40)
     five.split(["n0"], ["n2"])
@@ -276,7 +302,11 @@
 def kept(tmp_path_factory):
     with Rig(tmp_path_factory.mktemp("kept"), 3, caches=2, keepers=3) as rig:
         rig.start_all()
-        rig.wait(lambda: all(view(rig, name)["agreed"] and view(rig, name)["state"] == "whole" for name in rig.names))
+        rig.wait(
+            lambda: all(
+                view(rig, name)["agreed"] and view(rig, name)["state"] == "whole" for name in rig.names
+            )
+        )
         yield rig
 
 
@@ -287,7 +317,7 @@
 def test_keepers_cut_from_fronts_only_make_views_local_and_gets_go_on(kept):
     kept.split(kept.names, list(kept.keepers))
     kept.wait(lambda: all(view(kept, name)["agreed"] == 0 for name in kept.names))
-    assert {stands(kept, "n0", other) for other in ("n1", "n2")} == {"live"}     # by the members' word alone
+    assert {stands(kept, "n0", other) for other in ("n1", "n2")} == {"live"}  # by the members' word alone
     assert view(kept, "n0")["state"] == "whole" and kept.get("n0", 5, 5)[0] == 200
     kept.trouble("heal")
     kept.wait(lambda: all(view(kept, name)["agreed"] for name in kept.names))
@@ -321,7 +351,9 @@
     all_see(five, "n1", "live")
     life = five.fronts["n0"].ask("why", "view", "n1")["facts"][0]["life"]
     with socket.create_connection(("127.0.0.1", five.fronts["n0"].fleet_port), 3) as sock:
-        sock.sendall(codec.greeting(codec.Greeting(codec.VERSION + 1, "rig", "front", "n1", "", int(life, 16))))
+        sock.sendall(
+            codec.greeting(codec.Greeting(codec.VERSION + 1, "rig", "front", "n1", "", int(life, 16)))
+        )
         while sock.recv(4096):
             pass
     five.wait(lambda: stands(five, "n0", "n1") == "other-build")
--- a/tests/test_fleet_wall_clock.py
+++ b/tests/test_fleet_wall_clock.py
@@ -32,7 +32,6 @@
             assert time.monotonic() - begun < 1.5
 
 
-
 @pytest.mark.parametrize("step", [-HOUR, HOUR])
 @pytest.mark.parametrize("where", ["n1", "k0", "all"])
 def test_purges_drains_and_permits_hold_through_a_step(rig, where, step):
@@ -43,7 +42,9 @@
     at = int(time.time() * 1000)
     rig.purge(["n0"], THING, at)
     for name in rig.names:
-        rig.wait(lambda name=name: any(key[:2] == ("purge", "object") for key in rig.fronts[name].holds()), 10)
+        rig.wait(
+            lambda name=name: any(key[:2] == ("purge", "object") for key in rig.fronts[name].holds()), 10
+        )
     agent = Agent(rig, "a0", range(4))
     agent.start()
     assert rig.propose("n1", "ask", "h", "s-10", "op", "test")["word"] == "asked"
@@ -51,7 +52,7 @@
     agent.stopped = True
     agent.join(20)
     assert agent.fault is None and agent.late == 0 and agent.replaced == [(0, "")]
-    stepped(rig, names, 0)                   # and back
+    stepped(rig, names, 0)  # and back
     time.sleep(0.5)
     serves(rig, 50)
 
@@ -66,7 +67,7 @@
     rig.keepers[leader].kill()
     for name, step in zip((k for k in rig.keepers if k != leader), (-HOUR, 3), strict=True):
         stepped(rig, [name], step)
-    rig.keepers[leader].start()              # an hour ahead of when it wrote its folder
+    rig.keepers[leader].start()  # an hour ahead of when it wrote its folder
     rig.step("h", "back")
     rig.step("i", "back")
     agent.stopped = True
@@ -80,7 +81,7 @@
     front = rig.fronts["n2"]
     rig.purge(["n2"], THING, int(time.time() * 1000))
     rig.wait(lambda: any(key[:2] == ("purge", "object") for key in front.holds()), 10)
-    time.sleep(1.0)                          # it lasts
+    time.sleep(1.0)  # it lasts
     front.kill()
     front.faults.step_wall(step)
     since = len(front.lines)
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -55,7 +55,13 @@
         assert (status, headers["ETag"], body) == (200, '"t1"', b"xxxxx")
         word, call_id, fields, _ = box.heard.get(timeout=5)
         assert (word, call_id, fields["profile"], fields["thing"], fields["nth"], fields["src"]) == (
-            b"serve", b"9b1f03aa5c7e2d41", "media", "7f3a9c21e0b4d655", "3", "s-1f")
+            b"serve",
+            b"9b1f03aa5c7e2d41",
+            "media",
+            "7f3a9c21e0b4d655",
+            "3",
+            "s-1f",
+        )
         assert front.ask(get_text(extra='If-None-Match: "t1"\r\n'), sock)[::2] == (304, b"")
         assert box.heard.get(timeout=5)[2]["have"] == "t1"
         status, headers, _ = front.ask(get_text(extra="Connection: close\r\n"), sock)
@@ -69,8 +75,13 @@
         assert root.heard.get(timeout=5)[3] == b"b" * 48_000
 
 
-TOKENED = {**REAL["settings"], "categories": [
-    REAL["settings"]["categories"][0], {**REAL["settings"]["categories"][1], "effect": "token"}]}
+TOKENED = {
+    **REAL["settings"],
+    "categories": [
+        REAL["settings"]["categories"][0],
+        {**REAL["settings"]["categories"][1], "effect": "token"},
+    ],
+}
 
 
 def test_the_token_of_a_tokened_get_passes_unchanged(tmp_path):
@@ -88,10 +99,17 @@
         assert root.heard.empty()
 
 
-@pytest.mark.parametrize("word, ds, status", [
-    (b"not_here", "media", 503), (b"overload", "media", 503), (b"crashed", "media", 503),
-    (b"nobody", "order", 503), (b"crashed", "order", 502), (b"odd", "order", 502),
-])
+@pytest.mark.parametrize(
+    "word, ds, status",
+    [
+        (b"not_here", "media", 503),
+        (b"overload", "media", 503),
+        (b"crashed", "media", 503),
+        (b"nobody", "order", 503),
+        (b"crashed", "order", 502),
+        (b"odd", "order", 502),
+    ],
+)
 def test_what_may_have_run_is_errored_and_all_else_shed(tmp_path, word, ds, status):
     def reply(call_id, fields, body):
         return b"%b %b - 0\r\n\r\n" % (call_id, word)
@@ -118,11 +136,22 @@
         assert [box.heard.get(timeout=5)[0] for _ in range(2)] == [b"serve", b"end"]
 
 
-@pytest.mark.parametrize("spoilt", [
-    b"%b served - 5\r\nab", b"%b served etag=t1", b"\xff\x00 noise\r\n", b"%b served - 3000000000\r\nabc",
-    b"%b served - many\r\n", b"%b served - 2\r\nabcd\r\n", b"%b served - -2\r\nab\r\n", b"%b", b"",
-    b"%b still_good etag=t9,made=5 0\r\n\r\n", b"%b served etag=t1,report=inflight:nan 2\r\nab\r\n",
-])
+@pytest.mark.parametrize(
+    "spoilt",
+    [
+        b"%b served - 5\r\nab",
+        b"%b served etag=t1",
+        b"\xff\x00 noise\r\n",
+        b"%b served - 3000000000\r\nabc",
+        b"%b served - many\r\n",
+        b"%b served - 2\r\nabcd\r\n",
+        b"%b served - -2\r\nab\r\n",
+        b"%b",
+        b"",
+        b"%b still_good etag=t9,made=5 0\r\n\r\n",
+        b"%b served etag=t1,report=inflight:nan 2\r\nab\r\n",
+    ],
+)
 def test_a_spoilt_answer_harms_its_own_get_alone_and_that_one_is_forwarded_again(tmp_path, spoilt):
     ill, shown = "a" * 16, threading.Event()
 
@@ -133,8 +162,12 @@
         return served(call_id, fields)
 
     boxes = [cache(reply), cache(reply)]
-    front = Front(tmp_path, host("s-0b", boxes[0].address, "std"), host("s-0c", boxes[1].address, "std"),
-                  host("s-1f", cache(served).address, "origin"))
+    front = Front(
+        tmp_path,
+        host("s-0b", boxes[0].address, "std"),
+        host("s-0c", boxes[1].address, "std"),
+        host("s-1f", cache(served).address, "origin"),
+    )
     with front:
         answer = {}
         ask = lambda: answer.update(ill=front.ask(get_text(ill, patience=3000))[::2])  # noqa: E731
@@ -163,7 +196,7 @@
     def reply(call_id, fields, body):
         waiting.append(call_id)
         if len(waiting) == 1:
-            assert second.wait(5)            # on a connection of its own: neither waits for the other
+            assert second.wait(5)  # on a connection of its own: neither waits for the other
         second.set()
         return served(call_id, fields, call_id)
 
@@ -193,18 +226,27 @@
         assert box.heard.get(timeout=5)[0] == b"end"
 
 
-@pytest.mark.parametrize("text, status", [
-    (b"nonsense\r\n\r\n", 400), (get_text(call_id="x"), 400), (get_text(ds="other"), 404),
-    (get_text(method="DELETE"), 405), (b"PUT / HTTP/1.1\r\nContent-Length: 50000\r\n\r\n", 413),
-    (b"GET / HTTP/1.1\r\nA: " + b"a" * 9000, 431),
-    (get_text(ds="order"), 405), (get_text(method="PUT", body=b"x"), 405), (get_text(body=b"x"), 405),
-    (get_text(extra="Transfer-Encoding: chunked\r\n", body=b"0\r\n\r\n" + get_text("d" * 16)), 400),
-    (get_text().replace(b"Content-Length: 0", b"Content-Length: -1"), 400),
-    (get_text().replace(b"Content-Length: 0", b"Content-Length: " + b"9" * 30), 400),
-    (get_text().replace(b"Heap-Kb: 4.5", b"Heap-Kb: 1e8"), 400),
-    (get_text().replace(b"1500", b"inf"), 400),
-    (get_text().replace(b"Set: 17", b"Set: 1.5"), 400), (get_text().replace(b"X-Call-Id", b"X-None"), 400),
-])
+@pytest.mark.parametrize(
+    "text, status",
+    [
+        (b"nonsense\r\n\r\n", 400),
+        (get_text(call_id="x"), 400),
+        (get_text(ds="other"), 404),
+        (get_text(method="DELETE"), 405),
+        (b"PUT / HTTP/1.1\r\nContent-Length: 50000\r\n\r\n", 413),
+        (b"GET / HTTP/1.1\r\nA: " + b"a" * 9000, 431),
+        (get_text(ds="order"), 405),
+        (get_text(method="PUT", body=b"x"), 405),
+        (get_text(body=b"x"), 405),
+        (get_text(extra="Transfer-Encoding: chunked\r\n", body=b"0\r\n\r\n" + get_text("d" * 16)), 400),
+        (get_text().replace(b"Content-Length: 0", b"Content-Length: -1"), 400),
+        (get_text().replace(b"Content-Length: 0", b"Content-Length: " + b"9" * 30), 400),
+        (get_text().replace(b"Heap-Kb: 4.5", b"Heap-Kb: 1e8"), 400),
+        (get_text().replace(b"1500", b"inf"), 400),
+        (get_text().replace(b"Set: 17", b"Set: 1.5"), 400),
+        (get_text().replace(b"X-Call-Id", b"X-None"), 400),
+    ],
+)
 def test_bad_input_is_refused_and_reaches_no_cache(tmp_path, text, status):
     front, box, _ = serve(tmp_path, served)
     with front:
@@ -223,7 +265,7 @@
         assert front.ask(get_text().replace(b"7f3a", b"aaaa"))[0] == 409
         go.set()
         assert sock.recv(4096).startswith(b"HTTP/1.1 200") and box.heard.empty()
-        assert front.ask(get_text())[0] == 200               # once it has ended it may come again
+        assert front.ask(get_text())[0] == 200  # once it has ended it may come again
 
 
 @pytest.mark.parametrize("sent", [b"", get_text()[:20]])
@@ -236,7 +278,7 @@
         sock.settimeout(3)
         begun = time.monotonic()
         assert sock.recv(9) == b"" and time.monotonic() - begun < 3
-        assert front.ask(get_text("c" * 16), idle)[0] == 200     # one that asked may stay
+        assert front.ask(get_text("c" * 16), idle)[0] == 200  # one that asked may stay
         asks.close()
 
 
@@ -254,15 +296,17 @@
 def test_an_event_that_cant_be_read_is_asked_for_again_then_passed_over(tmp_path):
     front, box, root = serve(tmp_path, served)
     with front:
-        drain = {"offset": 3, "topology": {"seq": 2, "whole": False, "hosts": [
-            host("s-0b", box.address, "std", "draining")]}}
+        drain = {
+            "offset": 3,
+            "topology": {"seq": 2, "whole": False, "hosts": [host("s-0b", box.address, "std", "draining")]},
+        }
         for _ in range(2):
             assert b"Last-Event-ID: 1\r\n" in front.bus.heard.get(timeout=5)
             front.tells.put({"offset": 2, "ban": {"url": "not hex", "ts": 0}})
             if not _:
                 front.until("bus_lost")
                 front.tells.put(None)
-        for _ in range(4):                   # the stream that was left may eat some
+        for _ in range(4):  # the stream that was left may eat some
             front.tells.put(drain)
         assert front.until("bus_gap")["last"] == 1 and front.until("told")["offset"] == 3
         assert front.ask(get_text())[0] == 200
@@ -271,8 +315,12 @@
 
 def test_sigterm_is_not_held_up_by_a_patience_past_the_kill(tmp_path):
     front, box, _ = serve(tmp_path, lambda *_: None, lambda *_: None)
-    front.configure(settings={**REAL["settings"], "categories": [
-        {**REAL["settings"]["categories"][0], "deadline": 30_000_000}]})
+    front.configure(
+        settings={
+            **REAL["settings"],
+            "categories": [{**REAL["settings"]["categories"][0], "deadline": 30_000_000}],
+        }
+    )
     with front:
         sock, silent = front.connect(), front.connect()
         sock.sendall(get_text(patience=30_000))
@@ -292,9 +340,17 @@
         front.until("told")
         front.tells.put(None)
         assert b"Last-Event-ID: 2\r\n" in front.bus.heard.get(timeout=5)
-        front.tells.put({"offset": 2, "ban": {"tag": 1, "ts": 0}})      # sent again: not applied twice
-        front.tells.put({"offset": 3, "topology": {"seq": 2, "whole": False, "hosts": [
-            host("s-0b", box.address, "std", "draining")]}})
+        front.tells.put({"offset": 2, "ban": {"tag": 1, "ts": 0}})  # sent again: not applied twice
+        front.tells.put(
+            {
+                "offset": 3,
+                "topology": {
+                    "seq": 2,
+                    "whole": False,
+                    "hosts": [host("s-0b", box.address, "std", "draining")],
+                },
+            }
+        )
         assert front.until("told")["offset"] == 3
         assert front.ask(get_text())[0] == 200
         assert root.heard.get(timeout=5)[0] == b"serve" and box.heard.empty()
@@ -323,7 +379,7 @@
         moved = bus(tells)
         front.tells.put({"offset": 2, "ban": {"tag": 1, "ts": 0}})
         front.until("told")
-        for _ in range(2):                   # one on the heels of another
+        for _ in range(2):  # one on the heels of another
             front.configure(bus=moved.address)
             front.process.send_signal(signal.SIGHUP)
             assert front.until("reloaded")["needs_restart"] == []
@@ -331,9 +387,17 @@
         front.configure(bus="nowhere")
         front.process.send_signal(signal.SIGHUP)
         assert "bus" in front.until("reload_failed")["error"]
-        for offset in (2, 3, 3, 3, 3, 3):    # 2 was told before; streams left open eat some
-            tells.put({"offset": offset, "topology": {"seq": 2, "whole": False, "hosts": [
-                host("s-0b", box.address, "std", "draining")]}})
+        for offset in (2, 3, 3, 3, 3, 3):  # 2 was told before; streams left open eat some
+            tells.put(
+                {
+                    "offset": offset,
+                    "topology": {
+                        "seq": 2,
+                        "whole": False,
+                        "hosts": [host("s-0b", box.address, "std", "draining")],
+                    },
+                }
+            )
         assert front.until("told")["offset"] == 3
         assert front.ask(get_text(), sock)[0] == 200
         assert root.heard.get(timeout=5)[0] == b"serve" and box.heard.empty()
@@ -349,8 +413,13 @@
     known = {"offset": 0, "batch": []}
     file.write_text(json.dumps({**REAL, "listen": "127.0.0.1:1", "known": known}))
     for path, named in ((str(file), "bus: is missing"), (str(tmp_path / "none"), "BALANCER_CONFIG")):
-        done = subprocess.run([sys.executable, "-m", "sprucegate"], capture_output=True, text=True,
-                              timeout=20, env={**os.environ, "BALANCER_CONFIG": path})
+        done = subprocess.run(
+            [sys.executable, "-m", "sprucegate"],
+            capture_output=True,
+            text=True,
+            timeout=20,
+            env={**os.environ, "BALANCER_CONFIG": path},
+        )
         assert done.returncode == 2 and named in done.stderr and done.stderr.count("\n") == 1
 
 
@@ -361,10 +430,10 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         text = get_text()
         for at in range(len(text) - 1):
-            sock.sendall(text[at:at + 1])
+            sock.sendall(text[at : at + 1])
         assert front.ask(text[-1:], sock)[0] == 200
         sock.sendall(text[:20])
-        assert sock.recv(9) == b""           # closed in bounded time
+        assert sock.recv(9) == b""  # closed in bounded time
 
 
 def test_an_own_copy_answers_until_it_is_purged(tmp_path):
@@ -372,8 +441,10 @@
     reply = b"%%b served etag=t1,made=%d 2\r\nab\r\n" % made
     front, box, _ = serve(tmp_path, lambda call_id, *_: reply % call_id)
     with front:
-        answers = [front.ask(get_text(c * 16, extra='If-None-Match: "t1"\r\n' if c == "d" else ""))[::2]
-                   for c in "abcd"]
+        answers = [
+            front.ask(get_text(c * 16, extra='If-None-Match: "t1"\r\n' if c == "d" else ""))[::2]
+            for c in "abcd"
+        ]
         assert answers == [(200, b"ab")] * 3 + [(304, b"")]
         front.tells.put({"offset": 2, "ban": {"tag": 17, "ts": made + 1}})
         front.until("told")
@@ -426,7 +497,9 @@
         for _ in range(3):
             counted.update({k: v for k, v in front.until("second").items() if isinstance(v, int)})
     assert counted["retries_after_full"] == counted["forwards_full"] == 1
-    assert counted["gets_shed_unsent"] == counted["gets_shed"] == 1 and not counted["gets_shed_after_attempts"]
+    assert (
+        counted["gets_shed_unsent"] == counted["gets_shed"] == 1 and not counted["gets_shed_after_attempts"]
+    )
     assert counted["clients_closed peer"] == 2
 
 
@@ -436,7 +509,7 @@
     root = cache(served)
     limits = {**REAL["limits"], "sockets": 128}
     with Front(tmp_path, *hosts, host("s-1f", root.address, "origin"), limits=limits) as front:
-        for at in range(200):                # another object each, so other caches
+        for at in range(200):  # another object each, so other caches
             text = get_text(f"{at:016x}", extra="Connection: close\r\n").replace(b"7f3a9c21", b"%08x" % at)
             assert front.ask(text)[0] == 200
             assert len(os.listdir(f"/proc/{front.process.pid}/fd")) <= 128
