--- a/tests/test_front_codecs.py
+++ b/tests/test_front_codecs.py
@@ -22,39 +22,50 @@
     assert [(r.method, r.body, r.headers[b"x-set"]) for r in whole] == [(b"PUT", b"abc", b"17")]
 
 
-@pytest.mark.parametrize("text, status", [
-    (b"\x16\x03\x01 nonsense\r\n\r\n", 400),
-    (b"GET / HTTP/1.1\r\nContent-Length: x\r\n\r\n", 400),
-    (b"GET / HTTP/1.1\r\nX-Call-Id: a\r\nX-Call-Id: b\r\n\r\n", 400),
-    (b"PUT / HTTP/1.1\r\nContent-Length: 48001\r\n\r\n", 413),
-    (b"GET / HTTP/1.1\r\nA: " + b"a" * HEAD_MOST, 431),
-])
+@pytest.mark.parametrize(
+    "text, status",
+    [
+        (b"\x16\x03\x01 nonsense\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nContent-Length: x\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nX-Call-Id: a\r\nX-Call-Id: b\r\n\r\n", 400),
+        (b"PUT / HTTP/1.1\r\nContent-Length: 48001\r\n\r\n", 413),
+        (b"GET / HTTP/1.1\r\nA: " + b"a" * HEAD_MOST, 431),
+    ],
+)
 def test_what_is_no_request_is_refused(text, status):
     reader = RequestReader()
     assert reader.feed(text) == [] and reader.fault.status == status
 
 
-@pytest.mark.parametrize("old, new, status, named", [
-    (b"9b1f03aa5c7e2d41", b"9b1f", 400, "X-Call-Id"),
-    (b"X-Patience-Ms: 1500", b"X-Patience-Ms: nan", 400, "X-Patience-Ms"),
-    (b"X-Patience-Ms: 1500", b"X-Other: 1", 400, "X-Patience-Ms"),
-    (b"X-Set: 17", b"X-Set: 256", 400, "X-Set"),
-    (b"X-Heap-Kb: 4.5", b"X-Heap-Kb: -1", 400, "X-Heap-Kb"),
-    (b"/svc/media/", b"/svc/other/", 404, "delivery service"),
-    (b"/svc/media/", b"/other/media/", 404, "path"),
-    (b"GET", b"DELETE", 405, "GET"),
-])
+@pytest.mark.parametrize(
+    "old, new, status, named",
+    [
+        (b"9b1f03aa5c7e2d41", b"9b1f", 400, "X-Call-Id"),
+        (b"X-Patience-Ms: 1500", b"X-Patience-Ms: nan", 400, "X-Patience-Ms"),
+        (b"X-Patience-Ms: 1500", b"X-Other: 1", 400, "X-Patience-Ms"),
+        (b"X-Set: 17", b"X-Set: 256", 400, "X-Set"),
+        (b"X-Heap-Kb: 4.5", b"X-Heap-Kb: -1", 400, "X-Heap-Kb"),
+        (b"/svc/media/", b"/svc/other/", 404, "delivery service"),
+        (b"/svc/media/", b"/other/media/", 404, "path"),
+        (b"GET", b"DELETE", 405, "GET"),
+    ],
+)
 def test_a_request_that_lacks_something_is_told_what(old, new, status, named):
-    request, = RequestReader().feed(get_text().replace(old, new))
+    (request,) = RequestReader().feed(get_text().replace(old, new))
     refused = admit(None, request, {"media": 0}, {}, {}, 0)
     assert refused.status == status and named in refused.text
 
 
 def test_time_spent_at_the_door_comes_off_the_patience():
-    request, = RequestReader().feed(get_text(extra='If-None-Match: "4be0"\r\n'))
+    (request,) = RequestReader().feed(get_text(extra='If-None-Match: "4be0"\r\n'))
     get = admit(None, request, {"media": 0}, {}, {}, 30_000_000)
     assert (get.asked.ttl, get.asked.object, get.asked.part, get.asked.group, get.have) == (
-        1_470_000_000, 0x7f3a9c21e0b4d655, 3, 17, "4be0")
+        1_470_000_000,
+        0x7F3A9C21E0B4D655,
+        3,
+        17,
+        "4be0",
+    )
 
 
 MISS = b"bb not_here remark=up_empty,ttfb=1.5,report=inflight:7;util:0.5;new:x 0\r\n\r\n"
@@ -67,22 +78,43 @@
     first, second = reader.feed(ANSWERS[:cut]) + reader.feed(ANSWERS[cut:])
     assert (first.id, first.body, first.fields["etag"]) == (b"aa", b"xxxxx", "t1")
     assert codec.meaning(second, "") == (
-        Outcome.MISS, Found.SOURCE_LACKS, 1_500_000, {"inflight": 7.0, "busy": 0.5})
-
-
-@pytest.mark.parametrize("text", [
-    b"no answer\r\n", b"cc served - 240001\r\n", b"cc served - -1\r\n", b"cc served x 0\r\n",
-    b"cc served - 1\r\nabc", b"cc served \xff=1 0\r\n", b"c" * 5000,
-])
+        Outcome.MISS,
+        Found.SOURCE_LACKS,
+        1_500_000,
+        {"inflight": 7.0, "busy": 0.5},
+    )
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        b"no answer\r\n",
+        b"cc served - 240001\r\n",
+        b"cc served - -1\r\n",
+        b"cc served x 0\r\n",
+        b"cc served - 1\r\nabc",
+        b"cc served \xff=1 0\r\n",
+        b"c" * 5000,
+    ],
+)
 def test_an_unreadable_answer_is_a_fault_and_those_before_it_count(text):
     reader = codec.AnswerReader()
     assert [a.id for a in reader.feed(served(b"aa", {}) + text)] == [b"aa"] and reader.fault
 
 
-@pytest.mark.parametrize("word, fields", [
-    (b"odd", {}), (b"served", {"ttfb": "x"}), (b"served", {"report": "util:x"}), (b"served", {"ttfb": "inf"}),
-    (b"served", {"report": "util:nan"}), (b"not_here", {"report": "inflight:1e999"}),
-    (b"still_good", {"etag": "t1"}), (b"still_good", {})])
+@pytest.mark.parametrize(
+    "word, fields",
+    [
+        (b"odd", {}),
+        (b"served", {"ttfb": "x"}),
+        (b"served", {"report": "util:x"}),
+        (b"served", {"ttfb": "inf"}),
+        (b"served", {"report": "util:nan"}),
+        (b"not_here", {"report": "inflight:1e999"}),
+        (b"still_good", {"etag": "t1"}),
+        (b"still_good", {}),
+    ],
+)
 def test_an_answer_without_a_meaning_is_unreadable(word, fields):
     with pytest.raises(codec.Unreadable):
         codec.meaning(codec.Answer(b"aa", word, fields, b""), "")
@@ -115,28 +147,51 @@
 
 
 def test_a_list_is_read_with_names_and_addresses():
-    entry = {"host": "s-0c", "dial": "10.0.0.1:9", "site": "e", "class": "std", "block": 2,
-             "health": "draining", "share": 4, "born_ms": 7}
+    entry = {
+        "host": "s-0c",
+        "dial": "10.0.0.1:9",
+        "site": "e",
+        "class": "std",
+        "block": 2,
+        "health": "draining",
+        "share": 4,
+        "born_ms": 7,
+    }
     data = json.dumps({"offset": 1, "topology": {"whole": True, "hosts": [entry]}}).encode()
     _, hosts = bus.read(data, {"e": 3}, {"std": 1})
     assert hosts == (True, [(12, 3, 1, 2, State.DRAINING, 4.0, 7_000_000)], {12: ("s-0c", "10.0.0.1:9")})
 
 
-@pytest.mark.parametrize("data", [b"{", b"[]", b'{"offset":1,"ban":{"url":"xyz","ts":1}}',
-                                  b'{"offset":1,"topology":{"hosts":[{"host":"s-1","health":"odd"}]}}'])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"{",
+        b"[]",
+        b'{"offset":1,"ban":{"url":"xyz","ts":1}}',
+        b'{"offset":1,"topology":{"hosts":[{"host":"s-1","health":"odd"}]}}',
+    ],
+)
 def test_an_unreadable_event_is_malformed(data):
     with pytest.raises(bus.Malformed):
         bus.read(data, {}, {})
 
 
-@pytest.mark.parametrize("path, value, named", [
-    (["listen"], "nowhere", "listen"), (["seed"], "xyz", "seed"), (["bus"], None, "bus"),
-    (["limits", "sockets"], 3, "limits.sockets"), (["flow_bytes_per_s"], "fast", "flow_bytes_per_s"),
-    (["known", "offset"], None, "known.offset"), (["known", "batch"], [{"offset": "x"}], "known.batch[0]"),
-    (["settings", "categories"], [{}], "settings.categories[0].name"),
-    (["settings", "allowed", "keepalive"], "long", "allowed.keepalive"),
-    (["settings", "shapes"], {}, "settings.shapes"), (["limits"], 5, "limits"),
-])
+@pytest.mark.parametrize(
+    "path, value, named",
+    [
+        (["listen"], "nowhere", "listen"),
+        (["seed"], "xyz", "seed"),
+        (["bus"], None, "bus"),
+        (["limits", "sockets"], 3, "limits.sockets"),
+        (["flow_bytes_per_s"], "fast", "flow_bytes_per_s"),
+        (["known", "offset"], None, "known.offset"),
+        (["known", "batch"], [{"offset": "x"}], "known.batch[0]"),
+        (["settings", "categories"], [{}], "settings.categories[0].name"),
+        (["settings", "allowed", "keepalive"], "long", "allowed.keepalive"),
+        (["settings", "shapes"], {}, "settings.shapes"),
+        (["limits"], 5, "limits"),
+    ],
+)
 def test_a_fault_in_the_configuration_names_its_key(path, value, named):
     known = {"offset": 1, "batch": []}
     data = copy.deepcopy({**REAL, "listen": "127.0.0.1:1", "bus": "127.0.0.1:2", "known": known})
--- a/tests/test_http2_front.py
+++ b/tests/test_http2_front.py
@@ -54,8 +54,12 @@
     def came(peer, request):
         seen.append(request)
         peer.run(request)
-        peer.answer(request.stream, 304 if b"if-none-match" in request.fields else 200,
-                    ((b"etag", b'"t1"'), (b"cache-status", b"s; hit")), b"" if len(seen) > 1 else b"xxxxx")
+        peer.answer(
+            request.stream,
+            304 if b"if-none-match" in request.fields else 200,
+            ((b"etag", b'"t1"'), (b"cache-status", b"s; hit")),
+            b"" if len(seen) > 1 else b"xxxxx",
+        )
 
     boxes[0].server.came = came
     with start(tmp_path, boxes) as front:
@@ -71,8 +75,12 @@
 
 def test_a_server_that_speaks_lines_stands_beside_one_that_speaks_http2(tmp_path, boxes):
     box = cache(served)
-    with Front(tmp_path, host("s-0b", box.address, "std"), host("s-1f", boxes[1].address, "origin"),
-               kdl=KDL.replace("kind=std", "kind=parent")) as front:
+    with Front(
+        tmp_path,
+        host("s-0b", box.address, "std"),
+        host("s-1f", boxes[1].address, "origin"),
+        kdl=KDL.replace("kind=std", "kind=parent"),
+    ) as front:
         assert front.ask(get_text())[0] == order(front) == 200
         assert box.heard.get(timeout=5)[0] == b"serve" and boxes[1].server.ran == [("a" * 16, 0)]
 
@@ -85,7 +93,7 @@
     boxes[1].server.came = came
     with start(tmp_path, boxes) as front:
         assert order(front) == 502
-        boxes[1].server.heads = lambda peer, request: peer.abort()           # between HEADERS and the first DATA
+        boxes[1].server.heads = lambda peer, request: peer.abort()  # between HEADERS and the first DATA
         # 503 while the pool keeps away from a server that has just broken off: those never left.
         ids = iter(f"{n:016x}" for n in range(100))
         until(lambda: order(front, next(ids), body=b"b" * 40_000) == 502)
@@ -145,15 +153,31 @@
         sock = front.connect()
         sock.sendall(get_text())
         until(lambda: held)
-        front.tells.put({"offset": 2, "topology": {"seq": 2, "whole": False, "hosts": [
-            host("s-0b", boxes[0].address, "std", "draining")]}})
+        front.tells.put(
+            {
+                "offset": 2,
+                "topology": {
+                    "seq": 2,
+                    "whole": False,
+                    "hosts": [host("s-0b", boxes[0].address, "std", "draining")],
+                },
+            }
+        )
         front.until("told")
-        assert front.ask(get_text("b" * 16))[0] == 200       # by the origin
+        assert front.ask(get_text("b" * 16))[0] == 200  # by the origin
         answer(boxes[0], held)
         assert sock.recv(4096).startswith(b"HTTP/1.1 200")
         assert boxes[0].server.ran == [("9b1f03aa5c7e2d41", 0)]
-        front.tells.put({"offset": 3, "topology": {"seq": 3, "whole": False, "hosts": [
-            host("s-0b", boxes[0].address, "std", "removed")]}})
+        front.tells.put(
+            {
+                "offset": 3,
+                "topology": {
+                    "seq": 3,
+                    "whole": False,
+                    "hosts": [host("s-0b", boxes[0].address, "std", "removed")],
+                },
+            }
+        )
         until(lambda: not boxes[0].server.peers)
 
 
@@ -173,8 +197,10 @@
     boxes[0].server.came = lambda peer, request: peer.raw(frame(6, 0, 0, b"8 bytes.") * 2000)
     with start(tmp_path, boxes) as front:
         answers = {}
-        threads = [threading.Thread(target=lambda n=n: answers.update({n: front.ask(get_text(f"{n:016x}"))[0]}))
-                   for n in range(5)]
+        threads = [
+            threading.Thread(target=lambda n=n: answers.update({n: front.ask(get_text(f"{n:016x}"))[0]}))
+            for n in range(5)
+        ]
         for thread in threads:
             thread.start()
         for thread in threads:
@@ -187,5 +213,10 @@
 def test_a_soak_with_closes_at_random_points():
     said = soak(1500, 40, clients=32)
     assert said["closes"] >= 15 and said["orders"] >= 20 and said["never_ran"] > 0
-    assert (said["orders_duplicated"], said["gets_lost"], said["false_never_ran"], said["faults"]) == (0, 0, 0, 0)
+    assert (said["orders_duplicated"], said["gets_lost"], said["false_never_ran"], said["faults"]) == (
+        0,
+        0,
+        0,
+        0,
+    )
     assert said["returned"] + said["shed"] + said["errored"] == said["gets"] == 1500
--- a/tests/test_http2_pool.py
+++ b/tests/test_http2_pool.py
@@ -29,7 +29,7 @@
     made = pool(limit=4)
     assert made.ask("a", NOW) == [Send("a", 1)]
     assert made.ask("b", NOW) == [Send("b", 1), Open(2)]
-    assert made.ask("c", NOW) == [Send("c", 1)]              # one at a time
+    assert made.ask("c", NOW) == [Send("c", 1)]  # one at a time
     assert made.opened(2, 4, NOW) == []
     assert made.ask("d", NOW) == [Send("d", 2)]
 
@@ -63,9 +63,9 @@
     made = pool()
     made.ask("a", NOW), made.freed(1, True, NOW), made.ask("b", NOW)
     assert made.goaway(1, True, NOW) == [Open(2)]
-    assert made.ask("c", NOW) == []                          # not on the old one
+    assert made.ask("c", NOW) == []  # not on the old one
     assert made.opened(2, 100, NOW) == [Send("c", 2)]
-    assert made.goaway(1, True, NOW) == []                   # the second one
+    assert made.goaway(1, True, NOW) == []  # the second one
     assert made.freed(1, True, NOW) == [Close(1, "drained")]
 
 
@@ -102,7 +102,7 @@
 def test_reconnects_wait_longer_each_time_and_gets_are_refused_at_once_meanwhile():
     made, now, waits = Pool(Limits(), 11, "n0"), NOW, []
     for _ in range(11):
-        opened, = made.ask("g", now)
+        (opened,) = made.ask("g", now)
         assert isinstance(opened, Open)
         assert made.lost(opened.connection, False, now) == [Refuse("g", Outcome.UNREACHABLE)]
         assert made.ask("h", now) == [Refuse("h", Outcome.UNREACHABLE)]
@@ -117,16 +117,16 @@
     made.warm(now)
     made.opened(1, 100, now)
     assert made.goaway(1, True, now) == [Close(1, "drained")] and made.again > now
-    assert made.ask("a", now) == [Refuse("a", Outcome.NOT_SENT)]     # it is there, unlike one not reached
+    assert made.ask("a", now) == [Refuse("a", Outcome.NOT_SENT)]  # it is there, unlike one not reached
 
 
 def test_a_ping_only_where_forwards_wait_and_nothing_is_read():
     made = pool()
-    assert made.due(NOW + 2 * S) == []                       # nobody waits
+    assert made.due(NOW + 2 * S) == []  # nobody waits
     made.ask("a", NOW + 2 * S)
     assert made.due(NOW + 2 * S + 499 * MS) == []
     assert made.due(NOW + 2 * S + 500 * MS) == [Ping(1)]
-    made.heard(1, NOW + 3 * S)                               # an answer to it, or anything
+    made.heard(1, NOW + 3 * S)  # an answer to it, or anything
     assert made.due(NOW + 3 * S + 100 * MS) == []
     assert made.due(NOW + 3 * S + 500 * MS) == [Ping(1)]
     said = made.due(NOW + 4 * S)
@@ -178,11 +178,15 @@
                     assert self.state[number] == "up", "a stream on one that takes none"
                     self.waiting.pop(forward, None)
                     self.open[number].add(forward)
-                    assert len(self.open[number]) <= min(self.limit[number], self.limits.streams), "over a limit"
+                    assert len(self.open[number]) <= min(
+                        self.limit[number], self.limits.streams
+                    ), "over a limit"
                 case Open(number):
                     assert number not in self.state and "opening" not in self.state.values()
                     self.state[number], self.open[number], self.limit[number] = "opening", set(), 0
-                    assert len([s for s in self.state.values() if s != "closed"]) <= 2 * self.limits.connections
+                    assert (
+                        len([s for s in self.state.values() if s != "closed"]) <= 2 * self.limits.connections
+                    )
                 case Refuse(forward, outcome):
                     assert outcome.never_ran and not any(forward in o for o in self.open.values())
                     self.waiting.pop(forward, None)
@@ -213,7 +217,7 @@
     @precondition(lambda self: self.some("opening"))
     @rule(limit=st.integers(0, 8), settled=st.booleans())
     def comes_up(self, limit, settled):
-        number, = self.some("opening")
+        (number,) = self.some("opening")
         self.state[number], self.limit[number] = "up", limit
         self.do(self.pool.opened(number, limit, self.now))
         if settled and self.state[number] == "up":
@@ -291,7 +295,7 @@
     made = Pool(Limits(), 1, "n0")
     assert made.ask("a", NOW) == [Open(1)]
     assert made.lacked(1, NOW) == [] and made.next_due() == NOW + 10 * MS
-    assert made.ask("b", NOW + MS) == []                    # nor is what comes meanwhile refused
+    assert made.ask("b", NOW + MS) == []  # nor is what comes meanwhile refused
     assert made.due(NOW + 10 * MS) == [Open(2)]
     assert [one.forward for one in made.opened(2, 100, NOW + 11 * MS)] == ["a", "b"] and not made.failures
 
--- a/tests/test_http2_session.py
+++ b/tests/test_http2_session.py
@@ -35,11 +35,13 @@
 
     def __init__(self, held=4 << 20, **settings):
         self.session, self.now, self.requests, self.bodies, self.resets = Session(held, 0), 0, [], {}, {}
-        self.server = H2Connection(H2Configuration(client_side=False, header_encoding=False,
-                                                   validate_inbound_headers=False))
+        self.server = H2Connection(
+            H2Configuration(client_side=False, header_encoding=False, validate_inbound_headers=False)
+        )
         codes = {"limit": SettingCodes.MAX_CONCURRENT_STREAMS, "window": SettingCodes.INITIAL_WINDOW_SIZE}
-        self.server.local_settings = Settings(client=False, initial_values={
-            codes[k]: v for k, v in {"limit": 100, **settings}.items()})
+        self.server.local_settings = Settings(
+            client=False, initial_values={codes[k]: v for k, v in {"limit": 100, **settings}.items()}
+        )
         self.server.initiate_connection()
         self.said = self.turn() + self.turn()
 
@@ -85,7 +87,7 @@
     stream = pair.ask(fields=PUT, body=b"b" * 300)
     pair.turn()
     assert len(pair.bodies[1]) == 1 and pair.session.written(stream) is Written.WHOLE
-    for _ in range(700):                     # each byte is acknowledged, which opens the window by one
+    for _ in range(700):  # each byte is acknowledged, which opens the window by one
         pair.turn()
     assert pair.bodies[1] == b"b" * 300 and not pair.session.uploads
 
@@ -97,7 +99,7 @@
     pair.turn()
     pair.server.send_headers(3, [(b":status", b"200")], end_stream=True)
     assert pair.turn() == [Answered(get, 200, {}, b"")]
-    assert pair.session.made < 1000          # nothing of the body was made that could not go
+    assert pair.session.made < 1000  # nothing of the body was made that could not go
 
 
 def test_a_window_that_overflows_ends_the_connection():
@@ -124,7 +126,7 @@
     assert pair.turn(goaway(2**31 - 1)) == [GoneAway(2**31 - 1, 0, [])]
     assert pair.turn(goaway(7)) == [GoneAway(7, 0, streams[4:])]
     assert pair.turn(goaway(5)) == [GoneAway(5, 0, [streams[3]])]
-    assert pair.turn(goaway(9)) == [GoneAway(5, 0, [])]      # a higher one takes nothing back
+    assert pair.turn(goaway(9)) == [GoneAway(5, 0, [])]  # a higher one takes nothing back
     pair.server.send_headers(5, [(b":status", b"200")], end_stream=True)
     assert pair.turn() == [Answered(streams[2], 200, {}, b"")]
     end = [evidence.of_end(pair.session.written(s), s.id, pair.session.last) for s in streams[:2]]
@@ -147,26 +149,34 @@
     pair.session.sent(1)
     assert pair.session.written(one) is Written.PART
     pair.session.sent(one.head_end - before - 2)
-    assert pair.session.written(one) is Written.PART         # all but one byte of its header block
+    assert pair.session.written(one) is Written.PART  # all but one byte of its header block
     pair.session.sent(1)
-    assert pair.session.written(one) is Written.WHOLE        # though its body has not gone
+    assert pair.session.written(one) is Written.WHOLE  # though its body has not gone
     assert pair.session.written(two) is Written.NOTHING
 
 
-@pytest.mark.parametrize("row, proved", [
-    (evidence.of_end(Written.NOTHING, 5, None), True),
-    (evidence.of_end(Written.PART, 5, None), True),
-    (evidence.of_end(Written.WHOLE, 5, 3), True),
-    (evidence.of_end(Written.WHOLE, 5, 5), False),
-    (evidence.of_end(Written.WHOLE, 5, None), False),
-    (evidence.of_reset(0x7), True), (evidence.of_reset(0x8), False), (evidence.of_reset(0x2), False),
-    (evidence.of_reset(0xd), False), (evidence.of_reset(0xb), False), (evidence.of_reset(0x0), False),
-    (evidence.TIMED_OUT, False),
-    (evidence.of_status(421, False, False), True),
-    (evidence.of_status(503, False, False), False), (evidence.of_status(429, False, True), False),
-    (evidence.of_status(503, True, False), True),
-    (evidence.of_status(504, False, True), True),
-])
+@pytest.mark.parametrize(
+    "row, proved",
+    [
+        (evidence.of_end(Written.NOTHING, 5, None), True),
+        (evidence.of_end(Written.PART, 5, None), True),
+        (evidence.of_end(Written.WHOLE, 5, 3), True),
+        (evidence.of_end(Written.WHOLE, 5, 5), False),
+        (evidence.of_end(Written.WHOLE, 5, None), False),
+        (evidence.of_reset(0x7), True),
+        (evidence.of_reset(0x8), False),
+        (evidence.of_reset(0x2), False),
+        (evidence.of_reset(0xD), False),
+        (evidence.of_reset(0xB), False),
+        (evidence.of_reset(0x0), False),
+        (evidence.TIMED_OUT, False),
+        (evidence.of_status(421, False, False), True),
+        (evidence.of_status(503, False, False), False),
+        (evidence.of_status(429, False, True), False),
+        (evidence.of_status(503, True, False), True),
+        (evidence.of_status(504, False, True), True),
+    ],
+)
 def test_each_row_is_never_ran_only_where_it_is_proved(row, proved):
     assert row in evidence.ROWS and row.outcome.never_ran is proved
     assert len({one.name for one in evidence.ROWS}) == len(evidence.ROWS)
@@ -193,17 +203,24 @@
 
 
 BAD = {
-    "settings": (EMPTY_SETTINGS, 1200, "flood"), "ping": (frame(6, 0, 0, b"8 bytes."), 1200, "flood"),
-    "reset": (frame(3, 0, 3, b"\0\0\0\x08"), 1200, "flood"), "empty data": (frame(0, 0, 1), 1200, "flood"),
-    "window": (frame(8, 0, 0, b"\0\0\0\x01"), 1200, "flood"), "unknown": (frame(0xee, 0, 0), 1200, "flood"),
+    "settings": (EMPTY_SETTINGS, 1200, "flood"),
+    "ping": (frame(6, 0, 0, b"8 bytes."), 1200, "flood"),
+    "reset": (frame(3, 0, 3, b"\0\0\0\x08"), 1200, "flood"),
+    "empty data": (frame(0, 0, 1), 1200, "flood"),
+    "window": (frame(8, 0, 0, b"\0\0\0\x01"), 1200, "flood"),
+    "unknown": (frame(0xEE, 0, 0), 1200, "flood"),
     "priority": (frame(2, 0, 1, b"\0\0\0\0\x01"), 1200, "flood"),
     "continuation": (frame(1, 0, 1, b"\x00") + frame(9, 0, 1, b"") * 20, 1, "header block"),
     "long block": (frame(1, 0, 1, b"\x00" * 9000) + frame(9, 0, 1, b"\x00" * 9000), 1, "header block"),
     "large frame": (frame(0, 0, 1, b"x" * 16_385), 1, "a frame of 16385 bytes"),
-    "data on no stream": (frame(0, 0, 9, b"x" * 100), 1, ""), "answer on no stream": (frame(1, 4, 9, b"\x88"), 1, ""),
-    "push": (frame(5, 4, 1, b"\0\0\0\x02\x88"), 1, "push"), "short goaway": (frame(7, 0, 0, b"\0"), 1, "GOAWAY"),
-    "goaway on a stream": (frame(7, 0, 1, b"\0" * 8), 1, "GOAWAY"), "odd settings": (frame(4, 0, 0, b"\0"), 1, ""),
-    "lone continuation": (frame(9, 4, 1, b""), 1, ""), "hpack": (frame(1, 4, 1, b"\xff" * 6), 1, ""),
+    "data on no stream": (frame(0, 0, 9, b"x" * 100), 1, ""),
+    "answer on no stream": (frame(1, 4, 9, b"\x88"), 1, ""),
+    "push": (frame(5, 4, 1, b"\0\0\0\x02\x88"), 1, "push"),
+    "short goaway": (frame(7, 0, 0, b"\0"), 1, "GOAWAY"),
+    "goaway on a stream": (frame(7, 0, 1, b"\0" * 8), 1, "GOAWAY"),
+    "odd settings": (frame(4, 0, 0, b"\0"), 1, ""),
+    "lone continuation": (frame(9, 4, 1, b""), 1, ""),
+    "hpack": (frame(1, 4, 1, b"\xff" * 6), 1, ""),
     "padding": (frame(0, 8, 1, b"\xffab"), 1, "padding"),
 }
 
@@ -245,7 +262,7 @@
         if len(said) > 1:
             break
     assert said[1].stream is untold and pair.session.held == 0
-    assert not pair.session.fault            # the others on it go on
+    assert not pair.session.fault  # the others on it go on
 
 
 def test_what_half_answers_hold_on_a_connection_is_bounded():
@@ -302,13 +319,23 @@
     pair.now = S + 299
     pair.server.send_data(3, b"x")
     pair.turn()
-    assert pair.session.stalled(300, S + 400) == []          # the other one moves
+    assert pair.session.stalled(300, S + 400) == []  # the other one moves
     assert pair.session.stalled(300, S + 1200) == [half, other]
 
 
 def forward(**changed):
-    base = Forward(number=0, cache=1, source=2, rank=0, oldest=0, timeout=1_400_000_000, join=False, held_only=False,
-                   pass_parent=False, renew=False)
+    base = Forward(
+        number=0,
+        cache=1,
+        source=2,
+        rank=0,
+        oldest=0,
+        timeout=1_400_000_000,
+        join=False,
+        held_only=False,
+        pass_parent=False,
+        renew=False,
+    )
     return base._replace(**changed)
 
 
@@ -318,46 +345,71 @@
 
 
 def test_a_forward_as_a_request():
-    fields = dict(mapping.request(b"a:1", a_get("t1"), forward(rank=2, oldest=9_900_000_000, join=True, number=1,
-                                                               renew=True), 's-"1f', 5 * S))
+    fields = dict(
+        mapping.request(
+            b"a:1",
+            a_get("t1"),
+            forward(rank=2, oldest=9_900_000_000, join=True, number=1, renew=True),
+            's-"1f',
+            5 * S,
+        )
+    )
     assert fields == {
-        b":method": b"GET", b":scheme": b"http", b":authority": b"a:1", b":path": b"/svc/media/7f3a/slice-3",
-        b"x-call-id": b"9b1f03aa5c7e2d41", b"spruce-wait": b"1400", b"if-none-match": b'"t1"',
+        b":method": b"GET",
+        b":scheme": b"http",
+        b":authority": b"a:1",
+        b":path": b"/svc/media/7f3a/slice-3",
+        b"x-call-id": b"9b1f03aa5c7e2d41",
+        b"spruce-wait": b"1400",
+        b"if-none-match": b'"t1"',
         b"cache-control": b"max-age=9, max-stale=9",
-        b"spruce-fill": b'source="s-\\"1f", rank=2, try=1, join, renew'}
+        b"spruce-fill": b'source="s-\\"1f", rank=2, try=1, join, renew',
+    }
     tokened = a_get()
     tokened.token = "874c-e5"
     assert dict(mapping.request(b"a:1", tokened, forward(), None, S))[b"idempotency-key"] == b'"874c-e5"'
     fields = dict(mapping.request(b"a:1", a_get(), forward(source=1, oldest=10), None, 900_000_000))
-    assert fields[b"spruce-wait"] == b"900"         # what is left when it goes, where that is less
-    assert fields[b"cache-control"] == b"max-age=0, max-stale=0, only-if-cached"     # never wider than decided
+    assert fields[b"spruce-wait"] == b"900"  # what is left when it goes, where that is less
+    assert fields[b"cache-control"] == b"max-age=0, max-stale=0, only-if-cached"  # never wider than decided
     fields = dict(mapping.request(b"a:1", a_get(body=b"abc", write=True), forward(), "o", S))
     assert (fields[b":method"], fields[b"content-length"]) == (b"PUT", b"3")
 
 
-@pytest.mark.parametrize("status, fields, outcome, found", [
-    (200, {}, Outcome.RETURNED, Found.UNTOLD),
-    (200, {b"cache-status": b"s; hit"}, Outcome.RETURNED, Found.HIT),
-    (200, {b"cache-status": b"s; hit; ttl=-3"}, Outcome.RETURNED, Found.STALE_HIT),
-    (200, {b"cache-status": b"s; fwd=miss; stored"}, Outcome.RETURNED, Found.FILLED),
-    (200, {b"cache-status": b"p; fwd=miss, s; fwd=uri-miss"}, Outcome.RETURNED, Found.FILLED_BY_ORIGIN),
-    (200, {b"cache-status": b"p; hit, s; fwd=miss; collapsed"}, Outcome.RETURNED, Found.JOINED),
-    (200, {b"cache-status": b"\xff not a list ;;"}, Outcome.RETURNED, Found.UNTOLD),
-    (200, {b"cache-status": b"s; hit," * 400}, Outcome.RETURNED, Found.UNTOLD),
-    (502, {b"cache-status": b"s; fwd=miss; detail=source-broken"}, Outcome.ERROR, Found.SOURCE_BROKEN),
-    (504, {b"cache-status": b"s; fwd=miss; detail=origin-failed"}, Outcome.ERROR, Found.ORIGIN_FAILED),
-    (404, {}, Outcome.ERROR, Found.UNTOLD), (500, {}, Outcome.ERROR, Found.UNTOLD),
-    (503, {b"spruce-ran": b"?0"}, Outcome.FULL, Found.UNTOLD), (421, {}, Outcome.FULL, Found.UNTOLD),
-])
+@pytest.mark.parametrize(
+    "status, fields, outcome, found",
+    [
+        (200, {}, Outcome.RETURNED, Found.UNTOLD),
+        (200, {b"cache-status": b"s; hit"}, Outcome.RETURNED, Found.HIT),
+        (200, {b"cache-status": b"s; hit; ttl=-3"}, Outcome.RETURNED, Found.STALE_HIT),
+        (200, {b"cache-status": b"s; fwd=miss; stored"}, Outcome.RETURNED, Found.FILLED),
+        (200, {b"cache-status": b"p; fwd=miss, s; fwd=uri-miss"}, Outcome.RETURNED, Found.FILLED_BY_ORIGIN),
+        (200, {b"cache-status": b"p; hit, s; fwd=miss; collapsed"}, Outcome.RETURNED, Found.JOINED),
+        (200, {b"cache-status": b"\xff not a list ;;"}, Outcome.RETURNED, Found.UNTOLD),
+        (200, {b"cache-status": b"s; hit," * 400}, Outcome.RETURNED, Found.UNTOLD),
+        (502, {b"cache-status": b"s; fwd=miss; detail=source-broken"}, Outcome.ERROR, Found.SOURCE_BROKEN),
+        (504, {b"cache-status": b"s; fwd=miss; detail=origin-failed"}, Outcome.ERROR, Found.ORIGIN_FAILED),
+        (404, {}, Outcome.ERROR, Found.UNTOLD),
+        (500, {}, Outcome.ERROR, Found.UNTOLD),
+        (503, {b"spruce-ran": b"?0"}, Outcome.FULL, Found.UNTOLD),
+        (421, {}, Outcome.FULL, Found.UNTOLD),
+    ],
+)
 def test_an_answer_by_its_status_and_cache_status(status, fields, outcome, found):
     said = mapping.meaning(status, fields, b"x", False)
     assert (said.outcome, said.found) == (outcome, found)
 
 
-@pytest.mark.parametrize("tag, have, outcome", [
-    (b'"t1"', "t1", Outcome.RETURNED), (b'W/"t1"', "t1", Outcome.RETURNED), (b'"t1"', "t2", Outcome.ERROR),
-    (b'"t1"', "", Outcome.ERROR), (b"", "", Outcome.ERROR), (b"", "t1", Outcome.ERROR),
-])
+@pytest.mark.parametrize(
+    "tag, have, outcome",
+    [
+        (b'"t1"', "t1", Outcome.RETURNED),
+        (b'W/"t1"', "t1", Outcome.RETURNED),
+        (b'"t1"', "t2", Outcome.ERROR),
+        (b'"t1"', "", Outcome.ERROR),
+        (b"", "", Outcome.ERROR),
+        (b"", "t1", Outcome.ERROR),
+    ],
+)
 def test_a_304_returns_only_a_copy_that_the_client_has_and_it_names(tag, have, outcome):
     said = mapping.meaning(304, {b"etag": tag}, b"", False, have)
     assert (said.outcome, said.returned is None) == (outcome, outcome is Outcome.ERROR)
@@ -369,10 +421,18 @@
 
 
 def test_tag_age_wait_and_load_of_an_answer():
-    said = mapping.meaning(200, {b"etag": b'W/"t1"', b"age": b"7", b"server-timing": b'edge;dur=3, fill;dur=12.5',
-                                 b"spruce-load": b'inflight=7, busy=0.25, other=3, queued="x", link_use=?1'},
-                           b"body", False)
-    assert said.returned == (False, "t1", 0, b"body", 8 * S)   # a second more than told: Age is cut to seconds
+    said = mapping.meaning(
+        200,
+        {
+            b"etag": b'W/"t1"',
+            b"age": b"7",
+            b"server-timing": b"edge;dur=3, fill;dur=12.5",
+            b"spruce-load": b'inflight=7, busy=0.25, other=3, queued="x", link_use=?1',
+        },
+        b"body",
+        False,
+    )
+    assert said.returned == (False, "t1", 0, b"body", 8 * S)  # a second more than told: Age is cut to seconds
     assert said.waited == 12_500_000 and said.load == {"inflight": 7.0, "busy": 0.25}
     same = mapping.meaning(304, {b"etag": b'"t1"'}, b"", False, "t1")
     assert same.returned == (True, "t1", 0, b"", None)
--- a/tests/test_http2_transport.py
+++ b/tests/test_http2_transport.py
@@ -20,8 +20,9 @@
             boxes = [Running(**script) for script in scripts]
 
             async def run():
-                recorder = Recorder({n: box.address for n, box in enumerate(boxes, 1)}, limits=limits or Limits(),
-                                    most=most)
+                recorder = Recorder(
+                    {n: box.address for n, box in enumerate(boxes, 1)}, limits=limits or Limits(), most=most
+                )
                 await body(recorder, *boxes)
                 recorder.servers.stop()
                 await asyncio.sleep(0)
@@ -89,7 +90,7 @@
         await asyncio.sleep(0.005)
     box.server.came = lambda peer, request: run_all(peer, [request])
     assert await recorder.end(recorder.send(1, "a" * 16)) is Outcome.RETURNED and box.server.made == 2
-    assert not any(out.ended for out in outs)                # the old ones still wait for theirs
+    assert not any(out.ended for out in outs)  # the old ones still wait for theirs
     assert await ends(recorder, outs) == [Outcome.RETURNED] * 4 + [Outcome.NOT_SENT] * 4
 
 
@@ -161,18 +162,20 @@
 
 
 @on({}, limits=ONE)
-async def test_a_server_that_restarts_under_a_new_id_at_its_address_gets_a_connection_of_its_own(recorder, box):
+async def test_a_server_that_restarts_under_a_new_id_at_its_address_gets_a_connection_of_its_own(
+    recorder, box
+):
     held = []
     box.server.came = lambda peer, request: held.append((peer, request))
     out = recorder.send(1, "a" * 16)
     while not held:
         await asyncio.sleep(0.005)
-    recorder.list({9: box.address})          # the whole list: 1 has gone, 9 stands at its address
+    recorder.list({9: box.address})  # the whole list: 1 has gone, 9 stands at its address
     box.server.came = lambda peer, request: run_all(peer, [request])
     assert await recorder.end(recorder.send(9, "b" * 16)) is Outcome.RETURNED and box.server.made == 2
     peer, request = held[0]
     await asyncio.to_thread(box.do, lambda: run_all(peer, [request]) or True)
-    assert await recorder.end(out) is Outcome.RETURNED       # what was open there is still answered
+    assert await recorder.end(out) is Outcome.RETURNED  # what was open there is still answered
     while 1 in recorder.servers.places:
         await asyncio.sleep(0.005)
     assert len(box.server.peers) <= 1 or recorder.servers.connections == 1
@@ -193,13 +196,13 @@
     out = recorder.send(1, "a" * 16)
     while not held:
         await asyncio.sleep(0.005)
-    assert recorder.servers.cancel(out) is None              # it may have run
+    assert recorder.servers.cancel(out) is None  # it may have run
     while box.server.cancelled != ["a" * 16]:
         await asyncio.sleep(0.005)
     pool = recorder.servers.places[1].held.pool
     assert [at.open for at in pool.connections.values()] == [0]
     peer, request = held[0]
-    await asyncio.to_thread(box.do, lambda: peer.answer(request.stream) or True)     # late: nobody's
+    await asyncio.to_thread(box.do, lambda: peer.answer(request.stream) or True)  # late: nobody's
     box.server.came = lambda peer, request: run_all(peer, [request])
     assert await recorder.end(recorder.send(1, "b" * 16)) is Outcome.RETURNED and box.server.made == 1
 
@@ -213,7 +216,7 @@
 async def test_refused_streams_never_ran_and_other_resets_may_have(recorder, box):
     box.server.came = lambda peer, request: peer.reset(request.stream, REFUSED_STREAM)
     assert await recorder.end(recorder.send(1, "a" * 16)) is Outcome.NOT_SENT
-    for code in (2, 8, 0xb, 0xd):
+    for code in (2, 8, 0xB, 0xD):
         box.server.came = lambda peer, request, code=code: peer.reset(request.stream, code)
         assert await recorder.end(recorder.send(1, f"{code:016x}")) is Outcome.RESET
 
@@ -270,7 +273,7 @@
     await asyncio.to_thread(box.do, lambda: [p.loop.remove_reader(p.sock) for p in box.server.peers] and True)
     outs = [recorder.send(1, f"{n:016x}", b"b" * 48_000, 400_000_000) for n in range(250)]
     await asyncio.sleep(0.1)
-    connection, = recorder.servers.places[1].held.connections.values()
+    (connection,) = recorder.servers.places[1].held.connections.values()
     assert len(connection.session.outgoing) < 300_000
     for out in outs:
         recorder.servers.cancel(out, timed_out=True)
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -21,8 +21,11 @@
 
     def __init__(self, ds=0, phase=Phase.TAKEN):
         self.counted, self.logged = [], []
-        self.made = Invariants({**SETTINGS, "max_forwards": 3}, self.counted.append,
-                               lambda event, **fields: self.logged.append(fields))
+        self.made = Invariants(
+            {**SETTINGS, "max_forwards": 3},
+            self.counted.append,
+            lambda event, **fields: self.logged.append(fields),
+        )
         client = SimpleNamespace(phase=phase, get=None, left=lambda: False)
         asked = Asked("9b1f03aa5c7e2d41", 1, 0, 0, ds, 1, False, False, S)
         self.get = client.get = OpenGet(client, b"9b1f03aa5c7e2d41", "media", "1", 0, "", b"", asked)
@@ -43,29 +46,38 @@
     return checked.rules()
 
 
-@pytest.mark.parametrize("rule, change", [
-    ("attempt_after_answer", lambda c: setattr(c.get, "answered", True)),
-    ("attempt_after_client_left", lambda c: setattr(c.get, "left_at", NOW - GONE_LATE - 1)),
-    ("attempt_without_request", lambda c: setattr(c.get.client, "phase", Phase.SHUT)),
-    ("attempt_to_draining", lambda c: c.made.listed(set(), {11}, False)),
-    ("attempt_to_draining", lambda c: c.made.listed({11}, {11, 21}, False)),
-    ("wait_over_patience", lambda c: setattr(c.out, "limit", c.get.until + WAIT_SLACK + 1)),
-    ("attempts_over_cap", lambda c: setattr(c.out, "number", 3)),
-])
+@pytest.mark.parametrize(
+    "rule, change",
+    [
+        ("attempt_after_answer", lambda c: setattr(c.get, "answered", True)),
+        ("attempt_after_client_left", lambda c: setattr(c.get, "left_at", NOW - GONE_LATE - 1)),
+        ("attempt_without_request", lambda c: setattr(c.get.client, "phase", Phase.SHUT)),
+        ("attempt_to_draining", lambda c: c.made.listed(set(), {11}, False)),
+        ("attempt_to_draining", lambda c: c.made.listed({11}, {11, 21}, False)),
+        ("wait_over_patience", lambda c: setattr(c.out, "limit", c.get.until + WAIT_SLACK + 1)),
+        ("attempts_over_cap", lambda c: setattr(c.out, "number", 3)),
+    ],
+)
 def test_a_seeded_defect_of_an_attempt_is_found(rule, change):
     assert broken(Checked(), change) == [rule]
 
 
-@pytest.mark.parametrize("ds, may_have_run, found", [
-    (2, True, ["repeated_while_it_may_have_run"]), (2, False, []), (0, True, [])])
+@pytest.mark.parametrize(
+    "ds, may_have_run, found", [(2, True, ["repeated_while_it_may_have_run"]), (2, False, []), (0, True, [])]
+)
 def test_what_may_have_run_is_repeated_only_by_its_effect(ds, may_have_run, found):
     assert broken(Checked(ds), lambda c: c.again(may_have_run)) == found
 
 
-@pytest.mark.parametrize("change", [
-    lambda c: None, lambda c: setattr(c.get, "left_at", NOW - GONE_LATE),
-    lambda c: (c.made.listed(set(), {11}, False), c.made.listed({11}, {11}, False)),
-    lambda c: (c.made.listed(set(), {11}, False), c.made.listed({11, 21}, {11, 21}, True))])
+@pytest.mark.parametrize(
+    "change",
+    [
+        lambda c: None,
+        lambda c: setattr(c.get, "left_at", NOW - GONE_LATE),
+        lambda c: (c.made.listed(set(), {11}, False), c.made.listed({11}, {11}, False)),
+        lambda c: (c.made.listed(set(), {11}, False), c.made.listed({11, 21}, {11, 21}, True)),
+    ],
+)
 def test_an_attempt_as_it_should_be_is_none(change):
     assert broken(Checked(), change) == []
 
@@ -79,7 +91,11 @@
     left.made.quiet(0, 1, 0)
     left.made.quiet(0, 0, 1)
     assert [c.rules() for c in (late, unnamed, none, closed)] == [
-        ["answered_late"], ["not_modified_unnamed"], ["never_answered"], ["closed_over_request"]]
+        ["answered_late"],
+        ["not_modified_unnamed"],
+        ["never_answered"],
+        ["closed_over_request"],
+    ]
     assert left.rules() == ["left_over"] * 2
     assert late.logged[0]["id"] == "9b1f03aa5c7e2d41" and late.logged[0]["story"]
 
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -16,8 +16,13 @@
     (path / "tests" / "test_x.py").write_text(body)
     (path / "pytest.ini").write_text("[pytest]\ntestpaths = tests\n")
     (path / "KNOWN-RED.txt").write_text(listed)
-    return subprocess.run([sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider"], cwd=path,
-                          capture_output=True, text=True, timeout=60)
+    return subprocess.run(
+        [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider"],
+        cwd=path,
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
 
 
 def test_a_listed_test_is_passed_over_and_no_other(tmp_path):
@@ -33,14 +38,23 @@
     assert run(tmp_path, "").returncode == 1
 
 
-@pytest.mark.parametrize("listed", ["tests/test_x.py::test_gone | cause | 38\n", "tests/test_x.py::test_a | cause\n"])
+@pytest.mark.parametrize(
+    "listed", ["tests/test_x.py::test_gone | cause | 38\n", "tests/test_x.py::test_a | cause\n"]
+)
 def test_a_test_that_is_not_there_or_a_line_that_is_malformed_fails_all(tmp_path, listed):
     done = run(tmp_path, listed)
     assert done.returncode not in (0, 1) and "KNOWN-RED.txt" in done.stderr + done.stdout
 
 
-@pytest.mark.parametrize("text", ["a | b | 1", "t.py::a | | 1", "t.py::a | b | soon",
-                                  "\n".join(f"t.py::a{at} | b | 1" for at in range(4))])
+@pytest.mark.parametrize(
+    "text",
+    [
+        "a | b | 1",
+        "t.py::a | | 1",
+        "t.py::a | b | soon",
+        "\n".join(f"t.py::a{at} | b | 1" for at in range(4)),
+    ],
+)
 def test_what_is_no_list_of_known_faults(text):
     with pytest.raises(Wrong):
         known_red(text)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -5,11 +5,18 @@
 import sys
 
 ROOT = pathlib.Path(__file__).parent.parent
-LINTER = [sys.executable, "-c", "from importlinter.cli import lint_imports_command as run; run()", "--no-cache"]
+LINTER = [
+    sys.executable,
+    "-c",
+    "from importlinter.cli import lint_imports_command as run; run()",
+    "--no-cache",
+]
 
 
 def linted(config):
-    return subprocess.run([*LINTER, "--config", str(config)], cwd=ROOT, capture_output=True, text=True, timeout=120)
+    return subprocess.run(
+        [*LINTER, "--config", str(config)], cwd=ROOT, capture_output=True, text=True, timeout=120
+    )
 
 
 def test_no_import_runs_up():
@@ -18,9 +25,14 @@
 
 
 def test_an_import_that_runs_up_is_found(tmp_path):
-    turned = (ROOT / "pyproject.toml").read_text().replace(
+    turned = (
+        (ROOT / "pyproject.toml")
+        .read_text()
+        .replace(
             '"rules",\n    "rendezvous",\n    "interface : clock"',
-            '"interface : clock",\n    "rules",\n    "rendezvous"')
+            '"interface : clock",\n    "rules",\n    "rendezvous"',
+        )
+    )
     (tmp_path / "pyproject.toml").write_text(turned)
     done = linted(tmp_path / "pyproject.toml")
     assert done.returncode == 1 and "sprucegate.rules -> sprucegate.interface" in done.stdout
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -23,8 +23,12 @@
 
 
 def server(name, state=UP, weight=1.0, started=0, address="", location=0, held=False):
-    return Server(Listed(number_of(name), location, 0, 0, state, weight, started), name,
-                  address or f"127.0.0.1:{4000 + number_of(name) % 1000}", held)
+    return Server(
+        Listed(number_of(name), location, 0, 0, state, weight, started),
+        name,
+        address or f"127.0.0.1:{4000 + number_of(name) % 1000}",
+        held,
+    )
 
 
 def view(**more):
@@ -43,7 +47,10 @@
 
 def test_the_bus_alone_tells_what_it_tells():
     made = View(("file", "bus"))
-    assert said(made.told("bus", [server("s-1"), server("s-2", DRAIN)], True, NOW)) == [("s-2", DRAIN), ("s-1", UP)]
+    assert said(made.told("bus", [server("s-1"), server("s-2", DRAIN)], True, NOW)) == [
+        ("s-2", DRAIN),
+        ("s-1", UP),
+    ]
     assert made.told("bus", [server("s-1")], False, NOW) is None and made.generation == 1
     assert said(made.told("bus", [server("s-1", GONE)], False, NOW)) == [("s-1", GONE)]
     assert said(made.told("bus", [server("s-3")], True, NOW)) == [("s-2", GONE), ("s-3", UP)]
@@ -67,7 +74,7 @@
     made.told("bus", [server("s-1", DRAIN)], False, NOW)
     assert said(made.told("file", [server("s-1", started=NOW)], True, NOW)) == [("s-1", UP)]
     made.told("bus", [server("s-2", DRAIN, address="127.0.0.1:9")], False, NOW)
-    made.told("file", [server("s-9", address="127.0.0.1:9")], True, NOW)     # a new id at its address
+    made.told("file", [server("s-9", address="127.0.0.1:9")], True, NOW)  # a new id at its address
     assert standing(made, "s-9") is Standing.SERVING and standing(made, "s-2") is Standing.DRAINING
 
 
@@ -79,12 +86,14 @@
     made.told("bus", [server("s-1", weight=7.0)], False, NOW)
     assert made.rows[number_of("s-1")].server.entry.weight == 3.0
     change = made.told("file", [server("s-2")], True, NOW)
-    assert [(s.name, s.entry.weight) for s in change.servers] == [("s-1", 7.0)]      # the bus still has it
+    assert [(s.name, s.entry.weight) for s in change.servers] == [("s-1", 7.0)]  # the bus still has it
 
 
 def test_a_held_server_is_known_and_not_told_and_why_and_since_are_kept():
     made = view()
-    assert said(made.told("file", [server("s-5", held=True), server("s-2", held=True)], True, NOW)) == [("s-2", GONE)]
+    assert said(made.told("file", [server("s-5", held=True), server("s-2", held=True)], True, NOW)) == [
+        ("s-2", GONE)
+    ]
     assert standing(made, "s-5") is Standing.HELD
     assert said(made.told("file", [server("s-5")], True, NOW + S)) == [("s-2", UP), ("s-5", UP)]
     made.told("file", [server("s-5", weight=2.0)], True, NOW + 2 * S)
@@ -94,7 +103,10 @@
 def test_a_server_that_comes_back_gets_its_weight_in_steps_and_a_first_one_at_once():
     made = view(ramp=10 * S)
     made.told("file", [server("s-1", weight=2.0), server("s-2", DRAIN)], True, NOW)
-    assert made.told("file", [server("s-1", weight=2.0), server("s-2")], True, NOW).servers[0].entry.weight == 0.1
+    assert (
+        made.told("file", [server("s-1", weight=2.0), server("s-2")], True, NOW).servers[0].entry.weight
+        == 0.1
+    )
     assert made.next_due() == NOW + S
     weights = []
     for step in range(1, 12):
@@ -111,9 +123,20 @@
     assert standing(again, "s-1") is Standing.DRAINING and again.generation > made.generation
 
 
-EVENTS = st.lists(st.tuples(st.sampled_from(["file", "bus"]), st.booleans(), st.lists(
-    st.tuples(st.sampled_from(["s-1", "s-2", "s-3"]), st.sampled_from([UP, DRAIN, GONE]), st.integers(0, 1)),
-    max_size=3, unique_by=lambda one: one[0])), max_size=12)
+EVENTS = st.lists(
+    st.tuples(
+        st.sampled_from(["file", "bus"]),
+        st.booleans(),
+        st.lists(
+            st.tuples(
+                st.sampled_from(["s-1", "s-2", "s-3"]), st.sampled_from([UP, DRAIN, GONE]), st.integers(0, 1)
+            ),
+            max_size=3,
+            unique_by=lambda one: one[0],
+        ),
+    ),
+    max_size=12,
+)
 
 
 @profile(max_examples=400, deadline=None, derandomize=True)
@@ -121,7 +144,9 @@
 def test_what_is_told_is_the_view_and_no_drain_is_lifted_by_another(events):
     made, known, drains = View(("file", "bus")), {}, {}
     for at, (source, whole, listed) in enumerate(events):
-        change = made.told(source, [server(n, state, started=start) for n, state, start in listed], whole, NOW + at)
+        change = made.told(
+            source, [server(n, state, started=start) for n, state, start in listed], whole, NOW + at
+        )
         for name, state, start in listed:
             kept = {d for d in drains.get(name, set()) if state is GONE or start <= d[1]}
             if state is DRAIN and source not in {d[0] for d in kept}:
@@ -132,8 +157,9 @@
                 del known[one.name]
             else:
                 known[one.name] = one.entry.state
-        assert known == {row.server.name: DRAIN if row.standing is Standing.DRAINING else UP
-                         for row in made.rows.values()}
+        assert known == {
+            row.server.name: DRAIN if row.standing is Standing.DRAINING else UP for row in made.rows.values()
+        }
         for name, state in known.items():
             assert (state is DRAIN) is bool(drains[name])
 
@@ -154,15 +180,21 @@
 
 
 def test_a_smaller_loss_is_held_too_where_another_front_holds_the_same_list():
-    gate, current = Gate(0.5, 60 * S), {s.entry.id: s for s in [server(f"s-{n}", location=0) for n in range(8)]}
+    gate, current = (
+        Gate(0.5, 60 * S),
+        {s.entry.id: s for s in [server(f"s-{n}", location=0) for n in range(8)]},
+    )
     fewer = list(current.values())[:6]
     assert gate.offered(current, fewer, NOW, held=True).held.share == 0.25
     assert gate.offered(current, fewer, NOW).whole
-    assert gate.offered(current, list(current.values()), NOW, held=True).whole    # nothing is taken away here
+    assert gate.offered(current, list(current.values()), NOW, held=True).whole  # nothing is taken away here
 
 
-GOOD = render([server("s-1"), server("s-2", DRAIN, 2.5, 5_000_000, location=1), server("s-3", held=True)],
-              LOCATIONS, KINDS)
+GOOD = render(
+    [server("s-1"), server("s-2", DRAIN, 2.5, 5_000_000, location=1), server("s-3", held=True)],
+    LOCATIONS,
+    KINDS,
+)
 
 
 def test_a_list_is_read_back_as_it_was_written():
@@ -176,17 +208,28 @@
         parse([("f", GOOD[:cut])], LOCATIONS, KINDS)
 
 
-@pytest.mark.parametrize("old, new, line, key", [
-    ('"s-2"', '"s-1"', 3, "server"), ('address="127.0.0.1:4002"', 'address="127.0.0.1:4001"', 3, "address"),
-    ('location="west"', 'location="north"', 3, "location"), ('kind="std" cell=0 weight=2.5', 'kind="x"', 3, "kind"),
-    ("weight=2.5", "weight=-1", 3, "weight"), ("weight=2.5", 'weight="2"', 3, "weight"),
-    ("weight=2.5", "weight=#nan", 3, "weight"), ("weight=2.5", "weight=#inf", 3, "weight"),
-    ("weight=2.5", "wait=1", 3, ""), ("weight=2.5", "weight=(kg)1", 3, "weight"),
-    ("started=5", "cold=#true", 3, "started"),
-    ('state="draining"', 'state="drain"', 3, "state"), ("started=5", "started=-5", 3, "started"),
-    ('"127.0.0.1:4002"', '"127.0.0.1"', 3, "address"), ('"127.0.0.1:4002"', '"127.0.0.1:99999"', 3, "address"),
-    ('    server "s-2"', '    box "s-2"', 3, "box"), ('    server "s-2"', '    server "x" "s-2"', 3, "server"),
-])
+@pytest.mark.parametrize(
+    "old, new, line, key",
+    [
+        ('"s-2"', '"s-1"', 3, "server"),
+        ('address="127.0.0.1:4002"', 'address="127.0.0.1:4001"', 3, "address"),
+        ('location="west"', 'location="north"', 3, "location"),
+        ('kind="std" cell=0 weight=2.5', 'kind="x"', 3, "kind"),
+        ("weight=2.5", "weight=-1", 3, "weight"),
+        ("weight=2.5", 'weight="2"', 3, "weight"),
+        ("weight=2.5", "weight=#nan", 3, "weight"),
+        ("weight=2.5", "weight=#inf", 3, "weight"),
+        ("weight=2.5", "wait=1", 3, ""),
+        ("weight=2.5", "weight=(kg)1", 3, "weight"),
+        ("started=5", "cold=#true", 3, "started"),
+        ('state="draining"', 'state="drain"', 3, "state"),
+        ("started=5", "started=-5", 3, "started"),
+        ('"127.0.0.1:4002"', '"127.0.0.1"', 3, "address"),
+        ('"127.0.0.1:4002"', '"127.0.0.1:99999"', 3, "address"),
+        ('    server "s-2"', '    box "s-2"', 3, "box"),
+        ('    server "s-2"', '    server "x" "s-2"', 3, "server"),
+    ],
+)
 def test_a_faulty_entry_is_told_with_line_and_key(old, new, line, key):
     assert old in GOOD
     with pytest.raises(Faulty) as caught:
@@ -194,8 +237,16 @@
     assert (caught.value.file, caught.value.line, caught.value.key) == ("f.kdl", line, key)
 
 
-@pytest.mark.parametrize("text", ["", "servers {\n}\n", "servers { }\nservers { }\n", "box\n",
-                                  GOOD.replace("weight=1.0", "weight=0").replace("weight=2.5", "weight=0")])
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        "servers {\n}\n",
+        "servers { }\nservers { }\n",
+        "box\n",
+        GOOD.replace("weight=1.0", "weight=0").replace("weight=2.5", "weight=0"),
+    ],
+)
 def test_no_servers_or_no_weight_is_a_mistake(text):
     with pytest.raises(Faulty):
         parse([("f", text)], LOCATIONS, KINDS)
@@ -216,7 +267,7 @@
     with pytest.raises(Unsettled):
         read(str(path))
     (tmp_path / "list.kdl.sha256").write_text(first.digest + "  list.kdl\n")
-    assert read(str(path), settle=60) == first               # no waiting where the digest says it
+    assert read(str(path), settle=60) == first  # no waiting where the digest says it
     (tmp_path / "list.kdl.sha256").unlink()
     monkeypatch.setattr(reading.time, "sleep", lambda _: path.write_text(GOOD + "\n"))
     with pytest.raises(Unsettled):
@@ -233,7 +284,9 @@
     monkeypatch.setattr(reading, "SIZE_MOST", 1)
     with pytest.raises(Faulty, match="larger"):
         read(str(path))
-    monkeypatch.setattr(reading, "open", lambda *_: (_ for _ in ()).throw(PermissionError(13, "denied")), raising=False)
+    monkeypatch.setattr(
+        reading, "open", lambda *_: (_ for _ in ()).throw(PermissionError(13, "denied")), raising=False
+    )
     with pytest.raises(Faulty, match="denied"):
         read(str(path))
 
@@ -242,8 +295,12 @@
     path.mkdir()
     for name, text in parts.items():
         (path / name).write_text(text)
-    (path / "manifest.kdl").write_text("".join(
-        f'part "{name}" sha256="{hashlib.sha256(text.encode()).hexdigest()}"\n' for name, text in parts.items()))
+    (path / "manifest.kdl").write_text(
+        "".join(
+            f'part "{name}" sha256="{hashlib.sha256(text.encode()).hexdigest()}"\n'
+            for name, text in parts.items()
+        )
+    )
 
 
 def test_a_folder_of_parts_is_one_generation_by_its_manifest(tmp_path):
--- a/tests/test_membership_front.py
+++ b/tests/test_membership_front.py
@@ -19,12 +19,17 @@
         self.path, self.list = path, path / "list.kdl"
         self.boxes = {name: cache(served) for name in ("s-0b", "s-0c", "s-0d")}
         self.root = cache(served)
-        self.kdl = (f'membership {{\n    file "{self.list}"\n    state "{path / "state"}"\n    ramp (s)0\n'
-                    "    most-removed 0.4\n    hold (s)600\n}\n")
+        self.kdl = (
+            f'membership {{\n    file "{self.list}"\n    state "{path / "state"}"\n    ramp (s)0\n'
+            "    most-removed 0.4\n    hold (s)600\n}\n"
+        )
 
     def text(self, *names, **states):
-        rows = [f'    server "{n}" address="{self.boxes[n].address}" location="here" kind="std" '
-                f'state="{states.get(n.replace("-", "_"), "serving")}"' for n in names or self.boxes]
+        rows = [
+            f'    server "{n}" address="{self.boxes[n].address}" location="here" kind="std" '
+            f'state="{states.get(n.replace("-", "_"), "serving")}"'
+            for n in names or self.boxes
+        ]
         rows.append(f'    server "s-1f" address="{self.root.address}" location="here" kind="origin"')
         return "\n".join(["servers {", *rows, "}", ""])
 
@@ -89,8 +94,20 @@
         assert (held["location"], held["share"]) == ("here", 0.5)
         burst(front, 300)
         assert made.heard() == {"s-0c", "s-0d"}
-        done = subprocess.run([sys.executable, "-m", "sprucegate", "servers", "confirm", str(held["number"]),
-                               "--file", str(made.path / "sprucegate.kdl")], capture_output=True, timeout=30)
+        done = subprocess.run(
+            [
+                sys.executable,
+                "-m",
+                "sprucegate",
+                "servers",
+                "confirm",
+                str(held["number"]),
+                "--file",
+                str(made.path / "sprucegate.kdl"),
+            ],
+            capture_output=True,
+            timeout=30,
+        )
         assert done.returncode == 0
         front.until("servers_taken")
         burst(front, 400)
@@ -101,10 +118,14 @@
     made.write(made.text())
     known = [host(n, made.boxes[n].address, "std") for n in made.boxes]
     with made.front(*known) as front:
-        front.tells.put({"offset": 2, "topology": {"seq": 2, "whole": False, "hosts": [
-            {**known[0], "health": "draining"}]}})
+        front.tells.put(
+            {
+                "offset": 2,
+                "topology": {"seq": 2, "whole": False, "hosts": [{**known[0], "health": "draining"}]},
+            }
+        )
         front.until("told")
-        made.write(made.text() + "\n")                       # listed as serving, once more
+        made.write(made.text() + "\n")  # listed as serving, once more
         made.write(made.text(s_0c="draining"))
         front.until("servers_taken")
         front.tells.put({"offset": 3, "topology": {"seq": 3, "whole": False, "hosts": [known[1]]}})
@@ -120,7 +141,7 @@
         made.write(made.text(s_0b="draining"))
         front.until("servers_taken")
         made.heard()
-        burst(front, 0, 30)                  # the same objects: s-0b is believed to hold a third of them
+        burst(front, 0, 30)  # the same objects: s-0b is believed to hold a third of them
         for box in made.boxes.values():
             while not box.heard.empty():
                 assert box.heard.get()[2].get("src") != "s-0b"
@@ -134,10 +155,10 @@
             front.until("second")
         front.process.kill()
     made.list.unlink()
-    with made.front() as front:                              # the file is absent
+    with made.front() as front:  # the file is absent
         burst(front, 100)
         assert made.heard() <= {"s-0c", "s-0d"}
-        made.write(made.text("s-0b", "s-0c", s_0b="serving"))        # then present: its own drain is lifted
+        made.write(made.text("s-0b", "s-0c", s_0b="serving"))  # then present: its own drain is lifted
         front.until("servers_taken")
         burst(front, 200)
         assert made.heard() == {"s-0b", "s-0c"}
@@ -145,7 +166,7 @@
     newest.write_bytes(newest.read_bytes()[:-3])
     made.write("torn {")
     with made.front() as front:
-        assert front.ask(get_text())[0] in (200, 503)        # it starts, with what is left
+        assert front.ask(get_text())[0] in (200, 503)  # it starts, with what is left
 
 
 def test_the_same_content_again_is_no_new_generation_and_mtime_may_go_backwards(made):
@@ -167,7 +188,7 @@
         text = made.text(s_0b="draining")
         with open(made.list, "w") as file:
             for at in range(0, len(text), 40):
-                file.write(text[at:at + 40])
+                file.write(text[at : at + 40])
                 file.flush()
                 time.sleep(0.002)
         assert front.until("servers_taken")["changed"] == 1
@@ -194,7 +215,9 @@
         at = made.path / name
         at.mkdir()
         (at / "a.kdl").write_text(text)
-        (at / "manifest.kdl").write_text(f'part "a.kdl" sha256="{hashlib.sha256(text.encode()).hexdigest()}"\n')
+        (at / "manifest.kdl").write_text(
+            f'part "a.kdl" sha256="{hashlib.sha256(text.encode()).hexdigest()}"\n'
+        )
         return at
 
     folder("list.kdl", made.text())
@@ -221,8 +244,12 @@
     made.write(made.text())
     front = made.front()
     front.process.kill()
-    front.configure(settings={**REAL["settings"], "categories": [
-        {**REAL["settings"]["categories"][0], "deadline": 60_000_000}]})
+    front.configure(
+        settings={
+            **REAL["settings"],
+            "categories": [{**REAL["settings"]["categories"][0], "deadline": 60_000_000}],
+        }
+    )
     front.restart()
     with front:
         socks = [front.connect() for _ in range(200)]
@@ -237,18 +264,28 @@
 
 
 def command(*given):
-    return subprocess.run([sys.executable, "-m", "sprucegate", "servers", *given], capture_output=True, text=True,
-                          timeout=30, env={**os.environ, "BALANCER_CONFIG": ""})
+    return subprocess.run(
+        [sys.executable, "-m", "sprucegate", "servers", *given],
+        capture_output=True,
+        text=True,
+        timeout=30,
+        env={**os.environ, "BALANCER_CONFIG": ""},
+    )
 
 
 def test_the_command_line_checks_compares_and_shows(made):
     one, two = made.path / "one.kdl", made.path / "two.kdl"
     one.write_text(made.text())
-    two.write_text(made.text("s-0b", "s-0c", s_0c="draining").replace('kind="std"', 'kind="std" weight=2.0', 1))
+    two.write_text(
+        made.text("s-0b", "s-0c", s_0c="draining").replace('kind="std"', 'kind="std" weight=2.0', 1)
+    )
     assert "4 servers: 4 serving" in command("check", str(one)).stdout
     said = json.loads(command("diff", "--json", str(one), str(two)).stdout)
     assert [tuple(c) for c in said["changes"]] == [
-        ("s-0b", "weight", "1.0 to 2.0"), ("s-0c", "state", "serving to draining"), ("s-0d", "removed", "")]
+        ("s-0b", "weight", "1.0 to 2.0"),
+        ("s-0c", "state", "serving to draining"),
+        ("s-0d", "removed", ""),
+    ]
     assert set(said["moved_to"]) == {"s-0b"} and 0.6 < said["moved_share"] < 0.75
     assert "s-0d" in command("diff", str(one), str(two)).stdout
     two.write_text(made.text()[:-20])
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -38,41 +38,45 @@
     made = file.parse(GOOD, "f")
     limits = made.servers.http2
     assert (limits.connections, limits.wait, limits.held, limits.age_spread) == (2, 250 * MS, 2 << 20, 0.5)
-    assert limits.idle == 14 * S             # what is not set has its default
+    assert limits.idle == 14 * S  # what is not set has its default
     servers = made.servers.resolved({"std": 0, "parent": 1})
     assert servers.transport("s-01", "127.0.0.1:1", 0) == "http2"
-    assert servers.transport("s-0b", "127.0.0.1:4101", 0) == "lines"         # a name before an address
-    assert servers.transport("s-01", "127.0.0.1:4101", 1) == "http2"         # an address before a kind
+    assert servers.transport("s-0b", "127.0.0.1:4101", 0) == "lines"  # a name before an address
+    assert servers.transport("s-01", "127.0.0.1:4101", 1) == "http2"  # an address before a kind
     assert servers.transport("s-01", "127.0.0.1:1", 1) == "lines"
     with pytest.raises(KeyError):
         made.servers.resolved({"parent": 0})
 
 
-@pytest.mark.parametrize("old, new, line, key", [
-    ("wait (ms)250", "wait 250", 9, "servers.http2.wait"),
-    ("wait (ms)250", "wait (KB)250", 9, "servers.http2.wait"),
-    ("wait (ms)250", "wait (ms)\"x\"", 9, "servers.http2.wait"),
-    ("wait (ms)250", "wait (h)20", 9, "servers.http2.wait"),
-    ("wait (ms)250", "wait (ms)1 2", 9, "servers.http2.wait"),
-    ("wait (ms)250", "wait (ms)250; wait (ms)1", 9, "servers.http2.wait"),
-    ("wait (ms)250", "wate (ms)250", 9, "servers.http2.wate"),
-    ("connections 2", "connections (ms)2", 8, "servers.http2.connections"),
-    ("connections 2", "connections 0", 8, "servers.http2.connections"),
-    ("connections 2", "connections 2.5", 8, "servers.http2.connections"),
-    ("connections 2", "connections #true", 8, "servers.http2.connections"),
-    ("connections 2", "connections {\n}", 8, "servers.http2.connections"),
-    ("connections 2", "reconnect-first (s)9", 8, "servers.http2.reconnect-first"),
-    ("age-spread 0.5", "age-spread #nan", 11, "servers.http2.age-spread"),
-    ("lines name=", "lines nane=", 5, "servers.speak[1].nane"),
-    ("lines name=\"s-0b\"", "lines name=5", 5, "servers.speak[1].name"),
-    ("lines name=\"s-0b\"", "lines kind=\"std\"", 5, "servers.speak"),
-    ("lines name=", "lines kind=\"x\" name=", 5, "servers.speak"),
-    ("speak lines name", "speak http3 name", 5, "servers.speak[1].transport"),
-    ("127.0.0.1:4101", "127.0.0.1", 5, "servers.speak"),
-    ("servers {", "server {", 2, "server"),
-    ("http2 {\n", "http2 4 {\n", 7, "servers.http2"),
-    ("    }\n}\n", "    }\n", 13, ""), ("// and so on", "\"", 3, ""),
-])
+@pytest.mark.parametrize(
+    "old, new, line, key",
+    [
+        ("wait (ms)250", "wait 250", 9, "servers.http2.wait"),
+        ("wait (ms)250", "wait (KB)250", 9, "servers.http2.wait"),
+        ("wait (ms)250", 'wait (ms)"x"', 9, "servers.http2.wait"),
+        ("wait (ms)250", "wait (h)20", 9, "servers.http2.wait"),
+        ("wait (ms)250", "wait (ms)1 2", 9, "servers.http2.wait"),
+        ("wait (ms)250", "wait (ms)250; wait (ms)1", 9, "servers.http2.wait"),
+        ("wait (ms)250", "wate (ms)250", 9, "servers.http2.wate"),
+        ("connections 2", "connections (ms)2", 8, "servers.http2.connections"),
+        ("connections 2", "connections 0", 8, "servers.http2.connections"),
+        ("connections 2", "connections 2.5", 8, "servers.http2.connections"),
+        ("connections 2", "connections #true", 8, "servers.http2.connections"),
+        ("connections 2", "connections {\n}", 8, "servers.http2.connections"),
+        ("connections 2", "reconnect-first (s)9", 8, "servers.http2.reconnect-first"),
+        ("age-spread 0.5", "age-spread #nan", 11, "servers.http2.age-spread"),
+        ("lines name=", "lines nane=", 5, "servers.speak[1].nane"),
+        ('lines name="s-0b"', "lines name=5", 5, "servers.speak[1].name"),
+        ('lines name="s-0b"', 'lines kind="std"', 5, "servers.speak"),
+        ("lines name=", 'lines kind="x" name=', 5, "servers.speak"),
+        ("speak lines name", "speak http3 name", 5, "servers.speak[1].transport"),
+        ("127.0.0.1:4101", "127.0.0.1", 5, "servers.speak"),
+        ("servers {", "server {", 2, "server"),
+        ("http2 {\n", "http2 4 {\n", 7, "servers.http2"),
+        ("    }\n}\n", "    }\n", 13, ""),
+        ("// and so on", '"', 3, ""),
+    ],
+)
 def test_a_fault_is_one_message_with_file_line_and_key(old, new, line, key):
     assert old in GOOD
     with pytest.raises(file.Faulty) as caught:
@@ -82,8 +86,26 @@
     assert str(said).startswith(f"f.kdl:{line}: ") and "\n" not in str(said)
 
 
-WORDS = st.sampled_from(["a", "speak x=1", 'b "str{ing"', "c {", "}", "\n", ";", "// z\n", "/* { */", "/- d",
-                         'e #"raw " {"#', "\\\n", "f (ms)5", 'g """\n x {\n """', "/-{ h\n}", "i 1 2"])
+WORDS = st.sampled_from(
+    [
+        "a",
+        "speak x=1",
+        'b "str{ing"',
+        "c {",
+        "}",
+        "\n",
+        ";",
+        "// z\n",
+        "/* { */",
+        "/- d",
+        'e #"raw " {"#',
+        "\\\n",
+        "f (ms)5",
+        'g """\n x {\n """',
+        "/-{ h\n}",
+        "i 1 2",
+    ]
+)
 
 
 @profile(max_examples=300, deadline=None, derandomize=True)
@@ -106,8 +128,13 @@
 
 
 def command(*given, **environ):
-    return subprocess.run([sys.executable, "-m", "sprucegate", *given], capture_output=True, text=True, timeout=30,
-                          env={**os.environ, **environ})
+    return subprocess.run(
+        [sys.executable, "-m", "sprucegate", *given],
+        capture_output=True,
+        text=True,
+        timeout=30,
+        env={**os.environ, **environ},
+    )
 
 
 def test_check_says_good_or_what_is_wrong_without_starting(tmp_path):
@@ -116,10 +143,14 @@
     done = command("check", str(path))
     assert done.returncode == 0 and "good" in done.stdout
     assert json.loads(command("check", "--json", str(path)).stdout)["speak"][0] == {
-        "transport": "http2", "kind": "std"}
+        "transport": "http2",
+        "kind": "std",
+    }
     path.write_text(GOOD.replace("connections 2", "connections 0"))
     done = command("check", str(path))
-    assert done.returncode == 2 and done.stderr.startswith(f"sprucegate: {path}:8: servers.http2.connections: ")
+    assert done.returncode == 2 and done.stderr.startswith(
+        f"sprucegate: {path}:8: servers.http2.connections: "
+    )
     said = json.loads(command("check", "--json", str(path)).stdout)
     assert (said["ok"], said["line"], said["key"]) == (False, 8, "servers.http2.connections")
     done = command("check", str(tmp_path / "none"))
@@ -143,7 +174,9 @@
     box = cache(served)
     with Front(tmp_path, host("s-0b", box.address, "std")) as front:
         assert front.ask(get_text())[0] == 200
-    loaded = {line.rpartition("|")[2].strip().partition(".")[0] for line in capfd.readouterr().err.splitlines()}
+    loaded = {
+        line.rpartition("|")[2].strip().partition(".")[0] for line in capfd.readouterr().err.splitlines()
+    }
     assert "uvloop" in loaded and "sprucegate" in loaded
     assert not loaded & {"h2", "hpack", "hyperframe", "http_sfv", "ckdl", "msgspec", "click", "structlog"}
 
@@ -188,19 +221,28 @@
     assert file.parse("", "f").fleet is None
 
 
-@pytest.mark.parametrize("old, new, line, key", [
-    ("127.0.0.1:7100", "nowhere", 3, "fleet.listen"), ("127.0.0.1:7102", "127.0.0.1:0", 4, "fleet.join"),
-    ("    name \"east\"\n", "", 1, "fleet"), ("name \"east\"", "name \"\"", 2, "fleet.name"),
-    ("catch-up (MiB)1", "catch-up 1", 5, "fleet.catch-up"), ("catch-up (MiB)1", "catch-up (B)9", 5, "fleet.catch-up"),
-    ("catch-up (MiB)1", "advertise \"x\"", 5, "fleet.advertise"), ("catch-up", "catchup", 5, "fleet.catchup"),
-])
+@pytest.mark.parametrize(
+    "old, new, line, key",
+    [
+        ("127.0.0.1:7100", "nowhere", 3, "fleet.listen"),
+        ("127.0.0.1:7102", "127.0.0.1:0", 4, "fleet.join"),
+        ('    name "east"\n', "", 1, "fleet"),
+        ('name "east"', 'name ""', 2, "fleet.name"),
+        ("catch-up (MiB)1", "catch-up 1", 5, "fleet.catch-up"),
+        ("catch-up (MiB)1", "catch-up (B)9", 5, "fleet.catch-up"),
+        ("catch-up (MiB)1", 'advertise "x"', 5, "fleet.advertise"),
+        ("catch-up", "catchup", 5, "fleet.catchup"),
+    ],
+)
 def test_a_fault_in_a_fleet_is_told_with_its_line_and_key(old, new, line, key):
     with pytest.raises(file.Faulty) as fault:
         file.parse(FLEET.replace(old, new), "f")
     assert (fault.value.line, fault.value.key) == (line, key)
 
 
-AGREED = FLEET + """agreement {
+AGREED = (
+    FLEET
+    + """agreement {
     keepers "k0=127.0.0.1:7200" "k1=127.0.0.1:7201" "k2=127.0.0.1:7202"
 }
 rollout {
@@ -208,25 +250,37 @@
     spare 0.25
 }
 """
+)
 
 
 def test_keepers_and_budgets_are_read():
     made = file.parse(AGREED, "f")
     assert made.agreement.addresses["k1"] == "127.0.0.1:7201" and made.agreement.state == "keeper"
-    assert made.rollout.limits(0.1) == [[["fleet", "", "cache", 3, 500], ["kind", "parent", "", 1, 250]], [100, 250]]
-
-
-@pytest.mark.parametrize("old, new, key, text", [
-    ('"k2=127.0.0.1:7202"', "", "agreement.keepers", "odd"), ("k2=", "k1=", "agreement.keepers", "twice"),
-    ("k2=127.0.0.1:7202", "k2", "agreement.keepers", "HOST:PORT"), ("k2=", "k^2=", "agreement.keepers", "HOST:PORT"),
-    ("fleet cache 3 0.5", "fleet cache 3", "rollout.budgets", "COUNT"),
-    ("fleet cache 3 0.5", "house cache 3 0.5", "rollout.budgets", "scope"),
-    ("fleet cache 3 0.5", "fleet parent 3 0.5", "rollout.budgets", "role"),
-    ("fleet cache 3 0.5", "fleet cache 0 0.5", "rollout.budgets", "count"),
-    ("fleet cache 3 0.5", "fleet cache x 0.5", "rollout.budgets", "x"),
-    ("spare 0.25", "spare 2", "rollout.spare", ""), ("rollout {", "rolling {", "rolling", "not known"),
-    (AGREED[len(FLEET):AGREED.index("rollout")], "", "rollout", "agreement"),
-    (AGREED[AGREED.index("rollout"):], "", "agreement", "rollout"), (FLEET, "", "agreement", "fleet")])
+    assert made.rollout.limits(0.1) == [
+        [["fleet", "", "cache", 3, 500], ["kind", "parent", "", 1, 250]],
+        [100, 250],
+    ]
+
+
+@pytest.mark.parametrize(
+    "old, new, key, text",
+    [
+        ('"k2=127.0.0.1:7202"', "", "agreement.keepers", "odd"),
+        ("k2=", "k1=", "agreement.keepers", "twice"),
+        ("k2=127.0.0.1:7202", "k2", "agreement.keepers", "HOST:PORT"),
+        ("k2=", "k^2=", "agreement.keepers", "HOST:PORT"),
+        ("fleet cache 3 0.5", "fleet cache 3", "rollout.budgets", "COUNT"),
+        ("fleet cache 3 0.5", "house cache 3 0.5", "rollout.budgets", "scope"),
+        ("fleet cache 3 0.5", "fleet parent 3 0.5", "rollout.budgets", "role"),
+        ("fleet cache 3 0.5", "fleet cache 0 0.5", "rollout.budgets", "count"),
+        ("fleet cache 3 0.5", "fleet cache x 0.5", "rollout.budgets", "x"),
+        ("spare 0.25", "spare 2", "rollout.spare", ""),
+        ("rollout {", "rolling {", "rolling", "not known"),
+        (AGREED[len(FLEET) : AGREED.index("rollout")], "", "rollout", "agreement"),
+        (AGREED[AGREED.index("rollout") :], "", "agreement", "rollout"),
+        (FLEET, "", "agreement", "fleet"),
+    ],
+)
 def test_a_fault_in_keepers_or_budgets_is_told_with_its_key(old, new, key, text):
     assert old in AGREED
     with pytest.raises(file.Faulty) as caught:
--- a/tests/test_rendezvous.py
+++ b/tests/test_rendezvous.py
@@ -11,8 +11,10 @@
 
 def group(count, weights, seed=1):
     chance = random.Random(seed)
-    return [SimpleNamespace(id=at, label=label_of(at), lane=lane_of(label_of(at)), weight=weights(chance))
-            for at in chance.sample(range(1 << 60), count)]
+    return [
+        SimpleNamespace(id=at, label=label_of(at), lane=lane_of(label_of(at)), weight=weights(chance))
+        for at in chance.sample(range(1 << 60), count)
+    ]
 
 
 def rendezvous(nodes):
@@ -28,9 +30,11 @@
 
 
 @pytest.mark.parametrize("count", [1, 2, 31, 33, 200, 3200])
-@pytest.mark.parametrize("weights", [
-    lambda chance: 1.0, lambda chance: chance.choice([1, 2, 8]), lambda chance: chance.uniform(0.01, 100)],
-    ids=["alike", "three", "any"])
+@pytest.mark.parametrize(
+    "weights",
+    [lambda chance: 1.0, lambda chance: chance.choice([1, 2, 8]), lambda chance: chance.uniform(0.01, 100)],
+    ids=["alike", "three", "any"],
+)
 @pytest.mark.parametrize("most", [1, 8, 64])
 def test_the_first_ones_are_those_of_all_of_them_sorted(count, weights, most):
     nodes = group(count, weights)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -33,15 +33,18 @@
     return get
 
 
-@pytest.mark.parametrize("older, newer, life", [
-    (9, 9, CAP),                                               # equal
-    (3, 9, CAP),                                               # rising
-    (4, 3, CAP),                                               # falls within the noise of counting
-    (20, 8, int((8 - KEEP_COUNT) * SPAN / 12 - TRIP)),         # the line
-    (9, 0, 0),                                                 # already under the threshold
-    (90, 60, int((60 - KEEP_COUNT) * SPAN / 30 - TRIP)),
-    (90, 76, CAP),                                             # the cap bounds the line
-])
+@pytest.mark.parametrize(
+    "older, newer, life",
+    [
+        (9, 9, CAP),  # equal
+        (3, 9, CAP),  # rising
+        (4, 3, CAP),  # falls within the noise of counting
+        (20, 8, int((8 - KEEP_COUNT) * SPAN / 12 - TRIP)),  # the line
+        (9, 0, 0),  # already under the threshold
+        (90, 60, int((60 - KEEP_COUNT) * SPAN / 30 - TRIP)),
+        (90, 76, CAP),  # the cap bounds the line
+    ],
+)
 def test_life_of_a_belief(older, newer, life):
     memory = Memory(0)
     memory.counts = [0, newer, older]
@@ -73,14 +76,17 @@
     return {made.nodes[at].id for at in memory.holders}
 
 
-@pytest.mark.parametrize("outcome, found, source, before, after", [
-    (Outcome.RETURNED, Found.HIT, 21, (), {11}),
-    (Outcome.RETURNED, Found.FILLED, 21, (), {11}),
-    (Outcome.RETURNED, Found.FILLED, 12, (12,), {11, 12}),
-    (Outcome.MISS, Found.SOURCE_LACKS, 12, (12, 13), {13}),
-    (Outcome.ERROR, Found.SOURCE_BROKEN, 21, (11,), set()),
-    (Outcome.TIMED_OUT, Found.UNTOLD, 21, (11,), {11}),
-])
+@pytest.mark.parametrize(
+    "outcome, found, source, before, after",
+    [
+        (Outcome.RETURNED, Found.HIT, 21, (), {11}),
+        (Outcome.RETURNED, Found.FILLED, 21, (), {11}),
+        (Outcome.RETURNED, Found.FILLED, 12, (12,), {11, 12}),
+        (Outcome.MISS, Found.SOURCE_LACKS, 12, (12, 13), {13}),
+        (Outcome.ERROR, Found.SOURCE_BROKEN, 21, (11,), set()),
+        (Outcome.TIMED_OUT, Found.UNTOLD, 21, (11,), {11}),
+    ],
+)
 def test_beliefs_begin_and_end(outcome, found, source, before, after):
     assert finish(outcome, found, source, before) == after
 
@@ -105,8 +111,10 @@
     assert made.sibling(get_with(made, asked()), memory, node(made, 11), NOW) == (node(made, 12), recheck)
 
 
-@pytest.mark.parametrize("allowed, mine, used", [
-    ("location", True, True), ("location", False, False), ("any", False, True), ("none", True, False)])
+@pytest.mark.parametrize(
+    "allowed, mine, used",
+    [("location", True, True), ("location", False, False), ("any", False, True), ("none", True, False)],
+)
 def test_siblings_only_where_allowed(allowed, mine, used):
     made = router([entry(12)._replace(location=1 if mine else 0)], siblings=allowed)
     memory = believed(made, asked(), 12)
@@ -117,19 +125,23 @@
     one, other = router(), router()
     other.group("cache").reverse()
     for obj in range(50):
-        picked = [made.pick(get_with(made, asked(obj=obj)), made.memory(asked(obj=obj), NOW), NOW)[0].id
-                  for made in (one, other)]
+        picked = [
+            made.pick(get_with(made, asked(obj=obj)), made.memory(asked(obj=obj), NOW), NOW)[0].id
+            for made in (one, other)
+        ]
         assert picked[0] == picked[1]
 
 
 def test_the_pick_spreads_objects_over_the_caches():
     made = router()
-    picked = [made.pick(get_with(made, asked(obj=obj)), made.memory(asked(obj=obj), NOW), NOW)[0].id
-              for obj in range(400)]
+    picked = [
+        made.pick(get_with(made, asked(obj=obj)), made.memory(asked(obj=obj), NOW), NOW)[0].id
+        for obj in range(400)
+    ]
     assert all(60 < picked.count(cache) < 140 for cache in CACHES)
 
 
-@pytest.mark.parametrize("count, width", [(1, 1), (6, 1), (12, 2), (30, 3)])   # a few GETs are noise
+@pytest.mark.parametrize("count, width", [(1, 1), (6, 1), (12, 2), (30, 3)])  # a few GETs are noise
 def test_a_hot_object_is_spread(count, width):
     made = router()
     made.spents[0] = [100 * MS]
@@ -158,8 +170,10 @@
     assert get_with(made, asked()).route(NOW) == [Shed(S)]
 
 
-@pytest.mark.parametrize("results, held, looks", [
-    ([False] * 8, False, True), ([True] * 8, False, False), ([False] * 8, True, False)])
+@pytest.mark.parametrize(
+    "results, held, looks",
+    [([False] * 8, False, True), ([True] * 8, False, False), ([False] * 8, True, False)],
+)
 def test_fills_are_throttled_by_their_success(results, held, looks):
     made = router()
     made.chance = lambda text: 0.5
@@ -177,13 +191,16 @@
     assert made.in_time([source], NOW)[0] < 0.1
 
 
-@pytest.mark.parametrize("effect, outcomes, age, answer", [
-    ("idempotent", [Outcome.TIMED_OUT], 0, Forward),
-    ("non-idempotent", [Outcome.MISS], 0, Forward),
-    ("non-idempotent", [Outcome.ERROR], 0, Errored),
-    ("non-idempotent", [None], 0, Errored),
-    ("tokened", [Outcome.ERROR], S, Errored),      # a window in which repeats are thrown away is not used
-])
+@pytest.mark.parametrize(
+    "effect, outcomes, age, answer",
+    [
+        ("idempotent", [Outcome.TIMED_OUT], 0, Forward),
+        ("non-idempotent", [Outcome.MISS], 0, Forward),
+        ("non-idempotent", [Outcome.ERROR], 0, Errored),
+        ("non-idempotent", [None], 0, Errored),
+        ("tokened", [Outcome.ERROR], S, Errored),  # a window in which repeats are thrown away is not used
+    ],
+)
 def test_no_effect_twice(effect, outcomes, age, answer):
     made = router(effect=["idempotent", "idempotent", effect])
     get = get_with(made, asked(ds=2, ttl=9 * S), *outcomes)
@@ -208,9 +225,9 @@
 def test_what_never_left_goes_elsewhere_outside_the_retry_budget(outcome, again):
     made = router()
     get = made.take(asked(), NOW)
-    first, = get.route(NOW)
+    (first,) = get.route(NOW)
     made.further.extend([True] * 30 + [False] * 70)
-    said, = get.ended(first.number, outcome, Found.UNTOLD, MS, 0, {}, False, NOW + MS)
+    (said,) = get.ended(first.number, outcome, Found.UNTOLD, MS, 0, {}, False, NOW + MS)
     assert (isinstance(said, Forward) and said.cache != first.cache) if again else isinstance(said, Shed)
 
 
@@ -246,13 +263,16 @@
     assert [n.id for n in made.group("cache")] == [11] and not made.group("parent")
 
 
-@pytest.mark.parametrize("cache, ago, carried, room", [
-    (11, 0, 40, False),            # drawn to begin with, under one GET
-    (11, 1000, 40, True),          # 4 s of work a second carried by four caches
-    (11, 1000, 0, False),          # nothing is known to be bearable
-    (21, 100, 40, False),          # a parent's floor is far lower
-    (31, 0, 0, True),              # the origin has no cold start
-])
+@pytest.mark.parametrize(
+    "cache, ago, carried, room",
+    [
+        (11, 0, 40, False),  # drawn to begin with, under one GET
+        (11, 1000, 40, True),  # 4 s of work a second carried by four caches
+        (11, 1000, 0, False),  # nothing is known to be bearable
+        (21, 100, 40, False),  # a parent's floor is far lower
+        (31, 0, 0, True),  # the origin has no cold start
+    ],
+)
 def test_cold_starts_earn_credit(cache, ago, carried, room):
     made = router([entry(c, started=NOW - 3 * S) for c in (11, 21)])
     made.carried.extend((NOW - 4 * S + i * 100 * MS, 400 * MS) for i in range(carried))
@@ -273,7 +293,7 @@
         if made.cold_room(among_four[1], 0, at):
             among_four[1].credit -= 400 * MS
             earned += 1
-    assert 0 < earned * 0.4 / 2 <= 1.4 * 0.7 * 4 / 4 + 0.2     # its own part of 4 s of work a second
+    assert 0 < earned * 0.4 / 2 <= 1.4 * 0.7 * 4 / 4 + 0.2  # its own part of 4 s of work a second
 
 
 def test_a_front_that_starts_among_cold_caches_alone_still_earns():
@@ -304,10 +324,17 @@
     assert sent * 0.4 <= 2 * 2 * 0.09 * 30
 
 
-@pytest.mark.parametrize("ds, purge_ago, key, oldest", [
-    (0, None, 99, 0), (0, S, 99, S - 2 * MS), (0, S, -1, S - 2 * MS), (0, 0, 99, 1000), (0, S, 98, 0),
-    (1, S, 99, S - 2 * MS),
-])
+@pytest.mark.parametrize(
+    "ds, purge_ago, key, oldest",
+    [
+        (0, None, 99, 0),
+        (0, S, 99, S - 2 * MS),
+        (0, S, -1, S - 2 * MS),
+        (0, 0, 99, 1000),
+        (0, S, 98, 0),
+        (1, S, 99, S - 2 * MS),
+    ],
+)
 def test_copies_from_before_a_purge_will_not_do(ds, purge_ago, key, oldest):
     made = router()
     if purge_ago is not None:
@@ -321,17 +348,20 @@
     assert made.oldest(asked(ds=0), True, NOW) == 0
 
 
-@pytest.mark.parametrize("ends, speed, peers_good, peers_speed, alone, aside", [
-    ([True] * 6, 1.0, True, 1.0, True, False),
-    ([True] * 6, 5.0, True, 1.0, True, True),               # far slower than its peers
-    ([True] * 6, 5.0, True, 4.0, True, False),              # all are slow: nobody is an outlier
-    ([False] * 3, 0, True, 1.0, True, True),                # errors
-    ([True] * 4 + [False] * 2, 1.0, True, 1.0, True, False),
-    ([True] * 3 + [False] * 3, 1.0, True, 1.0, True, False),  # half of so few is chance
-    ([True] * 3 + [False] * 3, 0, True, 1.0, False, False),  # time-outs may be the source's fault
-    ([False] * 6, 0, True, 1.0, False, True),               # but not where nothing else comes: it hangs
-    ([False] * 6, 0, False, 1.0, False, False),             # nor where its peers' GETs end so too
-])
+@pytest.mark.parametrize(
+    "ends, speed, peers_good, peers_speed, alone, aside",
+    [
+        ([True] * 6, 1.0, True, 1.0, True, False),
+        ([True] * 6, 5.0, True, 1.0, True, True),  # far slower than its peers
+        ([True] * 6, 5.0, True, 4.0, True, False),  # all are slow: nobody is an outlier
+        ([False] * 3, 0, True, 1.0, True, True),  # errors
+        ([True] * 4 + [False] * 2, 1.0, True, 1.0, True, False),
+        ([True] * 3 + [False] * 3, 1.0, True, 1.0, True, False),  # half of so few is chance
+        ([True] * 3 + [False] * 3, 0, True, 1.0, False, False),  # time-outs may be the source's fault
+        ([False] * 6, 0, True, 1.0, False, True),  # but not where nothing else comes: it hangs
+        ([False] * 6, 0, False, 1.0, False, False),  # nor where its peers' GETs end so too
+    ],
+)
 def test_outliers_are_set_aside(ends, speed, peers_good, peers_speed, alone, aside):
     one, rivals = Standing(), [Standing(), Standing()]
     for at, good in enumerate(ends):
@@ -360,12 +390,15 @@
     assert made.pick(get_with(made, asked()), made.memory(asked(), NOW), NOW)[1]
 
 
-@pytest.mark.parametrize("outcome, found, ends, speeds", [
-    (Outcome.RETURNED, Found.HIT, [True], 1),
-    (Outcome.RETURNED, Found.FILLED_BY_ORIGIN, [True], 0),     # its speed tells of the origin
-    (Outcome.TIMED_OUT, Found.UNTOLD, [False], 0),
-    (Outcome.FULL, Found.UNTOLD, [], 0),                       # load, not a fault
-])
+@pytest.mark.parametrize(
+    "outcome, found, ends, speeds",
+    [
+        (Outcome.RETURNED, Found.HIT, [True], 1),
+        (Outcome.RETURNED, Found.FILLED_BY_ORIGIN, [True], 0),  # its speed tells of the origin
+        (Outcome.TIMED_OUT, Found.UNTOLD, [False], 0),
+        (Outcome.FULL, Found.UNTOLD, [], 0),  # load, not a fault
+    ],
+)
 def test_a_slow_fill_is_not_laid_to_the_cache(outcome, found, ends, speeds):
     made = router()
     get = get_with(made, asked(size=100), None)
@@ -399,14 +432,17 @@
     assert node(made, 12).started == 0
 
 
-@pytest.mark.parametrize("outcome, found, waited, blamed, good", [
-    (Outcome.RETURNED, Found.HIT, 0, 21, None),                        # no fill at all
-    (Outcome.RETURNED, Found.FILLED, 100 * MS, 21, False),             # the parent's own copy came late
-    (Outcome.RETURNED, Found.FILLED_BY_ORIGIN, 100 * MS, 31, True),    # the parent slow, its fetch not
-    (Outcome.RETURNED, Found.FILLED_BY_ORIGIN, S, 31, False),
-    (Outcome.FULL, Found.ORIGIN_FAILED, 0, 31, False),
-    (Outcome.FULL, Found.SOURCE_REFUSED, 0, 21, False),
-])
+@pytest.mark.parametrize(
+    "outcome, found, waited, blamed, good",
+    [
+        (Outcome.RETURNED, Found.HIT, 0, 21, None),  # no fill at all
+        (Outcome.RETURNED, Found.FILLED, 100 * MS, 21, False),  # the parent's own copy came late
+        (Outcome.RETURNED, Found.FILLED_BY_ORIGIN, 100 * MS, 31, True),  # the parent slow, its fetch not
+        (Outcome.RETURNED, Found.FILLED_BY_ORIGIN, S, 31, False),
+        (Outcome.FULL, Found.ORIGIN_FAILED, 0, 31, False),
+        (Outcome.FULL, Found.SOURCE_REFUSED, 0, 21, False),
+    ],
+)
 def test_a_late_fill_is_laid_to_the_one_who_made_it_late(outcome, found, waited, blamed, good):
     made = router(client_kb_per_s=1000)
     get = get_with(made, asked(size=100), None)
@@ -416,8 +452,9 @@
     assert good is not None or made.in_time([node(made, 21)], NOW) == [1]
 
 
-@pytest.mark.parametrize("parents, origin, source", [
-    ([True], [True], 21), ([False], [True], ORIGIN), ([False], [False], 21)])
+@pytest.mark.parametrize(
+    "parents, origin, source", [([True], [True], 21), ([False], [True], ORIGIN), ([False], [False], 21)]
+)
 def test_the_origin_stands_in_for_failing_parents_while_it_does_well(parents, origin, source):
     made = router()
     made.fills.extend([node(made, by), NOW - S, NOW, good] for good in parents * 20 for by in PARENTS)
@@ -447,13 +484,19 @@
     assert one.crowding(1, NOW) == seen
 
 
-@pytest.mark.parametrize("ds, age, since, wait, purged, may", [
-    (0, 20 * S, 0, 0, None, True),           # good until purged
-    (1, 7 * S, 0, 0, None, True), (1, 8 * S, 0, 0, None, False),
-    (0, 2 * S, 0, 0, 3 * S, True), (0, 2 * S, 0, 0, 2 * S, False), (0, 2 * S, 0, 0, S, False),
-    (0, 20 * S, OWN_AGE, 0, None, False),    # its purge might be forgotten by then
-    (0, 20 * S, 0, OWN_WAIT + 1, None, False),
-])
+@pytest.mark.parametrize(
+    "ds, age, since, wait, purged, may",
+    [
+        (0, 20 * S, 0, 0, None, True),  # good until purged
+        (1, 7 * S, 0, 0, None, True),
+        (1, 8 * S, 0, 0, None, False),
+        (0, 2 * S, 0, 0, 3 * S, True),
+        (0, 2 * S, 0, 0, 2 * S, False),
+        (0, 2 * S, 0, 0, S, False),
+        (0, 20 * S, OWN_AGE, 0, None, False),  # its purge might be forgotten by then
+        (0, 20 * S, 0, OWN_WAIT + 1, None, False),
+    ],
+)
 def test_an_own_copy_answers_while_young_unpurged_and_without_a_queue(ds, age, since, wait, purged, may):
     made, ask = router(), asked(ds=ds)
     if purged is not None:
@@ -468,11 +511,14 @@
     assert made.keeps(ask, NOW - MS, NOW) is kept
 
 
-@pytest.mark.parametrize("returned, told, against_cache, against_source", [
-    (False, Found.UNTOLD, 0, False),             # perhaps no such object: bad clients make them up
-    (True, Found.UNTOLD, 1, False),
-    (False, Found.SOURCE_BROKEN, 0, True),
-])
+@pytest.mark.parametrize(
+    "returned, told, against_cache, against_source",
+    [
+        (False, Found.UNTOLD, 0, False),  # perhaps no such object: bad clients make them up
+        (True, Found.UNTOLD, 1, False),
+        (False, Found.SOURCE_BROKEN, 0, True),
+    ],
+)
 def test_an_error_speaks_against_those_it_can_be_the_fault_of(returned, told, against_cache, against_source):
     made, ask = router(), asked(size=100)
     get, fill = get_with(made, ask, None), [node(made, PARENTS[0]), NOW, NOW + S, None]
@@ -481,10 +527,16 @@
     assert len(node(made, 11).as_cache.ends) == against_cache and (fill[3] is False) == against_source
 
 
-@pytest.mark.parametrize("outcome, good", [
-    (Outcome.RESET, None), (Outcome.NOT_SENT, None), (Outcome.CANCELLED, None),     # no word from the source
-    (Outcome.TIMED_OUT, False), (Outcome.UNREACHABLE, False),
-])
+@pytest.mark.parametrize(
+    "outcome, good",
+    [
+        (Outcome.RESET, None),
+        (Outcome.NOT_SENT, None),
+        (Outcome.CANCELLED, None),  # no word from the source
+        (Outcome.TIMED_OUT, False),
+        (Outcome.UNREACHABLE, False),
+    ],
+)
 def test_a_connection_cut_or_a_client_gone_says_nothing_of_the_source(outcome, good):
     made = router()
     get, fill = get_with(made, asked(size=100), None), [node(made, PARENTS[0]), NOW, NOW + S, None]
@@ -531,16 +583,24 @@
     assert cache.out == 1
 
 
-SILENT = {"tells": "none", "client_kb_per_s": 1000.0, "link_in_kb_per_s": [0.0, 12000.0], "fronts_by_location": [0, 4]}
+SILENT = {
+    "tells": "none",
+    "client_kb_per_s": 1000.0,
+    "link_in_kb_per_s": [0.0, 12000.0],
+    "fronts_by_location": [0, 4],
+}
 
 
-@pytest.mark.parametrize("tells, spent, held, source, found", [
-    ("none", 410, False, 21, Found.HIT),           # 400 KB at 1,000 KB/s: no time for a fill
-    ("none", 700, False, 21, Found.FILLED),
-    ("none", 700, True, 21, Found.UNTOLD),         # a crowded cache, or its copy was gone
-    ("none", 700, False, 11, Found.HIT),           # nothing else could answer
-    ("hit", 700, False, 21, Found.UNTOLD),         # silence is no answer where hits are told
-])
+@pytest.mark.parametrize(
+    "tells, spent, held, source, found",
+    [
+        ("none", 410, False, 21, Found.HIT),  # 400 KB at 1,000 KB/s: no time for a fill
+        ("none", 700, False, 21, Found.FILLED),
+        ("none", 700, True, 21, Found.UNTOLD),  # a crowded cache, or its copy was gone
+        ("none", 700, False, 11, Found.HIT),  # nothing else could answer
+        ("hit", 700, False, 21, Found.UNTOLD),  # silence is no answer where hits are told
+    ],
+)
 def test_silence_is_resolved_by_time_or_stays_open(tells, spent, held, source, found):
     """Untold fill waits read as crowded caches: hits were shed, the full link in was not seen."""
     made = router(**{**SILENT, "tells": tells})
@@ -550,7 +610,7 @@
 
 @pytest.mark.parametrize("filling, hits, pace", [(0, 0, 1.1), (3, 0, 4.4), (3, 64, 1.2)])
 def test_an_even_part_of_a_told_link_stands_in_for_told_waits(filling, hits, pace):
-    made = router(**SILENT)                        # 12 transfers over four fronts, of which SHARE_ROOM counts
+    made = router(**SILENT)  # 12 transfers over four fronts, of which SHARE_ROOM counts
     made.filling = filling
     made.misses.extend([False] * hits or [True] * 64)
     assert made.link_pace(NOW) == pytest.approx(pace, abs=0.06)
@@ -565,7 +625,9 @@
     assert sum(isinstance(one, Shed) for one in shed) > 15
 
 
-@pytest.mark.parametrize("told_ago, inflight, pace", [(0, 2, 1.2), (0, 20, 12.0), (3 * S, 20, 1.0), (0, 0, 1.0)])
+@pytest.mark.parametrize(
+    "told_ago, inflight, pace", [(0, 2, 1.2), (0, 20, 12.0), (3 * S, 20, 1.0), (0, 0, 1.0)]
+)
 def test_told_gets_over_the_listed_size_tell_a_crowd_of_other_fronts(told_ago, inflight, pace):
     made = router()
     at = node(made, 11)
@@ -576,7 +638,7 @@
 def test_parts_of_an_object_share_what_tells_their_size():
     made = router()
     first = asked(obj=7)
-    earlier = made.memory(first._replace(part=2), NOW)     # not back yet when the next one is asked for
+    earlier = made.memory(first._replace(part=2), NOW)  # not back yet when the next one is asked for
     made.memory(first, NOW)
     earlier.spents.append(120 * MS)
     assert made.work(first._replace(part=3)) == 120 * MS != made.work(asked(obj=8))
@@ -602,8 +664,15 @@
 def test_a_belief_that_is_told_stands_behind_an_own_one_and_another_start_of_its_cache():
     made, ask = told()
     believed(made, ask, 12, expiry=NOW + S)
-    made.hears([Believed(99, 0, 12, 0, 8 * S, 0), Believed(99, 0, 13, 7, 8 * S, 0), Believed(99, 0, 77, 0, 8 * S, 0)],
-               0, NOW)
+    made.hears(
+        [
+            Believed(99, 0, 12, 0, 8 * S, 0),
+            Believed(99, 0, 13, 7, 8 * S, 0),
+            Believed(99, 0, 77, 0, 8 * S, 0),
+        ],
+        0,
+        NOW,
+    )
     assert made.holders(ask, made.memory(ask, NOW), NOW) == {node(made, 12): NOW + S}
 
 
@@ -632,8 +701,11 @@
         believed(made, ask, 12, expiry=NOW + expiry)
     node(made, 13).as_cache.until = NOW + S
     made.noted(node(made, 13))
-    assert made.tells(9, NOW) == [Resting(13, 0, False, S, 0, 0), Believed(2, 0, 12, 0, 8 * S, MS),
-                                  Believed(1, 0, 12, 0, 8 * S, MS)]
+    assert made.tells(9, NOW) == [
+        Resting(13, 0, False, S, 0, 0),
+        Believed(2, 0, 12, 0, 8 * S, MS),
+        Believed(1, 0, 12, 0, 8 * S, MS),
+    ]
     assert made.tells(9, NOW + 1) == [Resting(13, 0, False, S - 1, 0, 0)] and len(router().tells(0, NOW)) == 0
 
 
@@ -660,18 +732,21 @@
 
 def test_many_purges_at_once_are_each_kept_until_they_are_done_and_let_go_a_few_at_a_time():
     made = router()
-    for number in range(20_000):             # a returning front gets as many in a second: none may cost by the others
+    for number in range(20_000):  # a returning front gets as many in a second: none may cost by the others
         made.purged(number, -1, number * MS, NOW)
     assert len(made.purges) == 20_000 and made.purges["object", 7] == NOW - 7 * MS
-    made.purged(5, -1, 0, NOW + S)           # a later purge of one of them outlives the former
-    made.purged(-1, 3, 0, NOW + 37 * S)      # all are old in the same turn: a walk through them would hold up its GETs
+    made.purged(5, -1, 0, NOW + S)  # a later purge of one of them outlives the former
+    made.purged(
+        -1, 3, 0, NOW + 37 * S
+    )  # all are old in the same turn: a walk through them would hold up its GETs
     assert len(made.purges) >= 19_900
     for number in range(6000):
         made.purged(-1, 3, number, NOW + 37 * S)
     assert set(made.purges) == {("object", 5), ("group", 3)}
 
 
-@pytest.mark.parametrize("most, warmed", [
-    (7, {*CACHES, *PARENTS, ORIGIN}), (6, {*PARENTS, ORIGIN}), (2, {ORIGIN, PARENTS[0]})])
+@pytest.mark.parametrize(
+    "most, warmed", [(7, {*CACHES, *PARENTS, ORIGIN}), (6, {*PARENTS, ORIGIN}), (2, {ORIGIN, PARENTS[0]})]
+)
 def test_connections_are_made_at_the_start_to_all_or_to_those_that_all_gets_go_through(most, warmed):
     assert set(router().warm_first(most)) == warmed
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,51 +17,84 @@
 
 
 def came(at=100.1, server="s-1", mode="", deaf=False, **fields):
-    return {"what": "came", "at": at, "id": "a1", "server": server, "mode": mode, "deaf": deaf,
-            "fields": {"max": "800", **fields}}
+    return {
+        "what": "came",
+        "at": at,
+        "id": "a1",
+        "server": server,
+        "mode": mode,
+        "deaf": deaf,
+        "fields": {"max": "800", **fields},
+    }
 
 
 def drain(health="draining", offset=2, at=90.0):
     event = {"topology": {"hosts": [{"host": "s-1", "health": health}]}}
-    return [{"what": "event", "offset": offset, "event": event},
-            {"what": "told", "front": 3, "offset": offset, "at": at}]
-
-
-PURGE = [{"what": "event", "offset": 2, "event": {"ban": {"tag": 1, "ts": 95_000}}},
-         {"what": "told", "front": 3, "offset": 2, "at": 95.0}]
-
-
-@pytest.mark.parametrize("rule, made, records", [
-    ("lost", row(how="closed"), []), ("lost", row(how="timeout", ended=102.0), []),
-    ("late", row(ended=102.0), []), ("status", row(status=500), []),
-    ("max", row(), [came(max="1300")]),
-    ("after_client_left", row(how="left", left=99.8), [came()]),
-    ("after_answer", row(ended=99.8), [came()]),
-    ("attempts", row(), [came() for _ in range(7)]),
-    ("to_draining", row(), [came(), *drain()]),
-    ("to_draining", row(), [came(server="s-2", src="s-1"), *drain()]),
-    ("ran_twice", row(order=True), [came(), came(at=100.15)]),
-    ("body", row(body=b"other"), []), ("body", row(body=b"2 1 90000."), []),
-    ("purged", row(), PURGE),
-])
+    return [
+        {"what": "event", "offset": offset, "event": event},
+        {"what": "told", "front": 3, "offset": offset, "at": at},
+    ]
+
+
+PURGE = [
+    {"what": "event", "offset": 2, "event": {"ban": {"tag": 1, "ts": 95_000}}},
+    {"what": "told", "front": 3, "offset": 2, "at": 95.0},
+]
+
+
+@pytest.mark.parametrize(
+    "rule, made, records",
+    [
+        ("lost", row(how="closed"), []),
+        ("lost", row(how="timeout", ended=102.0), []),
+        ("late", row(ended=102.0), []),
+        ("status", row(status=500), []),
+        ("max", row(), [came(max="1300")]),
+        ("after_client_left", row(how="left", left=99.8), [came()]),
+        ("after_answer", row(ended=99.8), [came()]),
+        ("attempts", row(), [came() for _ in range(7)]),
+        ("to_draining", row(), [came(), *drain()]),
+        ("to_draining", row(), [came(server="s-2", src="s-1"), *drain()]),
+        ("ran_twice", row(order=True), [came(), came(at=100.15)]),
+        ("body", row(body=b"other"), []),
+        ("body", row(body=b"2 1 90000."), []),
+        ("purged", row(), PURGE),
+    ],
+)
 def test_each_broken_rule_is_found(rule, made, records):
     assert [name for name, _ in judge.judged([made], records, [])] == [rule]
 
 
-@pytest.mark.parametrize("made, records", [
-    (row(), [came()]), (row(how="left"), []), (row(how="crossed"), []), (row(status=503), []),
-    (row(), [came(), *drain(), *drain("up", 3, 91.0)]), (row(), [came(), *drain(at=99.9)]),
-    (row(order=True), [came(mode="overload"), came(at=100.15)]), (row(), [came(at=102.0, deaf=True)]),
-    (row(body=b"1 1 96000."), PURGE), (row(group=2), PURGE),
-])
+@pytest.mark.parametrize(
+    "made, records",
+    [
+        (row(), [came()]),
+        (row(how="left"), []),
+        (row(how="crossed"), []),
+        (row(status=503), []),
+        (row(), [came(), *drain(), *drain("up", 3, 91.0)]),
+        (row(), [came(), *drain(at=99.9)]),
+        (row(order=True), [came(mode="overload"), came(at=100.15)]),
+        (row(), [came(at=102.0, deaf=True)]),
+        (row(body=b"1 1 96000."), PURGE),
+        (row(group=2), PURGE),
+    ],
+)
 def test_what_is_as_it_should_be_is_no_finding(made, records):
     assert judge.judged([made], records, []) == []
 
 
-@pytest.mark.parametrize("window, excused", [
-    (Window(3, "kill", 99.0, 101.0), True), (Window(3, "stop", 100.5, 101.0), True),
-    (Window(3, "kill", 90.0, 99.0), False), (Window(4, "kill", 99.0, 101.0), False),
-    (Window(3, "term", 99.7, 101.0), False), (Window(3, "term", 99.0, 101.0), True)])
+@pytest.mark.parametrize(
+    "window, excused",
+    [
+        (Window(3, "kill", 99.0, 101.0), True),
+        (Window(3, "stop", 100.5, 101.0), True),
+        (Window(3, "kill", 90.0, 99.0), False),
+        (Window(4, "kill", 99.0, 101.0), False),
+        (Window(3, "term", 99.7, 101.0), False),
+        (Window(3, "term", 99.0, 101.0), True),
+    ],
+)
 def test_only_a_front_that_was_gone_or_stood_still_is_excused(window, excused):
     assert (judge.judged([row(how="closed")], [], [window]) == []) is excused
 
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -59,7 +59,10 @@
     open(name.format(5), "wb").write(whole)
     taken, refused = kept.newest(410 * S, 300 * S)
     assert taken.generation == 2 and ["name" in r.why or r.why for r in refused] == [
-        True, "a torn record", f"is of version {VERSION + 1}, newer than {VERSION}"]
+        True,
+        "a torn record",
+        f"is of version {VERSION + 1}, newer than {VERSION}",
+    ]
     taken, refused = kept.newest(600 * S, 300 * S)
     assert taken is None and "s old" in refused[-1].why
 
@@ -80,7 +83,7 @@
     if data:
         data[at % len(data)] ^= flip
     scanned = records.scan(data)
-    assert scanned.records == payloads[:len(scanned.records)]
+    assert scanned.records == payloads[: len(scanned.records)]
     assert scanned.fault or scanned.records == payloads
 
 
@@ -98,7 +101,7 @@
         pass
     log = Log(disk.after_crash(), "/s/log")
     found = log.recover().records
-    assert found[:len(said)] == said and len(found) <= len(said) + 1
+    assert found[: len(said)] == said and len(found) <= len(said) + 1
     assert log.append(b"after") is None and Log(log.disk, "/s/log").recover().records == [*found, b"after"]
 
 
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -13,14 +13,35 @@
 
 # Errors of this machine's own, for a moment, by the calls that may give them (man pages of Linux, section 2).
 FOR_A_MOMENT = [
-    ("accept", errno.ECONNABORTED), ("accept", errno.EINTR), ("accept", errno.EMFILE), ("accept", errno.ENFILE),
-    ("accept", errno.ENOBUFS), ("accept", errno.ENOMEM), ("accept", errno.EPROTO), ("accept", errno.ENETDOWN),
-    ("setsockopt", errno.ENOBUFS), ("setsockopt", errno.ENOMEM), ("setsockopt", errno.EINVAL),
-    ("recv_into", errno.EINTR), ("recv_into", errno.ENOBUFS), ("recv_into", errno.ENOMEM), ("recv_into", SHORT),
-    ("send", errno.EINTR), ("send", errno.ENOBUFS), ("send", errno.ENOMEM), ("send", errno.EAGAIN), ("send", SHORT),
-    ("socket", errno.EMFILE), ("socket", errno.ENFILE), ("socket", errno.ENOBUFS), ("socket", errno.ENOMEM),
-    ("connect", errno.EADDRNOTAVAIL), ("connect", errno.EAGAIN), ("connect", errno.ENOBUFS),
-    ("connect", errno.ENETUNREACH), ("connect", errno.EINTR),
+    ("accept", errno.ECONNABORTED),
+    ("accept", errno.EINTR),
+    ("accept", errno.EMFILE),
+    ("accept", errno.ENFILE),
+    ("accept", errno.ENOBUFS),
+    ("accept", errno.ENOMEM),
+    ("accept", errno.EPROTO),
+    ("accept", errno.ENETDOWN),
+    ("setsockopt", errno.ENOBUFS),
+    ("setsockopt", errno.ENOMEM),
+    ("setsockopt", errno.EINVAL),
+    ("recv_into", errno.EINTR),
+    ("recv_into", errno.ENOBUFS),
+    ("recv_into", errno.ENOMEM),
+    ("recv_into", SHORT),
+    ("send", errno.EINTR),
+    ("send", errno.ENOBUFS),
+    ("send", errno.ENOMEM),
+    ("send", errno.EAGAIN),
+    ("send", SHORT),
+    ("socket", errno.EMFILE),
+    ("socket", errno.ENFILE),
+    ("socket", errno.ENOBUFS),
+    ("socket", errno.ENOMEM),
+    ("connect", errno.EADDRNOTAVAIL),
+    ("connect", errno.EAGAIN),
+    ("connect", errno.ENOBUFS),
+    ("connect", errno.ENETUNREACH),
+    ("connect", errno.EINTR),
 ]
 
 
@@ -30,7 +51,10 @@
     sock = front.connect()
     sock.settimeout(3)
     try:
-        return [front.ask(get_text(key(at)), sock)[0] for at in (after * 100 + 1, after * 100 + 2)] == [200, 200]
+        return [front.ask(get_text(key(at)), sock)[0] for at in (after * 100 + 1, after * 100 + 2)] == [
+            200,
+            200,
+        ]
     except OSError:
         return False
     finally:
@@ -60,9 +84,15 @@
 def lost_over_http2(path, calls):
     boxes = [Running(name="s-0b"), Running(name="s-1f")]
     try:
-        return lost(lambda: Front(
-            path, host("s-0b", boxes[0].address, "std"), host("s-1f", boxes[1].address, "origin"),
-            kdl="servers {\n speak http2 kind=std\n speak http2 kind=origin\n}\n"), calls)
+        return lost(
+            lambda: Front(
+                path,
+                host("s-0b", boxes[0].address, "std"),
+                host("s-1f", boxes[1].address, "origin"),
+                kdl="servers {\n speak http2 kind=std\n speak http2 kind=origin\n}\n",
+            ),
+            calls,
+        )
     finally:
         for box in boxes:
             box.stop()
@@ -78,7 +108,11 @@
 
 def test_a_connection_that_can_not_be_begun_for_want_of_something_here_blames_no_cache(tmp_path):
     """The GET after it goes there at once: a cache taken for unreachable is left alone for a second."""
-    for call, error in (("connect", errno.EADDRNOTAVAIL), ("connect", errno.ENETUNREACH), ("socket", errno.EMFILE)):
+    for call, error in (
+        ("connect", errno.EADDRNOTAVAIL),
+        ("connect", errno.ENETUNREACH),
+        ("socket", errno.EMFILE),
+    ):
         front, box, _ = two(tmp_path, served)
         with front:
             text = get_text(key(1), extra="Connection: close\r\n")
@@ -90,7 +124,7 @@
             front.ask(get_text(key(2), extra="Connection: close\r\n"))
             while not box.heard.empty():
                 box.heard.get()
-            other = get_text(key(3)).replace(b"7f3a9c21", b"00000001")       # of which there is no own copy
+            other = get_text(key(3)).replace(b"7f3a9c21", b"00000001")  # of which there is no own copy
             assert front.ask(other)[0] == 200 and box.heard.get(timeout=1)[0] == b"serve"
 
 
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -37,7 +37,10 @@
             front.faults.step_wall(step)
             for thread in threads:
                 thread.join()
-        assert len(found) == 4 and all(status in (502, 503) and took < 1.7 for status, took in found), (step, found)
+        assert len(found) == 4 and all(status in (502, 503) and took < 1.7 for status, took in found), (
+            step,
+            found,
+        )
 
 
 def test_gets_open_at_a_step_and_those_after_it_are_served(tmp_path):
@@ -48,7 +51,7 @@
             threads = [asked(front, at, found, 3000) for at in range(8)]
             time.sleep(0.3)
             front.faults.step_wall(step)
-            time.sleep(0.6)                  # a sweep and a look at what is due, by the stepped clock
+            time.sleep(0.6)  # a sweep and a look at what is due, by the stepped clock
             go.set()
             for thread in threads:
                 thread.join()
@@ -95,8 +98,8 @@
     with front:
         front.process.kill()
         front.process.wait()
-        front.tells.put(None)                # ends what the bus tells the one that was killed
-        front.faults.step_wall(before)       # so it starts; and is stepped again in service
+        front.tells.put(None)  # ends what the bus tells the one that was killed
+        front.faults.step_wall(before)  # so it starts; and is stepped again in service
         front.restart()
         assert front.ask(get_text(key(1)))[0] == 200
         request_heard(box)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -41,19 +41,23 @@
 
 
 def test_unknown_events_and_ids_no_longer_held_are_passed_over():
-    got = replies(INIT, "sunrise\ti=9\nleft\ti=0\ttxn=r-x\n"
-                  "response\ti=0\ttxn=r-x\tcache=11\tshot=0\tresult=Ok\n")
+    got = replies(
+        INIT, "sunrise\ti=9\nleft\ti=0\ttxn=r-x\n" "response\ti=0\ttxn=r-x\tcache=11\tshot=0\tresult=Ok\n"
+    )
     assert got[1] == []
 
 
-@pytest.mark.parametrize("text, fault", [
-    ("incoming\ti=0\ttxn=r-a\n", "lacks 'ttl'"),
-    ("incoming\ti=0\ttxn=r-a\tttl=soon\n", "no time in 'ttl'"),
-    ("incoming\ti=4\ttxn=r-a\tttl=5\n", "before its init"),
-    ("response\ti=0\ttxn=r-a\tshot=0\tresult=Odd\n", "unknown 'result'"),
-    ("targets\ti=0\thow=whole\telements=2\ncache\tcache=1\treadiness=SERVING\n", "more entries"),
-    ("left\ti=0\ttxn\n", "without '='"),
-])
+@pytest.mark.parametrize(
+    "text, fault",
+    [
+        ("incoming\ti=0\ttxn=r-a\n", "lacks 'ttl'"),
+        ("incoming\ti=0\ttxn=r-a\tttl=soon\n", "no time in 'ttl'"),
+        ("incoming\ti=4\ttxn=r-a\tttl=5\n", "before its init"),
+        ("response\ti=0\ttxn=r-a\tshot=0\tresult=Odd\n", "unknown 'result'"),
+        ("targets\ti=0\thow=whole\telements=2\ncache\tcache=1\treadiness=SERVING\n", "more entries"),
+        ("left\ti=0\ttxn\n", "without '='"),
+    ],
+)
 def test_malformed_input_is_named_with_its_line(text, fault):
     with pytest.raises(Malformed, match=fault) as raised:
         replies(INIT + text)
@@ -61,8 +65,9 @@
 
 
 def test_the_process_ends_with_a_plain_message():
-    done = subprocess.run([sys.executable, "-m", "sprucegate.wirehost"], input=b"sync\tmoment=x\n",
-                          capture_output=True)
+    done = subprocess.run(
+        [sys.executable, "-m", "sprucegate.wirehost"], input=b"sync\tmoment=x\n", capture_output=True
+    )
     assert done.returncode == 2 and b"line 1" in done.stderr and b"Traceback" not in done.stderr
 
 
