--- a/sprucegate/servers/servers.py
+++ b/sprucegate/servers/servers.py
@@ -10,7 +10,7 @@
 from sprucegate.servers.lines.transport import Lines
 from sprucegate.servers.place import Place
 
-WARMED = 0.75  # of the connections that there may be: made before the first GET
+WARMED = 0.75  # of the connections that there may be: made before the first GET where servers are more
 
 
 class Servers:
@@ -59,8 +59,8 @@
     def warm_up(self, choose, now):
         """Connections before the first GET, with room left for what GETs need: to all servers where they are so few,
         else to those of `choose(most)`."""
-        most = int(WARMED * self.most)
-        for at in list(self.places) if len(self.places) <= most else choose(most):
+        few = len(self.places) <= self.most
+        for at in list(self.places) if few else choose(int(WARMED * self.most)):
             if at in self.places:
                 self.warm(self.places[at], now)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -88,6 +88,7 @@
     "window, excused",
     [
         (Window(3, "kill", 99.0, 101.0), True),
+        (Window(3, "stall", 99.0, 100.1), True),
         (Window(3, "stop", 100.5, 101.0), True),
         (Window(3, "kill", 90.0, 99.0), False),
         (Window(4, "kill", 99.0, 101.0), False),
