Soak: a write to an ended connection, and a server known to serve again, are no findings

Change: such a request counts as unsent; that a server serves again may be known from its event's making on.

--- a/standins/soak/clients.py
+++ b/standins/soak/clients.py
@@ -1,7 +1,8 @@
 """Clients of the fronts, and what each request came to: kept, patient or not, in all manners that are met.
 
 A row has the front's number, the request's id and kind, when its last byte was written, and how it ended (`answered`,
-`closed` without an answer, `timeout`, `left`, `crossed` the end of a resting connection, `refused`: never connected).
+`closed` without an answer, `timeout`, `left`, `crossed` the end of a resting connection, `unsent` where that came
+before its last byte, `refused`: never connected).
 """
 
 import asyncio
@@ -137,12 +138,11 @@
         except TimeoutError:
             row.how = "left" if leaves else "timeout"
             row.left = time.monotonic()
-        except (OSError, asyncio.IncompleteReadError, ValueError) as fault:
-            row.sent = row.sent or time.monotonic()
-            crossed = (
-                not row.fresh and time.monotonic() - row.sent < RESENT and not getattr(fault, "partial", b"")
-            )
-            row.how = "crossed" if crossed else "closed"
+        except (OSError, RuntimeError, asyncio.IncompleteReadError, ValueError) as fault:
+            # RuntimeError is uvloop's word for a connection that had ended before it was written to.
+            crossed = not row.fresh and time.monotonic() - row.sent < RESENT
+            crossed = crossed and not getattr(fault, "partial", b"")
+            row.how = "unsent" if not row.sent else "crossed" if crossed else "closed"
         row.ended = time.monotonic()
 
     async def _answer(self, row):
--- a/standins/soak/judge.py
+++ b/standins/soak/judge.py
@@ -37,7 +37,7 @@
         elif one["what"] == "told":
             told[one["front"]].append((one["at"], one["offset"]))
         elif one["what"] == "event":
-            events[one["offset"]] = one["event"]
+            events[one["offset"]] = {**one["event"], "made_at": one["at"]}
     found = []
     for row in rows:
         found += _answer(row, windows)
@@ -79,7 +79,7 @@
 
 
 def _answer(row, windows):
-    if row.how in ("left", "crossed", "refused", "") or _excused(row, windows):
+    if row.how in ("left", "crossed", "refused", "unsent", "") or _excused(row, windows):
         return []
     if row.how != "answered":
         return [
@@ -134,7 +134,9 @@
         for host in events[offset].get("topology", {}).get("hosts", ()):
             if host["host"] == name and offset in told:
                 if told[offset] > at:
-                    return state == "draining" and at > since + TOLD
+                    # Written down after it was sent: that a server serves again may be known a moment before.
+                    known = host["health"] == "up" and events[offset]["made_at"] <= at
+                    return not known and state == "draining" and at > since + TOLD
                 state, since = host["health"], told[offset]
             elif host["host"] == name:
                 return False  # told of one that it has not heard of: nothing is known here
