One line for each GET where the operator's file asks for it, and a reader of one story

Change: log { gets #true } writes a GET's steps (read, decided with server and source, sent, ended, answered) at its end; sprucegate story ID LOG... prints one over all fronts' logs. Off without the node and in run. The soak's fleet fronts write them.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -72,7 +72,7 @@
             join = " ".join(f'"{at}"' for at in list(fleet.values())[:3])
             operator.write_text(
                 f'fleet {{\n    name "soak"\n    listen "{fleet[number]}"\n    join {join}\n'
-                f'    state "{folder}/state-{number}"\n    alone-after (s)2\n}}\n'
+                f'    state "{folder}/state-{number}"\n    alone-after (s)2\n}}\nlog {{\n    gets #true\n}}\n'
             )
             self.command += ["front", "--file", str(operator)]
         self.lines, self.counts, self.process, self.ready_in = [], Counter(), None, []
--- a/sprucegate/assembly/run.py
+++ b/sprucegate/assembly/run.py
@@ -146,6 +146,7 @@
             fleet=started_with.fleet,
             agreement=started_with.agreement,
             shares=started_with.shares,
+            log_gets=started_with.log_gets,
         )
     except Exception as fault:  # whatever a file can hold, the front goes on with the old one
         log("reload_failed", error=f"{type(fault).__name__}: {fault}")
--- a/sprucegate/front/driver.py
+++ b/sprucegate/front/driver.py
@@ -57,6 +57,7 @@
             self.relay.refuse(client, get)
             return
         client.get, self.ids[get.id], get.until = get, get, now + max(0, get.asked.ttl)
+        get.story.append((now, "read"))
         if self.places is not None:
             get.tenant = self.places.tenant(request.headers)
         if len(self.open) >= self.most:
@@ -112,6 +113,8 @@
 
     def forget(self, get):
         self.invariants.forgotten(get)
+        if self.wanted.log_gets and get.id in self.ids:
+            self._log(get)
         self.ids.pop(get.id, None)
         if self.places is not None:
             self.places.left(get)
@@ -119,6 +122,29 @@
         if self.open.pop(get.handle, None) is not None:
             get.forwards.clear()
 
+    def _where(self, forward):
+        """A forward's server and the source of a fill, by name."""
+        names = [
+            place.name if place is not None else f"{at:x}"
+            for at in (forward.cache, forward.source)
+            for place in [self.servers.places.get(at)]
+        ]
+        return (
+            f"to {names[0]}" if forward.source == forward.cache else f"to {names[0]}, filled from {names[1]}"
+        )
+
+    def _log(self, get):
+        """One GET from its first byte here to its end: what was decided and came of it, each with its time (ms)."""
+        began = get.story[0][0] if get.story else 0
+        self.log(
+            "get",
+            id=get.id.decode("latin-1"),
+            ds=get.ds,
+            object=get.thing,
+            part=get.part,
+            story=[f"{(at - began) // MS} {what}" for at, what in get.story],
+        )
+
     def returned(self, out, said):
         """The first answer that a server returns goes to the client as it is."""
         if said.still_good:
@@ -229,6 +255,8 @@
                     out = get.forwards[one.number] = OpenForward(
                         get, one.number, one.cache, one.source, now, now + one.timeout
                     )
+                    if self.wanted.log_gets:
+                        get.story.append((now, f"attempt {one.number} {self._where(one)}"))
                     if get.client.left():
                         # Its end stands behind what this turn of the loop still does: nobody waits any more.
                         self.loop.call_soon(self.ended, out, Outcome.NOT_SENT, Found.UNTOLD, 0, {})
--- a/sprucegate/front/lifecycle/configuration.py
+++ b/sprucegate/front/lifecycle/configuration.py
@@ -86,6 +86,7 @@
     fleet: object = None  # and of other fronts; None: this one is alone
     agreement: object = None  # and of the agreed log, with the limits of going out; None: nothing is agreed
     shares: object = None  # and of places for slow fills; None: each starts at once
+    log_gets: bool = False  # whether each GET gets a line in the log, with its steps
 
 
 def _pick(data, key, kind, default=REQUIRED):
--- a/sprucegate/operator/commands.py
+++ b/sprucegate/operator/commands.py
@@ -12,6 +12,7 @@
 from sprucegate.operator.fleet import fleet
 from sprucegate.operator.rollout import COMMANDS
 from sprucegate.operator.servers import servers
+from sprucegate.operator.story import story
 
 
 def _fault(fault, as_json):
@@ -67,6 +68,7 @@
         fleet=said.fleet,
         agreement=said.agreement and (said.agreement, said.rollout),
         shares=said.shares,
+        log_gets=said.log.gets,
     )
     sys.exit(uvloop.run(serve(wanted, structured(wanted.name))))
 
@@ -100,6 +102,7 @@
 
 main.add_command(servers)
 main.add_command(fleet)
+main.add_command(story)
 for command in COMMANDS:
     fleet.add_command(command)
 
--- a/sprucegate/operator/file.py
+++ b/sprucegate/operator/file.py
@@ -234,6 +234,10 @@
     return [scope, of, "" if words[1] == "any" else words[1], count, int(share * 1000)]
 
 
+class LogNode(Struct, forbid_unknown_fields=True, frozen=True):
+    gets: bool = False  # one line for each GET, with its steps
+
+
 class OperatorFile(Struct, forbid_unknown_fields=True, frozen=True):
     servers: ServersNode = ServersNode()
     membership: MembershipNode | None = None
@@ -241,6 +245,7 @@
     agreement: AgreementNode | None = None
     rollout: RolloutNode | None = None
     shares: SharesNode | None = None
+    log: LogNode = LogNode()
 
 
 class Servers:
@@ -268,6 +273,7 @@
     "agreement": AgreementNode,
     "rollout": RolloutNode,
     "shares": SharesNode,
+    "log": LogNode,
 }  # blocks of `key value` lines
 UNITS = {
     f"{block}.{one.encode_name}": (getattr(one.type, "__metadata__", (Meta(),))[0].extra or {}).get("unit")
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -286,3 +286,52 @@
     with pytest.raises(file.Faulty) as caught:
         file.parse(AGREED.replace(old, new), "f")
     assert caught.value.key == key and text in caught.value.text
+
+
+def test_the_story_of_one_get_is_read_out_of_the_log(tmp_path):
+    """One cache refuses, the next serves: each step with its server, only where the operator's file asks for it."""
+    first = [True]
+
+    def reply(call_id, fields, body):
+        if first and first.pop():
+            return b"%b overload - 0\r\n\r\n" % call_id
+        return served(call_id, fields)
+
+    boxes = [cache(reply) for _ in range(3)]
+    hosts = [host(f"s-{at + 11:x}", box.address, "std") for at, box in enumerate(boxes)]
+    hosts.append(host("s-1f", cache(served).address, "origin"))
+    with Front(tmp_path, *hosts, kdl="log {\n    gets #true\n}\n") as front:
+        assert front.ask(get_text("a" * 16))[0] == 200
+        line = front.until("get")
+    steps = [step.split(" ", 1)[1] for step in line["story"]]
+    assert [step.split(" to ")[0] for step in steps] == [
+        "read",
+        "attempt 0",
+        "attempt 0 sent",
+        "attempt 0 full",
+        "attempt 1",
+        "attempt 1 sent",
+        "answered 200",
+        "attempt 1 returned",
+    ]
+    log = tmp_path / "log"
+    log.write_text(
+        "no line of a log\n" + json.dumps({**line, "id": "b" * 16}) + "\n" + json.dumps(line) + "\n"
+    )
+    for call_id, status, count in (("a" * 16, 0, 1 + len(steps)), ("c" * 16, 1, 0)):
+        done = subprocess.run(
+            [sys.executable, "-m", "sprucegate", "story", call_id, str(log)],
+            capture_output=True,
+            text=True,
+            timeout=30,
+        )
+        assert done.returncode == status and done.stdout.count("\n") == count
+
+
+def test_without_the_node_no_get_has_a_line():
+    assert (
+        file.parse("", "f").log.gets is False
+        and file.parse("log {\n    gets #true\n}\n", "f").log.gets is True
+    )
+    with pytest.raises(file.Faulty, match="log.gets"):
+        file.parse('log {\n    gets "yes"\n}\n', "f")
