--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -513,3 +513,31 @@
             text = get_text(f"{at:016x}", extra="Connection: close\r\n").replace(b"7f3a9c21", b"%08x" % at)
             assert front.ask(text)[0] == 200
             assert len(os.listdir(f"/proc/{front.process.pid}/fd")) <= 128
+
+
+def test_what_ended_is_not_kept_until_the_time_that_it_might_have_taken():
+    """Deadlines of an hour: neither the driver nor the module keeps a thousand GETs that have long been answered."""
+    hosts = [host("s-0b", "127.0.0.1:9", "std"), host("s-1f", "127.0.0.1:9", "origin")]
+    known = {"offset": 1, "batch": [{"offset": 1, "topology": {"seq": 1, "whole": True, "hosts": hosts}}]}
+    wanted = configuration.wanted({**REAL, "listen": "127.0.0.1:1", "bus": "127.0.0.1:2", "known": known})
+
+    async def run():
+        made = driver.Driver(wanted, Pool(4), lambda event, **_: None)
+        made.told(wanted.known[0][1])
+        near, far = socket.socketpair()
+        near.setblocking(False)
+        for at in range(1000):
+            client = Client(near, 0)
+            client.take(0)
+            made.request(
+                client, *RequestReader().feed(get_text(f"{at:016x}", patience=3_000_000)), made.clock()
+            )
+            if at % 50 == 0:
+                await asyncio.sleep(0.02)  # connections that are refused
+        await asyncio.sleep(0.3)
+        far.close()
+        near.close()
+        return len(made.limits), len(made.router.waiting), len(made.open)
+
+    limits, waiting, still_open = asyncio.run(run())
+    assert limits <= 200 and waiting <= 200 and still_open == 0
