Heaps of deadlines let go of what has ended as it becomes many

Change: where a heap reaches twice what was alive at the last look, entries of what has ended go: in the module for GETs, in the driver for forwards.

--- a/sprucegate/front/driver.py
+++ b/sprucegate/front/driver.py
@@ -21,6 +21,7 @@
 from sprucegate.servers.servers import Servers
 
 MS = 1_000_000
+COMPACTED = 128  # entries of the heap of time-outs from which those that are over are let go
 AGAIN = 50 * MS  # until a timer is tried again that could not be worked out
 
 
@@ -35,6 +36,7 @@
         self.servers = Servers(self, pool, wanted.settings, wanted.descriptors // 3, wanted.servers)
         self.most = wanted.settings.get("max_open", 1 << 30)
         self.open, self.ids, self.limits, self.order = {}, {}, [], count()
+        self.compacts_at = COMPACTED
         self.timer, self.armed, self.membership, self.fleet = None, None, None, None
         self.places = None  # who shares out places for slow fills; None: each starts at once
         self.copies = Copies(min(OWN_BYTES, int(wanted.memory_mb * 2**20) // 3), wanted.link)
@@ -269,7 +271,7 @@
                     if self.places is not None:
                         self.places.sent(get, out, one, now)
                     self.servers.forward(out, one)
-                    heapq.heappush(self.limits, (out.limit, next(self.order), out))
+                    self._limit(out)
                     self.armed_by(out.limit)
                 case Wait():
                     self.places.waits(get, one.source, now)
@@ -290,6 +292,14 @@
         if get.handle.settled():
             self.forget(get)
 
+    def _limit(self, out):
+        """Its time-out; those of forwards that have ended go as they become many, not at their time."""
+        if len(self.limits) >= self.compacts_at:
+            self.limits = [one for one in self.limits if not one[2].ended]
+            heapq.heapify(self.limits)
+            self.compacts_at = max(COMPACTED, 2 * len(self.limits))
+        heapq.heappush(self.limits, (out.limit, next(self.order), out))
+
     def armed_by(self, due):
         if self.armed is None or due < self.armed:
             self.arm(self.clock())
--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -52,6 +52,7 @@
 FIRST = 8  # of a ranking, worked out at first; most GETs need no more
 PASSED_BY = 128  # crowded caches that a GET passes by at most, looking for one that is in time
 PARENTS = 32  # parents that a fill is weighed among
+COMPACTED = 128  # entries of a heap from which those that are over are let go
 RECENT = 256  # nodes whose last ends are held against each other
 HEARD = 0.5  # of what is left of another front's belief or rest: it saw another part of the GETs
 ANSWER_MARGIN = 20 * MS  # kept before the end of a viewer's time
@@ -236,6 +237,7 @@
         self.purge_order = []  # (time, key), the oldest first
         self.told_at = NEVER  # other fronts of this one's beliefs
         self.platform_offset = 0  # how far the clock of listed starts is ahead, at the least
+        self.compacts_at = COMPACTED  # entries of `waiting` at which those of GETs that are done are let go
         self.waiting, self.order = [], count()  # (due, order, Get or None for a list to ask for)
         self.carried, self.further = deque(maxlen=256), deque(maxlen=100)  # (time, work) returned; if so
         self.spents = defaultdict(lambda: deque(maxlen=64))  # by delivery service, the last sending times
@@ -319,6 +321,11 @@
             self.remind(now + S, None)  # later, so that a busy discovery can recover
 
     def remind(self, when, get):
+        if len(self.waiting) >= self.compacts_at:
+            # What is done need not stand there until its time: GETs may be patient for an hour.
+            self.waiting = [one for one in self.waiting if one[2] is None or not one[2].done]
+            heapq.heapify(self.waiting)
+            self.compacts_at = max(COMPACTED, 2 * len(self.waiting))
         heapq.heappush(self.waiting, (when, next(self.order), get))
 
     def purged(self, obj, group, age, now):
