--- a/sprucegate/fleet/links/links.py
+++ b/sprucegate/fleet/links/links.py
@@ -12,6 +12,7 @@
 
 from sprucegate.fleet.links import codec
 from sprucegate.fleet.links.outgoing import Outgoing
+from sprucegate.servers.sockets import set_no_delay
 
 OUT_MOST, IN_MOST = 12, 64  # connections: those of this front's own choice, and those that chose it
 KEEPER_MOST = 1024  # and those of a keeper, whom every front follows
@@ -129,9 +130,9 @@
 
     async def _dial(self, connection):
         host, _, port = connection.address.rpartition(":")
-        connection.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        connection.sock.setblocking(False)
         try:
+            connection.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            connection.sock.setblocking(False)
             async with asyncio.timeout(GREET):
                 await self.loop.sock_connect(connection.sock, (host, int(port)))
                 await self.loop.sock_sendall(connection.sock, codec.greeting(self.greeting()))
@@ -188,9 +189,10 @@
 
     async def _looks(self, address, refused):
         host, _, port = address.rpartition(":")
-        sock, ended = socket.socket(socket.AF_INET, socket.SOCK_STREAM), False
-        sock.setblocking(False)
+        sock, ended = None, False
         try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            sock.setblocking(False)
             async with asyncio.timeout(GREET):
                 await self.loop.sock_connect(sock, (host, int(port)))
                 greeting = msgspec.structs.replace(self.greeting(), role="look")
@@ -201,15 +203,16 @@
         except (OSError, TimeoutError, ValueError):
             pass
         finally:
-            sock.close()
+            if sock is not None:
+                sock.close()
         if ended:
             refused()
 
     async def _serve(self, connection, taken=False):
         """Reads one connection to its end."""
         sock, reader = connection.sock, codec.Reader()
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         try:
+            set_no_delay(sock)
             greeted = False
             while True:
                 async with asyncio.timeout(None if greeted else GREET):
