--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -161,6 +161,18 @@
     return StandIn(talk)
 
 
+def refuses_first():
+    """A reply that is a refusal once, whoever asks first, and serves from then on."""
+    first = [True]
+
+    def reply(call_id, fields, body):
+        if first and first.pop():
+            return b"%b overload - 0\r\n\r\n" % call_id
+        return served(call_id, fields)
+
+    return reply
+
+
 def bus(tells):
     """An event bus: what stands in the queue `tells` goes out; None there ends the connection."""
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -13,7 +13,7 @@
 from collections import Counter
 
 import pytest
-from helpers import REAL, Front, bus, cache, get_text, host, served
+from helpers import REAL, Front, bus, cache, get_text, host, refuses_first, served
 
 from sprucegate.front import driver
 from sprucegate.front.lifecycle import configuration
@@ -480,13 +480,7 @@
 
 def test_why_a_get_was_sent_again_or_shed_and_a_client_closed_is_counted(tmp_path):
     """The first attempt of all is refused, wherever it goes; a GET with no time left is shed with nothing sent."""
-    first = [True]
-
-    def reply(call_id, fields, body):
-        if first and first.pop():
-            return b"%b overload - 0\r\n\r\n" % call_id
-        return served(call_id, fields)
-
+    reply = refuses_first()
     boxes = [cache(reply) for _ in range(3)]
     hosts = [host(f"s-{at + 11:x}", box.address, "std") for at, box in enumerate(boxes)]
     root = cache(served)
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -7,7 +7,7 @@
 
 import orjson
 import pytest
-from helpers import Front, cache, get_text, host, served
+from helpers import Front, cache, get_text, host, refuses_first, served
 from hypothesis import given
 from hypothesis import settings as profile
 from hypothesis import strategies as st
@@ -290,13 +290,7 @@
 
 def test_the_story_of_one_get_is_read_out_of_the_log(tmp_path):
     """One cache refuses, the next serves: each step with its server, only where the operator's file asks for it."""
-    first = [True]
-
-    def reply(call_id, fields, body):
-        if first and first.pop():
-            return b"%b overload - 0\r\n\r\n" % call_id
-        return served(call_id, fields)
-
+    reply = refuses_first()
     boxes = [cache(reply) for _ in range(3)]
     hosts = [host(f"s-{at + 11:x}", box.address, "std") for at, box in enumerate(boxes)]
     hosts.append(host("s-1f", cache(served).address, "origin"))
