--- a/tests/test_http2_transport.py
+++ b/tests/test_http2_transport.py
@@ -300,3 +300,19 @@
 
 def test_a_raw_goaway_is_what_the_rfc_says():
     assert goaway(5, 11) == b"\0\0\x08\x07\0\0\0\0\0" + b"\0\0\0\x05" + b"\0\0\0\x0b"
+
+
+@on({})
+async def test_servers_that_have_gone_are_kept_in_no_table(recorder, box):
+    """Listed and gone without a connection, so that no timer of theirs comes by; and after one."""
+    transport = recorder.servers.transports["http2"]
+    for number in range(10, 60):
+        recorder.list({number: box.address}, whole=False)
+        recorder.list({number: box.address}, whole=False, state=State.GONE)
+    assert set(transport.active) <= {1}
+    recorder.list({60: box.address}, whole=False)
+    assert await recorder.end(recorder.send(60, "a" * 16)) is Outcome.RETURNED and 60 in transport.active
+    recorder.list({60: box.address}, whole=False, state=State.GONE)
+    for _ in range(50):
+        await asyncio.sleep(0.01)
+    assert set(transport.active) <= {1}
