What is connected to at the start is decided by the module; gone servers leave a table

Change: Router.warm_first decides, the same servers as before (a test's second figure is the limit now and no longer three quarters of it, its case 3 for 2); the HTTP/2 transport lets a place go as soon as nothing of it is due, and its timer's own copy of that is gone.

--- a/sprucegate/assembly/run.py
+++ b/sprucegate/assembly/run.py
@@ -90,7 +90,7 @@
         log("stopped", **driver.book.taken())
         return 0 if stop.is_set() else 1
     now = driver.clock()
-    driver.servers.warm_up(driver.router.warm_first, now)
+    driver.servers.warm_up(driver.router.warm_first(driver.servers.most), now)
     subscription = Subscription(driver, wanted)
     subscription.start()
     loop.add_signal_handler(signal.SIGHUP, reload, subscription, wanted, log)
--- a/sprucegate/rules.py
+++ b/sprucegate/rules.py
@@ -53,6 +53,7 @@
 PASSED_BY = 128  # crowded caches that a GET passes by at most, looking for one that is in time
 PARENTS = 32  # parents that a fill is weighed among
 COMPACTED = 128  # entries of a heap from which those that are over are let go
+WARMED = 0.75  # of the connections that there may be: made at the start where servers are more
 RECENT = 256  # nodes whose last ends are held against each other
 HEARD = 0.5  # of what is left of another front's belief or rest: it saw another part of the GETs
 ANSWER_MARGIN = 20 * MS  # kept before the end of a viewer's time
@@ -390,9 +391,14 @@
             kept.nodes = self.hashing[role].best(key, 4 * at)
 
     def warm_first(self, most):
-        """Ids of servers to connect to at the start, `most` at the most: those that all GETs go through, and
-        the caches where they are so few. One of thousands would go idle before its first GET.
+        """Ids of servers to connect to at the start, where there may be `most` connections.
+
+        All of them where they are so few. Else, with room left for what GETs need, those that all GETs go
+        through, and the near caches where they fit: one of thousands would go idle before its first GET.
         """
+        if len(self.nodes) <= most:
+            return [node.id for node in self.nodes.values()]
+        most = int(WARMED * most)
         nodes, caches = [*self.group("origin"), *self.group("parent")], self.group("cache")
         if len(nodes) + len(caches) <= most:
             nodes += caches
--- a/sprucegate/servers/http2/transport.py
+++ b/sprucegate/servers/http2/transport.py
@@ -426,6 +426,7 @@
                 if connection.lacking
                 else pool.lost(connection.number, reached, now),
             )
+        self._arm(place)  # the pool may have let it go before, and not be asked again
         self.servers.forget(place)
         for stream in streams:
             self._tell(stream.out.out, evidence.of_end(session.written(stream), stream.id, session.last), now)
@@ -455,7 +456,9 @@
 
     def _arm(self, place):
         due = place.held.pool.next_due()
-        if due is not None and (self.armed is None or due < self.armed):
+        if due is None and not place.held.connections:
+            self.active.pop(place.id, None)
+        elif due is not None and (self.armed is None or due < self.armed):
             self._arm_at(due, self.driver.clock())
 
     def _arm_at(self, due, now):
@@ -470,7 +473,5 @@
         for place in self._places():
             if (due := place.held.pool.next_due()) is not None and due <= now:
                 self._do(place, place.held.pool.due(now))
-            elif due is None and not place.held.connections:
-                self.active.pop(place.id, None)
             else:
                 self._arm(place)
--- a/sprucegate/servers/servers.py
+++ b/sprucegate/servers/servers.py
@@ -10,8 +10,6 @@
 from sprucegate.servers.lines.transport import Lines
 from sprucegate.servers.place import Place
 
-WARMED = 0.75  # of the connections that there may be: made before the first GET where servers are more
-
 
 class Servers:
     def __init__(self, driver, pool, settings, most, wanted=None):
@@ -56,11 +54,9 @@
         if place.gone and not place.transport.open_connections(place) and self.places.get(place.id) is place:
             del self.places[place.id]
 
-    def warm_up(self, choose, now):
-        """Connections before the first GET, with room left for what GETs need: to all servers where they are so few,
-        else to those of `choose(most)`."""
-        few = len(self.places) <= self.most
-        for at in list(self.places) if few else choose(int(WARMED * self.most)):
+    def warm_up(self, chosen, now):
+        """Connections before the first GET, to the servers of these ids."""
+        for at in chosen:
             if at in self.places:
                 self.warm(self.places[at], now)
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -746,7 +746,7 @@
 
 
 @pytest.mark.parametrize(
-    "most, warmed", [(7, {*CACHES, *PARENTS, ORIGIN}), (6, {*PARENTS, ORIGIN}), (2, {ORIGIN, PARENTS[0]})]
+    "most, warmed", [(7, {*CACHES, *PARENTS, ORIGIN}), (6, {*PARENTS, ORIGIN}), (3, {ORIGIN, PARENTS[0]})]
 )
 def test_connections_are_made_at_the_start_to_all_or_to_those_that_all_gets_go_through(most, warmed):
     assert set(router().warm_first(most)) == warmed
