--- a/review/build.sh
+++ b/review/build.sh
@@ -4,5 +4,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 test -x .venv/bin/python || python3 -m venv .venv
-.venv/bin/pip -q install -r requirements.txt -r requirements-dev.txt
+wanted='import ckdl, click, h2, hpack, http_sfv, httptools, msgspec, orjson, rich, structlog, uvloop, watchfiles, xxhash'
+.venv/bin/python -c "$wanted" 2>/dev/null || .venv/bin/pip -q install -r requirements.txt -r requirements-dev.txt
+.venv/bin/python -c "$wanted"
 .venv/bin/python -m compileall -q sprucegate standins review
