--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -299,8 +299,11 @@
             cwd=ROOT,
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.STDOUT,
+            start_new_session=True,
         )
+        self.pids.append(process.pid)
         out, _ = await asyncio.wait_for(process.communicate(), 20)
+        self.pids.remove(process.pid)
         self.record("command", *words, "->", process.returncode, out.decode().strip()[:300])
         return process.returncode, out.decode()
 
