An order over HTTP/2 that a gateway answers 504 is not sent again: it may have run

Cause: an attempt that names its server as its own fill source means "no fill" at a cache, and "the server executes it" at the origin. mapping.only_if_cached read the first from the form alone, so a PUT to the origin carried only-if-cached, and the session's flag made evidence.of_status take a 504 for RFC 9111 5.2.1.7's proof that nothing is stored. That section speaks of stored responses; section 4 wants unsafe methods written through.

Change: Router.stored_response_only says it, by the server's role, the method and the delivery service; HTTP/2 sends the directive and believes a 504 by that word. Related paths with the same cause, mended by it: a GET straight to the origin (a gateway that obeys the directive answered 504, the GET got 503), and a write through a cache with neither origin nor parent listed. Lines have no such status.

Why it was not seen: the soak of HTTP/2 closes compares the front's verdicts with what ran, but its servers answered 200 alone. Its origin now answers a fifth of what ran with 504.

--- a/benchmarks/http2_closes.py
+++ b/benchmarks/http2_closes.py
@@ -32,6 +32,8 @@
     }
 }
 """
+# The origin holds no copies, and a gateway before it answers 504 to requests that ran.
+ORIGIN_FLAGS = {"stores": 0, "gateway_timeouts": 0.2}
 SETTINGS = {
     "allowed": {"cancel": True, "connectTimeout": 200_000, "keepalive": 15_000_000, "attemptsCap": 6},
     "categories": [
@@ -207,15 +209,31 @@
         flags = {"queue": 0.004, "service": 0.004, "close_every": close_every, "limit": 60}
         kinds = [("s-01", "std"), ("s-02", "std"), ("s-03", "std"), ("s-21", "parent"), ("s-31", "origin")]
         servers = [
-            (name, kind, Process("http2", seed=seed + at, ran=Path(folder, name), name=name, **flags))
+            (
+                name,
+                kind,
+                Process(
+                    "http2",
+                    seed=seed + at,
+                    ran=Path(folder, name),
+                    name=name,
+                    **flags,
+                    **(ORIGIN_FLAGS if kind == "origin" else {}),
+                ),
+            )
             for at, (name, kind) in enumerate(kinds)
         ]
         try:
             orders, ends, events, seconds = uvloop.run(_run(gets, clients, seed, servers, verdicts))
         finally:
-            closes = sum(process.stop()["closes"] for _, _, process in servers)
+            counts = [process.stop() for _, _, process in servers]
         lines = [line.split() for name, _ in kinds for line in Path(folder, name).read_text().splitlines()]
-    return figures(orders, ends, verdicts.said, lines, closes, seconds, events)
+    closes = sum(count["closes"] for count in counts)
+    timeouts = sum(count.get("gateway_timeouts", 0) for count in counts)
+    return {
+        "gateway_timeouts": timeouts,
+        **figures(orders, ends, verdicts.said, lines, closes, seconds, events),
+    }
 
 
 def _share(ends, ids):
--- a/sprucegate/front/driver.py
+++ b/sprucegate/front/driver.py
@@ -219,6 +219,10 @@
             story=[f"{(at - began) // MS} {event}" for at, event in request.trace],
         )
 
+    def stored_response_only(self, attempt, action):
+        """Return whether the server may answer an attempt from its stored responses alone."""
+        return self.router.stored_response_only(attempt.request.routing_request, action)
+
     def on_response(self, attempt, response):
         """Pass the first response that a server returns on to the client unchanged."""
         if response.not_modified:
--- a/sprucegate/routing/router.py
+++ b/sprucegate/routing/router.py
@@ -188,6 +188,21 @@
             revalidate=bool(self.settings.of_service("fresh_time", service, 0)) and not state.no_retry,
         )
 
+    def stored_response_only(self, request: Request, action: SendAttempt) -> bool:
+        """Whether the server of an attempt may answer it from its stored responses alone.
+
+        Only where a cache or parent is named as its own fill source, which forbids a fill, and only for a
+        request that a stored response can answer. The origin holds no copies. A write, and whatever runs at
+        the origin, is executed by the server itself: a cache writes unsafe methods through (RFC 9111, 4), so
+        that no answer to them is a miss.
+        """
+        if action.fill_source != action.cache or request.write:
+            return False
+        if self.settings.of_service("runs_at_origin", request.delivery_service, False):
+            return False
+        index = self.registry.index_of.get(action.cache)
+        return index is not None and self.registry.servers[index].role != "origin"
+
     def _count_fill(self, attempt: Attempt, request: Request, only_if_cached: bool, now: int) -> None:
         self.inbound_link.fills_in_flight += 1
         attempt.concurrent_fills = self.inbound_link.fills_in_flight
--- a/sprucegate/upstream/http2/mapping.py
+++ b/sprucegate/upstream/http2/mapping.py
@@ -58,9 +58,10 @@
     row: evidence.Row | None
 
 
-def request_fields(authority, get, action, source, time_left):
+def request_fields(authority, get, action, source, stored_only, time_left):
     """Return the header list of an attempt. Ages and waits are rounded so that they never exceed those decided.
 
+    `stored_only` is whether the server may answer from its stored responses alone (RFC 9111 section 5.2.1.7);
     `time_left` is how long the client still waits (ns) when the request is sent.
     """
     path = b"/svc/%b/%b/slice-%d" % (get.ds.encode(), get.object_key.encode(), get.part)
@@ -79,7 +80,7 @@
         # Both directives: max-age bounds the age, and max-stale accepts a stale response up to that age (RFC 9111
         # section 5.2.1).
         cache_control += [f"max-age={action.max_age // S}", f"max-stale={action.max_age // S}"]
-    if only_if_cached(action):
+    if stored_only:
         cache_control.append("only-if-cached")
     if cache_control:
         fields.append((b"cache-control", ", ".join(cache_control).encode()))
@@ -111,11 +112,6 @@
     return fields
 
 
-def only_if_cached(action):
-    """Return whether the server must not fill a miss: the action then names the server itself as the fill source."""
-    return action.fill_source == action.cache
-
-
 @lru_cache(PARSED_FIELDS_CACHED)
 def _parse_cache_status(text):
     """Return the cache status by Cache-Status (RFC 9211), whose last member is the cache that sent the response."""
--- a/sprucegate/upstream/http2/transport.py
+++ b/sprucegate/upstream/http2/transport.py
@@ -103,16 +103,18 @@
     :ivar attempt: the driver's attempt
     :ivar action: the SendAttempt
     :ivar source: name of the server from which a miss is filled, or None
+    :ivar stored_only: whether the server may answer from its stored responses alone
     :ivar connection: its connection, None while it waits for a stream
     :ivar stream: its stream, None while it waits for one
     """
 
-    __slots__ = ("attempt", "action", "source", "connection", "stream")
+    __slots__ = ("attempt", "action", "source", "stored_only", "connection", "stream")
 
-    def __init__(self, attempt, action, source):
+    def __init__(self, attempt, action, source, stored_only):
         self.attempt = attempt
         self.action = action
         self.source = source
+        self.stored_only = stored_only
         self.connection = None
         self.stream = None
 
@@ -166,7 +168,8 @@
     def forward(self, server, attempt, action, source):
         """Send an attempt; its end is reported to the driver."""
         server.transport_state.pool.restore()
-        attempt.connection = pending = PendingAttempt(attempt, action, source)
+        stored_only = self.driver.stored_response_only(attempt, action)
+        attempt.connection = pending = PendingAttempt(attempt, action, source, stored_only)
         self._perform(server, server.transport_state.pool.request_stream(pending, attempt.decided_at))
 
     def withdraw(self, attempt):
@@ -283,11 +286,14 @@
                 server.transport_state.pool.stream_ended(action.connection, False, self.driver.clock()),
             )
         fields = mapping.request_fields(
-            server.transport_state.authority, attempt.request, pending.action, pending.source, time_left
-        )
-        stream = connection.session.send_request(
-            pending, fields, attempt.request.body, mapping.only_if_cached(pending.action)
+            server.transport_state.authority,
+            attempt.request,
+            pending.action,
+            pending.source,
+            pending.stored_only,
+            time_left,
         )
+        stream = connection.session.send_request(pending, fields, attempt.request.body, pending.stored_only)
         if stream is None:
             self.loop.call_soon(
                 self.driver.on_attempt_ended, attempt, AttemptOutcome.NOT_SENT, CacheStatus.UNKNOWN, 0, {}
--- a/standins/driver.py
+++ b/standins/driver.py
@@ -70,6 +70,9 @@
     def bring_timer_forward(self, due):
         self.loop.call_later(max(0, due - self.clock()) / 1e9, lambda: self.servers.due(self.clock()))
 
+    def stored_response_only(self, out, action):
+        return False
+
     def on_response(self, out, said):
         self.answers[out] = said
 
--- a/standins/http2.py
+++ b/standins/http2.py
@@ -63,6 +63,7 @@
         words = fields.get(b"spruce-fill", b"").decode().split(", ")
         self.attempt = next((int(w[4:]) for w in words if w.startswith("try=")), 0)
         self.write = fields.get(b":method") == b"PUT"
+        self.only_if_cached = b"only-if-cached" in fields.get(b"cache-control", b"")
 
 
 class Peer:
@@ -275,6 +276,8 @@
         ran=None,
         name="s",
         steady=False,
+        stores=True,
+        gateway_timeouts=0.0,
     ):
         self.chance, self.limit, self.window, self.opens = random.Random(seed), limit, window, opens
         self.queue, self.service, self.size, self.close_every, self.closes = (
@@ -288,6 +291,9 @@
         self.file = os.open(ran, os.O_WRONLY | os.O_CREAT | os.O_APPEND) if ran else None
         self.port, self.listener, self.counts = port, None, {}
         self.heads, self.steady = lambda peer, request: None, steady
+        # Without a store it answers a GET with only-if-cached by 504 (RFC 9111 section 5.2.1.7). `gateway_timeouts`:
+        # share of the requests that run and are answered 504 all the same, as by a gateway before a slow server.
+        self.stores, self.gateway_timeouts, self.timed_out = stores, gateway_timeouts, 0
 
     def listen(self):
         self.listener = socket.create_server(("127.0.0.1", self.port), backlog=512)
@@ -325,6 +331,8 @@
         """A whole request: it waits, runs, is answered; and now and then the connection is closed instead."""
         if peer.last is not None and request.stream > peer.last:
             return  # above the last stream of our GOAWAY: never runs
+        if request.only_if_cached and not request.write and not self.stores:
+            return peer.answer(request.stream, 504, (), b"")
         spread = 1.0 if self.steady else 0.5 + self.chance.random()
         peer.loop.call_later(self.queue * spread, self._run, peer, request, spread)
         if peer.until_close:
@@ -341,7 +349,12 @@
             peer.loop.call_later(self.service * spread, self._answer, peer, request)
 
     def _answer(self, peer, request):
-        if not peer.closed and request.stream in peer.open:
+        if peer.closed or request.stream not in peer.open:
+            return
+        if self.gateway_timeouts and self.chance.random() < self.gateway_timeouts:
+            self.timed_out += 1
+            peer.answer(request.stream, 504, (), b"")
+        else:
             peer.answer(
                 request.stream,
                 200,
@@ -433,7 +446,10 @@
     await stop.wait()
     task.cancel()
     closes = sum(server.counts.values())
-    print(f"ran {len(server.ran)} connections {server.made} closes {closes}", flush=True)
+    figures = f"ran {len(server.ran)} connections {server.made} closes {closes}"
+    if server.gateway_timeouts:
+        figures += f" gateway_timeouts {server.timed_out}"
+    print(figures, flush=True)
 
 
 def main(given):
@@ -450,6 +466,8 @@
         ("ran", str, None),
         ("name", str, "s"),
         ("steady", int, 0),
+        ("stores", int, 1),
+        ("gateway-timeouts", float, 0.0),
     ):
         flags.add_argument("--" + name, type=kind, default=default)
     uvloop.run(serve(Server(**{k: v for k, v in vars(flags.parse_args(given)).items()})))
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -250,6 +250,50 @@
     assert isinstance(state.route(NOW + age)[0], action)
 
 
+def every_first_attempt(router, requests):
+    """Yield each request with its first attempt, if one is sent."""
+    for request in requests:
+        action = router.start_request(request, NOW).route(NOW)[0]
+        if isinstance(action, SendAttempt):
+            yield request, action
+
+
+@pytest.mark.parametrize("direct", [True, False])
+@pytest.mark.parametrize(
+    "listed", [(*CACHES, *PARENTS, ORIGIN), CACHES, PARENTS, (ORIGIN,), (*CACHES, ORIGIN)]
+)
+@pytest.mark.parametrize("link_use", [0.0, 20.0])
+def test_only_reads_that_a_cache_may_not_fill_ask_for_a_stored_response(direct, listed, link_use):
+    """Guards against a 504 to a write, or from the origin, that is taken for a miss: it may have been executed."""
+    router = make_router(direct=direct)
+    router.update_endpoints([make_endpoint(server) for server in listed], True, NOW)
+    router.inbound_link.utilization, router.inbound_link.utilization_reported_at = link_use, NOW
+    requests = [
+        make_request(f"{ds}-{write}-{obj}", obj, ds=ds)._replace(write=write)
+        for ds in range(3)
+        for write in (False, True)
+        for obj in range(20)
+    ]
+    for request, action in every_first_attempt(router, requests):
+        executed_by_server = request.write or request.delivery_service == 2 or action.cache == ORIGIN
+        no_fill = action.fill_source == action.cache
+        assert router.stored_response_only(request, action) is (no_fill and not executed_by_server)
+
+
+def test_the_attempts_that_ask_for_a_stored_response_occur_at_caches_and_parents():
+    full_link, parents_alone = make_router(), make_router(direct=True)
+    full_link.inbound_link.utilization, full_link.inbound_link.utilization_reported_at = 20.0, NOW
+    parents_alone.update_endpoints([make_endpoint(server) for server in PARENTS], True, NOW)
+    for router, targets in ((full_link, CACHES), (parents_alone, PARENTS)):
+        requests = [make_request(f"r-{obj}", obj) for obj in range(20)]
+        asked = [
+            action.cache
+            for request, action in every_first_attempt(router, requests)
+            if router.stored_response_only(request, action)
+        ]
+        assert asked and set(asked) <= set(targets)
+
+
 @pytest.mark.parametrize("ds, retries_max", [(2, 3), (0, 2), (1, 1)])
 def test_maximum_attempts_depend_on_revenue(ds, retries_max):
     router = make_router(effect=["idempotent"] * 3)
--- a/tests/upstream/test_http2_front.py
+++ b/tests/upstream/test_http2_front.py
@@ -127,6 +127,28 @@
         assert send_order(front) == 502
 
 
+def test_an_order_that_ran_and_is_answered_504_by_a_gateway_is_not_repeated(tmp_path, stand_ins):
+    """Guards against an order that runs up to four times, and a client that is told that none did (review, case 1)."""
+
+    def run_and_time_out(peer, request):
+        peer.run(request)
+        peer.answer(request.stream, 504, (), b"")
+
+    stand_ins[1].server.came = run_and_time_out
+    with start_front(tmp_path, stand_ins) as front:
+        assert send_order(front, body=b"two valves") == 502
+    assert stand_ins[1].server.ran == [("a" * 16, 0)]
+
+
+def test_a_get_without_a_cache_is_answered_by_an_origin_that_honours_only_if_cached(tmp_path, stand_ins):
+    """Guards against GETs that a gateway before the origin answers 504, as they ask for a stored response alone."""
+    origin = stand_ins[1]
+    origin.server.stores = False
+    with Front(tmp_path, host("s-1f", origin.address, "origin"), kdl=KDL) as front:
+        assert front.ask(get_text())[0] == 200
+    assert origin.server.ran == [("9b1f03aa5c7e2d41", 0)]
+
+
 def test_a_stream_window_that_never_opens_fails_only_its_own_put(tmp_path, stand_ins):
     stand_ins[1].stop()
     stand_ins[1] = Running(window=1, opens=False)
@@ -215,6 +237,7 @@
 def test_a_soak_with_connections_closed_at_random_points():
     result = soak(1500, 40, clients=32)
     assert result["closes"] >= 15 and result["orders"] >= 20 and result["never_executed"] > 0
+    assert result["gateway_timeouts"] >= 5
     assert (
         result["orders_duplicated"],
         result["gets_lost"],
--- a/tests/upstream/test_http2_session.py
+++ b/tests/upstream/test_http2_session.py
@@ -362,6 +362,7 @@
             open_request("t1"),
             send_attempt(rank=2, max_age=9_900_000_000, collapse=True, number=1, revalidate=True),
             's-"1f',
+            False,
             5 * S,
         )
     )
@@ -379,20 +380,21 @@
     with_token = open_request()
     with_token.token = "874c-e5"
     assert (
-        dict(mapping.request_fields(b"a:1", with_token, send_attempt(), None, S))[b"idempotency-key"]
+        dict(mapping.request_fields(b"a:1", with_token, send_attempt(), None, False, S))[b"idempotency-key"]
         == b'"874c-e5"'
     )
     fields = dict(
         mapping.request_fields(
-            b"a:1", open_request(), send_attempt(fill_source=1, max_age=10), None, 900_000_000
+            b"a:1", open_request(), send_attempt(fill_source=1, max_age=10), None, True, 900_000_000
         )
     )
     assert fields[b"spruce-wait"] == b"900"  # the client's remaining wait, if that is shorter
     assert fields[b"cache-control"] == b"max-age=0, max-stale=0, only-if-cached"  # rounded down, never up
     fields = dict(
-        mapping.request_fields(b"a:1", open_request(body=b"abc", write=True), send_attempt(), "o", S)
+        mapping.request_fields(b"a:1", open_request(body=b"abc", write=True), send_attempt(), "o", False, S)
     )
     assert (fields[b":method"], fields[b"content-length"]) == (b"PUT", b"3")
+    assert b"cache-control" not in fields
 
 
 @pytest.mark.parametrize(
