A 504 to only-if-cached is no proof where the cache says that it forwarded the request

A cache need not obey only-if-cached (RFC 9111 5.2.1.7: SHOULD); one that sent the GET on, and says so in Cache-Status (fwd, collapsed, origin-failed, source-broken), answers 504 for a slow source. The front took it for a miss that never ran, and would have sent a GET again that may not run twice.

Change: such a 504 is an error that may have run. no-fill-place, source-refused and an absent or unreadable Cache-Status leave the proof as it was.

Measured: five of nine rows of the new test failed before, all pass; tests/upstream and test_documentation: 147 passed.

--- a/sprucegate/upstream/http2/evidence.py
+++ b/sprucegate/upstream/http2/evidence.py
@@ -98,10 +98,14 @@
     return ABOVE_GOAWAY if stream > last else ENDED_AFTER_GOAWAY
 
 
-def of_status(status, declared_not_executed, only_if_cached):
-    """Return what the status of a response proves, or None if it has no special meaning here."""
+def of_status(status, declared_not_executed, stored_only):
+    """Return what the status of a response proves, or None if it has no special meaning here.
+
+    `stored_only` is whether a cache was asked for a stored response alone, and does not say that it forwarded the
+    request all the same.
+    """
     if status == MISDIRECTED_REQUEST:
         return MISDIRECTED
     if status in (TOO_MANY_REQUESTS, SERVICE_UNAVAILABLE):
         return BUSY_NOT_EXECUTED if declared_not_executed else BUSY
-    return NOT_CACHED if status == GATEWAY_TIMEOUT and only_if_cached else None
+    return NOT_CACHED if status == GATEWAY_TIMEOUT and stored_only else None
--- a/sprucegate/upstream/http2/mapping.py
+++ b/sprucegate/upstream/http2/mapping.py
@@ -27,6 +27,14 @@
     "no-fill-place": CacheStatus.FILL_SLOTS_EXHAUSTED,
     "origin-failed": CacheStatus.ORIGIN_FAILED,
 }
+# With these a cache sent the request on, whatever its directives: a 504 then says nothing about what was executed.
+FORWARDED = (
+    CacheStatus.FILLED,
+    CacheStatus.FILLED_BY_ORIGIN,
+    CacheStatus.COLLAPSED,
+    CacheStatus.FILL_SOURCE_BROKEN,
+    CacheStatus.ORIGIN_FAILED,
+)
 LOADS = (
     "inflight",
     "queued",
@@ -191,7 +199,8 @@
     cache_status = _parse_or_default(_parse_cache_status, fields.get(b"cache-status"), CacheStatus.UNKNOWN)
     fill_wait = _parse_or_default(_parse_fill_wait, fields.get(b"server-timing"), 0)
     load = _parse_or_default(_parse_load, fields.get(b"spruce-load"), {})
-    row = evidence.of_status(status, fields.get(b"spruce-ran") == b"?0", cached_only)
+    not_forwarded = cached_only and cache_status not in FORWARDED
+    row = evidence.of_status(status, fields.get(b"spruce-ran") == b"?0", not_forwarded)
     tag = _entity_tag(fields.get(b"etag", b""))
     # A 304 whose tag is not that of the client's stored response is not passed on: the client would use a response that
     # no cache has validated.
--- a/tests/upstream/test_http2_session.py
+++ b/tests/upstream/test_http2_session.py
@@ -462,6 +462,25 @@
     assert mapping.interpret(504, {}, b"", False).outcome is AttemptOutcome.ERROR
 
 
+@pytest.mark.parametrize(
+    "cache_status, outcome",
+    [
+        (b"s; fwd=miss", AttemptOutcome.ERROR),
+        (b"s; fwd=miss; collapsed", AttemptOutcome.ERROR),
+        (b"p; fwd=miss, s; fwd=miss", AttemptOutcome.ERROR),
+        (b"s; fwd=miss; detail=origin-failed", AttemptOutcome.ERROR),
+        (b"s; fwd=miss; detail=source-broken", AttemptOutcome.ERROR),
+        (b"s; detail=no-fill-place", AttemptOutcome.MISS),
+        (b"s; detail=source-refused", AttemptOutcome.MISS),
+        (b"s", AttemptOutcome.MISS),
+        (b"not a list ;;", AttemptOutcome.MISS),
+    ],
+)
+def test_a_504_of_a_cache_that_forwarded_an_only_if_cached_request_is_no_miss(cache_status, outcome):
+    """Guards against a request that is sent again although its cache says that it passed it on."""
+    assert mapping.interpret(504, {b"cache-status": cache_status}, b"", True).outcome is outcome
+
+
 def test_entity_tag_age_fill_wait_and_load_of_a_response():
     meaning = mapping.interpret(
         200,
