A front applies entries of the log for at most 5 ms in one turn of its event loop

Cause: a message of the log has up to 200 entries, and a front applied all of them in one turn of the loop that serves GETs: at 3 to 5 ms an entry (3,200 servers, a release under way) GETs wait for up to a second, though each entry is cheap by itself.

Change: ConsensusDriver keeps the follower's actions in one queue. Entries are applied until 5 ms are over, one at least, and the drains that follow from them; the rest in later turns. What stands behind entries, also of a later message (answers to operators, requests for more entries), waits for them, so the order is as before. A voter applies what is committed as before: its compaction counts on that, and no GET is served by a voter of its own.

--- a/sprucegate/fleet/consensus/driver.py
+++ b/sprucegate/fleet/consensus/driver.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import time
+from collections import deque
 
 from sprucegate.fleet.consensus import codec
 from sprucegate.fleet.consensus.actions import (
@@ -42,6 +43,9 @@
 REPORTER_INTERVAL_SECONDS = 0.1  # between two runs of a front's reporter, which proposes commands
 REPORT_INTERVAL = NS_PER_SECOND // 2  # between a front's reports to the leader on all servers
 PROPOSAL_TIMEOUT = 2 * NS_PER_SECOND
+APPLY_TIME_MAX = (
+    5_000_000  # ns of one turn of the event loop in which entries are applied: GETs come in between
+)
 
 
 class ConsensusDriver:
@@ -69,6 +73,11 @@
             else None
         )
         self.state_machine = RolloutStateMachine()
+        self.pending_actions = (
+            deque()
+        )  # of the log follower; those behind entries wait until these are applied
+        self.unapplied_entries = deque()  # of the action performed last
+        self.resume_scheduled = False
         random_source = RandomSource(f"{name}/follows", seed ^ incarnation)
         self.follower = (
             LogFollower(
@@ -205,26 +214,54 @@
                 self._perform(self.follower.propose(command, None, now, PROPOSAL_TIMEOUT))
 
     def _perform(self, actions):
-        for action in actions:
-            match action:
-                case SendMessage():
-                    self._send(self.name, action.to, action.message)
-                case ApplyCommands():
-                    for index, command in action.entries:
-                        result, _ = self.state_machine.apply(index, command)
-                        if result.endswith("is not known here") and not self.incompatible:
-                            # Of a newer build: the state is no longer complete here, so nothing is proposed from it.
-                            self.incompatible = True
-                            self.log("agreed_newer", error=result)
-                    self.agent.apply_drains(self.state_machine)
-                case ReplaceState():
-                    state_machine = RolloutStateMachine()
-                    self.incompatible = not state_machine.restore(action.state)
-                    self.state_machine = state_machine if not self.incompatible else self.state_machine
-                    self.agent.apply_drains(self.state_machine)
-                case ProposalCompleted():
-                    if (waiter := self.waiters.pop(action.token, None)) is not None and not waiter.done():
-                        waiter.set_result((action.result, action.index))
+        """Perform the log follower's actions in order; entries at most for APPLY_TIME_MAX in one turn of the loop."""
+        self.pending_actions.extend(actions)
+        if not self.resume_scheduled:
+            self._perform_pending()
+
+    def _resume(self):
+        self.resume_scheduled = False
+        self._perform_pending()
+
+    def _perform_pending(self):
+        deadline = time.monotonic_ns() + APPLY_TIME_MAX
+        while self.unapplied_entries or self.pending_actions:
+            if not self.unapplied_entries:
+                self._perform_one(self.pending_actions.popleft())
+                continue
+            self._apply_entries(deadline)
+            if self.unapplied_entries:
+                self.resume_scheduled = True
+                self.loop.call_soon(self._resume)
+                return
+
+    def _perform_one(self, action):
+        match action:
+            case SendMessage():
+                self._send(self.name, action.to, action.message)
+            case ApplyCommands():
+                self.unapplied_entries.extend(action.entries)
+            case ReplaceState():
+                state_machine = RolloutStateMachine()
+                self.incompatible = not state_machine.restore(action.state)
+                self.state_machine = state_machine if not self.incompatible else self.state_machine
+                self.agent.apply_drains(self.state_machine)
+            case ProposalCompleted():
+                if (waiter := self.waiters.pop(action.token, None)) is not None and not waiter.done():
+                    waiter.set_result((action.result, action.index))
+
+    def _apply_entries(self, deadline):
+        """Apply entries until `deadline` (monotonic ns), one at least, and the drains that follow from them."""
+        while self.unapplied_entries:
+            index, command = self.unapplied_entries.popleft()
+            result, _ = self.state_machine.apply(index, command)
+            if result.endswith("is not known here") and not self.incompatible:
+                # Of a newer build: the state is no longer complete here, so nothing is proposed from it.
+                self.incompatible = True
+                self.log("agreed_newer", error=result)
+            if time.monotonic_ns() >= deadline:
+                break
+        self.agent.apply_drains(self.state_machine)
 
     # Operators.
 
