--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -12,6 +12,7 @@
     "serverfiles",
     "replication",
     "rollout",
+    "grants",
     "views",
     "shares",
     "scale",
@@ -43,6 +44,7 @@
         "false_halts",
         "violations",
         "apart",
+        "turns_too_long",
     }
 )
 
