A permit has a module of its own; what is not sent over HTTP/2 is reported in one place

Cause: rollout/permits.py had 528 lines with the types, the steps and the state machine; Http2Transport._send had the same nine lines three times.

In the transport _report_not_sent and _free_stream serve all three. No behaviour changes.

--- a/sprucegate/fleet/consensus/driver.py
+++ b/sprucegate/fleet/consensus/driver.py
@@ -35,7 +35,7 @@
 from sprucegate.fleet.rollout import commands
 from sprucegate.fleet.rollout.follower import FrontReporter
 from sprucegate.fleet.rollout.leader import front_lease
-from sprucegate.fleet.rollout.permits import PermitStep
+from sprucegate.fleet.rollout.permit import PermitStep
 from sprucegate.fleet.rollout.rollout import RolloutStateMachine
 
 NS_PER_SECOND = 1_000_000_000
--- a/sprucegate/fleet/consensus/status.py
+++ b/sprucegate/fleet/consensus/status.py
@@ -3,7 +3,7 @@
 from sprucegate.fleet.consensus.raft_node import RaftNode
 from sprucegate.fleet.consensus.raft_state import Role
 from sprucegate.fleet.rollout.disruption import WaitReason
-from sprucegate.fleet.rollout.permits import STEP_WORDS, MaintenancePermit, PermitStep
+from sprucegate.fleet.rollout.permit import STEP_WORDS, MaintenancePermit, PermitStep
 from sprucegate.fleet.rollout.releases import PHASE_WORDS, Release
 from sprucegate.fleet.rollout.rollout import RolloutStateMachine
 
--- a/sprucegate/fleet/maintenance_agent.py
+++ b/sprucegate/fleet/maintenance_agent.py
@@ -9,7 +9,7 @@
 from sprucegate.fleet.membership_view.health_state import HEALTH_STATE_OF_MEMBER
 from sprucegate.fleet.rollout.budgets import ManagedServer
 from sprucegate.fleet.rollout.gates import GateLimits
-from sprucegate.fleet.rollout.permits import PermitStep
+from sprucegate.fleet.rollout.permit import PermitStep
 from sprucegate.routing.events import AttemptOutcome, CacheStatus
 
 DRAIN_SOURCE = "permit"  # the source in the endpoint view of a drain by permit
--- a/sprucegate/fleet/rollout/follower.py
+++ b/sprucegate/fleet/rollout/follower.py
@@ -1,6 +1,6 @@
 """What a front reports to the replicated log on boxes that go out and come back. No I/O, no clock."""
 
-from sprucegate.fleet.rollout.permits import PermitStep
+from sprucegate.fleet.rollout.permit import PermitStep
 
 S = 1_000_000_000
 RETRY_INTERVAL = S  # after which a command that has not been committed is proposed again
--- a/sprucegate/fleet/rollout/leader.py
+++ b/sprucegate/fleet/rollout/leader.py
@@ -9,7 +9,7 @@
 
 from sprucegate.fleet.rollout import gates
 from sprucegate.fleet.rollout.gates import AnalysisSample, GateVerdict
-from sprucegate.fleet.rollout.permits import COUNTED_STEPS, PermitStep
+from sprucegate.fleet.rollout.permit import COUNTED_STEPS, PermitStep
 from sprucegate.fleet.rollout.releases import ReleasePhase
 
 MS, S = 1_000_000, 1_000_000_000
--- a/sprucegate/fleet/rollout/permits.py
+++ b/sprucegate/fleet/rollout/permits.py
@@ -13,117 +13,20 @@
 A box is a server that permits are given for (a cache, a parent or a front), as commands and answers call it.
 """
 
-from enum import IntEnum
-
 from sprucegate.fleet.rollout.budgets import CapacityLimits, DisruptionBudget, ManagedServer
 from sprucegate.fleet.rollout.disruption import DisruptionCounts, WaitingRequests
+from sprucegate.fleet.rollout.permit import (
+    COUNTED_STEPS,
+    OPEN_STEPS,
+    STEP_WORDS,
+    MaintenancePermit,
+    PermitStep,
+)
 
 ENDED_MAX = 1000  # ended permits, and names of fronts that left, that are kept
 OPEN_PERMITS_MAX = 2000  # asked for or granted and not ended; a further request is refused
 
 
-class PermitStep(IntEnum):
-    """Steps of a maintenance permit, in order; stored by number."""
-
-    ASKED = 0
-    GRANTED = 1
-    DRAINED = 2
-    OUT = 3
-    COLD = 4
-    BACK = 5
-    WITHDRAWN = 6
-    GIVEN_UP = 7
-
-
-# The name of a step in answers to commands, in reasons and in operators' answers.
-STEP_WORDS = {
-    PermitStep.ASKED: "asked",
-    PermitStep.GRANTED: "granted",
-    PermitStep.DRAINED: "drained",
-    PermitStep.OUT: "out",
-    PermitStep.COLD: "cold",
-    PermitStep.BACK: "back",
-    PermitStep.WITHDRAWN: "withdrawn",
-    PermitStep.GIVEN_UP: "given_up",
-}
-OPEN_STEPS = (PermitStep.ASKED, PermitStep.GRANTED, PermitStep.DRAINED, PermitStep.OUT, PermitStep.COLD)
-# Steps in which the server counts against the budgets.
-COUNTED_STEPS = (PermitStep.GRANTED, PermitStep.DRAINED, PermitStep.OUT, PermitStep.COLD)
-
-
-class MaintenancePermit:
-    """Permission to take one server out of service, from the request to its return.
-
-    :ivar version: the version to install; "" keeps the present one.
-    :ivar index: index of the log entry that granted it; the permit with the higher index is the newer one.
-    :ivar drained: fronts that reported the server as drained; `warm`: fronts that reported its `start` as warm.
-    :ivar renewed: how often the holder has renewed the permit's lease; `overdue`: the lease has expired.
-    """
-
-    def __init__(
-        self,
-        id,
-        box,
-        by,
-        why,
-        release,
-        version,
-        step=PermitStep.ASKED,
-        index=0,
-        drained=(),
-        warm=(),
-        start="",
-        holder="",
-        renewed=0,
-        overdue=False,
-    ):
-        self.id = id
-        self.box = box
-        self.by = by
-        self.why = why
-        self.release = release
-        self.step = PermitStep(step)
-        self.version = version
-        self.index = index
-        self.drained = list(drained)
-        self.warm = list(warm)
-        self.start = start
-        self.holder = holder
-        self.renewed = renewed
-        self.overdue = overdue
-
-    def to_record(self):
-        """Return the values in the order in which they are stored."""
-        return [
-            self.id,
-            self.box,
-            self.by,
-            self.why,
-            self.release,
-            self.version,
-            int(self.step),
-            self.index,
-            self.drained,
-            self.warm,
-            self.start,
-            self.holder,
-            self.renewed,
-            self.overdue,
-        ]
-
-
-# `reported` has no name twice, and also names of fronts that are live no more. Its length is looked at first, as these
-# are asked of each open permit at each entry of the log.
-
-
-def _all_reported(reporters, reported):
-    return len(reported) >= len(reporters) and reporters <= set(reported)
-
-
-def _majority_reported(reporters, reported):
-    return 2 * len(reported) > len(reporters) and 2 * len(reporters & set(reported)) > len(reporters)
-
-
 class PermitTable:
     """State machine of maintenance permits: the same commands give the same state in every process.
 
@@ -279,10 +182,10 @@
         # Only clients send to a front, so the front itself reports that it takes no more, and that it serves again.
         reporters = self.fronts.keys() & {permit.box} if is_front else self.fronts.keys()
         if permit.step is PermitStep.GRANTED:
-            if (reporters or is_front) and _all_reported(reporters, permit.drained):
+            if (reporters or is_front) and permit.is_drained_by_all(reporters):
                 permit.step = PermitStep.DRAINED
         # A majority, not all: a front that sees few GETs would take an hour to warm up its part of a cold cache.
-        elif reporters and _majority_reported(reporters, permit.warm):
+        elif reporters and permit.is_warm_for_majority(reporters):
             self._end(permit, PermitStep.BACK)
 
     def advance_all(self):
--- a/sprucegate/fleet/rollout/releases.py
+++ b/sprucegate/fleet/rollout/releases.py
@@ -7,7 +7,7 @@
 from enum import IntEnum
 from typing import NamedTuple
 
-from sprucegate.fleet.rollout.permits import PermitStep
+from sprucegate.fleet.rollout.permit import PermitStep
 
 HISTORY_MAX = 500  # events of releases that are kept
 
--- a/sprucegate/fleet/rollout/rollout.py
+++ b/sprucegate/fleet/rollout/rollout.py
@@ -6,7 +6,8 @@
 
 from sprucegate.fleet.rollout.budgets import CapacityLimits, DisruptionBudget, ManagedServer
 from sprucegate.fleet.rollout.disruption import WaitReason
-from sprucegate.fleet.rollout.permits import PermitStep, PermitTable
+from sprucegate.fleet.rollout.permit import PermitStep
+from sprucegate.fleet.rollout.permits import PermitTable
 from sprucegate.fleet.rollout.releases import PHASE_WORDS, ReleasePlan, ReleaseTable
 
 STATE_FORMAT = 1
--- a/sprucegate/upstream/http2/transport.py
+++ b/sprucegate/upstream/http2/transport.py
@@ -272,19 +272,10 @@
         pending, connection = action.attempt, server.transport_state.connections[action.connection]
         attempt = pending.attempt
         if attempt.ended:  # cancelled in the same turn of the event loop
-            return self._perform(
-                server,
-                server.transport_state.pool.stream_ended(action.connection, False, self.driver.clock()),
-            )
+            return self._free_stream(connection, False, self.driver.clock())
         time_left = self.driver.sending.time_left(attempt, self.driver.clock())
         if time_left is None:
-            self.loop.call_soon(
-                self.driver.on_attempt_ended, attempt, AttemptOutcome.NOT_SENT, CacheStatus.UNKNOWN, 0, {}
-            )
-            return self._perform(
-                server,
-                server.transport_state.pool.stream_ended(action.connection, False, self.driver.clock()),
-            )
+            return self._report_not_sent(connection, attempt)
         fields = mapping.request_fields(
             server.transport_state.authority,
             attempt.request,
@@ -295,19 +286,20 @@
         )
         stream = connection.session.send_request(pending, fields, attempt.request.body, pending.stored_only)
         if stream is None:
-            self.loop.call_soon(
-                self.driver.on_attempt_ended, attempt, AttemptOutcome.NOT_SENT, CacheStatus.UNKNOWN, 0, {}
-            )
-            return self._perform(
-                server,
-                server.transport_state.pool.stream_ended(action.connection, False, self.driver.clock()),
-            )
+            return self._report_not_sent(connection, attempt)
         pending.connection = connection
         pending.stream = stream
         attempt.progress = Progress.PARTIAL
         self.driver.sending.began(attempt, self.driver.clock())
         self._schedule_flush(connection)
 
+    def _report_not_sent(self, connection, attempt):
+        """Give the stream of an attempt back that was not sent, and report its end in a later turn of the loop."""
+        self.loop.call_soon(
+            self.driver.on_attempt_ended, attempt, AttemptOutcome.NOT_SENT, CacheStatus.UNKNOWN, 0, {}
+        )
+        self._free_stream(connection, False, self.driver.clock())
+
     def _open(self, server, number):
         session = Http2Session(self.limits.held, self.driver.clock())
         connection = server.transport_state.connections[number] = Http2Connection(server, number, session)
--- a/standins/fleet/rollouts.py
+++ b/standins/fleet/rollouts.py
@@ -20,7 +20,7 @@
 from sprucegate.fleet.rollout.budgets import ManagedServer
 from sprucegate.fleet.rollout.follower import FrontReporter
 from sprucegate.fleet.rollout.leader import RolloutLeader, front_lease
-from sprucegate.fleet.rollout.permits import PermitStep
+from sprucegate.fleet.rollout.permit import PermitStep
 from sprucegate.fleet.rollout.rollout import RolloutStateMachine
 from standins.fleet import keepers
 from standins.fleet.keepers import MS, S, World
--- a/tests/fleet/reference_permits.py
+++ b/tests/fleet/reference_permits.py
@@ -4,7 +4,8 @@
 """
 
 from sprucegate.fleet.rollout.budgets import ManagedServer
-from sprucegate.fleet.rollout.permits import PermitStep, PermitTable
+from sprucegate.fleet.rollout.permit import PermitStep
+from sprucegate.fleet.rollout.permits import PermitTable
 from sprucegate.fleet.rollout.releases import ReleasePlan, ReleaseTable
 from sprucegate.fleet.rollout.rollout import RolloutStateMachine
 
--- a/tests/fleet/test_disruption.py
+++ b/tests/fleet/test_disruption.py
@@ -7,7 +7,7 @@
 from reference_permits import ReferenceStateMachine
 
 from sprucegate.fleet.rollout.budgets import SCOPES
-from sprucegate.fleet.rollout.permits import PermitStep
+from sprucegate.fleet.rollout.permit import PermitStep
 from sprucegate.fleet.rollout.rollout import RolloutStateMachine
 
 LOCATIONS, KINDS, GROUPS = ("a", "b", "c"), ("std", "big"), ("g", "h")
--- a/tests/fleet/test_fleet_rollout.py
+++ b/tests/fleet/test_fleet_rollout.py
@@ -32,7 +32,8 @@
 from sprucegate.fleet.rollout.follower import FrontReporter
 from sprucegate.fleet.rollout.gates import AnalysisSample, GateVerdict
 from sprucegate.fleet.rollout.leader import FRONT_LEASE, PERMIT_LEASE, RETURN_TIMEOUT, RolloutLeader
-from sprucegate.fleet.rollout.permits import PermitStep, PermitTable
+from sprucegate.fleet.rollout.permit import PermitStep
+from sprucegate.fleet.rollout.permits import PermitTable
 from sprucegate.fleet.rollout.releases import ReleasePhase, ReleaseTable
 from sprucegate.fleet.rollout.rollout import RolloutStateMachine
 from standins.fleet import rollouts
--- a/tests/stored_data.py
+++ b/tests/stored_data.py
@@ -47,7 +47,7 @@
 from sprucegate.fleet.random_source import RandomSource
 from sprucegate.fleet.replica import facts, replica
 from sprucegate.fleet.replica_storage import ReplicaStorage, encode_records
-from sprucegate.fleet.rollout import commands, permits, releases
+from sprucegate.fleet.rollout import budgets, commands, releases
 from sprucegate.fleet.rollout.rollout import RolloutStateMachine
 from sprucegate.routing import events
 from sprucegate.storage import records
@@ -148,9 +148,9 @@
     facts.ReplicatedRecord: "key value version",
     events.BeliefGossip: "object part cache started remaining age",
     events.EjectionGossip: "cache started as_source remaining slowness age",
-    permits.ManagedServer: "name role location kind group weight",
-    permits.DisruptionBudget: "scope of role count share",
-    permits.CapacityLimits: "cold_share spare",
+    budgets.ManagedServer: "name role location kind group weight",
+    budgets.DisruptionBudget: "scope of role count share",
+    budgets.CapacityLimits: "cold_share spare",
     releases.ReleasePlan: "name kind version former waves bake",
 }
 
