Log memory, connections that the front closed, and rejected requests by status

Need: the recordings of the memory kills have no figure of memory, and not why and in which state the front closed clients.

Change: the `second` line has memory_mb and memory_peak_mb and counts bad_requests by status; `client_closed` has a connection's number, reason, state, ages and open GET, five a second at most; invariants share that limiter.

--- a/sprucegate/assembly/run.py
+++ b/sprucegate/assembly/run.py
@@ -12,6 +12,7 @@
 from sprucegate.front.connection_reader import ConnectionReader
 from sprucegate.front.driver import Driver
 from sprucegate.front.log import Log
+from sprucegate.front.process_memory import memory_usage
 from sprucegate.front.subscription import Subscription
 
 # Errors of socket, bind and listen that may pass: the address is in use, or descriptors or memory are exhausted.
@@ -218,6 +219,8 @@
             _run_sweep(driver, reader.sweep)
         _run_sweep(driver, driver.servers.sweep)
         driver.invariants.start_second()
+        reader.close_log.start_second()
+        memory = memory_usage()
         driver.invariants.check_no_leaks(len(driver.open_requests), len(driver.requests_by_id), pool.in_use)
         log(
             "second",
@@ -225,5 +228,7 @@
             clients=len(reader.clients),
             caches=driver.servers.connections,
             buffers=pool.in_use,
+            memory_mb=memory.resident >> 20,
+            memory_peak_mb=memory.peak >> 20,
             **driver.counters.read_and_reset(),
         )
--- a/sprucegate/front/client_connections.py
+++ b/sprucegate/front/client_connections.py
@@ -55,6 +55,8 @@
 class ClientConnection:
     """One connection to a client.
 
+    :ivar number: its number, by which the log refers to it
+    :ivar accepted_at: when it was accepted (ns)
     :ivar reader: parses requests from the bytes received
     :ivar close_after_response: the next response is the last one on this connection, and nothing more is read
     :ivar since: when it entered its state, or when a request began to arrive (ns)
@@ -65,6 +67,8 @@
 
     __slots__ = (
         "sock",
+        "number",
+        "accepted_at",
         "reader",
         "state",
         "close_after_response",
@@ -74,8 +78,10 @@
         "writer",
     )
 
-    def __init__(self, sock, now, repeatable=frozenset()):
+    def __init__(self, sock, now, repeatable=frozenset(), number=0):
         self.sock = sock
+        self.number = number
+        self.accepted_at = now
         self.reader = RequestReader(repeatable)
         self.state = ConnectionState.IDLE
         self.close_after_response = False
--- a/sprucegate/front/connection_reader.py
+++ b/sprucegate/front/connection_reader.py
@@ -2,8 +2,11 @@
 
 import asyncio
 from collections import deque
+from itertools import count
 
 from sprucegate.front.client_connections import ClientConnection, ConnectionState
+from sprucegate.front.limited_log import LimitedLog
+from sprucegate.units import MILLISECOND
 from sprucegate.upstream.sockets import receive_into, set_no_delay, time_since_last_data
 
 REQUESTS_PER_ITERATION = 3  # requests dispatched in one iteration of the event loop
@@ -11,6 +14,9 @@
 ACCEPT_PAUSE_S = (
     0.02  # pause of accepting at the connection limit; new connections wait in the kernel's queue
 )
+CLOSES_LOGGED_PER_SECOND = 5
+# Closes that are not worth a line each: by the client, at the end of the front, after a response.
+CLOSES_NOT_LOGGED = frozenset({"peer", "stopping", "told_to_go"})
 
 
 class ConnectionReader:
@@ -25,6 +31,8 @@
     :ivar dispatch_scheduled: whether `_dispatch` is scheduled in the event loop
     :ivar resume_timer: resumes accepting after a pause, or None
     :ivar accept_queue_empty: whether the last accept found no waiting connection
+    :ivar numbers: numbers of the next connections
+    :ivar close_log: log of the connections that the front closed
     """
 
     def __init__(self, driver, pool, max_connections, timeouts, repeatable=frozenset()):
@@ -41,6 +49,12 @@
         self.listener = None
         self.resume_timer = None
         self.accept_queue_empty = False
+        self.numbers = count(1)
+        self.close_log = LimitedLog(
+            driver.log,
+            CLOSES_LOGGED_PER_SECOND,
+            lambda: driver.counters.count("client_closed_left_out"),
+        )
 
     # Connections.
 
@@ -78,7 +92,7 @@
             return False
         sock.setblocking(False)
         set_no_delay(sock)
-        client = ClientConnection(sock, self.driver.clock(), self.repeatable)
+        client = ClientConnection(sock, self.driver.clock(), self.repeatable, next(self.numbers))
         self.clients[client] = self.without_request[client] = None
         self.loop.add_reader(sock, self._on_readable, client)
         return True
@@ -165,6 +179,8 @@
         if client.state is ConnectionState.CLOSED:
             return True
         self.driver.counters.count(f"clients_closed {why}")
+        if why not in CLOSES_NOT_LOGGED:
+            self._log_close(client, why)
         self.driver.invariants.check_close(client, why)
         client.on_closed(self.driver.clock())
         for connections in (self.clients, self.without_request):
@@ -178,6 +194,20 @@
             self.driver.guarded(client.open_request, self.driver.client_left, client.open_request)
         return True
 
+    def _log_close(self, client, why):
+        now = self.driver.clock()
+        request = client.open_request
+        self.close_log(
+            "client_closed",
+            connection=client.number,
+            why=why,
+            state=client.state.name.lower(),
+            state_ms=(now - client.since) // MILLISECOND,
+            age_ms=(now - client.accepted_at) // MILLISECOND,
+            half_request=client.reader.request_started,
+            id=request.id.decode("latin-1") if request is not None else "",
+        )
+
     # Requests.
 
     def _on_data(self, client, data):
--- a/sprucegate/front/invariants.py
+++ b/sprucegate/front/invariants.py
@@ -6,6 +6,7 @@
 """
 
 from sprucegate.front.client_connections import ConnectionState
+from sprucegate.front.limited_log import LimitedLog
 from sprucegate.units import MILLISECOND as MS
 
 # Tolerances: what is later than this is a violation.
@@ -23,7 +24,6 @@
 
     :ivar effects: the effect of a repeated execution, by delivery service; "idempotent" where not set
     :ivar most_attempts: upper bound of attempts of a request
-    :ivar logged: violations logged in this second
     :ivar unavailable_servers: ids of servers that the last lists named as draining or removed, the latest last; one
         that a complete list omits isn't among them
     """
@@ -32,13 +32,12 @@
         self.effects = settings.get("effect") or ()
         self.most_attempts = settings.get("max_forwards", 1 << 30)
         self.count = count
-        self.log = log
-        self.logged = 0
+        self.log = LimitedLog(log, LOGGED_PER_SECOND_MAX)
         self.unavailable_servers = {}
 
     def start_second(self):
-        """Reset the number of logged violations; called once a second."""
-        self.logged = 0
+        """Allow the next lines on violations; called once a second."""
+        self.log.start_second()
 
     def record_endpoint_list(self, serving, named, whole):
         """Record an endpoint list: ids of serving servers, ids that it names, and whether it is complete."""
@@ -53,15 +52,13 @@
     def report_violation(self, rule, request, **fields):
         """Count a violation of a rule by a request, and log it with the request's trace."""
         self.count(f"invariant_violations {rule}")
-        self.logged += 1
-        if self.logged <= LOGGED_PER_SECOND_MAX:
-            self.log(
-                "invariant_broken",
-                rule=rule,
-                id=request.id.decode("latin-1"),
-                story=[f"{at // MS} {event}" for at, event in request.trace],
-                **fields,
-            )
+        self.log(
+            "invariant_broken",
+            rule=rule,
+            id=request.id.decode("latin-1"),
+            story=[f"{at // MS} {event}" for at, event in request.trace],
+            **fields,
+        )
 
     # Checks.
 
--- a/sprucegate/front/response_writer.py
+++ b/sprucegate/front/response_writer.py
@@ -36,6 +36,7 @@
     def reject(self, client, rejection):
         """Write the plain-text response to an invalid request; nothing more is read on this connection."""
         client.close_after_response = True
+        self.driver.counters.count(f"bad_requests {rejection.status}")
         headers = b"Content-Type: text/plain\r\n" + rejection.headers
         self.write(client, rejection.status, rejection.text.encode() + b"\n", headers)
 
