--- /dev/null
+++ b/tests/front/test_memory_limit.py
@@ -0,0 +1,101 @@
+"""A front stays within its memory limit, and answers other clients, whatever clients hold back or send."""
+
+import json
+import subprocess
+import sys
+import time
+
+import pytest
+from helpers import Front, cache, get_text, host
+
+CLIENTS = 700  # more than the half of the descriptors that the front gives to clients
+SECONDS = 4.0
+PATIENCE_S = 1.5
+INTERVAL_S = 0.02
+LEAST_MB, MIDDLE_MB, MOST_MB = (
+    32,
+    64,
+    192,
+)  # the least and the most that the platform's pages name, and one between
+SLACK_S = 0.5  # after a client's patience, in which an answer still counts as one
+LIMITS = {"cores": 1.0, "sockets": 1024}
+
+
+class Misbehaviour:
+    """Misbehaving clients of a front, in a process of their own."""
+
+    def __init__(self, front, manner, count, seconds=SECONDS):
+        self.seconds = seconds
+        command = [sys.executable, "-m", "standins.misbehaving_clients", "--manner", manner]
+        address = "{}:{}".format(*front.address)
+        command += ["--address", address, "--count", str(count), "--seconds", str(seconds)]
+        self.process = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+
+    def counts(self):
+        said, _ = self.process.communicate(timeout=self.seconds + 20)
+        return json.loads(said)
+
+
+def peak_mb(front):
+    with open(f"/proc/{front.process.pid}/status") as file:
+        (line,) = [line for line in file if line.startswith("VmHWM")]
+    return int(line.split()[1]) / 1024
+
+
+def ask_all_along(front, seconds):
+    """One good client that asks all the time, on new connections; return (status or None, seconds) of each GET."""
+    found, end = [], time.monotonic() + seconds
+    while time.monotonic() < end:
+        begun = time.monotonic()
+        try:
+            text = get_text(f"{0xABC0000 + len(found):016x}", extra="Connection: close\r\n")
+            found.append((front.ask(text)[0], time.monotonic() - begun))
+        except OSError:
+            found.append((None, time.monotonic() - begun))
+        time.sleep(INTERVAL_S)
+    return found
+
+
+def server(size):
+    """A cache whose objects have `size` bytes and were made just now, and which can't use names that begin with bad."""
+
+    def reply(call_id, fields, body):
+        if fields["thing"].startswith("bad"):
+            return b"%b crashed - 0\r\n\r\n" % call_id
+        made = int(time.time() * 1000)
+        return b"%b served etag=t1,made=%d,remark=cached %d\r\n%b\r\n" % (call_id, made, size, b"x" * size)
+
+    return cache(reply)
+
+
+def misbehave(path, manner, count, memory_mb, size=5, **more):
+    """Let clients misbehave; return the peak of the front's memory and what the good client saw."""
+    hosts = [host("s-0b", server(size).address, "std"), host("s-1f", server(size).address, "origin")]
+    with Front(path, *hosts, limits={**LIMITS, "memory_mb": memory_mb}, **more) as front:
+        front.ask(get_text("f" * 16))
+        clients = Misbehaviour(front, manner, count)
+        found = ask_all_along(front, SECONDS)
+        assert clients.counts()["connections"] >= count
+        assert front.process.poll() is None
+        return peak_mb(front), found
+
+
+def check_good_client(found):
+    """Each GET of the good client had its final answer in time."""
+    assert len(found) > 20
+    assert [row for row in found if row[0] not in (200, 503) or row[1] > PATIENCE_S + SLACK_S] == []
+
+
+@pytest.mark.parametrize("manner, limit_mb", [("many_fields", MOST_MB), ("half_body", MIDDLE_MB)])
+def test_memory_limit_holds_when_a_crowd_sends_parts_of_requests(tmp_path, manner, limit_mb):
+    """Guards against the kill of a front for memory, seconds after a crowd of slow clients had come (issue 59)."""
+    peak, found = misbehave(tmp_path, manner, CLIENTS, limit_mb)
+    assert peak <= limit_mb
+    check_good_client(found)
+
+
+def test_memory_limit_holds_when_one_client_sends_trailers_without_end(tmp_path):
+    """Guards against memory that grows without end by one connection (issue 59)."""
+    peak, found = misbehave(tmp_path, "endless_trailers", 1, MOST_MB)
+    assert peak <= MOST_MB
+    check_good_client(found)
