Bound a request's header fields, trailers and chunk extensions

Cause: the limit on a head's bytes ended with the head. Fields of the trailer section went into the same dict, for as long as the request may take; a chunk extension or one endless trailer went into the parser's own buffer. In a head of 8 KB there was room for 1,300 fields at some 75 bytes of memory each.

Change: a head has 100 fields at most (431); trailers are discarded, as RFC 9110 section 6.5.1 asks where nothing uses them; between two parts of a body 8 KB of framing are read at most (400). A rejected request frees what it has read. A request that begins behind a complete one is not parsed: pipelining is not supported, and up to 900 requests of one read were.

Why it works: every byte outside a body counts against one of two limits, whatever part of the syntax it belongs to.

--- a/sprucegate/front/connection_reader.py
+++ b/sprucegate/front/connection_reader.py
@@ -228,7 +228,7 @@
                 client.close_after_response = True
                 break
             client.on_request(now)
-            client.close_after_response = not request.keep_alive
+            client.close_after_response = not request.keep_alive or client.reader.pipelined
             self.without_request.pop(client, None)
             self.clients[client] = self.clients.pop(client)
             self.pending_requests.append((client, request, arrived))
--- a/sprucegate/front/protocol/http.py
+++ b/sprucegate/front/protocol/http.py
@@ -4,7 +4,12 @@
 
 import httptools
 
+from sprucegate.errors import ProtocolError
+
 HEAD_BYTES_MAX = 8192
+HEADER_FIELDS_MAX = 100  # a field of a few bytes takes many times its size in memory
+# Between two parts of a body: chunk sizes, their extensions and the trailer section, which is discarded.
+FRAMING_BYTES_MAX = 8192
 BODY_BYTES_MAX = 48_000
 NOT_MODIFIED = 304
 REASONS = {
@@ -40,6 +45,10 @@
     headers: bytes = b""
 
 
+class PipelinedRequestError(ProtocolError):
+    """Another request began on a connection before the response to the one before it."""
+
+
 class RequestReader:
     """Parses the requests of one connection. After an invalid request nothing more is read.
 
@@ -48,8 +57,9 @@
     :ivar rejection: the RejectedRequest for the first invalid request, or None
     :ivar request_started: part of a request was read
     :ivar complete: requests completed by the current call of `feed`
+    :ivar pipelined: another request began before this one was answered; it is not read
     :ivar in_head: the request line and headers are not complete yet
-    :ivar head_size: their size so far in bytes, counted in whole chunks
+    :ivar unparsed_size: bytes read since the request began, or since the last part of its body, in whole chunks
     """
 
     def __init__(self, repeatable=frozenset()):
@@ -57,6 +67,7 @@
         self.parser = httptools.HttpRequestParser(self)
         self.repeatable = repeatable
         self.rejection = None
+        self.pipelined = False
         self.complete = []
         self._reset()
 
@@ -65,7 +76,7 @@
         self.headers = {}
         self.body = b""
         self.in_head = True
-        self.head_size = 0
+        self.unparsed_size = 0
         self.request_started = False
 
     def release(self):
@@ -79,7 +90,10 @@
         self._reset()
 
     def on_message_begin(self):
-        """Handle the first byte of a request."""
+        """Handle the first byte of a request; the parser stops at one behind a complete request."""
+        if self.complete:
+            self.pipelined = True
+            raise PipelinedRequestError
         self.request_started = True
 
     def on_url(self, url):
@@ -87,16 +101,22 @@
         self.target += url
 
     def on_header(self, name, value):
-        """Handle a header; a differing value for an earlier name is an error, unless the header is repeatable."""
+        """Handle a header; a differing value for an earlier name is an error, unless the header is repeatable.
+
+        Fields of the trailer section are discarded (RFC 9110 section 6.5.1).
+        """
+        if self.rejection or not self.in_head:
+            return
         name = name.lower()
+        if len(self.headers) >= HEADER_FIELDS_MAX:
+            self._reject(431, f"a head holds at most {HEADER_FIELDS_MAX} fields")
+            return
         if name in self.headers and self.headers[name] != value:
             # Differing lengths or ids would allow request smuggling (RFC 9112 section 11.2).
             if name in self.repeatable:
                 value = b""
             else:
-                self.rejection = self.rejection or RejectedRequest(
-                    400, f"header {name.decode('latin-1')} stands twice"
-                )
+                self._reject(400, f"header {name.decode('latin-1')} stands twice")
         self.headers[name] = value
 
     def on_headers_complete(self):
@@ -104,18 +124,18 @@
         self.in_head = False
         length = self.headers.get(b"content-length", b"0")
         if length.isdigit() and int(length) > BODY_BYTES_MAX:
-            self.rejection = self.rejection or RejectedRequest(
-                413, f"a body holds at most {BODY_BYTES_MAX} bytes"
-            )
+            self._reject(413, f"a body holds at most {BODY_BYTES_MAX} bytes")
 
     def on_body(self, body):
         """Handle a part of the body, up to the limit."""
+        self.unparsed_size = 0
+        if self.rejection:
+            return
+        if not self.body:
+            self.body = bytearray()
         self.body += body
         if len(self.body) > BODY_BYTES_MAX:
-            self.rejection = self.rejection or RejectedRequest(
-                413, f"a body holds at most {BODY_BYTES_MAX} bytes"
-            )
-            self.body = b""
+            self._reject(413, f"a body holds at most {BODY_BYTES_MAX} bytes")
 
     def on_message_complete(self):
         """Handle the end of a request."""
@@ -125,7 +145,7 @@
                     self.parser.get_method(),
                     self.target,
                     self.headers,
-                    self.body,
+                    bytes(self.body),
                     self.parser.should_keep_alive(),
                 )
             )
@@ -133,24 +153,34 @@
 
     def feed(self, data):
         """Return the requests that these bytes complete; `rejection` is set if they can't be a valid request."""
-        if self.rejection:
+        if self.rejection or self.pipelined:
             return []
-        if self.in_head:
-            self.head_size += len(data)
+        self.unparsed_size += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self.rejection = RejectedRequest(400, "no other protocol is spoken here")
+            self._reject(400, "no other protocol is spoken here")
         except httptools.HttpParserError:
-            self.rejection = self.rejection or RejectedRequest(400, "not a readable HTTP/1.1 request")
-        if self.in_head and self.head_size > HEAD_BYTES_MAX:
-            # httptools buffers an incomplete header itself: without a limit a client could exhaust the memory.
-            self.rejection = self.rejection or RejectedRequest(
-                431, f"a head holds at most {HEAD_BYTES_MAX} bytes"
-            )
+            if not self.pipelined:
+                self._reject(400, "not a readable HTTP/1.1 request")
+        self._check_size()
         complete, self.complete = self.complete, []
         return complete
 
+    def _check_size(self):
+        """Reject a request that goes on and on: httptools buffers an incomplete field itself, without a limit."""
+        if self.in_head and self.unparsed_size > HEAD_BYTES_MAX:
+            self._reject(431, f"a head holds at most {HEAD_BYTES_MAX} bytes")
+        elif not self.in_head and self.unparsed_size > HEAD_BYTES_MAX + FRAMING_BYTES_MAX:
+            self._reject(400, f"chunk extensions and trailers hold at most {FRAMING_BYTES_MAX} bytes")
+
+    def _reject(self, status, text):
+        """Set the rejection, unless there is one, and free what was read: nothing of it is used any more."""
+        if not self.rejection:
+            self.rejection = RejectedRequest(status, text)
+            self.headers = {}
+            self.body = b""
+
 
 def encode_response(status, body=b"", headers=b"", close=False):
     """Return the bytes of a response. It always has a length, so that a truncated one is detected."""
--- a/tests/front/test_client_connections.py
+++ b/tests/front/test_client_connections.py
@@ -33,25 +33,28 @@
         assert reader() is None
 
 
+class UnreadResponse:
+    """A client's connection whose response is not read."""
+
+    def __init__(self, sock):
+        sock.setblocking(False)
+        self.client = ClientConnection(sock, 0)
+        self.client.writer = PendingWrite(
+            asyncio.get_running_loop(), sock, b"x" * 240_000, lambda whole: self.client.shut_down(1)
+        )
+
+
 def test_a_closed_connection_frees_the_response_that_was_not_read():
     """Guards against responses of clients that leave amid them, kept until the garbage collector runs (issue 59)."""
 
     async def run():
         near, far = socket.socketpair()
         with near, far, without_garbage_collector():
-            near.setblocking(False)
-            client = ClientConnection(near, 0)
-            written = PendingWrite(
-                asyncio.get_running_loop(),
-                near,
-                b"x" * 240_000,
-                lambda whole: setattr(client, "writer", None),
-            )
-            client.writer = written
-            found = weakref.ref(written)
-            written.cancel()
-            client.on_closed(1)
-            del client, written
-            return found() is None
+            unread = UnreadResponse(near)
+            writer = weakref.ref(unread.client.writer)
+            unread.client.writer.cancel()
+            unread.client.on_closed(1)
+            del unread
+            return writer() is None
 
     assert asyncio.run(run())
--- a/tests/front/test_front_codecs.py
+++ b/tests/front/test_front_codecs.py
@@ -10,11 +10,23 @@
 from sprucegate.front.admission import admit
 from sprucegate.front.buffer_pool import BufferPool
 from sprucegate.front.protocol import bus
-from sprucegate.front.protocol.http import HEAD_BYTES_MAX, RequestReader
+from sprucegate.front.protocol.http import (
+    BODY_BYTES_MAX,
+    FRAMING_BYTES_MAX,
+    HEAD_BYTES_MAX,
+    HEADER_FIELDS_MAX,
+    RequestReader,
+)
 from sprucegate.routing.actions import SendAttempt
 from sprucegate.routing.events import AttemptOutcome, CacheStatus, EndpointState
 from sprucegate.upstream.lines import codec
 
+CHUNKED = get_text(method="PUT").replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+
+
+def short_fields(count):
+    return b"".join(b"%x:\r\n" % at for at in range(count))
+
 
 @pytest.mark.parametrize("cut", range(1, len(get_text(body=b"abc")), 7))
 def test_a_request_is_parsed_for_any_split_into_chunks(cut):
@@ -31,6 +43,7 @@
         (b"GET / HTTP/1.1\r\nX-Call-Id: a\r\nX-Call-Id: b\r\n\r\n", 400),
         (b"PUT / HTTP/1.1\r\nContent-Length: 48001\r\n\r\n", 413),
         (b"GET / HTTP/1.1\r\nA: " + b"a" * HEAD_BYTES_MAX, 431),
+        (b"GET / HTTP/1.1\r\n" + short_fields(HEADER_FIELDS_MAX + 2), 431),
     ],
 )
 def test_an_invalid_request_is_rejected(text, status):
@@ -38,6 +51,35 @@
     assert reader.feed(text) == [] and reader.rejection.status == status
 
 
+@pytest.mark.parametrize("text", [b"1\r\nx\r\n0\r\n" + short_fields(9000), b"1;" + b"a" * 60_000])
+def test_trailers_and_chunk_extensions_without_end_are_rejected(text):
+    """Guards against memory that grows without end by one connection (issue 59)."""
+    reader, fed = RequestReader(), 0
+    for fed in range(0, len(CHUNKED + text), 4096):
+        assert reader.feed((CHUNKED + text)[fed : fed + 4096]) == []
+        if reader.rejection:
+            break
+    assert reader.rejection.status == 400 and reader.headers == {}
+    assert fed <= HEAD_BYTES_MAX + FRAMING_BYTES_MAX + 4096
+
+
+def test_a_body_of_one_byte_chunks_is_read_and_its_trailers_are_discarded():
+    body = b"1\r\nx\r\n" * BODY_BYTES_MAX + b"0\r\nX-Set: 18\r\nX-New: 1\r\n\r\n"
+    reader, found = RequestReader(), []
+    for at in range(0, len(CHUNKED + body), 16_384):
+        found += reader.feed((CHUNKED + body)[at : at + 16_384])
+    (request,) = found
+    assert request.body == b"x" * BODY_BYTES_MAX and request.headers[b"x-set"] == b"17"
+    assert b"x-new" not in request.headers
+
+
+def test_only_the_first_of_pipelined_requests_is_read():
+    reader = RequestReader()
+    (request,) = reader.feed(get_text() * 500)
+    assert request.headers[b"x-set"] == b"17" and reader.pipelined and not reader.rejection
+    assert reader.feed(get_text()) == []
+
+
 @pytest.mark.parametrize(
     "old, new, status, named",
     [
