The response cache counts the memory of its entries, not their bodies alone

Cause: the capacity was compared with the bytes of the bodies.

Change: an entry counts 704 bytes more than its body; `resize` sets another capacity.

Why it works: the bound is on what the process pays for.

--- a/sprucegate/front/response_cache.py
+++ b/sprucegate/front/response_cache.py
@@ -8,6 +8,8 @@
 
 from sprucegate.units import SECOND
 
+ENTRY_OVERHEAD_BYTES = 704  # of memory that an entry takes besides its body
+
 
 class CachedResponse(NamedTuple):
     """A stored response; times are nanoseconds on this front's clock.
@@ -25,11 +27,11 @@
 
 
 class ResponseCache:
-    """Stored responses by key, within a capacity in bytes; the least recently used is evicted first.
+    """Stored responses by key, within a capacity in bytes of memory; the least recently used is evicted first.
 
-    :ivar capacity_bytes: upper bound of the bytes of all bodies
+    :ivar capacity_bytes: upper bound of the memory of all entries
     :ivar link_bytes_per_s: rate at which responses from this cache are sent
-    :ivar stored_bytes: bytes of all bodies
+    :ivar stored_bytes: memory of all entries
     :ivar link_free_at: when the link will have transmitted the responses sent so far (ns)
     """
 
@@ -48,16 +50,28 @@
         """Store a response, replacing an earlier one, and evict others down to the capacity."""
         self.drop(key)
         self.responses[key] = response
-        self.stored_bytes += len(response.body)
+        self.stored_bytes += self._size(response)
+        self._evict()
+
+    def resize(self, capacity_bytes):
+        """Set the capacity, and evict responses above it."""
+        self.capacity_bytes = capacity_bytes
+        self._evict()
+
+    def _evict(self):
         while self.stored_bytes > self.capacity_bytes:
             least_recently_used = next(iter(self.responses))
             self.drop(least_recently_used)
 
+    @staticmethod
+    def _size(response):
+        return len(response.body) + ENTRY_OVERHEAD_BYTES
+
     def drop(self, key):
         """Remove the response under this key, if there is one."""
         response = self.responses.pop(key, None)
         if response is not None:
-            self.stored_bytes -= len(response.body)
+            self.stored_bytes -= self._size(response)
 
     def link_wait(self, now):
         """Return how long (ns) a response sent now waits for earlier ones on the link."""
