Divide the memory limit, and bound all buffers of clients and servers together

Cause: each connection, answer, response and table had a bound of its own, and none knew of the others or of the limit: 512 half writes of 48 KB, 341 answers of 240 KB, a response cache of a third of the limit beside a process that takes four fifths of it, 4,096 object records.

Above the bound the oldest half request is closed, then the oldest response that is not taken. Where what was taken on fills it, new GETs are shed before any attempt and new answers wait in the kernel's buffer. A request that has arrived whole is read whole, before others are closed for memory.

Why it works: whatever grows with use is in one sum, with its overhead, below the limit.

--- a/sprucegate/assembly/run.py
+++ b/sprucegate/assembly/run.py
@@ -40,7 +40,7 @@
     # Before the rest of the start: a SIGTERM during the start takes effect at its end.
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    driver = Driver(config, pool, log)
+    driver = Driver(config, pool, log, resident=memory_usage().resident)
     loop.set_exception_handler(driver.on_loop_exception)
     if config.membership is not None:
         # Imported here so that a front without it doesn't load its dependencies.
@@ -211,6 +211,21 @@
         driver.log_exception(fault)
 
 
+def _adapt_to_memory(driver, memory, log):
+    """Let the response cache give way where the process comes near its limit; tell once when that begins or ends."""
+    is_under_pressure = driver.memory.adapt(memory.resident)
+    driver.response_cache.resize(driver.memory.response_cache_bytes)
+    if is_under_pressure is not driver.is_under_memory_pressure:
+        driver.is_under_memory_pressure = is_under_pressure
+        log(
+            "memory_pressure" if is_under_pressure else "memory_relieved",
+            resident_mb=memory.resident >> 20,
+            limit_mb=driver.memory.limit >> 20,
+            buffered_kb=driver.buffers.kilobytes(),
+            response_cache_kb=driver.response_cache.stored_bytes >> 10,
+        )
+
+
 async def housekeeping(driver, reader, pool, log):
     """Sweep clients twice and servers once a second, and log the counters once a second, until cancelled."""
     while True:
@@ -221,6 +236,7 @@
         driver.invariants.start_second()
         reader.close_log.start_second()
         memory = memory_usage()
+        _adapt_to_memory(driver, memory, log)
         driver.invariants.check_no_leaks(len(driver.open_requests), len(driver.requests_by_id), pool.in_use)
         log(
             "second",
@@ -230,5 +246,7 @@
             buffers=pool.in_use,
             memory_mb=memory.resident >> 20,
             memory_peak_mb=memory.peak >> 20,
+            buffered_kb=driver.buffers.kilobytes(),
+            response_cache_kb=driver.response_cache.stored_bytes >> 10,
             **driver.counters.read_and_reset(),
         )
--- a/sprucegate/front/client_connections.py
+++ b/sprucegate/front/client_connections.py
@@ -62,6 +62,9 @@
     :ivar close_after_response: the next response is the last one on this connection, and nothing more is read
     :ivar since: when it entered its state, or when a request began to arrive (ns)
     :ivar has_sent_request: whether a complete request was ever read
+    :ivar buffered: bytes of a request that is not whole or not dispatched, as counted by BufferedBytes
+    :ivar undispatched: bytes of a request that was read whole and is not dispatched yet
+    :ivar unwritten: bytes of a response that is not written whole, as counted by BufferedBytes
     :ivar open_request: the request whose response is outstanding, or None
     :ivar writer: the pending write of a response, or None
     """
@@ -76,6 +79,9 @@
         "close_after_response",
         "since",
         "has_sent_request",
+        "buffered",
+        "undispatched",
+        "unwritten",
         "open_request",
         "writer",
     )
@@ -90,6 +96,9 @@
         self.close_after_response = False
         self.since = now
         self.has_sent_request = False
+        self.buffered = 0
+        self.undispatched = 0
+        self.unwritten = 0
         self.open_request = None
         self.writer = None
         self.update_table()
--- a/sprucegate/front/client_table.py
+++ b/sprucegate/front/client_table.py
@@ -82,3 +82,12 @@
 
     def _weight(self, group):
         return UNPROVEN_WEIGHT if group is self.unused or group is self.first_request else 1
+
+    def next_to_free(self):
+        """Return the connection to close first to free memory, or None.
+
+        Nothing was taken on by a partly read request. A response that its client does not take ends cut short, and its
+        length tells the client.
+        """
+        group = max(self.first_request, self.next_request, key=len) or self.writing
+        return next(iter(group), None)
--- a/sprucegate/front/connection_reader.py
+++ b/sprucegate/front/connection_reader.py
@@ -4,13 +4,18 @@
 from collections import deque
 from itertools import count
 
+from sprucegate.front.buffer_pool import BUFFER_BYTES
 from sprucegate.front.client_connections import ClientConnection, ConnectionState
 from sprucegate.front.client_table import ClientTable
 from sprucegate.front.limited_log import LimitedLog
 from sprucegate.units import MILLISECOND
+from sprucegate.upstream.buffered_bytes import Holder
 from sprucegate.upstream.sockets import receive_into, set_no_delay, time_since_last_data
 
 REQUESTS_PER_ITERATION = 3  # requests dispatched in one iteration of the event loop
+READS_PER_ITERATION = (
+    4  # of one connection, until a request is whole: one that has arrived whole is read whole
+)
 CONNECTIONS_PER_PASS = 16  # connections accepted, or examined for eviction, in one pass
 ACCEPT_PAUSE_S = (
     0.02  # pause of accepting at the connection limit; new connections wait in the kernel's queue
@@ -54,6 +59,8 @@
             CLOSES_LOGGED_PER_SECOND,
             lambda: driver.counters.count("client_closed_left_out"),
         )
+        self.buffers = driver.buffers
+        self.buffers.free_one = self._free_one
 
     # Connections.
 
@@ -155,15 +162,24 @@
             client.shut_down(self.driver.clock())
 
     def _on_readable(self, client):
+        for _ in range(READS_PER_ITERATION):
+            size = self._read_once(client)
+            if size < BUFFER_BYTES or not client.reader.request_started:
+                return
+
+    def _read_once(self, client):
+        """Read once from a connection; return how many bytes of requests were read."""
         buffer = self.pool.take()
         if buffer is None:
-            return self.close(client, "no_buffer")
+            self.close(client, "no_buffer")
+            return 0
         try:
             size = receive_into(client.sock, buffer)
             if size == 0:
                 self.close(client, "peer")
             elif size and client.accepts_requests():
                 self._on_data(client, buffer[:size])
+                return size
         except OSError:
             self.close(client, "peer")
         except Exception as fault:  # any other failure ends this connection alone
@@ -171,6 +187,18 @@
             self.close(client, "fault")
         finally:
             self.pool.give_back(buffer)
+        return 0
+
+    def _free_one(self):
+        """Close a connection to free its buffered bytes; return whether one could be closed."""
+        client = self.clients.next_to_free()
+        return client is not None and self.close(client, "memory")
+
+    def _count_buffered(self, client):
+        """Report the bytes that a connection's request takes; the connection itself may be closed for them."""
+        former = client.buffered
+        client.buffered = client.undispatched + client.reader.memory_size()
+        self.buffers.change(Holder.PARTIAL_REQUEST, former, client.buffered)
 
     def close(self, client, why):
         """Close a connection; `why` is counted: "peer" where the client ended it. Returns True, for `_evict_one`."""
@@ -186,10 +214,17 @@
             client.writer.cancel()
         client.on_closed(self.driver.clock())
         client.sock.close()
+        self._uncount_buffered(client)
         if client.open_request is not None:
             self.driver.guarded(client.open_request, self.driver.client_left, client.open_request)
         return True
 
+    def _uncount_buffered(self, client):
+        request, response = client.buffered, client.unwritten
+        client.buffered = client.undispatched = client.unwritten = 0
+        self.buffers.change(Holder.PARTIAL_REQUEST, request, 0)
+        self.buffers.change(Holder.UNWRITTEN_RESPONSE, response, 0)
+
     def _log_close(self, client, why):
         now = self.driver.clock()
         request = client.open_request
@@ -226,7 +261,9 @@
                 break
             client.on_request(now)
             client.close_after_response = not request.keep_alive or client.reader.pipelined
+            client.undispatched = len(request.body)
             self.pending_requests.append((client, request, arrived))
+        self._count_buffered(client)
         if self.pending_requests and not self.dispatch_scheduled:
             self.dispatch_scheduled = True
             self.loop.call_soon(self._dispatch)
@@ -244,6 +281,8 @@
         for _ in range(min(REQUESTS_PER_ITERATION, len(self.pending_requests))):
             client, request, at = self.pending_requests.popleft()
             if client.state is ConnectionState.REQUEST_IN_PROGRESS:
+                client.undispatched = 0
+                self._count_buffered(client)
                 self.driver.receive_request(client, request, at)
         self.dispatch_scheduled = bool(self.pending_requests)
         if self.dispatch_scheduled:
--- a/sprucegate/front/driver.py
+++ b/sprucegate/front/driver.py
@@ -15,9 +15,10 @@
 from sprucegate.front.response_writer import ResponseWriter
 from sprucegate.routing.actions import AwaitSlot, CancelAttempt, FailRequest, RejectRequest, SendAttempt
 from sprucegate.routing.events import AttemptOutcome, CacheStatus, EndpointState
-from sprucegate.routing.response_cache import RESPONSE_CACHE_BYTES
+from sprucegate.routing.memory_budget import MemoryBudget, MemoryUse
 from sprucegate.routing.router import Router
 from sprucegate.routing.settings import RoutingSettings
+from sprucegate.upstream.buffered_bytes import BufferedBytes, Holder
 from sprucegate.upstream.hosts import EndpointList
 from sprucegate.upstream.sending import Sending
 from sprucegate.upstream.servers import UpstreamServers
@@ -42,22 +43,34 @@
     :ivar timer_due: when the timer fires (monotonic ns), or None
     :ivar fill_quota: the quota of concurrent fills, or None: each fill starts at once
     :ivar response_cache: the front's own response cache
+    :ivar memory: the MemoryBudget of this process
+    :ivar is_under_memory_pressure: the process is near its memory limit
+    :ivar buffers: BufferedBytes of clients and servers
     """
 
-    def __init__(self, config, pool, log, clock=system.now):
+    def __init__(self, config, pool, log, clock=system.now, resident=0):
+        """`resident`: memory that the process takes before it serves, in bytes."""
         self.config = config
         self.log = log
         self.clock = clock
         self.loop = asyncio.get_running_loop()
         self.platform_time = system.PlatformTime()
-        self.router = Router(RoutingSettings.from_mapping(config.settings), config.seed, clock())
+        most_servers = config.descriptors // 3
+        self.memory = MemoryBudget(
+            int(config.memory_mb * 2**20), MemoryUse(resident, config.descriptors // 2, most_servers)
+        )
+        self.is_under_memory_pressure = False
+        self.buffers = BufferedBytes(self.memory.buffer_bytes)
+        self.router = Router(
+            RoutingSettings.from_mapping(config.settings), config.seed, clock(), self.memory.objects_max
+        )
         self.response_writer = ResponseWriter(self)
         self.counters = Counters()
         self.ready = False
         self.drained = False
         self.invariants = Invariants(config.settings, self.counters.count, log)
         self.sending = Sending(self.counters.count, self.invariants.check_attempt)
-        self.servers = UpstreamServers(self, pool, config.settings, config.descriptors // 3, config.servers)
+        self.servers = UpstreamServers(self, pool, config.settings, most_servers, config.servers)
         self.max_open_requests = config.settings.get("max_open", 1 << 30)
         self.open_requests = {}
         self.requests_by_id = {}
@@ -69,9 +82,7 @@
         self.membership = None
         self.fleet = None
         self.fill_quota = None
-        self.response_cache = ResponseCache(
-            min(RESPONSE_CACHE_BYTES, int(config.memory_mb * 2**20) // 3), config.link
-        )
+        self.response_cache = ResponseCache(self.memory.response_cache_bytes, config.link)
 
     # Events.
 
@@ -104,8 +115,11 @@
         request.trace.append((now, "read"))
         if self.fill_quota is not None:
             request.tenant = self.fill_quota.tenant_index(http_request.headers)
-        if len(self.open_requests) >= self.max_open_requests:
-            self.counters.count("shed_over_bound")
+        size = self.memory.request_bytes(len(request.body))
+        has_memory = self.memory.admits(self.buffers.committed(), size)
+        self._count_buffered(request, size)
+        if not has_memory or len(self.open_requests) >= self.max_open_requests:
+            self.counters.count("shed_over_bound" if has_memory else "shed_for_memory")
             request.handle = self.router.start_request(request.routing_request, now)
             self.guarded(request, self.perform, request, request.handle.give_up(now), now)
             return
@@ -182,8 +196,13 @@
         elif request.handle.is_settled():
             self.forget(request)
 
+    def _count_buffered(self, request, size):
+        former, request.buffered = request.buffered, size
+        self.buffers.change(Holder.OPEN_REQUEST, former, size)
+
     def forget(self, request):
         """Drop the state of a request that is over."""
+        self._count_buffered(request, 0)
         self.invariants.check_forgotten(request)
         if self.config.log_gets and request.id in self.requests_by_id:
             self._log_request(request)
--- a/sprucegate/front/open_requests.py
+++ b/sprucegate/front/open_requests.py
@@ -66,6 +66,7 @@
     :ivar part: number of the slice of the object
     :ivar if_none_match: entity tag of the client's stored response; "" where it has none
     :ivar body: its content
+    :ivar buffered: its memory, as counted by BufferedBytes
     :ivar routing_request: the request as an event of the router
     :ivar handle: the router's handle, None before the router has it
     :ivar attempts: its OpenAttempts by number
@@ -87,6 +88,7 @@
         "part",
         "if_none_match",
         "body",
+        "buffered",
         "routing_request",
         "handle",
         "attempts",
@@ -107,6 +109,7 @@
         self.part = part
         self.if_none_match = if_none_match
         self.body = body
+        self.buffered = 0
         self.routing_request = routing_request
         self.handle = None
         self.attempts = {}
--- a/sprucegate/front/protocol/http.py
+++ b/sprucegate/front/protocol/http.py
@@ -11,6 +11,7 @@
 # Between two parts of a body: chunk sizes, their extensions and the trailer section, which is discarded.
 FRAMING_BYTES_MAX = 8192
 BODY_BYTES_MAX = 48_000
+FIELD_OVERHEAD_BYTES = 192  # of memory that a header field takes besides its text
 NOT_MODIFIED = 304
 REASONS = {
     200: "OK",
@@ -60,6 +61,7 @@
     :ivar pipelined: another request began before this one was answered; it is not read
     :ivar in_head: the request line and headers are not complete yet
     :ivar unparsed_size: bytes read since the request began, or since the last part of its body, in whole chunks
+    :ivar fields_size: bytes of the names and values of the header fields
     """
 
     def __init__(self, repeatable=frozenset()):
@@ -77,8 +79,16 @@
         self.body = b""
         self.in_head = True
         self.unparsed_size = 0
+        self.fields_size = 0
         self.request_started = False
 
+    def memory_size(self):
+        """Return the memory that a partly read request takes, in bytes; 0 without one."""
+        if not self.request_started or self.rejection:
+            return 0
+        fields = self.fields_size + FIELD_OVERHEAD_BYTES * len(self.headers)
+        return self.unparsed_size + fields + len(self.body)
+
     def release(self):
         """Free what the reader holds; nothing can be fed to it afterwards.
 
@@ -117,6 +127,7 @@
             else:
                 self._stop(400, f"header {name.decode('latin-1')} stands twice")
         self.headers[name] = value
+        self.fields_size += len(name) + len(value)
 
     def on_headers_complete(self):
         """Handle the end of the headers; a Content-Length above the limit is rejected before its body arrives."""
--- a/sprucegate/front/response_writer.py
+++ b/sprucegate/front/response_writer.py
@@ -4,6 +4,7 @@
 
 from sprucegate.front.client_connections import ConnectionState
 from sprucegate.front.protocol import http
+from sprucegate.upstream.buffered_bytes import Holder
 from sprucegate.upstream.sockets import PendingWrite, send
 
 
@@ -55,10 +56,14 @@
             client.writer = PendingWrite(
                 self.loop, client.sock, memoryview(data)[sent:], lambda whole: self._on_written(client, whole)
             )
+            client.unwritten = len(data)
+            self.driver.buffers.change(Holder.UNWRITTEN_RESPONSE, 0, len(data))
         else:
             client.on_response_written(self.driver.clock())
 
     def _on_written(self, client, whole):
         client.writer = None
+        unwritten, client.unwritten = client.unwritten, 0
+        self.driver.buffers.change(Holder.UNWRITTEN_RESPONSE, unwritten, 0)
         if whole:  # otherwise the connection reader sees the error and closes the connection
             client.on_response_written(self.driver.clock())
--- a/sprucegate/routing/digest.py
+++ b/sprucegate/routing/digest.py
@@ -81,15 +81,18 @@
 
 
 class Digest:
-    """LRU table of the records of recently requested objects.
+    """LRU table of the records of recently requested objects, `objects_max` at most.
 
     :ivar records: the table; `position_of` maps (object, part) to a position in it, the latest last.
     :ivar sending_times: by object, shared by the records of its parts.
     """
 
-    def __init__(self, registry: ServerRegistry, invalidations: InvalidationLog) -> None:
+    def __init__(
+        self, registry: ServerRegistry, invalidations: InvalidationLog, objects_max: int = OBJECTS_MAX
+    ) -> None:
         self.registry = registry
         self.invalidations = invalidations
+        self.objects_max = objects_max
         self.records: list[ObjectRecord] = []
         self.position_of: OrderedDict[tuple[int, int], int] = OrderedDict()
         self.sending_times: OrderedDict[int, deque[int]] = OrderedDict()
@@ -107,7 +110,7 @@
         return record
 
     def _add(self, identifier: int, interval: int) -> int:
-        is_full = len(self.records) >= OBJECTS_MAX
+        is_full = len(self.records) >= self.objects_max
         position = self.position_of.popitem(last=False)[1] if is_full else len(self.records)
         # Parts of one object have similar sizes, and one part alone is requested too rarely to estimate its
         # size. An empty list is shared too: the next part is requested before the first one has returned.
@@ -116,13 +119,13 @@
             sending_times = deque(maxlen=SENDING_TIMES_PER_OBJECT)
         self.records[position : position + 1] = [ObjectRecord(interval, sending_times)]
         self.sending_times[identifier] = sending_times
-        if len(self.sending_times) > OBJECTS_MAX:
+        if len(self.sending_times) > self.objects_max:
             self.sending_times.popitem(last=False)
         return position
 
     def may_add(self, request: Request | BeliefGossip) -> bool:
         """Whether a record exists or can be added without evicting another one."""
-        return (request.object, request.part) in self.position_of or len(self.records) < OBJECTS_MAX
+        return (request.object, request.part) in self.position_of or len(self.records) < self.objects_max
 
     def count(self, record: ObjectRecord, repeat: bool, now: int) -> None:
         """Count a request, except for client retries: marked ones, and any soon after a rejection."""
--- a/sprucegate/routing/router.py
+++ b/sprucegate/routing/router.py
@@ -8,7 +8,7 @@
 from sprucegate.routing.actions import AwaitSlot, SendAttempt, SubscribeToEndpoints
 from sprucegate.routing.attempt_results import ResultRecorder
 from sprucegate.routing.cache_selection import CacheSelector
-from sprucegate.routing.digest import Digest, ObjectRecord
+from sprucegate.routing.digest import OBJECTS_MAX, Digest, ObjectRecord
 from sprucegate.routing.events import AttemptOutcome, BeliefGossip, EjectionGossip, Endpoint, Request
 from sprucegate.routing.fill_source import Fill, FillSourceSelector
 from sprucegate.routing.gossip import Gossip
@@ -43,12 +43,14 @@
     :ivar pending_actions: actions that the next `on_timer` returns.
     """
 
-    def __init__(self, settings: RoutingSettings, seed: int, now: int) -> None:
+    def __init__(
+        self, settings: RoutingSettings, seed: int, now: int, objects_max: int = OBJECTS_MAX
+    ) -> None:
         self.settings = settings
         self.random = HashRandom(settings.my_number, seed)
         self.registry = ServerRegistry(settings)
         self.invalidations = InvalidationLog(settings)
-        self.digest = Digest(self.registry, self.invalidations)
+        self.digest = Digest(self.registry, self.invalidations, objects_max)
         self.load = LoadEstimator(settings, self.digest, now)
         self.outliers = OutlierDetector(self.registry)
         self.slow_start = SlowStart(settings, self.registry, self.load, self.random)
--- a/sprucegate/upstream/lines/codec.py
+++ b/sprucegate/upstream/lines/codec.py
@@ -116,6 +116,10 @@
         """Return whether a part of an answer was received."""
         return self.head is not None or bool(self.buffer)
 
+    def memory_size(self):
+        """Return the bytes that the partly received answer takes once it is whole."""
+        return max(len(self.buffer), self.head[3] if self.head is not None else 0)
+
     def feed(self, data):
         """Return the answers that are complete now, also those before an error."""
         complete = []
@@ -141,7 +145,8 @@
                 break
             if buffer[start + length : start + length + 2] != b"\r\n":
                 raise MalformedAnswerError("line end missing after the body")
-            complete.append(Answer(*self.head[:3], bytes(buffer[start : start + length])))
+            with memoryview(buffer) as view:  # a slice of the buffer itself would be copied twice
+                complete.append(Answer(*self.head[:3], bytes(view[start : start + length])))
             self.head, start = None, start + length + 2
         del buffer[:start]
 
--- a/sprucegate/upstream/lines/connection.py
+++ b/sprucegate/upstream/lines/connection.py
@@ -25,6 +25,8 @@
     :ivar reachable: the failed connect does not show an unreachable server
     :ivar up_since: when it was established (ns)
     :ivar last_read: time of the last bytes from the server (ns)
+    :ivar buffered: bytes of an answer that is not read whole, as counted by BufferedBytes
+    :ivar paused: it is not read, as there is no room for another answer
     :ivar last_answer: time of the last complete answer (ns)
     """
 
@@ -44,6 +46,8 @@
         "last_used",
         "last_read",
         "last_answer",
+        "buffered",
+        "paused",
         "stall_check_armed",
         "reachable",
         "up_since",
@@ -68,3 +72,5 @@
         self.up_since = 0
         self.last_read = now
         self.last_answer = now
+        self.buffered = 0
+        self.paused = False
--- a/sprucegate/upstream/lines/transport.py
+++ b/sprucegate/upstream/lines/transport.py
@@ -9,6 +9,7 @@
 
 from sprucegate.routing.events import AttemptOutcome, CacheStatus
 from sprucegate.routing.router import CONNECTIONS_PER_CACHE, STALL_TIMEOUT_NS
+from sprucegate.upstream.buffered_bytes import Holder
 from sprucegate.upstream.lines import codec
 from sprucegate.upstream.lines.connection import LineConnection
 from sprucegate.upstream.progress import Progress
@@ -317,7 +318,27 @@
         if connection.queue:
             self._flush(connection)
 
+    def _pause(self, connection):
+        """Leave an answer that begins in the kernel's buffer until there is room for it."""
+        self.driver.counters.count("answers_put_off")
+        connection.paused = True
+        self.loop.remove_reader(connection.sock)
+        self.driver.buffers.when_not_full(connection, lambda: self._resume(connection))
+
+    def _resume(self, connection):
+        connection.paused = False
+        self.loop.add_reader(connection.sock, self._on_readable, connection)
+
+    @staticmethod
+    def _count_buffered(connection, buffers, size):
+        former, connection.buffered = connection.buffered, size
+        buffers.change(Holder.PARTIAL_ANSWER, former, size)
+
     def _on_readable(self, connection):
+        if connection.paused:
+            return None
+        if self.driver.buffers.is_full() and not connection.reader.has_partial_answer():
+            return self._pause(connection)
         buffer = self.pool.take()
         if buffer is None:
             return self.close(connection)
@@ -326,7 +347,9 @@
             if size is None:
                 return
             connection.last_read = self.driver.clock()
-            for answer in connection.reader.feed(buffer[:size]):
+            answers = connection.reader.feed(buffer[:size])
+            self._count_buffered(connection, self.driver.buffers, connection.reader.memory_size())
+            for answer in answers:
                 self._on_answer(connection, answer)
             if fault := connection.reader.fault:
                 self.driver.log("cache_unreadable", cache=connection.server.name, error=fault)
@@ -374,6 +397,8 @@
         connection.attempts = {}
         connection.queue.clear()
         connection.unsent = b""
+        self.driver.buffers.stop_waiting(connection)
+        self._count_buffered(connection, self.driver.buffers, 0)
         self.servers.drop_if_unused(connection.server)
         now = self.driver.clock()  # the same time of end for all of them, however long the reports take
         for attempt in attempts:
--- a/standins/driver.py
+++ b/standins/driver.py
@@ -12,6 +12,7 @@
 from sprucegate.front.open_requests import OpenAttempt, OpenRequest
 from sprucegate.routing.actions import SendAttempt
 from sprucegate.routing.events import Endpoint, EndpointState, Request
+from sprucegate.upstream.buffered_bytes import BufferedBytes
 from sprucegate.upstream.hosts import EndpointList
 from sprucegate.upstream.sending import Sending
 from sprucegate.upstream.servers import UpstreamServers
@@ -25,6 +26,7 @@
             Counters(),
         )
         self.sending = Sending(self.counters.count)
+        self.buffers = BufferedBytes(1 << 30)
         self.ends, self.answers, self.logged, self.waiting = {}, {}, [], {}
         wanted = SimpleNamespace(
             http2=limits, speaks=lambda name: name == speaks, transport=lambda *_: speaks
--- a/standins/misbehaving_clients.py
+++ b/standins/misbehaving_clients.py
@@ -17,6 +17,7 @@
 
 RECONNECT_S = 0.01
 BODY = b"x" * 48_000  # the largest body that the protocol allows
+LARGE_BYTES = 240_000  # the largest object that the protocol allows; stand-in servers are given this size
 HEAD_BYTES = 8100  # just below the front's limit
 FIELDS_AT_ONCE = 4000
 PIECE_BYTES, PIECE_INTERVAL_S = 1000, 0.04
@@ -105,6 +106,12 @@
         await self.loop.sock_recv(sock, 65_536)
         await self.half_body(sock)
 
+    async def whole_body(self, sock):
+        """A write that is never answered; stand-in servers answer nothing to names that begin with dead."""
+        thing = f"dead{self.chance.getrandbits(40):012x}"
+        await self.send(sock, request_bytes(self.id(), "order", "PUT", BODY, thing))
+        await self.until_closed(sock)
+
     # Connections that send without end.
 
     async def endless_trailers(self, sock):
@@ -161,6 +168,20 @@
         while time.monotonic() < self.until:
             await self._ask(sock, request_bytes(self.id(), thing=f"bad{self.chance.getrandbits(48):013x}"))
 
+    async def large_objects(self, sock):
+        """One large response after another, read at full speed."""
+        while time.monotonic() < self.until:
+            await self.send(sock, request_bytes(self.id(), thing=self.new_name()))
+            received = 0
+            while received < LARGE_BYTES:
+                data = await self.loop.sock_recv(sock, 65_536)
+                if not data:
+                    raise ConnectionResetError
+                received += len(data)
+                if data.startswith(b"HTTP/1.1 503"):
+                    break
+            self.counts["answers"] += 1
+
     # Responses that are not read.
 
     async def large_unread(self, sock):
--- a/tests/front/test_memory_limit.py
+++ b/tests/front/test_memory_limit.py
@@ -18,6 +18,7 @@
     192,
 )  # the least and the most that the platform's pages name, and one between
 SLACK_S = 0.5  # after a client's patience, in which an answer still counts as one
+LARGE_BYTES = 240_000  # the largest object
 LIMITS = {"cores": 1.0, "sockets": 1024}
 
 
@@ -57,9 +58,14 @@
 
 
 def server(size):
-    """A cache whose objects have `size` bytes and were made just now, and which can't use names that begin with bad."""
+    """A cache whose objects have `size` bytes and were made just now.
+
+    It can't use names that begin with bad, and answers nothing to those that begin with dead.
+    """
 
     def reply(call_id, fields, body):
+        if fields["thing"].startswith("dead"):
+            return None
         if fields["thing"].startswith("bad"):
             return b"%b crashed - 0\r\n\r\n" % call_id
         made = int(time.time() * 1000)
@@ -68,9 +74,10 @@
     return cache(reply)
 
 
-def misbehave(path, manner, count, memory_mb, size=5, **more):
+def misbehave(path, manner, count, memory_mb, size=5, caches=1, **more):
     """Let clients misbehave; return the peak of the front's memory and what the good client saw."""
-    hosts = [host("s-0b", server(size).address, "std"), host("s-1f", server(size).address, "origin")]
+    hosts = [host(f"s-{at + 11:x}", server(size).address, "std") for at in range(caches)]
+    hosts.append(host("s-1f", server(size).address, "origin"))
     with Front(path, *hosts, limits={**LIMITS, "memory_mb": memory_mb}, **more) as front:
         front.ask(get_text("f" * 16))
         clients = Misbehaviour(front, manner, count)
@@ -99,3 +106,31 @@
     peak, found = misbehave(tmp_path, "endless_trailers", 1, MOST_MB)
     assert peak <= MOST_MB
     check_good_client(found)
+
+
+@pytest.mark.parametrize(
+    "manner", ["many_fields", "half_body", "slow_body", "half_body_again", "whole_body", "idle"]
+)
+def test_the_least_memory_limit_holds_in_a_crowd(tmp_path, manner):
+    """Guards against limits of one connection that together are above that of the process (issue 59)."""
+    peak, found = misbehave(tmp_path, manner, CLIENTS, LEAST_MB)
+    assert peak <= LEAST_MB
+    check_good_client(found)
+
+
+@pytest.mark.parametrize("manner, count", [("large_unread", CLIENTS), ("large_objects", 100)])
+def test_the_least_memory_limit_holds_with_large_responses(tmp_path, manner, count):
+    """Guards against responses and answers in buffers that are bounded one by one only (issue 59)."""
+    peak, found = misbehave(tmp_path, manner, count, LEAST_MB, size=LARGE_BYTES, caches=12)
+    assert peak <= LEAST_MB
+    check_good_client(found)
+
+
+@pytest.mark.parametrize(
+    "manner", ["new_objects", "new_services", "new_tenants", "unsound_objects", "liveness"]
+)
+def test_the_least_memory_limit_holds_when_one_client_sends_requests_at_full_speed(tmp_path, manner):
+    """Guards against state that is kept for each new name, and against clients that others wait for (issue 59)."""
+    peak, found = misbehave(tmp_path, manner, 1, LEAST_MB)
+    assert peak <= LEAST_MB
+    check_good_client(found)
