Look behind unread bytes for a client's close before an attempt is sent

Cause: before each attempt the front looks whether the client has closed by peeking at its socket. Bytes that the client had sent behind its request hid the end of the stream: "there is something to read" was taken for "it is still there". With more than the receive window the close had not even arrived. Evidence: a front that stood still for 0.3 s while a client sent a request, 60 KB or 2 MB more, and closed: the request reached a cache or the origin after that; a retry likewise.

Change: what follows a request whose response is due is read and discarded, 256 KB at most, up to its end, before an attempt is decided and before its first byte. An end there is a client that left. Behind more nobody can tell: such a client, which sends without waiting, gets the final answer at once.

Why it works: no unread byte is left that could hide an end. Bytes behind an open request are a pipelined one, which was never served; the response says Connection: close as before. The tests failed before for 60 KB (order), 2 MB, and a retry behind 2 MB.

--- a/sprucegate/front/client_connections.py
+++ b/sprucegate/front/client_connections.py
@@ -6,7 +6,9 @@
 
 from sprucegate.errors import SprucegateError
 from sprucegate.front.protocol.http import RequestReader
-from sprucegate.upstream.sockets import peer_has_closed
+from sprucegate.upstream.sockets import InputState, discard_input, has_pending_input, peer_has_closed
+
+DISCARDED_BYTES_MAX = 262_144  # behind a request whose response is due, in search of a close
 
 
 class ConnectionState(Enum):
@@ -154,6 +156,21 @@
         """Return whether the client has closed, even if the event loop has not reported it yet."""
         return peer_has_closed(self.sock)
 
+    def look_for_close(self):
+        """Read what follows a request whose response is due, up to its end; return the InputState.
+
+        Pipelined requests are not served, so the bytes are discarded and the response is the last one. A close may
+        stand behind them, and behind many it has not even arrived.
+        """
+        if not has_pending_input(self.sock):
+            return InputState.EMPTY
+        self.close_after_response = True
+        return discard_input(self.sock, DISCARDED_BYTES_MAX)
+
+    def may_have_left(self):
+        """Return whether the client has closed, or sends so much that nobody can tell."""
+        return self.look_for_close() is not InputState.EMPTY
+
     def accepts_requests(self):
         """Return whether bytes that arrive may still become a request."""
         return (
--- a/sprucegate/front/driver.py
+++ b/sprucegate/front/driver.py
@@ -22,6 +22,7 @@
 from sprucegate.upstream.hosts import EndpointList
 from sprucegate.upstream.sending import Sending
 from sprucegate.upstream.servers import UpstreamServers
+from sprucegate.upstream.sockets import InputState
 
 MS = 1_000_000
 TIMEOUT_HEAP_COMPACT_MIN = 128  # entries in the heap of time-outs from which ended attempts are removed
@@ -372,18 +373,8 @@
                         request.trace.append(
                             (now, f"attempt {action.number} {self._describe_target(action)}")
                         )
-                    if request.client.peer_has_closed():
-                        # The event loop reports the close only after what it still handles in this iteration, but
-                        # the client no longer waits.
-                        self.loop.call_soon(
-                            self.on_attempt_ended,
-                            attempt,
-                            AttemptOutcome.NOT_SENT,
-                            CacheStatus.UNKNOWN,
-                            0,
-                            {},
-                        )
-                        self.client_left(request)
+                    if (found := request.client.look_for_close()) is not InputState.EMPTY:
+                        self._end_for_client(request, attempt, found, now)
                         continue
                     if (
                         previous := request.attempts.get(action.number - 1)
@@ -419,6 +410,21 @@
         if request.handle.is_settled():
             self.forget(request)
 
+    def _end_for_client(self, request, attempt, found, now):
+        """End a request before its next attempt is sent, as its client has left or may have left.
+
+        The event loop reports a close only after what it still handles in this iteration, and after the bytes before
+        it. A client that sends on and on, without waiting for its response, gets the final answer.
+        """
+        self.loop.call_soon(
+            self.on_attempt_ended, attempt, AttemptOutcome.NOT_SENT, CacheStatus.UNKNOWN, 0, {}
+        )
+        if found is InputState.ENDED:
+            self.client_left(request)
+        else:
+            self.counters.count("gets_ended_unread_input")
+            self.perform(request, request.handle.give_up(now), now)
+
     def _add_timeout(self, attempt):
         """Schedule an attempt's time-out.
 
--- a/sprucegate/upstream/sending.py
+++ b/sprucegate/upstream/sending.py
@@ -32,7 +32,7 @@
         if (
             now - attempt.decided_at > CLIENT_CHECK_VALID_NS
             and get.client is not None
-            and get.client.peer_has_closed()
+            and get.client.may_have_left()
         ):
             self.count("sends_refused client_left")
             return None
--- a/sprucegate/upstream/sockets.py
+++ b/sprucegate/upstream/sockets.py
@@ -7,6 +7,7 @@
 
 import errno
 import socket
+from enum import Enum, auto
 from struct import Struct
 from struct import error as StructError
 
@@ -26,6 +27,7 @@
 # struct tcp_info of linux/tcp.h up to tcpi_last_data_recv: milliseconds since data was last received.
 LAST_DATA_RECEIVED = Struct("=52xI")
 LAST_DATA_AGE_MAX_MS = 60_000  # a greater value is taken for unknown
+DISCARD_BYTES = 65_536  # read at once by `discard_input`
 RETRY_DELAY_S = 0.01  # until a call that failed with a transient error is repeated
 
 
@@ -90,7 +92,7 @@
 def peer_has_closed(sock):
     """Return whether the peer has closed or reset a connection, even if the event loop has not reported it yet.
 
-    Unread bytes before the end of the stream hide it.
+    Unread bytes before the end of the stream hide it; `discard_input` looks behind them.
     """
     try:
         return not sock.recv(1, socket.MSG_PEEK)
@@ -98,6 +100,32 @@
         return fault.errno not in TRANSIENT
 
 
+class InputState(Enum):
+    """What is left of a connection's input after `discard_input`.
+
+    :cvar EMPTY: nothing now; the peer has not closed
+    :cvar ENDED: the peer has closed or reset the connection
+    :cvar MORE: more than was to be discarded
+    """
+
+    EMPTY = auto()
+    ENDED = auto()
+    MORE = auto()
+
+
+def discard_input(sock, most):
+    """Read and discard about `most` bytes at most; return what is left, as an InputState."""
+    while most > 0:
+        try:
+            data = sock.recv(DISCARD_BYTES)
+        except OSError as fault:
+            return InputState.EMPTY if fault.errno in TRANSIENT else InputState.ENDED
+        if not data:
+            return InputState.ENDED
+        most -= len(data)
+    return InputState.MORE
+
+
 class PendingWrite:
     """Data that a socket did not take at once, sent as it takes more.
 
