Follow the Driver's new argument in a benchmark, and cover the new stand-in command

Cause: `benchmarks serverfiles` wraps the Driver's constructor with positional arguments alone; since the memory budget the Driver is given its memory by name, so the wrapper raised and the benchmark waited without end. The test of commands lists each stand-in, and the one for misbehaving clients was missing.

Change: the wrapper passes both on; a test runs the stand-in.

--- a/benchmarks/serverfiles.py
+++ b/benchmarks/serverfiles.py
@@ -295,8 +295,8 @@
     drivers, original = [], run.Driver
 
     class Kept(original):
-        def __init__(self, *given):
-            super().__init__(*given)
+        def __init__(self, *given, **named):
+            super().__init__(*given, **named)
             drivers.append(self)
 
     run.Driver = Kept
--- a/tests/test_entry_points.py
+++ b/tests/test_entry_points.py
@@ -189,6 +189,16 @@
     assert [record["event"]["ban"]["tag"] for record in written if record["what"] == "event"] == [3]
 
 
+def test_misbehaving_clients_open_connections_and_count_them():
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        address = "{}:{}".format(*listener.getsockname())
+        status, output, errors = run_to_exit(
+            "standins.misbehaving_clients",
+            *("--address", address, "--manner", "idle", "--count", "2", "--seconds", "0.5"),
+        )
+    assert status == 0 and json.loads(output)["connections"] == 2, output + errors
+
+
 def test_the_program_runs_under_injected_faults(tmp_path):
     Faults(tmp_path / "faults")
     status, output, errors = run_to_exit("standins.faults", tmp_path / "faults", "version")
@@ -218,6 +228,7 @@
         "standins.fleet.relay",
         "standins.http2",
         "standins.lines",
+        "standins.misbehaving_clients",
         "standins.soak.servers",
     }
     assert commands == run_here
