Refuse a request whose id was sent before and may have run, or may still be answered

Cause: the front knew an id only while its request was open. A client that left ends its request at once, so that an order that came again under the same id was a new one, although the first attempt may run. For GETs a late answer to the first would have been taken for the second's, as answers on a line connection are told apart by the id alone.

Change: RetryPolicy.is_id_spent decides it when a request is over: not idempotent and not proved never to have run, or left without an answer. After a refusal, or an answered GET, an id may be used again, as before.

--- a/sprucegate/front/admission.py
+++ b/sprucegate/front/admission.py
@@ -30,12 +30,13 @@
     return values[ds] if ds < len(values) and values[ds] is not None else default
 
 
-def admit(client, request, ds_names, settings, open_ids, waited):
+def admit(client, request, ds_names, settings, open_ids, waited, spent_ids=()):
     """Return an OpenRequest, or a RejectedRequest that names what is wrong.
 
     The numbers in the headers have upper bounds because they have lasting effects: a request is kept for as long as
     its patience lasts, and its size enters the estimate of usual sizes.
 
+    `spent_ids`: ids of earlier requests that may have run or may still be answered, see `CallIdHistory`.
     `waited`: how long the request waited before it was read (ns), which counts against its patience.
     """
     headers = request.headers
@@ -58,6 +59,8 @@
         return RejectedRequest(400, "X-Call-Id: 16 hex digits are wanted")
     if call_id in open_ids:
         return RejectedRequest(409, "X-Call-Id: this one is open already")
+    if call_id in spent_ids:
+        return RejectedRequest(409, "X-Call-Id: a request with this one was sent before")
     patience = _parse_number(headers, b"x-patience-ms", 3_600_000)
     if not patience:
         return RejectedRequest(400, "X-Patience-Ms: milliseconds above 0 are wanted")
--- a/sprucegate/front/driver.py
+++ b/sprucegate/front/driver.py
@@ -7,6 +7,7 @@
 
 from sprucegate import clock as system
 from sprucegate.front.admission import LIVENESS_PATH, admit
+from sprucegate.front.call_id_history import CallIdHistory
 from sprucegate.front.counters import Counters
 from sprucegate.front.invariants import Invariants
 from sprucegate.front.open_requests import OpenAttempt
@@ -39,6 +40,7 @@
     :ivar max_open_requests: requests above this number are shed
     :ivar open_requests: OpenRequest by the router's handle
     :ivar requests_by_id: OpenRequest by call id
+    :ivar spent_ids: CallIdHistory of requests that are over
     :ivar attempt_timeouts: heap of (deadline, tie-breaker, OpenAttempt)
     :ivar timeouts_compact_at: length of the heap at which ended attempts are removed from it
     :ivar timer_due: when the timer fires (monotonic ns), or None
@@ -75,6 +77,7 @@
         self.max_open_requests = config.settings.get("max_open", 1 << 30)
         self.open_requests = {}
         self.requests_by_id = {}
+        self.spent_ids = CallIdHistory()
         self.attempt_timeouts = []
         self.tie_breakers = count()
         self.timeouts_compact_at = TIMEOUT_HEAP_COMPACT_MIN
@@ -102,6 +105,7 @@
                 self.config.settings,
                 self.requests_by_id,
                 now - at,
+                self.spent_ids,
             )
         except Exception as fault:
             self.log_exception(fault)
@@ -207,7 +211,9 @@
         self.invariants.check_forgotten(request)
         if self.config.log_gets and request.id in self.requests_by_id:
             self._log_request(request)
-        self.requests_by_id.pop(request.id, None)
+        if self.requests_by_id.pop(request.id, None) is request and request.handle is not None:
+            if self.router.retry_policy.is_id_spent(request.handle):
+                self.spent_ids.add(request.id)
         if self.fill_quota is not None:
             self.fill_quota.request_ended(request)
         # Request and attempts refer to each other: the cycle would leave each request to the garbage collector.
--- a/sprucegate/routing/retry.py
+++ b/sprucegate/routing/retry.py
@@ -9,6 +9,7 @@
 if TYPE_CHECKING:
     from sprucegate.routing.request import RequestState
 
+UNANSWERED = (None, AttemptOutcome.TIMED_OUT, AttemptOutcome.CANCELLED)
 ATTEMPTS_KEPT = 100
 RETRY_BUDGET_RATIO = 0.2  # share of the last attempts that may be retries
 ATTEMPTS_MIN = 10  # after fewer attempts, as many retries are allowed as after this many
@@ -54,6 +55,19 @@
             return True
         return sum(self.retries) <= RETRY_BUDGET_RATIO * max(ATTEMPTS_MIN, len(self.retries))
 
+    def is_id_spent(self, state: "RequestState") -> bool:
+        """Whether no other request may be taken under the id of this settled one.
+
+        A request that may have been executed and isn't idempotent would run twice. One that got no answer may
+        still get it, and the answer would be taken for that of the other request.
+        """
+        sent = [a.outcome for a in state.attempts if a.outcome is None or not a.outcome.never_executed]
+        if not sent:
+            return False
+        if not self.is_idempotent(state.request.delivery_service):
+            return True
+        return any(outcome in UNANSWERED for outcome in sent)
+
     def record_attempt(self, state: "RequestState") -> None:
         """Count an attempt that is about to be sent; it is no retry if the one before was never sent."""
         attempts = state.attempts
