Connections to a server's former address take no further attempts

Cause: LineTransport.address_changed did nothing, and HTTP/2 only changed the name it sends: connections to the former address stayed in use under the server's id, those that were still coming up among them. A connection that comes up late leads to whatever process listens there by then. Evidence: a list that moves a server, and the next GETs reached the process at the former address, over lines and HTTP/2; an attempt that waited for the former address ended 503.

Change: a connection to a former address, or to a server that was removed, is retired: unsent attempts are routed again, sent ones may still be answered, then it is closed. The HTTP/2 pool drains such connections, closes those that are opening, and connects anew.

Why it works: what is sent after the news goes on connections that were made to the present address.

--- a/sprucegate/upstream/http2/pool.py
+++ b/sprucegate/upstream/http2/pool.py
@@ -257,6 +257,18 @@
             actions += self._drain(connection, now)
         return actions
 
+    def address_changed(self, now):
+        """The server moved: at its former address may be another process, so no stream is opened there any more."""
+        self.failures = 0
+        self.retry_at = now
+        actions = []
+        for connection in list(self.connections.values()):
+            if connection.phase is ConnectionPhase.OPENING:
+                actions.append(self._close(connection, "address changed"))
+            else:
+                actions += self._drain(connection, now)
+        return [*actions, *(self._grow(now) if self.waiting else [])]
+
     def restore(self):
         """The server is in the endpoint list, perhaps after it was removed."""
         self.removed = False
--- a/sprucegate/upstream/http2/transport.py
+++ b/sprucegate/upstream/http2/transport.py
@@ -153,8 +153,9 @@
         return any(c.up and c.up_since >= since for c in server.transport_state.connections.values())
 
     def address_changed(self, server):
-        """Use the new address for new connections; those to the former address stay in use."""
+        """Use the new address from now on; streams that are open at the former one may still be answered."""
         server.transport_state.authority = "{}:{}".format(*server.address).encode()
+        self._perform(server, server.transport_state.pool.address_changed(self.driver.clock()))
 
     def warm(self, server, now):
         """Connect to a server ahead of its first attempt."""
--- a/sprucegate/upstream/lines/connection.py
+++ b/sprucegate/upstream/lines/connection.py
@@ -25,6 +25,7 @@
     :ivar reachable: the failed connect does not show an unreachable server
     :ivar up_since: when it was established (ns)
     :ivar last_read: time of the last bytes from the server (ns)
+    :ivar retired: it takes no further attempts, and is closed once its open ones have ended
     :ivar buffered: bytes of an answer that is not read whole, as counted by BufferedBytes
     :ivar paused: it is not read, as there is no room for another answer
     :ivar last_answer: time of the last complete answer (ns)
@@ -48,6 +49,7 @@
         "last_answer",
         "buffered",
         "paused",
+        "retired",
         "stall_check_armed",
         "reachable",
         "up_since",
@@ -74,3 +76,4 @@
         self.last_answer = now
         self.buffered = 0
         self.paused = False
+        self.retired = False
--- a/sprucegate/upstream/lines/transport.py
+++ b/sprucegate/upstream/lines/transport.py
@@ -55,13 +55,26 @@
         return any(c.up and c.up_since >= since for c in server.transport_state)
 
     def address_changed(self, server):
-        """Do nothing: connections to the former address stay in use, new ones go to the new address."""
+        """Retire the connections to the former address, where another process may be by now."""
+        for connection in list(server.transport_state):
+            self._retire(connection)
 
     def drain(self, server):
-        """Close the idle connections to a server that was removed."""
+        """Retire the connections to a server that was removed; one listed again later gets new ones."""
         for connection in list(server.transport_state):
-            if not connection.attempts:
-                self.close(connection)
+            self._retire(connection)
+
+    def _retire(self, connection):
+        """End a connection once the attempts are answered that were sent on it; the others are routed again."""
+        connection.retired = True
+        self.idle_connections.pop(connection, None)
+        for attempt in list(connection.attempts.values()):
+            if self.withdraw(attempt):
+                self.loop.call_soon(
+                    self.driver.on_attempt_ended, attempt, AttemptOutcome.NOT_SENT, CacheStatus.UNKNOWN, 0, {}
+                )
+        if not connection.attempts:
+            self.close(connection)
 
     def warm(self, server, now):
         """Connect to a server ahead of its first attempt."""
@@ -125,7 +138,7 @@
         silent = connection.last_answer < attempt.decided_at
         if not connection.closed and not silent:
             self._enqueue(connection, codec.encode_cancel(attempt.request.id), None)
-        if not connection.attempts and (silent or connection.server.gone) or silent and timed_out:
+        if not connection.attempts and (silent or connection.retired) or silent and timed_out:
             self.loop.call_soon(self.close, connection)
         return None
 
@@ -134,7 +147,11 @@
         for connection in list(server.transport_state):
             if not connection.attempts and connection.up and now - connection.last_used > self.idle_timeout:
                 self.close(connection)
-            elif connection in get.used_connections or len(connection.attempts) >= self.attempts_max:
+            elif (
+                connection.retired
+                or connection in get.used_connections
+                or len(connection.attempts) >= self.attempts_max
+            ):
                 continue
             elif best is None or self._load_rank(connection) < self._load_rank(best):
                 best = connection
@@ -183,7 +200,7 @@
         return self._connect(server, now)
 
     def _update_idle(self, connection):
-        if connection.up and not connection.attempts:
+        if connection.up and not connection.attempts and not connection.retired:
             self.idle_connections[connection] = None
 
     def oldest_idle(self):
@@ -424,7 +441,7 @@
         if outcome is AttemptOutcome.RETURNED:
             self.driver.on_response(attempt, codec.to_response(answer))
         self.driver.on_attempt_ended(attempt, outcome, cache_status, fill_wait, load)
-        if connection.server.gone and not connection.attempts:
+        if connection.retired and not connection.attempts:
             self.close(connection)
 
     def next_due(self):
--- a/sprucegate/upstream/servers.py
+++ b/sprucegate/upstream/servers.py
@@ -63,7 +63,7 @@
 
     def remove(self, server):
         """Remove a server that is no longer listed."""
-        # Attempts that are open there may still be answered: only idle connections are closed at once.
+        # Attempts that were sent there may still be answered.
         server.gone = True
         server.transport.drain(server)
         self.drop_if_unused(server)
--- a/tests/crossing.py
+++ b/tests/crossing.py
@@ -78,6 +78,17 @@
     os.kill(front.process.pid, signal.SIGCONT)
 
 
+def fill_queue(listener):
+    """Connections that fill the queue of a listening socket with a backlog of 0, so that it drops further SYNs."""
+    fillers = []
+    for _ in range(3):  # one more than a queue of 0 holds
+        filler = socket.socket()
+        filler.setblocking(False)
+        filler.connect_ex(listener.getsockname())
+        fillers.append(filler)
+    return fillers
+
+
 class Uphill:
     """A server whose connections come up only once it `lets` them: its queue is full, SYNs are dropped."""
 
@@ -86,12 +97,7 @@
         self.sock.bind(("127.0.0.1", 0))
         self.sock.listen(0)
         self.address = f"127.0.0.1:{self.sock.getsockname()[1]}"
-        self.fillers = []
-        for _ in range(3):  # one more than a queue of 0 holds
-            filler = socket.socket()
-            filler.setblocking(False)
-            filler.connect_ex(self.sock.getsockname())
-            self.fillers.append(filler)
+        self.fillers = fill_queue(self.sock)
 
     def lets(self):
         """The first connection of the front, as a file, once it is up."""
--- a/tests/front/test_crossings.py
+++ b/tests/front/test_crossings.py
@@ -21,6 +21,7 @@
     SLOW_TO_CONNECT,
     Uphill,
     answer_of,
+    fill_queue,
     goes_on,
     held,
     key,
@@ -533,17 +534,14 @@
 
 def test_an_attempt_prefers_an_idle_connection_to_one_that_is_being_established():
     async def run():
-        loop, slow_server, listener = (
-            asyncio.get_running_loop(),
-            Uphill(),
-            socket.create_server(("127.0.0.1", 0)),
-        )
+        loop, listener = asyncio.get_running_loop(), socket.create_server(("127.0.0.1", 0), backlog=0)
         listener.setblocking(False)
         made = Recorder(
             {1: f"127.0.0.1:{listener.getsockname()[1]}"}, speaks="lines", connect_timeout=9_000_000_000
         )
         first = made.send(1, "a" * 16)
         sock, _ = await loop.sock_accept(listener)
+        fillers = fill_queue(listener)  # from now on no further connection comes up
         assert b"a" * 16 in await loop.sock_recv(sock, 4096)
         (held,) = made.servers.by_id[1].transport_state
         await loop.sock_sendall(
@@ -551,13 +549,16 @@
         )  # bytes arrived, so a time-out of an attempt does not close it
         while held.last_answer < first.decided_at:
             await asyncio.sleep(0)
-        made.list({1: slow_server.address})  # the cache has a new address, which does not answer the connect
         assert made.servers.withdraw(
             made.send(1, "c" * 16)
         )  # its connection goes on being established without an attempt
+        assert [connection.up for connection in made.servers.by_id[1].transport_state] == [True, False]
         made.servers.cancel(first)
         second = made.send(1, "b" * 16)
-        return await answer_attempt(made, sock, second)
+        outcome = await answer_attempt(made, sock, second)
+        for filler in fillers:
+            filler.close()
+        return outcome
 
     assert asyncio.run(asyncio.wait_for(run(), 10)) is AttemptOutcome.RETURNED
 
