Count partly read responses over HTTP/2 against the buffers' bound

Change: what a session holds is counted as partly read answers, so that new GETs are shed while it fills the bound; one connection holds no more than the bound.

Measured: a response of 1,000 bytes that is not whole is counted until its connection ends; before it was not counted at all.

--- a/sprucegate/upstream/http2/transport.py
+++ b/sprucegate/upstream/http2/transport.py
@@ -9,6 +9,7 @@
 import socket
 
 from sprucegate.routing.events import AttemptOutcome, CacheStatus
+from sprucegate.upstream.buffered_bytes import Holder
 from sprucegate.upstream.http2 import evidence, mapping
 from sprucegate.upstream.http2.pool import (
     CloseConnection,
@@ -61,6 +62,7 @@
     :ivar blocked: the pool was told that the peer does not read
     :ivar up_since: when it was established (ns)
     :ivar lacks_resources: the connect failed for a lack of resources on this side
+    :ivar buffered: bytes of responses that are not read whole, as counted by BufferedBytes
     """
 
     __slots__ = (
@@ -78,6 +80,7 @@
         "blocked",
         "up_since",
         "lacks_resources",
+        "buffered",
     )
 
     def __init__(self, server, number, session):
@@ -95,6 +98,7 @@
         self.blocked = False
         self.lacks_resources = False
         self.up_since = 0
+        self.buffered = 0
 
 
 class PendingAttempt:
@@ -302,7 +306,8 @@
         self._free_stream(connection, False, self.driver.clock())
 
     def _open(self, server, number):
-        session = Http2Session(self.limits.held, self.driver.clock())
+        held = min(self.limits.held, self.driver.buffers.bound)
+        session = Http2Session(held, self.driver.clock())
         connection = server.transport_state.connections[number] = Http2Connection(server, number, session)
         if not self.servers.make_room():
             connection.lacks_resources = True  # it says nothing about the server
@@ -375,7 +380,9 @@
         now, pool, session = self.driver.clock(), connection.server.transport_state.pool, connection.session
         if connection.number in pool.connections:
             pool.bytes_received(connection.number, now)
-        for event in session.receive(data, now):
+        events = session.receive(data, now)
+        self._count_buffered(connection, session.buffered)
+        for event in events:
             self._on_event(connection, pool, event, now)
         if session.outgoing:
             self._schedule_flush(connection)
@@ -386,6 +393,10 @@
         elif session.partial_responses and not connection.stall_check_armed:
             self._arm_stall_check(connection)
 
+    def _count_buffered(self, connection, size):
+        former, connection.buffered = connection.buffered, size
+        self.driver.buffers.change(Holder.PARTIAL_ANSWER, former, size)
+
     def _on_event(self, connection, pool, event, now):
         number, pooled = connection.number, connection.number in pool.connections
         match event:
@@ -504,6 +515,7 @@
             return
         server, sock, session = connection.server, connection.sock, connection.session
         connection.closed = True
+        self._count_buffered(connection, 0)
         now = self.driver.clock()
         if connection.up:
             self.loop.remove_reader(sock)
--- a/tests/upstream/test_http2_transport.py
+++ b/tests/upstream/test_http2_transport.py
@@ -7,6 +7,7 @@
 import uvloop
 
 from sprucegate.routing.events import AttemptOutcome, EndpointState
+from sprucegate.upstream.buffered_bytes import Holder
 from sprucegate.upstream.http2.limits import MS, Limits
 from standins.driver import Recorder
 from standins.http2 import REFUSED_STREAM, Running, goaway
@@ -256,6 +257,24 @@
     assert await recorder.end(delayed) is AttemptOutcome.RETURNED and stand_in.server.made == 1
 
 
+@with_servers({}, limits=Limits(connections=1))
+async def test_a_partly_read_response_is_counted_until_its_connection_ends(recorder, stand_in):
+    """Guards against responses of many servers at once, each connection within its own bound only (issue 59)."""
+
+    def on_request(peer, request):
+        peer.run(request)
+        peer.answer(request.stream, 200, (), b"x" * 1000, end=False, length=False)
+
+    stand_in.server.came = on_request
+    recorder.send(1, "a" * 16)
+    while not recorder.buffers.total:
+        await asyncio.sleep(0.01)
+    assert recorder.buffers.by_holder[Holder.PARTIAL_ANSWER] == 1000
+    (connection,) = recorder.servers.by_id[1].transport_state.connections.values()
+    recorder.servers.transports["http2"].close(connection, "test")
+    assert recorder.buffers.total == 0
+
+
 @with_servers({}, limits=Limits(connections=1, ping_after=50 * MS, ping_wait=50 * MS))
 async def test_a_connection_is_closed_without_an_answer_to_a_ping_and_kept_for_a_slow_server(
     recorder, stand_in
