--- a/sprucegate/front/driver.py
+++ b/sprucegate/front/driver.py
@@ -1,12 +1,11 @@
 """The driver of the router: passes events to the Router and performs the actions that it returns."""
 
 import asyncio
-import heapq
 import traceback
-from itertools import count
 
 from sprucegate import clock as system
 from sprucegate.front.admission import LIVENESS_PATH, admit
+from sprucegate.front.attempt_timeouts import AttemptTimeouts
 from sprucegate.front.call_id_history import CallIdHistory
 from sprucegate.front.counters import Counters
 from sprucegate.front.invariants import Invariants
@@ -26,7 +25,6 @@
 from sprucegate.upstream.sockets import InputState
 
 MS = 1_000_000
-TIMEOUT_HEAP_COMPACT_MIN = 128  # entries in the heap of time-outs from which ended attempts are removed
 TIMER_RETRY_NS = 50 * MS  # delay before the timer is tried again when its deadline could not be computed
 
 
@@ -41,8 +39,7 @@
     :ivar open_requests: OpenRequest by the router's handle
     :ivar requests_by_id: OpenRequest by call id
     :ivar spent_ids: CallIdHistory of requests that are over
-    :ivar attempt_timeouts: heap of (deadline, tie-breaker, OpenAttempt)
-    :ivar timeouts_compact_at: length of the heap at which ended attempts are removed from it
+    :ivar attempt_timeouts: AttemptTimeouts of the open attempts
     :ivar timer_due: when the timer fires (monotonic ns), or None
     :ivar fill_quota: the quota of concurrent fills, or None: each fill starts at once
     :ivar response_cache: the front's own response cache
@@ -78,9 +75,7 @@
         self.open_requests = {}
         self.requests_by_id = {}
         self.spent_ids = CallIdHistory()
-        self.attempt_timeouts = []
-        self.tie_breakers = count()
-        self.timeouts_compact_at = TIMEOUT_HEAP_COMPACT_MIN
+        self.attempt_timeouts = AttemptTimeouts()
         self.timer = None
         self.timer_due = None
         self.membership = None
@@ -296,9 +291,7 @@
         """
         for attempt in list(request.attempts.values()):
             if not attempt.ended and is_affected(attempt) and self.servers.withdraw(attempt):
-                self.loop.call_soon(
-                    self.on_attempt_ended, attempt, AttemptOutcome.NOT_SENT, CacheStatus.UNKNOWN, 0, {}
-                )
+                self._end_soon(attempt, AttemptOutcome.NOT_SENT)
 
     def withdraw_all_unsent(self, is_affected):
         """Withdraw the affected unsent attempts of all requests, so that they are routed again.
@@ -372,37 +365,11 @@
         for action in actions:
             match action:
                 case SendAttempt():
-                    attempt = request.attempts[action.number] = OpenAttempt(
-                        request, action.number, action.cache, action.fill_source, now, now + action.timeout
-                    )
-                    if self.config.log_gets:
-                        request.trace.append(
-                            (now, f"attempt {action.number} {self._describe_target(action)}")
-                        )
-                    if (found := request.client.look_for_close()) is not InputState.EMPTY:
-                        self._end_for_client(request, attempt, found, now)
-                        continue
-                    if (
-                        previous := request.attempts.get(action.number - 1)
-                    ) is not None and previous.outcome is not None:
-                        self.counters.count(f"retries_after_{previous.outcome.name.lower()}")
-                    if self.fill_quota is not None:
-                        self.fill_quota.attempt_sent(request, attempt, action, now)
-                    self.servers.forward(attempt, action)
-                    self._add_timeout(attempt)
-                    self.bring_timer_forward(attempt.deadline)
+                    self._send_attempt(request, action, now)
                 case AwaitSlot():
                     self.fill_quota.request_slot(request, action.fill_source, now)
                 case RejectRequest():
-                    self.counters.count("gets_shed")
-                    self.counters.count(
-                        "gets_shed_after_attempts" if request.attempts else "gets_shed_unsent"
-                    )
-                    self.withdraw_unsent(request)
-                    retry_after_header = (
-                        b"X-Come-Back-Ms: %d\r\n" % (action.retry_after // MS) if action.retry_after else b""
-                    )
-                    self.response_writer.respond(request, 503, headers=retry_after_header)
+                    self._reject(request, action)
                 case FailRequest():
                     self.counters.count("gets_errored")
                     self.withdraw_unsent(request)
@@ -410,38 +377,52 @@
                 case CancelAttempt():
                     attempt = request.attempts[action.number]
                     self.servers.cancel(attempt)
-                    self.loop.call_soon(
-                        self.on_attempt_ended, attempt, AttemptOutcome.CANCELLED, CacheStatus.UNKNOWN, 0, {}
-                    )
+                    self._end_soon(attempt, AttemptOutcome.CANCELLED)
         if request.handle.is_settled():
             self.forget(request)
 
+    def _send_attempt(self, request, action, now):
+        attempt = request.attempts[action.number] = OpenAttempt(
+            request, action.number, action.cache, action.fill_source, now, now + action.timeout
+        )
+        if self.config.log_gets:
+            request.trace.append((now, f"attempt {action.number} {self._describe_target(action)}"))
+        if (found := request.client.look_for_close()) is not InputState.EMPTY:
+            self._end_for_client(request, attempt, found, now)
+            return
+        previous = request.attempts.get(action.number - 1)
+        if previous is not None and previous.outcome is not None:
+            self.counters.count(f"retries_after_{previous.outcome.name.lower()}")
+        if self.fill_quota is not None:
+            self.fill_quota.attempt_sent(request, attempt, action, now)
+        self.servers.forward(attempt, action)
+        self.attempt_timeouts.add(attempt)
+        self.bring_timer_forward(attempt.deadline)
+
+    def _reject(self, request, action):
+        self.counters.count("gets_shed")
+        self.counters.count("gets_shed_after_attempts" if request.attempts else "gets_shed_unsent")
+        self.withdraw_unsent(request)
+        headers = b"X-Come-Back-Ms: %d\r\n" % (action.retry_after // MS) if action.retry_after else b""
+        self.response_writer.respond(request, 503, headers=headers)
+
+    def _end_soon(self, attempt, outcome):
+        """Report the end of an attempt of which no answer is known, from a later turn of the event loop."""
+        self.loop.call_soon(self.on_attempt_ended, attempt, outcome, CacheStatus.UNKNOWN, 0, {})
+
     def _end_for_client(self, request, attempt, found, now):
         """End a request before its next attempt is sent, as its client has left or may have left.
 
         The event loop reports a close only after what it still handles in this iteration, and after the bytes before
         it. A client that sends on and on, without waiting for its response, gets the final answer.
         """
-        self.loop.call_soon(
-            self.on_attempt_ended, attempt, AttemptOutcome.NOT_SENT, CacheStatus.UNKNOWN, 0, {}
-        )
+        self._end_soon(attempt, AttemptOutcome.NOT_SENT)
         if found is InputState.ENDED:
             self.client_left(request)
         else:
             self.counters.count("gets_ended_unread_input")
             self.perform(request, request.handle.give_up(now), now)
 
-    def _add_timeout(self, attempt):
-        """Schedule an attempt's time-out.
-
-        Entries of ended attempts are removed once the heap has grown, not only when their time comes.
-        """
-        if len(self.attempt_timeouts) >= self.timeouts_compact_at:
-            self.attempt_timeouts = [entry for entry in self.attempt_timeouts if not entry[2].ended]
-            heapq.heapify(self.attempt_timeouts)
-            self.timeouts_compact_at = max(TIMEOUT_HEAP_COMPACT_MIN, 2 * len(self.attempt_timeouts))
-        heapq.heappush(self.attempt_timeouts, (attempt.deadline, next(self.tie_breakers), attempt))
-
     def bring_timer_forward(self, due):
         """Bring the timer forward if `due` is earlier."""
         if self.timer_due is None or due < self.timer_due:
@@ -449,14 +430,12 @@
 
     def arm(self, now):
         """Set the one timer to the earliest deadline of the router, the attempts and the transports."""
-        while self.attempt_timeouts and self.attempt_timeouts[0][2].ended:
-            heapq.heappop(self.attempt_timeouts)
-        due = self.router.next_deadline()
-        if self.attempt_timeouts and (due is None or self.attempt_timeouts[0][0] < due):
-            due = self.attempt_timeouts[0][0]
-        transports_due = self.servers.next_due()
-        if transports_due is not None and (due is None or transports_due < due):
-            due = transports_due
+        deadlines = (
+            self.router.next_deadline(),
+            self.attempt_timeouts.next_deadline(),
+            self.servers.next_due(),
+        )
+        due = min([deadline for deadline in deadlines if deadline is not None], default=None)
         if due is None or self.timer_due is not None and self.timer_due <= due:
             return
         if self.timer is not None:
@@ -480,10 +459,8 @@
 
     def _expire_attempts(self, now):
         # Before the router's own timers, so that it learns that an attempt timed out, not that it was cancelled.
-        while self.attempt_timeouts and self.attempt_timeouts[0][0] <= now:
-            attempt = heapq.heappop(self.attempt_timeouts)[2]
-            if not attempt.ended:
-                self.guarded(attempt.request, self._time_out, attempt)
+        for attempt in self.attempt_timeouts.pop_expired(now):
+            self.guarded(attempt.request, self._time_out, attempt)
 
     def _time_out(self, attempt):
         never_executed = self.servers.cancel(attempt, timed_out=True)
--- a/sprucegate/upstream/lines/transport.py
+++ b/sprucegate/upstream/lines/transport.py
@@ -70,9 +70,7 @@
         self.idle_connections.pop(connection, None)
         for attempt in list(connection.attempts.values()):
             if self.withdraw(attempt):
-                self.loop.call_soon(
-                    self.driver.on_attempt_ended, attempt, AttemptOutcome.NOT_SENT, CacheStatus.UNKNOWN, 0, {}
-                )
+                self._report_not_sent(attempt)
         if not connection.attempts:
             self.close(connection)
 
@@ -86,9 +84,7 @@
         get = attempt.request
         connection = self._choose_connection(server, get, attempt.decided_at)
         if connection is None:  # no capacity on this side: it says nothing about the cache
-            self.loop.call_soon(
-                self.driver.on_attempt_ended, attempt, AttemptOutcome.NOT_SENT, CacheStatus.UNKNOWN, 0, {}
-            )
+            self._report_not_sent(attempt)
             return
         # A later attempt of this request must not use the same connection: a late answer, or a duplicate of one,
         # would have the same id.
@@ -287,6 +283,10 @@
         if connection.attempts.get(attempt.request.id) is attempt:
             del connection.attempts[attempt.request.id]
         self._update_idle(connection)
+        self._report_not_sent(attempt)
+
+    def _report_not_sent(self, attempt):
+        """Report the end of an attempt of which no byte was sent, from a later turn of the event loop."""
         self.loop.call_soon(
             self.driver.on_attempt_ended, attempt, AttemptOutcome.NOT_SENT, CacheStatus.UNKNOWN, 0, {}
         )
