Keep the bound on connections while the accept queue is emptied at the end

Cause: at the end of the serving time the front accepted whatever waited, in one loop without the bound on connections: with a crowd it went over its descriptors, and a crowd that reconnects at once could keep the loop, and with it the event loop, going.

Change: each accepted connection needs a place, as always; 64 are accepted in one turn, and 1,024 in all, which is what the queue holds: the ones behind came after the serving time. Idle connections are ended meanwhile.

Why it works: whoever came in time is among the first 1,024.

--- a/sprucegate/assembly/run.py
+++ b/sprucegate/assembly/run.py
@@ -9,7 +9,7 @@
 
 from sprucegate.front import configuration
 from sprucegate.front.buffer_pool import BufferPool
-from sprucegate.front.connection_reader import ConnectionReader
+from sprucegate.front.connection_reader import LISTEN_BACKLOG, ConnectionReader
 from sprucegate.front.driver import Driver
 from sprucegate.front.log import Log
 from sprucegate.front.process_memory import memory_usage
@@ -118,7 +118,7 @@
     )
     started_at = driver.clock()
     await asyncio.sleep(config.times.accept_after_sigterm / 1e9)
-    while not reader.stop_listening() or reader.drain(driver.clock()) or driver.open_requests:
+    while _is_in_use(reader, driver):
         # A client that never reads its response, or one whose deadline is after the SIGKILL, must not delay the exit.
         if driver.clock() - started_at > config.times.drain_timeout:
             driver.stop()
@@ -137,6 +137,13 @@
     return 0
 
 
+def _is_in_use(reader, driver):
+    """Take the next step of the shutdown; return whether connections wait, or are still in use, or requests open."""
+    is_closed = reader.stop_listening()
+    in_use = reader.drain(driver.clock())
+    return not is_closed or in_use or bool(driver.open_requests)
+
+
 async def _wait_for_either(one, other):
     tasks = [asyncio.ensure_future(event.wait()) for event in (one, other)]
     await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
@@ -181,7 +188,7 @@
             listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
             listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             listener.bind(address)
-            listener.listen(1024)
+            listener.listen(LISTEN_BACKLOG)
             listener.setblocking(False)
             return listener
         except OSError as fault:
--- a/sprucegate/front/connection_reader.py
+++ b/sprucegate/front/connection_reader.py
@@ -20,6 +20,8 @@
 ACCEPT_PAUSE_S = (
     0.02  # pause of accepting at the connection limit; new connections wait in the kernel's queue
 )
+LISTEN_BACKLOG = 1024  # connections that wait to be accepted, at most
+ACCEPTS_PER_CALL = 64  # while the front stops
 CLOSES_LOGGED_PER_SECOND = 5
 # Closes that are not worth a line each: by the client, at the end of the front, after a response.
 CLOSES_NOT_LOGGED = frozenset({"peer", "stopping", "told_to_go"})
@@ -36,6 +38,7 @@
     :ivar dispatch_scheduled: whether `_dispatch` is scheduled in the event loop
     :ivar resume_timer: resumes accepting after a pause, or None
     :ivar accept_queue_empty: whether the last accept found no waiting connection
+    :ivar accepts_left: connections that are still accepted while the front stops
     :ivar numbers: numbers of the next connections
     :ivar close_log: log of the connections that the front closed
     """
@@ -53,6 +56,7 @@
         self.listener = None
         self.resume_timer = None
         self.accept_queue_empty = False
+        self.accepts_left = LISTEN_BACKLOG
         self.numbers = count(1)
         self.close_log = LimitedLog(
             driver.log,
@@ -115,15 +119,14 @@
             self.loop.add_reader(self.listener, self._on_acceptable)
 
     def stop_listening(self):
-        """Accept all waiting connections, then close the listener, which would reset any left in its queue.
+        """Accept the connections that wait in the listener's queue, then close it, which resets any left in it.
 
-        False if one could not be accepted for lack of descriptors or memory: the listener then stays open.
+        Return False while some may be left: the caller calls again. The bound on connections holds meanwhile, and so
+        many are accepted at most as the queue holds: the ones behind them came after the first call.
         """
         if self.listener is None:
             return True
-        while self._accept():
-            pass
-        if not self.accept_queue_empty:
+        if not self._accept_waiting() and self.accepts_left:
             return False
         if self.resume_timer is not None:
             self.resume_timer.cancel()
@@ -132,6 +135,16 @@
         self.listener = None
         return True
 
+    def _accept_waiting(self):
+        """Accept a few of the waiting connections; return whether none is left."""
+        for _ in range(min(ACCEPTS_PER_CALL, self.accepts_left)):
+            if len(self.clients) >= self.max_connections and not self._evict_one():
+                return False
+            self.accepts_left -= 1
+            if not self._accept():
+                return self.accept_queue_empty
+        return False
+
     def _evict_one(self):
         """Close a connection to make room for a new one; return whether one could be closed.
 
