Ignore further signals once a process ends, so that it ends with its own status

Callers saw: a front that was told to end by a series of signals ended by the last of them, like a crash (exit status -2).

Cause: as the event loop closes it gives SIGTERM, SIGINT and SIGHUP back their default effects; what comes in the last moments of the process kills it.

Change: when the service has returned, the handlers are removed and the signals ignored, blocked in between; for the platform's front, the one with an operator's file and voters.

Why it works: nothing restores an effect of a signal that the loop doesn't handle any more. A trial that only blocked them failed: the event loop has further threads.

--- a/sprucegate/__main__.py
+++ b/sprucegate/__main__.py
@@ -16,6 +16,7 @@
 
 import uvloop  # noqa: E402
 
+from sprucegate.assembly.last_signals import run_to_exit  # noqa: E402
 from sprucegate.assembly.run import serve  # noqa: E402
 from sprucegate.front import configuration  # noqa: E402
 
@@ -35,7 +36,7 @@
     # Objects created at startup live as long as the process; exempt them from garbage collection.
     gc.freeze()
     gc.set_threshold(20_000, 20, 100)
-    return uvloop.run(serve(front_configuration))
+    return uvloop.run(run_to_exit(serve(front_configuration)))
 
 
 if __name__ == "__main__":
--- a/sprucegate/cli/commands.py
+++ b/sprucegate/cli/commands.py
@@ -43,6 +43,7 @@
     # Imported here so that `check` and `version` do not load the front's libraries.
     import uvloop
 
+    from sprucegate.assembly.last_signals import run_to_exit
     from sprucegate.assembly.run import serve
     from sprucegate.cli.structured_logging import structured
     from sprucegate.front import configuration
@@ -70,7 +71,8 @@
         shares=config.shares,
         log_gets=config.log.gets,
     )
-    sys.exit(uvloop.run(serve(front_configuration, structured(front_configuration.name))))
+    log = structured(front_configuration.name)
+    sys.exit(uvloop.run(run_to_exit(serve(front_configuration, log))))
 
 
 @main.command()
--- a/sprucegate/cli/rollout.py
+++ b/sprucegate/cli/rollout.py
@@ -132,6 +132,7 @@
     import uvloop
 
     from sprucegate.assembly.keep import run_voter
+    from sprucegate.assembly.last_signals import run_to_exit
     from sprucegate.cli.structured_logging import structured
 
     try:
@@ -144,14 +145,16 @@
         _fail(f"{path}: agreement.keepers: does not list {name}", False, 2)
     sys.exit(
         uvloop.run(
-            run_voter(
-                name,
-                config.fleet,
-                config.agreement,
-                config.rollout,
-                structured(name),
-                trusted=trust_folder,
-                only_one_left=only_one_left,
+            run_to_exit(
+                run_voter(
+                    name,
+                    config.fleet,
+                    config.agreement,
+                    config.rollout,
+                    structured(name),
+                    trusted=trust_folder,
+                    only_one_left=only_one_left,
+                )
             )
         )
     )
