Read from a half request before its connection is closed to make room

Callers saw: a request was lost that was whole as its connection was closed for a new one.

Cause: idle connections were read from before they were closed to make room, half requests were not: the rest could be in the kernel's buffer. For memory they were closed unread as well.

Change: whatever is to be closed for room is read from before, and stays where its request is whole by then. For memory a connection without waiting input goes first, among the eight oldest.

Why it works: a request counts once its last byte is on a connection that the machine accepted; now it is looked for there.

--- a/sprucegate/front/client_table.py
+++ b/sprucegate/front/client_table.py
@@ -1,5 +1,7 @@
 """The open client connections, grouped by what may be closed to make room, each group with the oldest first."""
 
+from itertools import islice
+
 from sprucegate.front.client_connections import ConnectionState
 
 UNPROVEN_WEIGHT = 2  # of a place on which no request was read whole yet
@@ -83,11 +85,11 @@
     def _weight(self, group):
         return UNPROVEN_WEIGHT if group is self.unused or group is self.first_request else 1
 
-    def next_to_free(self):
-        """Return the connection to close first to free memory, or None.
+    def next_to_free(self, count):
+        """Return the `count` connections to close first to free memory, fewer where there are fewer.
 
         Nothing was taken on by a partly read request. A response that its client does not take ends cut short, and its
         length tells the client.
         """
         group = max(self.first_request, self.next_request, key=len) or self.writing
-        return next(iter(group), None)
+        return list(islice(group, count))
--- a/sprucegate/front/connection_reader.py
+++ b/sprucegate/front/connection_reader.py
@@ -10,7 +10,7 @@
 from sprucegate.front.limited_log import LimitedLog
 from sprucegate.units import MILLISECOND
 from sprucegate.upstream.buffered_bytes import Holder
-from sprucegate.upstream.sockets import receive_into, set_no_delay, time_since_last_data
+from sprucegate.upstream.sockets import has_pending_input, receive_into, set_no_delay, time_since_last_data
 
 REQUESTS_PER_ITERATION = 3  # requests dispatched in one iteration of the event loop
 READS_PER_ITERATION = (
@@ -20,6 +20,7 @@
 ACCEPT_PAUSE_S = (
     0.02  # pause of accepting at the connection limit; new connections wait in the kernel's queue
 )
+FREE_CANDIDATES = 8  # connections looked at to free memory
 LISTEN_BACKLOG = 1024  # connections that wait to be accepted, at most
 ACCEPTS_PER_CALL = 64  # while the front stops
 CLOSES_LOGGED_PER_SECOND = 5
@@ -146,9 +147,9 @@
         return False
 
     def _evict_one(self):
-        """Close a connection to make room for a new one; return whether one could be closed.
+        """Close a connection to make room for a new one; return whether there is room.
 
-        An idle one is read from before: a request in the kernel's buffer counts as sent.
+        It is read from before, unless it is half-closed: a request whose rest is in the kernel's buffer counts as sent.
         """
         for _ in range(CONNECTIONS_PER_PASS):
             client = self.clients.next_to_close()
@@ -156,11 +157,14 @@
                 return False
             if client.state is ConnectionState.HALF_CLOSED:
                 return self.close(client, "told_to_go")
-            if not client.is_idle():
-                return self.close(client, "half_request")
-            if self.read_and_check_idle(client):
+            self._on_readable(client)
+            if client.state is ConnectionState.CLOSED:
+                return True
+            if client.is_idle():
                 client.shut_down(self.driver.clock())
                 return self.close(client, "made_room")
+            if client.state is ConnectionState.IDLE:
+                return self.close(client, "half_request")
         return False
 
     def read_and_check_idle(self, client):
@@ -203,9 +207,15 @@
         return 0
 
     def _free_one(self):
-        """Close a connection to free its buffered bytes; return whether one could be closed."""
-        client = self.clients.next_to_free()
-        return client is not None and self.close(client, "memory")
+        """Close a connection to free its buffered bytes; return whether one could be closed.
+
+        One whose input waits to be read is passed over where there is another: its request may be whole by now.
+        """
+        clients = self.clients.next_to_free(FREE_CANDIDATES)
+        if not clients:
+            return False
+        waiting = (client for client in clients if not has_pending_input(client.sock))
+        return self.close(next(waiting, clients[0]), "memory")
 
     def _count_buffered(self, client):
         """Report the bytes that a connection's request takes; the connection itself may be closed for them."""
--- a/tests/front/test_crossings.py
+++ b/tests/front/test_crossings.py
@@ -354,6 +354,23 @@
         assert [front.ask(b"", sock)[0] for sock in [*first, new]] == [200] * 33
 
 
+def test_a_connection_whose_request_is_just_becoming_whole_is_not_evicted(tmp_path):
+    """Guards against a request that was sent whole and whose connection is closed for a new one (issue 59)."""
+    front, _, _ = two(tmp_path, limits={"cores": 1.0, "memory_mb": 32, "sockets": 64})
+    with front:
+        first = [front.connect() for _ in range(32)]
+        for at, sock in enumerate(first):
+            sock.sendall(get_text(key(at))[:30])
+        second(front, lambda line: line["clients"] == 32)
+        stopped(front)
+        new = front.connect()  # first in the queue of events: eviction runs before any request is read
+        for at, sock in enumerate(first):
+            sock.sendall(get_text(key(at))[30:])
+        new.sendall(get_text(key(99)))
+        goes_on(front)
+        assert [front.ask(b"", sock)[0] for sock in [*first, new]] == [200] * 33
+
+
 def test_a_new_client_waits_while_all_connections_are_busy_and_is_then_served(tmp_path):
     go = threading.Event()
     front, _, _ = two(tmp_path, served, held(go), limits={"cores": 1.0, "memory_mb": 32, "sockets": 64})
