The router takes its medians from ten lines of its own, not from `statistics`

Need: at the least memory of the pages each import counts; `statistics` brings decimal, fractions, random and hashlib for three calls.

A departure from "libraries before own code", for the memory's sake.

--- a/sprucegate/routing/health_record.py
+++ b/sprucegate/routing/health_record.py
@@ -8,8 +8,8 @@
 
 from collections import deque
 from collections.abc import Sequence
-from statistics import median
 
+from sprucegate.routing.order_statistics import median
 from sprucegate.routing.sentinels import LONG_AGO
 from sprucegate.units import MILLISECOND, SECOND
 
--- a/sprucegate/routing/inbound_link.py
+++ b/sprucegate/routing/inbound_link.py
@@ -1,12 +1,12 @@
 """Inbound link: estimated congestion of the location's link from the parents."""
 
 from collections import deque
-from statistics import median_low
 
 from sprucegate.routing.events import Request
 from sprucegate.routing.hashing import HashRandom
 from sprucegate.routing.health_record import HealthRecord
 from sprucegate.routing.load_estimation import LoadEstimator
+from sprucegate.routing.order_statistics import median_low
 from sprucegate.routing.outlier_detection import OutlierDetector
 from sprucegate.routing.sentinels import LONG_AGO
 from sprucegate.routing.server import Server
--- a/sprucegate/routing/load_estimation.py
+++ b/sprucegate/routing/load_estimation.py
@@ -1,10 +1,10 @@
 """Load estimation: sending times of requests, completed work per time, and latency objectives."""
 
 from collections import defaultdict, deque
-from statistics import median
 
 from sprucegate.routing.digest import Digest
 from sprucegate.routing.events import Request
+from sprucegate.routing.order_statistics import median
 from sprucegate.routing.sentinels import LONG_AGO
 from sprucegate.routing.settings import RoutingSettings
 from sprucegate.units import MILLISECOND, SECOND
