Count the listed servers when the memory limit is divided

Cause: the budget was drawn up before the list was applied; 200 servers take 1.1 MB, 3,200 take 15 MB, which no share covered. With 200 caches at 32 MB crowds came to 31.7 MB, and with ballast as on x86-64 to 32.4.

--- a/sprucegate/front/driver.py
+++ b/sprucegate/front/driver.py
@@ -56,9 +56,9 @@
         self.loop = asyncio.get_running_loop()
         self.platform_time = system.PlatformTime()
         most_servers = config.descriptors // 3
-        self.memory = MemoryBudget(
-            int(config.memory_mb * 2**20), MemoryUse(resident, config.descriptors // 2, most_servers)
-        )
+        listed = sum(len(event.entries) for _, event in config.known if isinstance(event, EndpointList))
+        use = MemoryUse(resident, config.descriptors // 2, most_servers, listed)
+        self.memory = MemoryBudget(int(config.memory_mb * 2**20), use)
         self.is_under_memory_pressure = False
         self.buffers = BufferedBytes(self.memory.buffer_bytes)
         self.router = Router(
--- a/sprucegate/routing/memory_budget.py
+++ b/sprucegate/routing/memory_budget.py
@@ -12,12 +12,13 @@
 
 CLIENT_CONNECTION_BYTES = 2304  # socket, state, parser and the event loop's handles
 SERVER_CONNECTION_BYTES = 3072
+SERVER_BYTES = 5120  # of a listed server: its entries at front and router, and what is learned of it
 OBJECT_RECORD_BYTES = 2304  # with its beliefs and rankings
 COPIES_BYTES = 768 << 10  # of the largest answer, while it goes from one buffer to the next
 OPEN_REQUEST_BYTES = 4096  # besides its body: its state at front and router, its attempts and their timers
 OBJECTS_MIN = 64
 BUFFER_BYTES_MIN = 512 << 10  # room for the largest object and the largest write, each being copied once
-# Shares of what is left. The rest is for the endpoint list, and for gaps in the allocator's heap.
+# Shares of what is left. The rest is for later changes of the list, and for gaps in the allocator's heap.
 RESPONSE_CACHE_SHARE = 0.4
 BUFFER_SHARE = 0.3
 OBJECT_SHARE = 0.15
@@ -32,11 +33,13 @@
     :ivar resident: its memory in bytes.
     :ivar client_connections: most connections of clients at a time.
     :ivar server_connections: most connections to servers at a time.
+    :ivar servers: servers of the list that it starts with.
     """
 
     resident: int
     client_connections: int
     server_connections: int
+    servers: int = 0
 
 
 class MemoryBudget:
@@ -53,6 +56,7 @@
         spare = limit - use.resident - COPIES_BYTES
         spare -= use.client_connections * CLIENT_CONNECTION_BYTES
         spare -= use.server_connections * SERVER_CONNECTION_BYTES
+        spare -= use.servers * SERVER_BYTES
         spare = max(0, spare)
         self.objects_max = max(
             OBJECTS_MIN, min(OBJECTS_MAX, int(spare * OBJECT_SHARE) // OBJECT_RECORD_BYTES)
--- a/tests/routing/test_memory_budget.py
+++ b/tests/routing/test_memory_budget.py
@@ -8,6 +8,7 @@
     CLIENT_CONNECTION_BYTES,
     OBJECT_RECORD_BYTES,
     OBJECTS_MIN,
+    SERVER_BYTES,
     SERVER_CONNECTION_BYTES,
     MemoryBudget,
     MemoryUse,
@@ -15,7 +16,7 @@
 from sprucegate.routing.response_cache import RESPONSE_CACHE_BYTES
 
 MB = 1 << 20
-USE = MemoryUse(resident=25 * MB, client_connections=512, server_connections=341)
+USE = MemoryUse(resident=25 * MB, client_connections=512, server_connections=341, servers=200)
 
 
 @pytest.mark.parametrize("limit", [32, 48, 64, 128, 192, 2048])
@@ -25,6 +26,7 @@
         USE.resident
         + USE.client_connections * CLIENT_CONNECTION_BYTES
         + USE.server_connections * SERVER_CONNECTION_BYTES
+        + USE.servers * SERVER_BYTES
         + budget.objects_max * OBJECT_RECORD_BYTES
         + budget.buffer_bytes
         + budget.response_cache_bytes
