Tests share what a server heard, and wait for sockets of any descriptor

Change: serves_heard and is_readable in tests/crossing.py, the latter with poll(2), the same bound; the unread attribute is gone.

Measured: test_crossings passes in one process that holds 1,100 descriptors before it begins; the other tests touched pass.

--- a/standins/fleet/agent.py
+++ b/standins/fleet/agent.py
@@ -27,14 +27,11 @@
         )
         self.boxes = {at if isinstance(at, str) else f"s-{at + 16:02x}": at for at in boxes}
         self.failed_starts, self.stop_begun = 0, {}
-        self.stopped, self.renewed, self.started, self.counted, self.late_gets, self.replaced = (
-            False,
-            {},
-            {},
-            {},
-            0,
-            [],
-        )
+        self.stopped = False
+        self.renewed = {}
+        self.started = {}
+        self.late_gets = 0
+        self.replaced = []
         self.fault = None
 
     def run(self):
--- a/tests/crossing.py
+++ b/tests/crossing.py
@@ -1,6 +1,8 @@
 """How tests make two events cross in one order: a front that stands still, servers that hold back."""
 
 import os
+import queue
+import select
 import signal
 import socket
 
@@ -8,6 +10,7 @@
 
 from standins.ports import free_port
 
+QUIET_S = 0.5  # in which another request would have arrived
 LIVE = b"GET /status/live HTTP/1.1\r\nHost: a\r\n\r\n"
 
 
@@ -20,6 +23,23 @@
     return b"".join(iter(lambda: sock.recv(65_536), b""))
 
 
+def serves_heard(server):
+    """The requests that a stand-in server heard, as (word, id, fields, body), until it was quiet for a while."""
+    found = []
+    while True:
+        try:
+            found.append(server.heard.get(timeout=QUIET_S))
+        except queue.Empty:
+            return [row for row in found if row[0] == b"serve"]
+
+
+def is_readable(sock, seconds):
+    """Whether a socket can be read within so long; unlike select(2) for descriptors of any number."""
+    poll = select.poll()
+    poll.register(sock, select.POLLIN)
+    return bool(poll.poll(seconds * 1000))
+
+
 def held(go):
     def reply(call_id, fields, body):
         go.wait(10)
--- a/tests/front/test_client_that_left.py
+++ b/tests/front/test_client_that_left.py
@@ -4,22 +4,11 @@
 import time
 
 import pytest
-from crossing import goes_on, stopped, two
+from crossing import goes_on, serves_heard, stopped, two
 from helpers import get_text, served
 
 ORDER = {"ds": "order", "method": "PUT", "body": b"o" * 300}
 LEFT_BEFORE_S = 0.3  # a client that left so long ago gets nothing sent on; 0.1 s is allowed
-QUIET_S = 0.5  # in which an attempt would have arrived
-
-
-def heard(server):
-    """What a server heard, until it was quiet for a while."""
-    found = []
-    while True:
-        try:
-            found.append(server.heard.get(timeout=QUIET_S))
-        except queue.Empty:
-            return [row for row in found if row[0] == b"serve"]
 
 
 @pytest.mark.parametrize("order", [False, True])
@@ -39,7 +28,7 @@
         sock.close()
         time.sleep(LEFT_BEFORE_S)
         goes_on(front)
-        assert heard(cache_server) == heard(origin_server) == []
+        assert serves_heard(cache_server) == serves_heard(origin_server) == []
 
 
 @pytest.mark.parametrize("unread", [1000, 60_000, 2_000_000])
@@ -66,7 +55,7 @@
         sock.close()
         time.sleep(1.2)  # the answer, and the close, are both there
         goes_on(front)
-        assert len(heard(cache_server) + heard(origin_server)) == 1
+        assert len(serves_heard(cache_server) + serves_heard(origin_server)) == 1
 
 
 @pytest.mark.parametrize("ds", ["order", "media"])
@@ -82,7 +71,7 @@
         sock.close()
         front.until("second")
         assert front.ask(text)[0] == 409
-        assert heard(server) == []
+        assert serves_heard(server) == []
 
 
 def test_an_order_that_was_answered_does_not_run_again_under_its_id(tmp_path):
@@ -91,7 +80,7 @@
     with front:
         assert front.ask(get_text("a" * 16, **ORDER))[0] == 200
         assert front.ask(get_text("a" * 16, **ORDER))[0] == 409
-        assert len(heard(origin_server)) == 1
+        assert len(serves_heard(origin_server)) == 1
 
 
 def test_an_id_may_come_again_after_a_refusal(tmp_path):
--- a/tests/front/test_crossings.py
+++ b/tests/front/test_crossings.py
@@ -5,7 +5,6 @@
 import os
 import queue
 import resource
-import select
 import signal
 import socket
 import subprocess
@@ -24,6 +23,7 @@
     fill_queue,
     goes_on,
     held,
+    is_readable,
     key,
     not_started,
     second,
@@ -514,7 +514,7 @@
     async def run():
         loop, listener, made, sock, held = await idle_connection()
         sock.close()
-        assert select.select([held.sock], [], [], 5)[0]
+        assert is_readable(held.sock, 5)
         second = made.send(1, "b" * 16)
         sock, _ = await loop.sock_accept(listener)
         return await answer_attempt(made, sock, second)
@@ -536,7 +536,7 @@
         old.sendall(late)  # the loop does not run meanwhile: all bytes are in the kernel buffer
         if ends:
             old.close()
-        assert select.select([held.sock], [], [], 5)[0]
+        assert is_readable(held.sock, 5)
         second = made.send(1, "b" * 16)
         whole = late.endswith(b"\r\n") and late.startswith(b"f")
         if whole and not ends:  # once that is read and discarded, the connection is usable
--- a/tests/front/test_reused_addresses.py
+++ b/tests/front/test_reused_addresses.py
@@ -3,21 +3,15 @@
 import queue
 
 import pytest
-from crossing import SLOW_TO_CONNECT, Uphill, until_open
+from crossing import SLOW_TO_CONNECT, Uphill, serves_heard, until_open
 from helpers import Front, cache, get_text, host, served
 
 from standins.processes import Process
 
-QUIET_S = 0.5
-
 
 def heard(server):
-    found = []
-    while True:
-        try:
-            found.append(server.heard.get(timeout=QUIET_S))
-        except queue.Empty:
-            return [row[1] for row in found if row[0] == b"serve"]
+    """The ids of the requests that a server heard."""
+    return [row[1] for row in serves_heard(server)]
 
 
 def tell(front, offset, *hosts):
