Run two crowds at once in a test run, not as many as there are workers

Cause: each crowd test takes some three cores for four seconds; nothing kept twelve workers from running them together.

Trace: that test beside 36 busy processes on the untouched code passed, as it did beside sixteen crowds at once (three times; 48 of its scenarios: 1.495 s at the longest), and after crowd tests in one process (no busy threads left). The lateness itself was not reproduced; what is left is the load of the last part of the run.

Change: tests of crowds take one of two locks. No bound, duration or assertion changed.

--- a/tests/front/test_crowd_at_shutdown.py
+++ b/tests/front/test_crowd_at_shutdown.py
@@ -6,7 +6,7 @@
 import time
 
 from helpers import REAL, Front, get_text, host
-from test_memory_limit import Misbehaviour, server
+from test_memory_limit import Misbehaviour, place_for_a_crowd, server
 
 SOCKETS = 64
 CROWD = 300
@@ -17,7 +17,7 @@
     """Guards against all connections of the accept queue taken on at once at the end (issue 59)."""
     hosts = [host("s-0b", server(5).address, "std"), host("s-1f", server(5).address, "origin")]
     limits = {**REAL["limits"], "sockets": SOCKETS}
-    with Front(tmp_path, *hosts, limits=limits) as front:
+    with place_for_a_crowd(), Front(tmp_path, *hosts, limits=limits) as front:
         crowd = Misbehaviour(front, "idle", CROWD, seconds=6)
         time.sleep(1.0)
         front.process.send_signal(signal.SIGTERM)
--- a/tests/front/test_memory_limit.py
+++ b/tests/front/test_memory_limit.py
@@ -1,13 +1,18 @@
 """A front stays within its memory limit, and answers other clients, whatever clients hold back or send."""
 
+import fcntl
 import json
 import subprocess
 import sys
+import tempfile
 import time
+from contextlib import ExitStack, contextmanager
+from pathlib import Path
 
 import pytest
 from helpers import Front, cache, get_text, host
 
+CROWDS_AT_ONCE = 2
 CLIENTS = 700  # more than the half of the descriptors that the front gives to clients
 SECONDS = 4.0
 PATIENCE_S = 1.5
@@ -22,6 +27,29 @@
 LIMITS = {"cores": 1.0, "sockets": 1024}
 
 
+@contextmanager
+def place_for_a_crowd():
+    """Wait until fewer than CROWDS_AT_ONCE tests run a crowd, in all processes of the test run.
+
+    Each crowd takes some three cores; more of them at once starve tests that watch the time.
+    """
+    names = [Path(tempfile.gettempdir(), f"sprucegate-crowd-{at}") for at in range(CROWDS_AT_ONCE)]
+    with ExitStack() as files:
+        locks = [files.enter_context(name.open("w")) for name in names]
+        while not any(_is_locked(lock) for lock in locks):
+            time.sleep(INTERVAL_S)
+        yield
+
+
+def _is_locked(file):
+    """Take the lock of a file if nobody has it; it is given back as the file is closed."""
+    try:
+        fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError:
+        return False
+    return True
+
+
 class Misbehaviour:
     """Misbehaving clients of a front, in a process of their own."""
 
@@ -78,7 +106,7 @@
     """Let clients misbehave; return the peak of the front's memory and what the good client saw."""
     hosts = [host(f"s-{at + 11:x}", server(size).address, "std") for at in range(caches)]
     hosts.append(host("s-1f", server(size).address, "origin"))
-    with Front(path, *hosts, limits={**LIMITS, "memory_mb": memory_mb}, **more) as front:
+    with place_for_a_crowd(), Front(path, *hosts, limits={**LIMITS, "memory_mb": memory_mb}, **more) as front:
         front.ask(get_text("f" * 16))
         clients = Misbehaviour(front, manner, count)
         found = ask_all_along(front, SECONDS)
