Review: whole seconds of max-age admit copies from before a purge over HTTP/2

Cause: mapping.request_fields rounds the oldest age down once, but a cache that counts ages in whole seconds by RFC 9111 rounds too, so a copy that was made up to a second before its purge is fresh enough.

--- a/review/8/cache.py
+++ b/review/8/cache.py
@@ -1,7 +1,7 @@
-"""A cache that speaks HTTP/2 as docs/http2.md has it, with copies of a known age; it writes down what it answered.
+"""A cache that speaks HTTP/2 as docs/http2.md has it; it writes down what it answered, and from which copy.
 
-Objects below 0x100 take `--slow` seconds. Of all others it holds a copy that the origin gave out `--age` ms before the
-cache began; a GET that wants none that old gets a fresh one. Ages are compared to the millisecond.
+It counts a copy's age in whole seconds (RFC 9111, section 4.2.3; "delta-seconds", section 1.2.2), and answers
+from the copy if that age is at most `max-age` (section 5.2.1.1). Otherwise it fills from the origin.
 """
 
 import argparse
@@ -16,25 +16,35 @@
 
 
 class Cache(http2.Server):
-    def __init__(self, slow, age, answers, **script):
+    def __init__(self, answers, **script):
         super().__init__(**script)
-        self.slow, self.made_at, self.answers = slow, unix_ms() - age, open(answers, "a", buffering=1)
+        self.copies, self.answers = {}, open(answers, "a", buffering=1)
 
     def came(self, peer, request):
         now = unix_ms()
         key = int(request.fields[b":path"].split(b"/")[3], 16)
         control = request.fields.get(b"cache-control", b"").decode()
-        wanted = [int(word[8:]) * 1000 for word in control.split(", ") if word.startswith("max-age=")]
-        made = self.made_at if not wanted or now - self.made_at <= wanted[0] else now
-        self.answers.write(f"{request.id} {key:x} came={now} made={made} cache-control={control or '-'}\n")
-        peer.loop.call_later(self.slow if key < 0x100 else 0.001, self.answer, peer, request, made)
-
-    def answer(self, peer, request, made):
+        wanted = [int(word[8:]) for word in control.split(", ") if word.startswith("max-age=")]
+        made = self.copies.get(key)
+        hit = made is not None and (not wanted or (now - made) // 1000 <= wanted[0])
+        if not hit:
+            made = None if request.only_if_cached else now
+            self.copies[key] = made or self.copies.get(key)
+        said = "lacks" if made is None else "hit" if hit else "filled"
+        self.answers.write(
+            f"{request.id} {key:x} came={now} made={made} {said} cache-control={control or '-'}\n"
+        )
+        peer.loop.call_later(0.001, self.answer, peer, request, made, hit)
+
+    def answer(self, peer, request, made, hit):
         if peer.run(request) and not peer.closed:
+            if made is None:
+                peer.answer(request.stream, 504, (), b"")
+                return
             fields = (
                 (b"etag", b'"t%d"' % made),
                 (b"age", b"%d" % ((unix_ms() - made) // 1000)),
-                (b"cache-status", b"s; hit"),
+                (b"cache-status", b"s-0b; hit" if hit else b"s-0b; fwd=uri-miss"),
             )
             peer.answer(request.stream, 200, fields, b"made=%d" % made)
 
@@ -42,8 +52,6 @@
 def main():
     flags = argparse.ArgumentParser()
     flags.add_argument("--limit", type=int, default=100)
-    flags.add_argument("--slow", type=float, required=True)
-    flags.add_argument("--age", type=int, required=True)
     flags.add_argument("--answers", required=True)
     uvloop.run(http2.serve(Cache(**vars(flags.parse_args()))))
 
