--- a/sprucegate/front/subscription.py
+++ b/sprucegate/front/subscription.py
@@ -5,6 +5,7 @@
 
 from sprucegate.front.buffer_pool import BUFFER_BYTES
 from sprucegate.front.protocol import bus
+from sprucegate.units import MILLISECOND
 from sprucegate.upstream.sockets import set_no_delay
 
 # The bus sends a comment each second; a missed event counts after 4 s.
@@ -17,6 +18,8 @@
 
     :ivar last: offset of the last event seen
     :ivar retried_after: value of `last` when the bus was last asked again for the event after it; -1 if never
+    :ivar received_bytes: bytes that the latest stream has brought
+    :ivar opened_at: when that stream was begun (monotonic ns)
     """
 
     def __init__(self, driver, config):
@@ -28,6 +31,8 @@
         # A buffer of its own: connections could have taken all of the pool's, and the list would not be read.
         self.buffer = memoryview(bytearray(BUFFER_BYTES))
         self.retried_after = -1
+        self.received_bytes = 0
+        self.opened_at = driver.clock()
 
     def start(self):
         """Subscribe from the event after the last one seen; an open stream is abandoned."""
@@ -45,7 +50,13 @@
             except Exception as fault:  # the subscription must go on, or no event would be applied any more
                 self.driver.log_exception(fault)
                 error = "unexpected exception"
-            self.driver.log("bus_lost", error=error, last=self.last)
+            self.driver.log(
+                "bus_lost",
+                error=error,
+                last=self.last,
+                received_bytes=self.received_bytes,
+                open_ms=(self.driver.clock() - self.opened_at) // MILLISECOND,
+            )
             self.driver.on_discovery_lost()
             failures = failures + 1 if last_before == self.last else 0
             await asyncio.sleep(RECONNECT_DELAYS_S[min(failures, len(RECONNECT_DELAYS_S) - 1)])
@@ -53,6 +64,7 @@
     async def _read(self):
         """Read one stream to its end; return why it ended."""
         sock = None
+        self.received_bytes, self.opened_at = 0, self.driver.clock()
         try:
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
             sock.setblocking(False)
@@ -73,6 +85,7 @@
                     size = await self.loop.sock_recv_into(sock, self.buffer)
                 if not size:
                     return "the event bus closed the stream"
+                self.received_bytes += size
                 for _, data in stream.feed(bytes(self.buffer[:size])):
                     self._on_event(data)
         except TimeoutError:
