--- a/benchmarks/walks.py
+++ b/benchmarks/walks.py
@@ -312,7 +312,7 @@
 
     def _keep_copy(self, router, asked):
         made = self.now - self.chance.randrange(4 * S)
-        keeps = router.should_store_response(asked, made, self.now)
+        keeps = router.should_store_response(asked, made, self.now, self.now)
         self.digest.add(keeps)
         if keeps:
             self.copies[self.routers.index(router), asked.object, asked.part] = made, self.now
--- a/sprucegate/assembly/run.py
+++ b/sprucegate/assembly/run.py
@@ -14,6 +14,7 @@
 from sprucegate.front.log import Log
 from sprucegate.front.process_memory import memory_usage
 from sprucegate.front.subscription import Subscription
+from sprucegate.units import MILLISECOND
 
 # Errors of socket, bind and listen that may pass: the address is in use, or descriptors or memory are exhausted.
 TRANSIENT_ERRORS = (
@@ -41,6 +42,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     driver = Driver(config, pool, log, resident=memory_usage().resident)
+    driver.on_events_received(driver.clock())  # the configuration holds those of the start
     loop.set_exception_handler(driver.on_loop_exception)
     if config.membership is not None:
         # Imported here so that a front without it doesn't load its dependencies.
@@ -255,5 +257,6 @@
             memory_peak_mb=memory.peak >> 20,
             buffered_kb=driver.buffers.kilobytes(),
             response_cache_kb=driver.response_cache.stored_bytes >> 10,
+            bus_lag_ms=driver.router.purge_lag(driver.clock()) // MILLISECOND,
             **driver.counters.read_and_reset(),
         )
--- a/sprucegate/front/driver.py
+++ b/sprucegate/front/driver.py
@@ -143,7 +143,7 @@
             or not self.router.may_serve_stored_response(
                 request.routing_request,
                 cached.generated_at,
-                cached.stored_at,
+                cached.requested_at,
                 self.response_cache.link_wait(now),
                 now,
             )
@@ -253,11 +253,11 @@
             request, now = attempt.request, self.clock()
             generated_at = self._generated_at(attempt, response, now)
             if generated_at is not None and self.router.should_store_response(
-                request.routing_request, generated_at, now
+                request.routing_request, generated_at, attempt.decided_at, now
             ):
                 self.response_cache.put(
                     (request.ds, request.object_key, request.part),
-                    CachedResponse(response.body, response.tag, generated_at, now),
+                    CachedResponse(response.body, response.tag, generated_at, attempt.decided_at),
                 )
         self.counters.count("gets_returned")
 
@@ -354,6 +354,14 @@
             if not request.answered:
                 self.guarded(request, self.perform, request, request.handle.give_up(now), now)
 
+    def on_events_received(self, until):
+        """Tell the router that the event bus has delivered all events issued up to `until` (monotonic ns)."""
+        self.router.on_purges_received(until)
+
+    def on_event_skipped(self):
+        """Tell the router that an event of the bus, perhaps a purge, could not be applied."""
+        self.router.on_purges_skipped(self.clock())
+
     def on_discovery_lost(self):
         """Tell the router that the endpoint list could not be read."""
         self.router.endpoint_list_failed(self.clock())
--- a/sprucegate/front/protocol/bus.py
+++ b/sprucegate/front/protocol/bus.py
@@ -64,15 +64,20 @@
 
 
 class StreamReader:
-    """Parses the HTTP response that carries the event stream, chunked or not, into its events."""
+    """Parses the HTTP response that carries the event stream, chunked or not, into its events.
+
+    :ivar body_bytes: bytes of the response's body so far
+    """
 
     def __init__(self):
         self.parser = httptools.HttpResponseParser(self)
         self.events = EventReader()
         self.complete = []
+        self.body_bytes = 0
 
     def on_body(self, body):
         """Handle a part of the response's body; a callback of httptools."""
+        self.body_bytes += len(body)
         self.complete += self.events.feed(body)
 
     def feed(self, chunk):
--- a/sprucegate/front/response_cache.py
+++ b/sprucegate/front/response_cache.py
@@ -17,13 +17,13 @@
     :ivar body: its content
     :ivar etag: its entity tag, without quotes; "" where it has none
     :ivar generated_at: the earliest time at which the origin generated it
-    :ivar stored_at: when it was stored here
+    :ivar requested_at: when it was requested from its server
     """
 
     body: bytes
     etag: str
     generated_at: int
-    stored_at: int
+    requested_at: int
 
 
 class ResponseCache:
--- a/sprucegate/front/subscription.py
+++ b/sprucegate/front/subscription.py
@@ -1,15 +1,17 @@
-"""Subscription to the event bus: reads the stream and, after an end, resumes after the last event seen."""
+"""Subscription to the event bus: reads the stream and, after an end, resumes after the last event seen.
+
+A stream that is silent for too long may have ended unnoticed, or the bus may be slow. So another one is begun beside
+it, and whichever is heard first is read on: a bus is heard however late its answers begin.
+"""
 
 import asyncio
-import socket
 
-from sprucegate.front.buffer_pool import BUFFER_BYTES
+from sprucegate.front.event_stream import CATCH_UP_TIME_NS, EventStream
 from sprucegate.front.protocol import bus
-from sprucegate.units import MILLISECOND
-from sprucegate.upstream.sockets import set_no_delay
+from sprucegate.units import SECOND
 
-# The bus sends a comment each second; a missed event counts after 4 s.
-READ_TIMEOUT_S = 1.7
+SILENCE_MAX_NS = 1_700_000_000  # the bus sends a comment each second
+SILENT_STREAM_KEPT_NS = 30 * SECOND
 RECONNECT_DELAYS_S = (0.1, 0.2, 0.4, 0.8, 1.0)
 
 
@@ -17,9 +19,9 @@
     """Reads the event bus, from the last event seen on, for as long as the front runs.
 
     :ivar last: offset of the last event seen
+    :ivar stream: the EventStream that is read; None between two of them
+    :ivar silent_stream: an earlier one that fell silent and may still go on; None without one
     :ivar retried_after: value of `last` when the bus was last asked again for the event after it; -1 if never
-    :ivar received_bytes: bytes that the latest stream has brought
-    :ivar opened_at: when that stream was begun (monotonic ns)
     """
 
     def __init__(self, driver, config):
@@ -28,16 +30,17 @@
         self.last = config.offset
         self.loop = asyncio.get_running_loop()
         self.task = None
-        # A buffer of its own: connections could have taken all of the pool's, and the list would not be read.
-        self.buffer = memoryview(bytearray(BUFFER_BYTES))
+        self.stream = None
+        self.silent_stream = None
         self.retried_after = -1
-        self.received_bytes = 0
-        self.opened_at = driver.clock()
 
     def start(self):
-        """Subscribe from the event after the last one seen; an open stream is abandoned."""
+        """Subscribe from the event after the last one seen; open streams are abandoned."""
         if self.task is not None:
             self.task.cancel()
+        self._close(self.stream)
+        self._close(self.silent_stream)
+        self.stream = self.silent_stream = None
         self.task = self.loop.create_task(self.run())
 
     async def run(self):
@@ -45,56 +48,72 @@
         failures = 0
         while True:
             last_before = self.last
-            try:
-                error = await self._read()
-            except Exception as fault:  # the subscription must go on, or no event would be applied any more
-                self.driver.log_exception(fault)
-                error = "unexpected exception"
-            self.driver.log(
-                "bus_lost",
-                error=error,
-                last=self.last,
-                received_bytes=self.received_bytes,
-                open_ms=(self.driver.clock() - self.opened_at) // MILLISECOND,
-            )
+            if self.stream is None:
+                self.stream = self._open()
+            lost, error = await self._wait_until_lost()
+            self.driver.log("bus_lost", error=error, last=self.last, **lost.describe())
             self.driver.on_discovery_lost()
             failures = failures + 1 if last_before == self.last else 0
             await asyncio.sleep(RECONNECT_DELAYS_S[min(failures, len(RECONNECT_DELAYS_S) - 1)])
 
-    async def _read(self):
+    def _open(self):
+        stream = EventStream(self.config.bus, self.last, self.driver.clock)
+        stream.task = self.loop.create_task(self._read(stream))
+        return stream
+
+    async def _read(self, stream):
         """Read one stream to its end; return why it ended."""
-        sock = None
-        self.received_bytes, self.opened_at = 0, self.driver.clock()
         try:
-            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-            sock.setblocking(False)
-            set_no_delay(sock)
-            async with asyncio.timeout(READ_TIMEOUT_S):
-                await self.loop.sock_connect(sock, self.config.bus)
-                host = "{}:{}".format(*self.config.bus)
-                await self.loop.sock_sendall(
-                    sock,
-                    (
-                        f"GET /bus/read HTTP/1.1\r\nHost: {host}\r\nAccept: text/event-stream\r\n"
-                        f"Last-Event-ID: {self.last}\r\n\r\n"
-                    ).encode(),
-                )
-            stream = bus.StreamReader()
-            while True:
-                async with asyncio.timeout(READ_TIMEOUT_S):
-                    size = await self.loop.sock_recv_into(sock, self.buffer)
-                if not size:
-                    return "the event bus closed the stream"
-                self.received_bytes += size
-                for _, data in stream.feed(bytes(self.buffer[:size])):
-                    self._on_event(data)
-        except TimeoutError:
-            return "silent"
-        except (OSError, bus.MalformedEventError) as fault:
-            return str(fault)
-        finally:
-            if sock is not None:
-                sock.close()
+            return await stream.read(self._on_heard)
+        except Exception as fault:  # the subscription must go on, or no event would be applied any more
+            self.driver.log_exception(fault)
+            return "unexpected exception"
+
+    async def _wait_until_lost(self):
+        """Wait until the stream that is read has ended or is silent; return it and the reason."""
+        while True:
+            stream = self.stream
+            silent_at = stream.heard_at + SILENCE_MAX_NS
+            await asyncio.wait([stream.task], timeout=max(0, silent_at - self.driver.clock()) / SECOND)
+            if self.stream is not stream:
+                continue  # an earlier one was heard meanwhile
+            if stream.task.done():
+                self.stream = None
+                return stream, stream.task.result()
+            if self.driver.clock() >= stream.heard_at + SILENCE_MAX_NS:
+                self._set_aside(stream)
+                return stream, "silent"
+
+    def _set_aside(self, stream):
+        """Keep one silent stream open: the earlier one, as it will be answered first, but not without end."""
+        self.stream = None
+        earlier = self.silent_stream
+        if earlier is None or earlier.task.done() or self._is_given_up(earlier):
+            self._close(earlier)
+            self.silent_stream = stream
+        else:
+            self._close(stream)
+
+    def _is_given_up(self, stream):
+        return self.driver.clock() - stream.heard_at > SILENT_STREAM_KEPT_NS
+
+    @staticmethod
+    def _close(stream):
+        if stream is not None:
+            stream.task.cancel()
+
+    def _on_heard(self, stream, events):
+        """Apply events of the stream that was heard first; others are closed."""
+        if stream is self.silent_stream:
+            self._close(self.stream)
+            self.stream = stream
+        else:
+            self._close(self.silent_stream)
+        self.silent_stream = None
+        for _, data in events:
+            self._on_event(data)
+        if stream.has_caught_up():
+            self.driver.on_events_received(stream.heard_at)
 
     def on_reload(self, address, known):
         """Subscribe at the bus's new address at once: the old one sends no more events."""
@@ -125,6 +144,7 @@
             self.retried_after = self.last
             raise fault
         self.driver.log("bus_gap", error=str(fault), last=self.last)
+        self.driver.on_event_skipped()
 
     def _apply(self, offset, event):
         if offset <= self.last:
@@ -135,4 +155,11 @@
             self.driver.log_exception(fault)
             self._retry_or_skip(bus.MalformedEventError(f"event {offset} could not be applied"))
         self.last = offset
+        if self.stream is not None and self._is_late(event):
+            self.stream.expect_missed_events()
         self.driver.log("told", offset=offset, what=type(event).__name__)
+
+    def _is_late(self, event):
+        if not isinstance(event, bus.InvalidationEvent):
+            return False
+        return self.driver.platform_time.age(event.at, self.driver.clock()) > CATCH_UP_TIME_NS
--- a/sprucegate/routing/response_cache.py
+++ b/sprucegate/routing/response_cache.py
@@ -29,14 +29,15 @@
         self.load = load
 
     def may_serve(
-        self, request: Request, generated_at: int, stored_at: int, link_queue: int, now: int
+        self, request: Request, generated_at: int, requested_at: int, link_queue: int, now: int
     ) -> bool:
         """Whether a stored response may be served.
 
-        It must be young enough, and the queue at the outgoing link short: shorter for larger responses.
+        It must be young enough, not from before a purge that may have been missed, and the queue at the
+        outgoing link short: shorter for larger responses.
 
         :param generated_at: when the response was generated (ns).
-        :param stored_at: when it was stored here (ns).
+        :param requested_at: when it was requested from its server (ns).
         :param link_queue: queueing delay at the outgoing link (ns).
         """
         limit = (
@@ -45,14 +46,15 @@
             or UNLIMITED_AGE_NS
         )
         return (
-            now - stored_at < CACHED_RESPONSE_AGE_MAX_NS
+            now - requested_at < CACHED_RESPONSE_AGE_MAX_NS
             and now - generated_at < limit
+            and not self.invalidations.may_predate_missed(generated_at, requested_at, now)
             and link_queue * self.load.sending_time(request) <= QUEUE_TIMES_SENDING_TIME_MAX
         )
 
-    def should_store(self, request: Request, generated_at: int, now: int) -> bool:
+    def should_store(self, request: Request, generated_at: int, requested_at: int, now: int) -> bool:
         """Whether to store a response: if it is requested repeatedly and doesn't run at the origin."""
         requested_again = sum(self.digest.record_of(request, now).counts) > 1
         if not requested_again or self.settings.of_service("runs_at_origin", request.delivery_service, False):
             return False
-        return self.may_serve(request, generated_at, now, 0, now)
+        return self.may_serve(request, generated_at, requested_at, 0, now)
--- a/sprucegate/routing/router.py
+++ b/sprucegate/routing/router.py
@@ -273,20 +273,33 @@
         """Record a purge of an object, or of a group if `identifier` is negative, issued `age` ns ago."""
         self.invalidations.invalidate(identifier, group, age, now)
 
+    def on_purges_received(self, until: int) -> None:
+        """Record that all purges issued up to `until` (ns) have been received; without a call, all are."""
+        self.invalidations.received_until = until
+
+    def purge_lag(self, now: int) -> int:
+        """Time since which purges may have been issued that have not been received (ns)."""
+        until = self.invalidations.received_until
+        return 0 if until is None else now - until
+
+    def on_purges_skipped(self, now: int) -> None:
+        """Record that purges issued up to `now` may have been skipped, as they could not be read."""
+        self.invalidations.skip(now)
+
     def may_serve_stored_response(
-        self, request: Request, generated_at: int, stored_at: int, link_queue: int, now: int
+        self, request: Request, generated_at: int, requested_at: int, link_queue: int, now: int
     ) -> bool:
         """Whether the request may be answered from a response that this process stored.
 
         :param generated_at: when the response was generated (ns).
-        :param stored_at: when it was stored (ns).
+        :param requested_at: when it was requested from its server (ns).
         :param link_queue: queueing delay on this process's outgoing link (ns).
         """
-        return self.response_cache.may_serve(request, generated_at, stored_at, link_queue, now)
+        return self.response_cache.may_serve(request, generated_at, requested_at, link_queue, now)
 
-    def should_store_response(self, request: Request, generated_at: int, now: int) -> bool:
-        """Whether to store a response that was generated at `generated_at` (ns)."""
-        return self.response_cache.should_store(request, generated_at, now)
+    def should_store_response(self, request: Request, generated_at: int, requested_at: int, now: int) -> bool:
+        """Whether to store a response, by when it was generated and when it was requested (ns)."""
+        return self.response_cache.should_store(request, generated_at, requested_at, now)
 
     # Other routers.
 
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -26,7 +26,7 @@
 from sprucegate.routing.events import AttemptOutcome, BeliefGossip, CacheStatus, EjectionGossip, EndpointState
 from sprucegate.routing.fill_source import Fill
 from sprucegate.routing.health_record import ESTIMATE_AGE_MAX_NS, HealthRecord
-from sprucegate.routing.invalidation import CACHED_RESPONSE_AGE_MAX_NS
+from sprucegate.routing.invalidation import CACHED_RESPONSE_AGE_MAX_NS, PURGE_DELIVERY_MAX_NS
 from sprucegate.routing.request import ANSWER_MARGIN_NS, Attempt, RequestState
 from sprucegate.routing.response_cache import QUEUE_TIMES_SENDING_TIME_MAX
 from sprucegate.units import MILLISECOND as MS
@@ -641,11 +641,52 @@
     assert router.may_serve_stored_response(request, NOW - age, NOW - stored_ago, queue, NOW) is allowed
 
 
+@pytest.mark.parametrize(
+    "received_ago, skipped_ago, generated_ago, requested_ago, allowed",
+    [
+        (7.0, None, 60, 20, True),  # a purge that is missed binds no sooner
+        (7.1, None, 60, 20, False),
+        (7.1, None, 6.9, 6.9, True),  # younger than any purge that binds
+        (7.1, None, 60, 1.0, True),  # requested when no server held a copy from before such a purge
+        (7.1, None, 60, 1.1, False),
+        (60, None, 60, 1.1, False),
+        (0, 7.0, 60, 20, True),
+        (0, 8.0, 60, 20, False),
+        (0, 8.0, 7.9, 7.9, True),  # generated after the event that was skipped
+        (0, 8.0, 60, 1.9, True),
+        (0, 8.0, 60, 2.1, False),
+    ],
+)
+def test_a_stored_response_that_a_missed_purge_may_concern_is_not_served(
+    received_ago, skipped_ago, generated_ago, requested_ago, allowed
+):
+    """Guards against own copies that a purge on a bus that is not heard, or on an unreadable event, concerns."""
+    router, request = make_router(), make_request()
+    if skipped_ago is not None:
+        router.on_purges_received(NOW - int(skipped_ago * S))
+        router.on_purges_skipped(NOW - int(skipped_ago * S))
+    router.on_purges_received(NOW - int(received_ago * S))
+    generated_at, requested_at = NOW - int(generated_ago * S), NOW - int(requested_ago * S)
+    assert router.may_serve_stored_response(request, generated_at, requested_at, 0, NOW) is allowed
+
+
+@pytest.mark.parametrize(
+    "purge_done, received_ago, limit",
+    [(6 * S, 60 * S, 0), (8 * S, 7 * S, 0), (8 * S, 7 * S + 1, PURGE_DELIVERY_MAX_NS - 2 * MS)],
+)
+def test_a_missed_purge_limits_the_age_of_copies_as_long_as_servers_may_hold_older_ones(
+    purge_done, received_ago, limit
+):
+    router = make_router(purge_done=purge_done)
+    router.on_purges_received(NOW - received_ago)
+    assert router.invalidations.max_age(make_request(), False, NOW) == limit
+
+
 @pytest.mark.parametrize("ds, requests, stored", [(0, 1, False), (0, 2, True), (2, 2, False)])
 def test_only_responses_to_repeated_reads_are_stored(ds, requests, stored):
     router, request = make_router(), make_request(ds=ds)
     router.digest.record_of(request, NOW).counts[0] = requests
-    assert router.should_store_response(request, NOW - MS, NOW) is stored
+    assert router.should_store_response(request, NOW - MS, NOW, NOW) is stored
 
 
 @pytest.mark.parametrize(
