--- a/sprucegate/front/driver.py
+++ b/sprucegate/front/driver.py
@@ -13,7 +13,14 @@
 from sprucegate.front.protocol.http import RejectedRequest, etag_header
 from sprucegate.front.response_cache import CachedResponse, ResponseCache
 from sprucegate.front.response_writer import ResponseWriter
-from sprucegate.routing.actions import AwaitSlot, CancelAttempt, FailRequest, RejectRequest, SendAttempt
+from sprucegate.routing.actions import (
+    AwaitSlot,
+    CancelAttempt,
+    FailRequest,
+    PostponeAttempt,
+    RejectRequest,
+    SendAttempt,
+)
 from sprucegate.routing.events import AttemptOutcome, CacheStatus, EndpointState
 from sprucegate.routing.memory_budget import MemoryBudget, MemoryUse
 from sprucegate.routing.router import Router
@@ -69,8 +76,9 @@
         self.ready = False
         self.drained = False
         self.invariants = Invariants(config.settings, self.counters.count, log)
-        self.sending = Sending(self.counters.count, self.invariants.check_attempt)
+        self.sending = Sending(self.counters.count, self.invariants.check_attempt, self._may_send)
         self.servers = UpstreamServers(self, pool, config.settings, most_servers, config.servers)
+        self.router.age_units = self.servers.age_units
         self.max_open_requests = config.settings.get("max_open", 1 << 30)
         self.open_requests = {}
         self.requests_by_id = {}
@@ -376,6 +384,9 @@
                     self._send_attempt(request, action, now)
                 case AwaitSlot():
                     self.fill_quota.request_slot(request, action.fill_source, now)
+                case PostponeAttempt():
+                    self.counters.count("gets_postponed")
+                    self.bring_timer_forward(action.until)
                 case RejectRequest():
                     self._reject(request, action)
                 case FailRequest():
@@ -407,6 +418,9 @@
         self.attempt_timeouts.add(attempt)
         self.bring_timer_forward(attempt.deadline)
 
+    def _may_send(self, attempt, now):
+        return self.router.sendable_at(attempt.request.routing_request, attempt.cache, now) <= now
+
     def _reject(self, request, action):
         self.counters.count("gets_shed")
         self.counters.count("gets_shed_after_attempts" if request.attempts else "gets_shed_unsent")
--- a/sprucegate/routing/actions.py
+++ b/sprucegate/routing/actions.py
@@ -31,6 +31,12 @@
     fill_source: int
 
 
+class PostponeAttempt(NamedTuple):
+    """Nothing is sent: the router's timer routes the request again at `until`."""
+
+    until: int
+
+
 class RejectRequest(NamedTuple):
     """Final answer: the request is shed. A retry is safe, best after `retry_after` ns (0: no advice)."""
 
--- a/sprucegate/routing/invalidation.py
+++ b/sprucegate/routing/invalidation.py
@@ -90,12 +90,24 @@
         latest_missed = self.latest_missed(now)
         return generated_at < latest_missed and requested_at - self.settings.purge_done < latest_missed
 
-    def max_age(self, request: Request, allow_stale: bool, now: int) -> int:
+    def sendable_at(self, request: Request, age_unit: int, now: int) -> int:
+        """When a request may be sent to a server that is told the oldest age in whole `age_unit`s (ns).
+
+        Such a server takes a copy for up to a unit younger than it is. A limit below one unit can't be told
+        to it: it could return a copy from before the purge. Within the purge grace that is allowed.
+        """
+        invalidated_at = self.invalidated_at(request)
+        if now < invalidated_at + self.settings.purge_grace:
+            return now
+        return max(now, invalidated_at + age_unit + self.settings.tick)
+
+    def max_age(self, request: Request, allow_stale: bool, now: int, age_unit: int = 0) -> int:
         """Maximum age of an acceptable copy (ns); 0 stands for the freshness lifetime.
 
         `allow_stale` adds the grace time (RFC 5861, section 4). After a purge only copies younger than the
         purge are acceptable, less one tick, as the platform rounds times. So it is after purges that may have
-        been missed, where servers may still hold copies from before them.
+        been missed, where servers may still hold copies from before them. A limit told in whole `age_unit`s
+        excludes some copies from after the purge too, so it ends once no server holds older ones.
         """
         service = request.delivery_service
         fresh: int = self.settings.of_service("fresh_time", service, 0)
@@ -103,6 +115,8 @@
             fresh + self.settings.of_service("grace_time", service, 0) if allow_stale and fresh else 0
         )
         invalidated_at = self.invalidated_at(request)
+        if age_unit and 0 < self.settings.purge_done < now - invalidated_at:
+            invalidated_at = LONG_AGO
         if self.may_predate_missed(LONG_AGO, now, now):
             invalidated_at = max(invalidated_at, self.latest_missed(now))
         if invalidated_at > LONG_AGO:
--- a/sprucegate/routing/request.py
+++ b/sprucegate/routing/request.py
@@ -2,7 +2,14 @@
 
 from typing import TYPE_CHECKING
 
-from sprucegate.routing.actions import AwaitSlot, CancelAttempt, FailRequest, RejectRequest, SendAttempt
+from sprucegate.routing.actions import (
+    AwaitSlot,
+    CancelAttempt,
+    FailRequest,
+    PostponeAttempt,
+    RejectRequest,
+    SendAttempt,
+)
 from sprucegate.routing.attempt_results import AttemptResult
 from sprucegate.routing.events import AttemptOutcome, CacheStatus, Request
 from sprucegate.routing.fill_source import Fill
@@ -15,7 +22,7 @@
 
 ANSWER_MARGIN_NS = 20 * MILLISECOND  # reserved before the client's time-out for sending the final answer
 
-Action = SendAttempt | AwaitSlot | RejectRequest | FailRequest | CancelAttempt
+Action = SendAttempt | AwaitSlot | PostponeAttempt | RejectRequest | FailRequest | CancelAttempt
 
 
 class Attempt:
@@ -101,7 +108,7 @@
         return False
 
     def route(self, now: int) -> list[Action]:
-        """Send an attempt, wait for a slot, or give up."""
+        """Send an attempt, wait for a slot or for a time, or give up."""
         if self.finished or self.streaming:
             return []
         action = self.router.plan(self, now)
--- a/sprucegate/routing/router.py
+++ b/sprucegate/routing/router.py
@@ -5,7 +5,7 @@
 
 from collections.abc import Sequence
 
-from sprucegate.routing.actions import AwaitSlot, SendAttempt, SubscribeToEndpoints
+from sprucegate.routing.actions import AwaitSlot, PostponeAttempt, SendAttempt, SubscribeToEndpoints
 from sprucegate.routing.attempt_results import ResultRecorder
 from sprucegate.routing.cache_selection import CacheSelector
 from sprucegate.routing.digest import OBJECTS_MAX, Digest, ObjectRecord
@@ -39,6 +39,8 @@
 class Router:
     """The routing decisions of one router process.
 
+    :ivar age_units: unit in which servers are told the oldest acceptable age (ns), by id; others are told it
+        as exactly as the platform's times are.
     :ivar slot_limited_sources: ids of fill sources whose concurrency slots another module grants.
     :ivar pending_actions: actions that the next `on_timer` returns.
     """
@@ -66,6 +68,8 @@
         )
         self.gossip = Gossip(self.registry, self.digest, self.outliers)
         self.deadlines = DeadlineQueue()
+        self.postponed = DeadlineQueue()
+        self.age_units: dict[int, int] = {}
         self.slot_limited_sources: Sequence[int] | dict[int, int] = ()
         self.pending_actions = [SubscribeToEndpoints()] if settings.discovery == "ask" else []
 
@@ -86,31 +90,36 @@
         """Target latency of the request (ns)."""
         return self.load.latency_objective(request)
 
-    def plan(self, state: RequestState, now: int) -> SendAttempt | AwaitSlot | None:
-        """The next attempt of a request, a wait for a slot at its fill source, or None to give up."""
+    def plan(self, state: RequestState, now: int) -> SendAttempt | AwaitSlot | PostponeAttempt | None:
+        """The next attempt of a request, a wait for a slot or for a time, or None to give up."""
         if not self.retry_policy.may_attempt(state, now):
             return None
         request = state.request
         record = self.digest.record_of(request, now)
         runs_at_origin = self.settings.of_service("runs_at_origin", request.delivery_service, False)
         cache, in_time = self.cache_selector.select(state, record, now)
+        sendable_at = now if cache is None else self.sendable_at(request, cache.id, now)
+        if sendable_at > now:
+            if sendable_at < min(state.objective_at, state.deadline) or not self.settings.direct:
+                return self._postpone(state, sendable_at, now)
+            cache = None
         only_if_cached = False
         source: Server | None
         if runs_at_origin:
             source = self._first_origin() or self.source_selector.parent_or_origin(state, now)[0]
             cache = source if self.settings.direct else cache
         elif cache is None:
-            cache = self.source_selector.parent_or_origin(state, now)[0] if self.settings.direct else None
             source = self._first_origin()
+            cache = self._direct_target(state, now) if self.settings.direct else None
             # A response straight from the origin occupies the inbound link for as long as a fill does.
             if self.inbound_link.fill_would_be_late(request, state.objective_at, now):
-                return None
+                return self._postpone(state, sendable_at, now)
         elif not in_time and self.random.next_float(request.id) >= TRIAL_SHARE:
             return None  # it would take capacity from requests that can still be answered in time
         else:
             source, only_if_cached = self._select_source(state, record, cache, now)
         if cache is None:
-            return None
+            return self._postpone(state, sendable_at, now)
         if source is not None and self._needs_slot(
             state, record, cache, source, runs_at_origin or only_if_cached
         ):
@@ -118,6 +127,30 @@
             return AwaitSlot(source.id)
         return self._send(state, record, cache, source or cache, only_if_cached, now)
 
+    def sendable_at(self, request: Request, server_id: int, now: int) -> int:
+        """When a request may be sent to a server (ns): after `now` if its limit can't be told there yet."""
+        age_unit = self.age_units.get(server_id, 0)
+        if not age_unit or self.settings.of_service("runs_at_origin", request.delivery_service, False):
+            return now
+        index = self.registry.index_of.get(server_id)
+        if request.write or index is None or self.registry.servers[index].role == "origin":
+            return now  # no stored response answers it
+        return self.invalidations.sendable_at(request, age_unit, now)
+
+    def _postpone(self, state: RequestState, until: int, now: int) -> PostponeAttempt | None:
+        """A wait until then, or None if it is over or would outlast the request."""
+        if not now < until < state.deadline:
+            return None
+        self.postponed.add(until, state)
+        return PostponeAttempt(until)
+
+    def _direct_target(self, state: RequestState, now: int) -> Server | None:
+        """The parent or origin that a request is sent to without a cache."""
+        target = self.source_selector.parent_or_origin(state, now)[0]
+        if target is not None and self.sendable_at(state.request, target.id, now) > now:
+            return self._first_origin()
+        return target
+
     def _first_origin(self) -> Server | None:
         return next(iter(self.registry.group("origin")), None)
 
@@ -182,7 +215,9 @@
             cache.id,
             source.id,
             rank=rank,
-            max_age=self.invalidations.max_age(request, number > 0 or state.no_retry, now),
+            max_age=self.invalidations.max_age(
+                request, number > 0 or state.no_retry, now, self.age_units.get(cache.id, 0)
+            ),
             timeout=max(TIMEOUT_MIN_NS, state.deadline - now),
             collapse=bool(self.settings.joins),
             only_if_cached=only_if_cached,
@@ -217,8 +252,10 @@
 
     def next_deadline(self) -> int | None:
         """When to call `on_timer` next (ns): 0 for at once, None if no timer is set."""
-        due = self.deadlines.next()
-        return 0 if self.pending_actions else due
+        if self.pending_actions:
+            return 0
+        dues = [due for due in (self.deadlines.next(), self.postponed.next()) if due is not None]
+        return min(dues) if dues else None
 
     def on_timer(self, now: int) -> list[tuple[RequestState | None, list[Action | SubscribeToEndpoints]]]:
         """Actions that are due, as lists with the request that they belong to, or None for no request."""
@@ -227,6 +264,9 @@
         self.pending_actions = []
         for state in self.deadlines.pop_expired(now):
             decided.append((state, [*state.give_up(now)] if state else [SubscribeToEndpoints()]))
+        for state in self.postponed.pop_expired(now):
+            if state:
+                decided.append((state, [*state.route(now)]))
         return decided
 
     # Endpoints.
--- a/sprucegate/routing/settings.py
+++ b/sprucegate/routing/settings.py
@@ -33,6 +33,7 @@
     :ivar tells: which cache statuses caches report in their responses: "all", "hit" or "none". With "none",
         statuses are inferred from the speed of responses.
     :ivar tick: granularity of times on the wire (ns).
+    :ivar purge_grace: time after a purge until which copies from before it may still be returned (ns).
     :ivar purge_done: time after a purge by which all caches have applied it (ns).
     :ivar client_kb_per_s: rate at which responses are sent to clients, 0 if unknown.
     :ivar link_in_kb_per_s: rate of each location's link from the parents.
@@ -68,6 +69,7 @@
     discovery: str = ""
     tells: str = "all"
     tick: int = MILLISECOND
+    purge_grace: int = 0
     purge_done: int = 0
     client_kb_per_s: float = 0
     link_in_kb_per_s: Sequence[float] = ()
--- a/sprucegate/upstream/http2/mapping.py
+++ b/sprucegate/upstream/http2/mapping.py
@@ -16,7 +16,8 @@
 from sprucegate.upstream.http2 import evidence
 from sprucegate.upstream.place import ServerResponse
 
-MS, S = 1_000_000, 1_000_000_000
+MS = 1_000_000
+AGE_UNIT_NS = 1_000_000_000  # ages are whole seconds (RFC 9111 section 1.2.2)
 BODY_MAX = 240_000  # bytes of an object
 STRUCTURED_FIELD_MAX = 1000  # bytes; longer structured fields are ignored
 PARSED_FIELDS_CACHED = 512  # parsed structured fields that are cached: a server sends few different ones
@@ -67,7 +68,7 @@
 
 
 def request_fields(authority, get, action, source, stored_only, time_left):
-    """Return the header list of an attempt. Ages and waits are rounded so that they never exceed those decided.
+    """Return the header list of an attempt. Waits are rounded down; for ages see `_age_directives`.
 
     `stored_only` is whether the server may answer from its stored responses alone (RFC 9111 section 5.2.1.7);
     `time_left` is how long the client still waits (ns) when the request is sent.
@@ -83,11 +84,7 @@
         NeverIndexed(b"x-call-id", get.id),
         NeverIndexed(b"spruce-wait", b"%d" % max(1, min(time_left, action.timeout) // MS)),
     ]
-    cache_control = []
-    if action.max_age:
-        # Both directives: max-age bounds the age, and max-stale accepts a stale response up to that age (RFC 9111
-        # section 5.2.1).
-        cache_control += [f"max-age={action.max_age // S}", f"max-stale={action.max_age // S}"]
+    cache_control = _age_directives(action.max_age)
     if stored_only:
         cache_control.append("only-if-cached")
     if cache_control:
@@ -120,6 +117,19 @@
     return fields
 
 
+def _age_directives(max_age):
+    """Return the Cache-Control directives (RFC 9111 section 5.2.1) that admit no response older than `max_age` (ns).
+
+    A server counts ages in whole seconds and so takes a response for up to one second younger than it is. `max-stale`
+    accepts a stale response up to the same age. No age excludes all responses of less than a second: where one of them
+    may be from before a purge, the router sends no attempt (`Router.sendable_at`).
+    """
+    if not max_age:
+        return []
+    seconds = max(0, max_age // AGE_UNIT_NS - 1)
+    return [f"max-age={seconds}", f"max-stale={seconds}"]
+
+
 @lru_cache(PARSED_FIELDS_CACHED)
 def _parse_cache_status(text):
     """Return the cache status by Cache-Status (RFC 9211), whose last member is the cache that sent the response."""
@@ -188,7 +198,7 @@
 def _greatest_age(fields):
     """Return the greatest age of the response (ns): Age is in whole seconds (RFC 9111 section 4.2.3)."""
     age = fields.get(b"age", b"")
-    return (int(age) + 1) * S if age.isdigit() and len(age) < 10 else None
+    return (int(age) + 1) * AGE_UNIT_NS if age.isdigit() and len(age) < 10 else None
 
 
 def interpret(status, fields, body, cached_only, have=""):
--- a/sprucegate/upstream/http2/transport.py
+++ b/sprucegate/upstream/http2/transport.py
@@ -127,8 +127,11 @@
     """Sends attempts over HTTP/2.
 
     :ivar active: servers with connections, or whose pool has something due, by id
+    :cvar age_unit: unit in which servers are told the oldest acceptable age (ns)
     """
 
+    age_unit = mapping.AGE_UNIT_NS
+
     def __init__(self, servers, driver, pool, settings, limits):
         self.servers = servers
         self.driver = driver
--- a/sprucegate/upstream/lines/transport.py
+++ b/sprucegate/upstream/lines/transport.py
@@ -28,6 +28,8 @@
 class LineTransport:
     """Sends attempts over the line protocol, within the bounds on connections and on attempts per connection."""
 
+    age_unit = 0  # milliseconds, which the platform's tick allows for
+
     def __init__(self, servers, driver, pool, settings):
         self.servers = servers
         self.driver = driver
--- a/sprucegate/upstream/sending.py
+++ b/sprucegate/upstream/sending.py
@@ -12,12 +12,14 @@
 class Sending:
     """Checks attempts before they are sent.
 
-    `count(name)` counts a refusal by its reason; `began(attempt, now)` is called after the first byte was sent.
+    `count(name)` counts a refusal by its reason; `began(attempt, now)` is called after the first byte was sent;
+    `may_send(attempt, now)` tells whether the decision to send an attempt still holds.
     """
 
-    def __init__(self, count, began=lambda attempt, now: None):
+    def __init__(self, count, began=lambda attempt, now: None, may_send=lambda attempt, now: True):
         self.count = count
         self.began = began
+        self.may_send = may_send
 
     def time_left(self, attempt, now):
         """Return the time left for this attempt (ns), or None if it must not be sent any more."""
@@ -36,4 +38,7 @@
         ):
             self.count("sends_refused client_left")
             return None
+        if not self.may_send(attempt, now):
+            self.count("sends_refused purged")
+            return None
         return time_left
--- a/sprucegate/upstream/servers.py
+++ b/sprucegate/upstream/servers.py
@@ -23,6 +23,7 @@
         self.max_connections = max_connections
         self.connections = 0
         self.by_id = {}  # id -> UpstreamServer
+        self.age_units = {}  # unit in which a server is told the oldest acceptable age (ns), by id; else exactly
         self.server_config = server_config
         self.transports = {"lines": LineTransport(self, driver, pool, settings)}
         if server_config is not None and server_config.speaks("http2"):
@@ -45,9 +46,7 @@
                         if self.server_config
                         else "lines"
                     )
-                    self.by_id[entry.id] = UpstreamServer(
-                        entry.id, name, (host, int(port)), self.transports[protocol]
-                    )
+                    self._add(entry.id, name, (host, int(port)), self.transports[protocol])
             elif gone:
                 self.remove(server)
             else:
@@ -61,6 +60,11 @@
             ]:
                 self.remove(server)
 
+    def _add(self, server_id, name, address, transport):
+        self.by_id[server_id] = UpstreamServer(server_id, name, address, transport)
+        if transport.age_unit:
+            self.age_units[server_id] = transport.age_unit
+
     def remove(self, server):
         """Remove a server that is no longer listed."""
         # Attempts that were sent there may still be answered.
@@ -76,6 +80,7 @@
             and self.by_id.get(server.id) is server
         ):
             del self.by_id[server.id]
+            self.age_units.pop(server.id, None)
 
     def warm_up(self, server_ids, now):
         """Connect to these servers ahead of the first request."""
--- a/tests/front/test_slow_bus.py
+++ b/tests/front/test_slow_bus.py
@@ -1,68 +1,18 @@
 """A front whose event bus is slow, mute or gone: it hears it late, and keeps to purges that it can't have heard."""
 
-import json
-import socket
-import threading
 import time
 
 import pytest
-from helpers import REAL, Front, StandIn, cache, get_text, host, served
+from helpers import COMMENT_S, REAL, Front, SlowBus, cache, get_text, host, served
 
 from sprucegate.front.event_stream import CATCH_UP_TIME_NS
 
 TOLD_S = 7.0  # whatever the event bus has to tell counts as told by then, whether it arrived or not
-COMMENT_S = 0.9
 NEVER_S = 60.0
 PURGED, KEPT = "7f3a9c21e0b4d655", "7f3a9c21e0b4d656"
 SETTINGS = {**REAL["settings"], "specifics": {**REAL["settings"]["specifics"], "purgeDone": 6_000_000}}
 
 
-class SlowBus(StandIn):
-    """Tells all events of `events` and a comment each second, but late.
-
-    :ivar answer_after: seconds until the head of an answer
-    :ivar body_after: seconds from there to the first byte of its body
-    :ivar pause: seconds between two writes of events or comments
-    """
-
-    def __init__(self):
-        self.events, self.answer_after, self.body_after, self.pause = [], 0.0, 0.0, COMMENT_S
-        self.fresh = threading.Condition()
-        super().__init__(self._tell)
-
-    def _tell(self, _, sock):
-        head = b""
-        while b"\r\n\r\n" not in head:
-            head += sock.recv(4096)
-        last = int(head.split(b"Last-Event-ID: ")[1].split(b"\r\n")[0])
-        self.heard.put(last)
-        time.sleep(self.answer_after)
-        sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")
-        time.sleep(self.body_after)
-        while True:
-            due = [event for event in self.events if event["offset"] > last]
-            last = due[-1]["offset"] if due else last
-            text = "".join(f"id: {event['offset']}\ndata: {json.dumps(event)}\n\n" for event in due)
-            sock.sendall(text.encode() + b":\n\n")
-            with self.fresh:
-                if self.pause <= COMMENT_S:
-                    self.fresh.wait(self.pause)
-            if self.pause > COMMENT_S:
-                time.sleep(self.pause)
-
-    def tell(self, **event):
-        self.events.append({"offset": len(self.events) + 2, **event})
-        with self.fresh:
-            self.fresh.notify_all()
-
-    def end_streams(self):
-        for sock in self.open():
-            try:
-                sock.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                pass
-
-
 def unix_ms():
     return time.time_ns() // 1_000_000
 
@@ -104,11 +54,7 @@
         origin = cache(served)
         hosts = host("s-0b", self.cache.server.address, "std"), host("s-1f", origin.address, "origin")
         self.drain = {"seq": 2, "whole": False, "hosts": [{**hosts[0], "health": "draining"}]}
-        self.front = Front(path, *hosts, settings=SETTINGS)
-        self.front.bus.stop()
-        self.front.configure(bus=self.bus.address)
-        self.front.process.send_signal(1)
-        self.bus.heard.get(timeout=5)
+        self.front = Front(path, *hosts, settings=SETTINGS, bus=self.bus.address)
         time.sleep(1.5 * CATCH_UP_TIME_NS / 1e9)
 
     def get(self, name):
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -193,6 +193,55 @@
     return StandIn(talk)
 
 
+COMMENT_S = 0.9
+
+
+class SlowBus(StandIn):
+    """An event bus that tells all of `events` and a comment each second, and may be late.
+
+    :ivar answer_after: seconds until the head of an answer
+    :ivar body_after: seconds from there to the first byte of its body
+    :ivar pause: seconds between two writes of events or comments
+    """
+
+    def __init__(self):
+        self.events, self.answer_after, self.body_after, self.pause = [], 0.0, 0.0, COMMENT_S
+        self.fresh = threading.Condition()
+        super().__init__(self._tell)
+
+    def _tell(self, _, sock):
+        head = b""
+        while b"\r\n\r\n" not in head:
+            head += sock.recv(4096)
+        last = int(head.split(b"Last-Event-ID: ")[1].split(b"\r\n")[0])
+        self.heard.put(last)
+        time.sleep(self.answer_after)
+        sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")
+        time.sleep(self.body_after)
+        while True:
+            due = [event for event in self.events if event["offset"] > last]
+            last = due[-1]["offset"] if due else last
+            text = "".join(f"id: {event['offset']}\ndata: {json.dumps(event)}\n\n" for event in due)
+            sock.sendall(text.encode() + b":\n\n")
+            with self.fresh:
+                if self.pause <= COMMENT_S:
+                    self.fresh.wait(self.pause)
+            if self.pause > COMMENT_S:
+                time.sleep(self.pause)
+
+    def tell(self, **event):
+        self.events.append({"offset": len(self.events) + 2, **event})
+        with self.fresh:
+            self.fresh.notify_all()
+
+    def end_streams(self):
+        for sock in self.open():
+            try:
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
+
 def host(name, address, kind, health="up"):
     return {
         "host": name,
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -13,7 +13,7 @@
     server_with_id,
 )
 
-from sprucegate.routing.actions import FailRequest, RejectRequest, SendAttempt
+from sprucegate.routing.actions import FailRequest, PostponeAttempt, RejectRequest, SendAttempt
 from sprucegate.routing.attempt_results import AttemptResult
 from sprucegate.routing.digest import (
     BELIEF_LIFETIME_MAX_NS,
@@ -682,6 +682,79 @@
     assert router.invalidations.max_age(make_request(), False, NOW) == limit
 
 
+GRACE, TICK = 500 * MS, 2 * MS
+
+
+def coarse_router(purged_ago, **settings):
+    """A front whose caches and parents are told ages in whole seconds, and an object that was purged."""
+    router = make_router(purge_grace=GRACE, **settings)
+    router.age_units = dict.fromkeys([*CACHES, *PARENTS], S)
+    router.invalidate(99, -1, purged_ago, NOW)
+    return router
+
+
+@pytest.mark.parametrize(
+    "purged_ago, sent", [(0, 1), (GRACE - 1, 1), (GRACE, 0), (S + TICK - 1, 0), (S + TICK, 1)]
+)
+def test_a_get_waits_until_the_time_since_a_purge_can_be_told_to_its_cache(purged_ago, sent):
+    """Guards against an age limit below a second, to which a cache returns a copy from before the purge."""
+    router = coarse_router(purged_ago)
+    state = router.start_request(make_request(size=1000), NOW)
+    action = state.route(NOW)[0]
+    assert isinstance(action, SendAttempt) == bool(sent)
+    if not sent:
+        assert action == PostponeAttempt(NOW - purged_ago + S + TICK) and not state.is_settled()
+        assert router.next_deadline() == action.until and router.on_timer(action.until - 1) == [(None, [])]
+        (_, (action,)) = router.on_timer(NOW - purged_ago + S + TICK)[1]
+        assert isinstance(action, SendAttempt) and action.max_age >= S
+        assert router.postponed.next() is None
+
+
+@pytest.mark.parametrize(
+    "settings, ttl, kind, target",
+    [
+        ({"direct": True}, 3 * S, SendAttempt, ORIGIN),  # in time there, and the parents are coarse too
+        ({"direct": False}, 3 * S, PostponeAttempt, None),
+        ({"direct": True}, 300 * MS, SendAttempt, ORIGIN),
+        ({"direct": True, "latency_objective": [S] * 3}, 300 * MS, SendAttempt, ORIGIN),
+        ({"direct": False}, 300 * MS, RejectRequest, None),
+    ],
+)
+def test_a_get_that_would_be_late_goes_straight_to_the_origin_or_waits_as_long_as_it_can(
+    settings, ttl, kind, target
+):
+    """Guards against a GET that is given up because it has to wait."""
+    quick = {"latency_objective": [100 * MS] * 3, "objective_stretch": [0] * 3}
+    router = coarse_router(GRACE, **{**quick, **settings})
+    action = router.start_request(make_request(ttl=ttl), NOW).route(NOW)[0]
+    assert isinstance(action, kind) and (target is None or action.cache == target)
+
+
+def test_what_no_stored_copy_answers_does_not_wait_and_other_objects_neither():
+    router = coarse_router(GRACE, direct=True)
+    for request in (make_request(ds=2), make_request(obj=98), make_request()._replace(write=True)):
+        assert isinstance(router.start_request(request, NOW).route(NOW)[0], SendAttempt)
+    router.age_units = {}
+    assert isinstance(router.start_request(make_request(), NOW).route(NOW)[0], SendAttempt)
+
+
+def test_a_postponed_get_whose_client_leaves_is_not_sent():
+    router = coarse_router(GRACE)
+    state = router.start_request(make_request(size=1000), NOW)
+    assert isinstance(state.route(NOW)[0], PostponeAttempt)
+    state.client_disconnected(NOW)
+    assert router.on_timer(NOW + 2 * S) == [(None, [])]
+
+
+@pytest.mark.parametrize(
+    "purged_ago, age_unit, limited", [(6 * S, S, 1), (6 * S + 1, S, 0), (6 * S + 1, 0, 1)]
+)
+def test_a_coarse_limit_ends_once_no_server_holds_an_older_copy(purged_ago, age_unit, limited):
+    """Guards against good copies from the second after a purge that a rounded limit excludes."""
+    router = coarse_router(purged_ago)
+    assert bool(router.invalidations.max_age(make_request(), False, NOW, age_unit)) == bool(limited)
+
+
 @pytest.mark.parametrize("ds, requests, stored", [(0, 1, False), (0, 2, True), (2, 2, False)])
 def test_only_responses_to_repeated_reads_are_stored(ds, requests, stored):
     router, request = make_router(), make_request(ds=ds)
--- a/tests/upstream/test_http2_session.py
+++ b/tests/upstream/test_http2_session.py
@@ -355,6 +355,17 @@
     return OpenRequest(None, b"9b1f03aa5c7e2d41", "media", "7f3a", 3, have, body, asked)
 
 
+@pytest.mark.parametrize("max_age", [S, S + 1, 17 * S // 10, 2 * S - 1, 2 * S, 28 * S, 28 * S + 1])
+def test_an_age_that_a_server_counts_in_whole_seconds_never_exceeds_the_one_decided(max_age):
+    """Guards against copies from before a purge, of which a server says that they are a second younger."""
+    fields = dict(
+        mapping.request_fields(b"a:1", open_request(), send_attempt(max_age=max_age), "o", False, S)
+    )
+    told = int(fields[b"cache-control"].split(b", ")[0].removeprefix(b"max-age="))
+    oldest_admitted = (told + 1) * S - 1  # its age in whole seconds is `told`
+    assert oldest_admitted < max_age <= oldest_admitted + S  # a second more would exceed it
+
+
 def test_the_header_fields_of_an_attempt():
     fields = dict(
         mapping.request_fields(
@@ -374,7 +385,7 @@
         b"x-call-id": b"9b1f03aa5c7e2d41",
         b"spruce-wait": b"1400",
         b"if-none-match": b'"t1"',
-        b"cache-control": b"max-age=9, max-stale=9",
+        b"cache-control": b"max-age=8, max-stale=8",
         b"spruce-fill": b'source="s-\\"1f", rank=2, try=1, join, renew',
     }
     with_token = open_request()
