Tests show the last lines of a front's log when they fail

Cause: test_wall_clock failed once of four whole runs at a first GET that was not 200, and nothing was left that tells why.

Change: a front in a test that fails prints its last 40 lines, with the counters of that second.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -9,6 +9,7 @@
 import sys
 import threading
 import time
+from collections import deque
 
 from sprucegate.routing.digest import Belief
 from sprucegate.routing.events import Endpoint, EndpointState, Request
@@ -287,7 +288,7 @@
         for line in self.process.stdout:
             if json.loads(line)["event"] == "ready":
                 break
-        self.log = queue.Queue()
+        self.log, self.last_lines = queue.Queue(), deque(maxlen=40)
         threading.Thread(target=self._read, daemon=True).start()
 
     def configure(self, **changed):
@@ -296,6 +297,7 @@
 
     def _read(self):
         for line in self.process.stdout:
+            self.last_lines.append(line.decode())
             self.log.put(json.loads(line))
 
     def until(self, event):
@@ -318,7 +320,10 @@
     def __enter__(self):
         return self
 
-    def __exit__(self, *_):
+    def __exit__(self, fault=None, *_):
+        if fault is not None:  # pytest shows it with the failure
+            time.sleep(1.1)  # the counters are logged once a second
+            print(*self.last_lines)
         self.process.kill()
         self.process.wait()
         self.process.stdout.close()
