Soak: buses that answer late or are away for longer, and purges that bind after 7 s

Change: the bus has the mode late_answer (2.5 s, open streams end), its faults last 0.5 to 12 s, and the judge counts a purge as told 7 s after it at the latest.

--- a/standins/soak/judge.py
+++ b/standins/soak/judge.py
@@ -4,6 +4,7 @@
 SIGSTOP; every other request that was sent whole must get exactly one answer, also on an open connection after SIGTERM.
 """
 
+import math
 from collections import defaultdict
 from typing import NamedTuple
 
@@ -12,6 +13,7 @@
 MAX_EXCESS_S = 0.15  # by which an attempt's `max` may exceed the time that its client has left
 LATE_S = 0.5  # an answer later than this after the client's time-out is a finding
 EVENT_DELAY_S = 0.5  # from sending an event to a front until the front has to apply it
+EVENT_DELIVERY_S = 7.0  # a front has to apply a purge that is as old, whether it was sent to it or not
 ATTEMPTS_MAX = 6
 NEVER_RAN = ("overload", "missing")
 
@@ -156,8 +158,8 @@
         if (
             ban
             and ban["tag"] == row.group
-            and offset in told
-            and told[offset] + EVENT_DELAY_S < row.sent
+            and min(told.get(offset, math.inf), event["made_at"] + EVENT_DELIVERY_S) + EVENT_DELAY_S
+            < row.sent
             and (int(made) < ban["ts"] - 50)
         ):
             return [
--- a/standins/soak/schedule.py
+++ b/standins/soak/schedule.py
@@ -25,7 +25,9 @@
     "deaf",
     "idle_close",
 )
-BUS_MODES = ("down", "silent", "pieces", "late")
+BUS_MODES = ("down", "silent", "pieces", "late", "late_answer")
+# Longer than the time after which an event counts as told whether it arrived or not.
+BUS_SECONDS = (0.5, 12.0)
 CALLS = (
     ("accept", "EMFILE"),
     ("accept", "ENFILE"),
@@ -103,7 +105,7 @@
 
 
 def _bus_fault(chance, at):
-    return Fault(at, "bus", 0, chance.choice(BUS_MODES), round(chance.uniform(0.5, 4.0), 3))
+    return Fault(at, "bus", 0, chance.choice(BUS_MODES), round(chance.uniform(*BUS_SECONDS), 3))
 
 
 def _client_fault(chance, at, fronts):
--- a/standins/soak/servers.py
+++ b/standins/soak/servers.py
@@ -26,6 +26,9 @@
     return int(thing, 16) % 9973
 
 
+LATE_ANSWER_S = 2.5  # from a front's question until the first byte of the answer, in mode late_answer
+
+
 class Records:
     def __init__(self, path):
         self.file = open(path, "w")  # noqa: SIM115: open as long as the process
@@ -180,6 +183,8 @@
             last = int(head.lower().split(b"last-event-id:")[1].split(b"\r\n")[0])
             if self.world.bus_mode() == "down":
                 return writer.transport.abort()
+            if self.world.bus_mode() == "late_answer":
+                await asyncio.sleep(LATE_ANSWER_S)
             self.writers.add(writer)
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n:\n\n")
             while not writer.is_closing():
@@ -191,6 +196,10 @@
             self.writers.discard(writer)
             writer.close()
 
+    def end_streams(self):
+        for writer in list(self.writers):
+            writer.transport.abort()
+
     async def _send_events(self, writer, last):
         mode, world = self.world.bus_mode(), self.world
         if mode == "silent":
@@ -253,6 +262,9 @@
                 await self.servers[command["where"]].apply_fault(command["how"], command["seconds"])
             case "bus":
                 self.mode, self.until = command["how"], time.monotonic() + command["seconds"]
+                if self.mode == "late_answer":
+                    for bus in self.buses:
+                        bus.end_streams()
             case "drain":
                 server = self.servers[command["where"]]
                 self.tell(topology={"hosts": [self.host(server, "draining")]})
