Give no signal its default effect while a front ends, not even in another thread

Cause: removing a loop's handler gives the signal its default effect for a moment.

Change: handlers are the interpreter's own and are replaced by 'ignore' directly.

--- a/sprucegate/__main__.py
+++ b/sprucegate/__main__.py
@@ -16,7 +16,7 @@
 
 import uvloop  # noqa: E402
 
-from sprucegate.assembly.last_signals import run_to_exit  # noqa: E402
+from sprucegate.assembly.process_signals import run_to_exit  # noqa: E402
 from sprucegate.assembly.run import serve  # noqa: E402
 from sprucegate.front import configuration  # noqa: E402
 
--- a/sprucegate/assembly/keep.py
+++ b/sprucegate/assembly/keep.py
@@ -6,6 +6,7 @@
 
 import orjson
 
+from sprucegate.assembly.process_signals import handle_signal
 from sprucegate.fleet.consensus.driver import ConsensusDriver
 from sprucegate.fleet.links import codec
 from sprucegate.fleet.links.links import VOTER_CONNECTIONS_MAX, PeerLinks
@@ -45,7 +46,7 @@
         return 1
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().add_signal_handler(number, stop.set)
+        handle_signal(number, stop.set)
     await consensus.start()
     log("keeper_ready", listen=fleet.listen)
     await stop.wait()
--- a/sprucegate/assembly/run.py
+++ b/sprucegate/assembly/run.py
@@ -7,6 +7,7 @@
 import socket
 import time
 
+from sprucegate.assembly.process_signals import handle_signal
 from sprucegate.front import configuration
 from sprucegate.front.buffer_pool import BufferPool
 from sprucegate.front.connection_reader import LISTEN_BACKLOG, ConnectionReader
@@ -40,7 +41,7 @@
     stop = asyncio.Event()
     # Before the rest of the start: a SIGTERM during the start takes effect at its end.
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
+        handle_signal(number, stop.set)
     driver = Driver(config, pool, log, resident=memory_usage().resident)
     driver.on_events_received(driver.clock())  # the configuration holds those of the start
     loop.set_exception_handler(driver.on_loop_exception)
@@ -99,7 +100,7 @@
     driver.servers.warm_up(driver.router.endpoints_to_connect(driver.servers.max_connections), now)
     subscription = Subscription(driver, config)
     subscription.start()
-    loop.add_signal_handler(signal.SIGHUP, reload, subscription, config, log)
+    handle_signal(signal.SIGHUP, reload, subscription, config, log)
     reader.listen(listener)
     housekeeping_task = loop.create_task(housekeeping(driver, reader, pool, log))
     if driver.fleet is not None:
--- a/sprucegate/cli/commands.py
+++ b/sprucegate/cli/commands.py
@@ -43,7 +43,7 @@
     # Imported here so that `check` and `version` do not load the front's libraries.
     import uvloop
 
-    from sprucegate.assembly.last_signals import run_to_exit
+    from sprucegate.assembly.process_signals import run_to_exit
     from sprucegate.assembly.run import serve
     from sprucegate.cli.structured_logging import structured
     from sprucegate.front import configuration
--- a/sprucegate/cli/rollout.py
+++ b/sprucegate/cli/rollout.py
@@ -132,7 +132,7 @@
     import uvloop
 
     from sprucegate.assembly.keep import run_voter
-    from sprucegate.assembly.last_signals import run_to_exit
+    from sprucegate.assembly.process_signals import run_to_exit
     from sprucegate.cli.structured_logging import structured
 
     try:
