Move what a front concludes from a bus stream's silence into a policy module

Cause: when a stream is silent, has caught up or may still be waited for was decided beside its socket.

Change: EventStreamProgress in routing/ decides it from times alone; the stream and the subscription do the I/O.

--- a/sprucegate/front/connection_reader.py
+++ b/sprucegate/front/connection_reader.py
@@ -82,7 +82,8 @@
                 if not self._evict_one():
                     # In the queue it may still be served; closed at once it would get no response at all.
                     self.driver.counters.count("accepts_put_off")
-                    return self._pause_accepting()
+                    self._pause_accepting()
+                    return
             if not self._accept():
                 return
 
@@ -209,13 +210,13 @@
     def _free_one(self):
         """Close a connection to free its buffered bytes; return whether one could be closed.
 
-        One whose input waits to be read is passed over where there is another: its request may be whole by now.
+        One with unread input is passed over where there is another: its request may be whole by now.
         """
         clients = self.clients.next_to_free(FREE_CANDIDATES)
         if not clients:
             return False
-        waiting = (client for client in clients if not has_pending_input(client.sock))
-        return self.close(next(waiting, clients[0]), "memory")
+        without_input = (client for client in clients if not has_pending_input(client.sock))
+        return self.close(next(without_input, clients[0]), "memory")
 
     def _count_buffered(self, client):
         """Report the bytes that a connection's request takes; the connection itself may be closed for them."""
--- a/sprucegate/front/driver.py
+++ b/sprucegate/front/driver.py
@@ -135,7 +135,8 @@
 
     def _begin_routing(self, request, now):
         if self._respond_from_cache(request, now):
-            return self.forget(request)
+            self.forget(request)
+            return
         request.handle = self.router.start_request(request.routing_request, now)
         actions = request.handle.route(now)
         self.open_requests[request.handle] = request
@@ -170,7 +171,9 @@
         self.counters.count("gets_own")
         return True
 
-    def on_attempt_ended(self, attempt, outcome, cache_status, fill_wait, load, at=None):
+    def on_attempt_ended(  # noqa: PLR0913 - called by position from every transport
+        self, attempt, outcome, cache_status, fill_wait, load, at=None
+    ):
         """Handle the end of an attempt, once.
 
         `at`: one time for all attempts that end together. With different times they would count as separate failures
@@ -181,7 +184,9 @@
                 attempt.request, self._on_attempt_ended, attempt, outcome, cache_status, fill_wait, load, at
             )
 
-    def _on_attempt_ended(self, attempt, outcome, cache_status, fill_wait, load, at):
+    def _on_attempt_ended(  # noqa: PLR0913 - the arguments of on_attempt_ended
+        self, attempt, outcome, cache_status, fill_wait, load, at
+    ):
         now = at or self.clock()
         request = attempt.request
         attempt.ended = True
@@ -214,9 +219,9 @@
         self.invariants.check_forgotten(request)
         if self.config.log_gets and request.id in self.requests_by_id:
             self._log_request(request)
-        if self.requests_by_id.pop(request.id, None) is request and request.handle is not None:
-            if self.router.retry_policy.is_id_spent(request.handle):
-                self.spent_ids.add(request.id)
+        is_routed = self.requests_by_id.pop(request.id, None) is request and request.handle is not None
+        if is_routed and self.router.retry_policy.is_id_spent(request.handle):
+            self.spent_ids.add(request.id)
         if self.fill_quota is not None:
             self.fill_quota.request_ended(request)
         # Request and attempts refer to each other: the cycle would leave each request to the garbage collector.
@@ -511,7 +516,8 @@
         """
         fault = context.get("exception")
         if fault is not None:
-            return self.log_exception(fault)
+            self.log_exception(fault)
+            return
         self.log("fault", error=str(context.get("message", ""))[:200], where="loop")
         self.counters.count("faults")
 
--- a/sprucegate/front/event_stream.py
+++ b/sprucegate/front/event_stream.py
@@ -5,20 +5,17 @@
 
 from sprucegate.front.buffer_pool import BUFFER_BYTES
 from sprucegate.front.protocol import bus
-from sprucegate.units import MILLISECOND, SECOND
+from sprucegate.routing.event_stream_progress import EventStreamProgress
+from sprucegate.units import MILLISECOND
 from sprucegate.upstream.sockets import set_no_delay
 
-# The bus may begin with a comment. The events that were missed follow it, and take this long at most.
-CATCH_UP_TIME_NS = SECOND
-
 
 class EventStream:
     """A stream of the event bus, from the event after `last` on.
 
-    :ivar heard_at: when it last brought a part of an event or a comment, or else when it was begun (monotonic ns)
+    :ivar progress: EventStreamProgress by the bytes of the response's body
     :ivar opened_at: when it was begun (monotonic ns)
     :ivar received_bytes: bytes received so far
-    :ivar catches_up_until: what comes after this follows all events that were missed; None before it was heard
     :ivar task: the task that reads it
     """
 
@@ -26,9 +23,9 @@
         self.address = address
         self.last = last
         self.clock = clock
-        self.opened_at = self.heard_at = clock()
+        self.opened_at = clock()
+        self.progress = EventStreamProgress(self.opened_at)
         self.received_bytes = 0
-        self.catches_up_until = None
         self.task = None
         self._has_more = False
         self._reader = bus.StreamReader()
@@ -68,18 +65,12 @@
         events = self._reader.feed(chunk)
         if self._reader.body_bytes == body_bytes:
             return  # the head alone says nothing of events
-        self.heard_at = self.clock()
-        if self.catches_up_until is None:
-            self.expect_missed_events()
+        self.progress.on_heard(self.clock())
         on_heard(self, events)
 
-    def expect_missed_events(self):
-        """Take it that the stream still brings events that were issued long before."""
-        self.catches_up_until = self.clock() + CATCH_UP_TIME_NS
-
     def has_caught_up(self):
-        """Return whether what was heard last followed all events issued before it."""
-        return not self._has_more and self.heard_at >= self.catches_up_until
+        """Return whether all events issued before what was heard last have been read."""
+        return not self._has_more and self.progress.has_caught_up()
 
     def describe(self):
         """Return the fields that a log line tells of this stream."""
--- a/sprucegate/front/subscription.py
+++ b/sprucegate/front/subscription.py
@@ -6,12 +6,10 @@
 
 import asyncio
 
-from sprucegate.front.event_stream import CATCH_UP_TIME_NS, EventStream
+from sprucegate.front.event_stream import EventStream
 from sprucegate.front.protocol import bus
 from sprucegate.units import SECOND
 
-SILENCE_MAX_NS = 1_700_000_000  # the bus sends a comment each second
-SILENT_STREAM_KEPT_NS = 30 * SECOND
 RECONNECT_DELAYS_S = (0.1, 0.2, 0.4, 0.8, 1.0)
 
 
@@ -73,14 +71,14 @@
         """Wait until the stream that is read has ended or is silent; return it and the reason."""
         while True:
             stream = self.stream
-            silent_at = stream.heard_at + SILENCE_MAX_NS
-            await asyncio.wait([stream.task], timeout=max(0, silent_at - self.driver.clock()) / SECOND)
+            time_left = stream.progress.silent_at() - self.driver.clock()
+            await asyncio.wait([stream.task], timeout=max(0, time_left) / SECOND)
             if self.stream is not stream:
                 continue  # an earlier one was heard meanwhile
             if stream.task.done():
                 self.stream = None
                 return stream, stream.task.result()
-            if self.driver.clock() >= stream.heard_at + SILENCE_MAX_NS:
+            if self.driver.clock() >= stream.progress.silent_at():
                 self._set_aside(stream)
                 return stream, "silent"
 
@@ -88,15 +86,12 @@
         """Keep one silent stream open: the earlier one, as it will be answered first, but not without end."""
         self.stream = None
         earlier = self.silent_stream
-        if earlier is None or earlier.task.done() or self._is_given_up(earlier):
+        if earlier is None or earlier.task.done() or not earlier.progress.may_go_on(self.driver.clock()):
             self._close(earlier)
             self.silent_stream = stream
         else:
             self._close(stream)
 
-    def _is_given_up(self, stream):
-        return self.driver.clock() - stream.heard_at > SILENT_STREAM_KEPT_NS
-
     @staticmethod
     def _close(stream):
         if stream is not None:
@@ -113,7 +108,7 @@
         for _, data in events:
             self._on_event(data)
         if stream.has_caught_up():
-            self.driver.on_events_received(stream.heard_at)
+            self.driver.on_events_received(stream.progress.heard_at)
 
     def on_reload(self, address, known):
         """Subscribe at the bus's new address at once: the old one sends no more events."""
@@ -130,7 +125,8 @@
         try:
             offset, event = bus.read(data, self.config.locations, self.config.kinds)
         except bus.MalformedEventError as fault:
-            return self._retry_or_skip(fault)
+            self._retry_or_skip(fault)
+            return
         if offset > self.last + 1:
             self._retry_or_skip(bus.MalformedEventError(f"event {offset} follows {self.last}"))
         self._apply(offset, event)
@@ -155,11 +151,7 @@
             self.driver.log_exception(fault)
             self._retry_or_skip(bus.MalformedEventError(f"event {offset} could not be applied"))
         self.last = offset
-        if self.stream is not None and self._is_late(event):
-            self.stream.expect_missed_events()
+        if self.stream is not None and isinstance(event, bus.InvalidationEvent):
+            now = self.driver.clock()
+            self.stream.progress.on_purge(self.driver.platform_time.age(event.at, now), now)
         self.driver.log("told", offset=offset, what=type(event).__name__)
-
-    def _is_late(self, event):
-        if not isinstance(event, bus.InvalidationEvent):
-            return False
-        return self.driver.platform_time.age(event.at, self.driver.clock()) > CATCH_UP_TIME_NS
--- a/tests/front/test_slow_bus.py
+++ b/tests/front/test_slow_bus.py
@@ -5,7 +5,7 @@
 import pytest
 from helpers import COMMENT_S, REAL, Front, SlowBus, cache, get_text, host, served
 
-from sprucegate.front.event_stream import CATCH_UP_TIME_NS
+from sprucegate.routing.event_stream_progress import CATCH_UP_TIME_NS
 
 TOLD_S = 7.0  # whatever the event bus has to tell counts as told by then, whether it arrived or not
 NEVER_S = 60.0
