--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -37,6 +37,14 @@
     assert run(tmp_path, f"tests/test_x.py::test_b | {ENTRY}\n").returncode == 1
 
 
+@pytest.mark.parametrize(
+    "test, outcome", [("test_a", "1 passed, 1 xfailed"), ("test_b", "1 failed, 1 xpassed")]
+)
+def test_only_a_listed_test_that_fails_at_times_may_pass_or_fail(tmp_path, test, outcome):
+    completed = run(tmp_path, f"tests/test_x.py::{test} | pytest -n 0 | at times: AssertionError: 0 | 38\n")
+    assert outcome in completed.stdout
+
+
 def test_an_unlisted_failure_fails_the_run(tmp_path):
     assert run(tmp_path, "").returncode == 1
 
